Add workspace, base layer, catalogue schema and platform interfaces

The project had no code. This adds the npm workspace with one package per concern, the design page, formatter, linter and test runner, and the layers that the other packages build on: clock, seeded random numbers, disposables, events, tagged errors, settings, logs, metrics, HTTP and datagram clients, the catalogue schema with partitions, and the interfaces of the platform services.

--- /dev/null
+++ b/packages/base/src/node/settings.ts
@@ -0,0 +1,63 @@
+/** Reads INI settings and checks them against a schema. */
+import * as fs from 'node:fs';
+import * as ini from 'ini';
+import * as zod from 'zod';
+
+/** A setting that is missing or wrong. The message names file, section, key and what was expected. */
+export class SettingsError extends Error {
+	constructor(file: string, path: readonly PropertyKey[], expected: string) {
+		const [section = '(top)', ...key] = path.map(String);
+		super(`${file}: section [${section}], key "${key.join('.') || '(section)'}": ${expected}`);
+		this.name = 'SettingsError';
+	}
+}
+
+/** Parses INI text. @throws {@link SettingsError} for the first wrong setting. */
+export const parseSettings = <Schema extends zod.ZodType>(
+	text: string,
+	file: string,
+	schema: Schema,
+): zod.infer<Schema> => {
+	const result = schema.safeParse(ini.parse(text));
+	if (!result.success) {
+		const [issue] = result.error.issues;
+		throw new SettingsError(file, issue?.path ?? [], issue?.message ?? 'invalid settings');
+	}
+
+	return result.data;
+};
+
+/** Reads an INI file. @throws {@link SettingsError} when it cannot be read or is wrong. */
+export const readSettings = <Schema extends zod.ZodType>(
+	file: string,
+	schema: Schema,
+): zod.infer<Schema> => {
+	let text: string;
+	try {
+		text = fs.readFileSync(file, 'utf8');
+	} catch (error) {
+		throw new SettingsError(file, [], error instanceof Error ? error.message : 'unreadable');
+	}
+
+	return parseSettings(text, file, schema);
+};
+
+/** A number in INI text; INI values are strings. */
+export const numberSetting = (minimum: number, maximum: number) =>
+	zod.coerce
+		.number(`expected a number from ${minimum} to ${maximum}`)
+		.min(minimum, `expected a number from ${minimum} to ${maximum}`)
+		.max(maximum, `expected a number from ${minimum} to ${maximum}`);
+
+/** An address of the form `host:port` with a numeric IPv4 host. */
+export const addressSetting = zod
+	.string('expected an address like 127.0.0.1:8080')
+	.regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/u, 'expected an address like 127.0.0.1:8080');
+
+/** A list separated by commas; an empty value gives an empty list. */
+export const listSetting = <Item extends zod.ZodType<unknown, string>>(item: Item) =>
+	zod
+		.string('expected a list separated by commas')
+		.transform((text) => text.split(',').map((part) => part.trim()))
+		.transform((parts) => parts.filter((part) => part !== ''))
+		.pipe(zod.array(item));
--- /dev/null
+++ b/packages/base/src/node/undici-http-client.ts
@@ -0,0 +1,79 @@
+/** HTTP client on undici. Its automatic retries and redirects stay off. */
+import * as undici from 'undici';
+import * as httpClient from '../common/http-client.js';
+
+const defaultTimeoutMs = 30_000;
+const connectTimeoutMs = 2000;
+const maxConnectionsPerPeer = 512;
+
+// Errors that undici raises before it writes the first byte of a request.
+const neverSentCodes = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const codeOf = (error: unknown): string =>
+	error instanceof Error && 'code' in error ? String(error.code) : '';
+
+const flattenHeaders = (
+	headers: Record<string, string | string[] | undefined>,
+): Record<string, string> => {
+	const flat: Record<string, string> = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (value !== undefined) {
+			flat[name] = Array.isArray(value) ? value.join(', ') : value;
+		}
+	}
+
+	return flat;
+};
+
+/** Client with one connection pool a peer. */
+export class UndiciHttpClient extends httpClient.HttpClient {
+	readonly #agent = new undici.Agent({
+		connections: maxConnectionsPerPeer,
+		pipelining: 1,
+		connect: {timeout: connectTimeoutMs},
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	});
+
+	override async request(request: httpClient.HttpRequest): Promise<httpClient.HttpResponse> {
+		const timeout = new AbortController();
+		const timer = setTimeout(() => {
+			timeout.abort(new Error(`no answer within ${request.timeoutMs ?? defaultTimeoutMs} ms`));
+		}, request.timeoutMs ?? defaultTimeoutMs);
+		const signals = request.signal ? [timeout.signal, request.signal] : [timeout.signal];
+		try {
+			request.onSent?.();
+			const answer = await undici.request(`http://${request.peer}${request.path}`, {
+				dispatcher: this.#agent,
+				method: request.method,
+				headers: request.headers,
+				body: request.body,
+				signal: AbortSignal.any(signals),
+			});
+			return {
+				status: answer.statusCode,
+				headers: flattenHeaders(answer.headers),
+				body: answer.body,
+			};
+		} catch (error) {
+			const wasNeverSent = neverSentCodes.has(codeOf(error));
+			throw new httpClient.HttpClientError(
+				error instanceof Error ? error.message : String(error),
+				request.peer,
+				!wasNeverSent,
+				error,
+			);
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	override async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
--- /dev/null
+++ b/packages/catalogue/src/common/snapshot.ts
@@ -0,0 +1,70 @@
+/** Immutable view of one revision of the catalogue, with the lookups of the daemons. */
+import type * as schema from './schema.js';
+
+/** One revision of the catalogue. Revision 0 is the empty catalogue before the first read. */
+export type Snapshot = {
+	/** Store revision of the root. */
+	readonly revision: number;
+	readonly entries: ReadonlyMap<string, schema.Entry>;
+	readonly teams: ReadonlyMap<string, schema.Team>;
+	readonly upstreams: ReadonlyMap<string, schema.Upstream>;
+};
+
+/** Builds a snapshot. Of two records with one kind and name, the later wins. */
+export const createSnapshot = (
+	revision: number,
+	records: Iterable<schema.CatalogueRecord>,
+): Snapshot => {
+	const entries = new Map<string, schema.Entry>();
+	const teams = new Map<string, schema.Team>();
+	const upstreams = new Map<string, schema.Upstream>();
+	for (const record of records) {
+		switch (record.kind) {
+			case 'entry': {
+				entries.set(record.name, record);
+				break;
+			}
+
+			case 'team': {
+				teams.set(record.name, record);
+				break;
+			}
+
+			case 'upstream': {
+				upstreams.set(record.name, record);
+				break;
+			}
+		}
+	}
+
+	return {revision, entries, teams, upstreams};
+};
+
+/** Snapshot before the first configuration is known. */
+export const emptySnapshot: Snapshot = createSnapshot(0, []);
+
+/** Region that a request of this team and entry is bound to; undefined when unbound. */
+export const homeRegionOf = (team: schema.Team, entry: schema.Entry): string | undefined =>
+	entry.homeRegion ?? team.homeRegion;
+
+/** Upstreams that can serve an entry, old setup excluded unless asked for. */
+export const upstreamsFor = (
+	snapshot: Snapshot,
+	entry: schema.Entry,
+	options: {region?: string; oldSetup?: boolean} = {},
+): schema.Upstream[] => {
+	const {target} = entry;
+	return [...snapshot.upstreams.values()].filter((upstream) => {
+		if (upstream.oldSetup !== (options.oldSetup ?? false)) {
+			return false;
+		}
+
+		if (options.region !== undefined && upstream.region !== options.region) {
+			return false;
+		}
+
+		return target.kind === 'model'
+			? upstream.type === 'runner' && upstream.models.includes(target.model)
+			: upstream.type === 'service' && upstream.service === target.service;
+	});
+};
--- /dev/null
+++ b/packages/platform/src/common/key-value-store.ts
@@ -0,0 +1,82 @@
+/** The platform's key-value service: compare-and-swap, leases and watches. */
+import * as zod from 'zod';
+
+export const keyValueSchema = zod.object({
+	key: zod.string(),
+	value: zod.string(),
+	/** Revision of the last write of this key; grows over the whole store. */
+	revision: zod.number().int(),
+	/** Lease that the key is attached to; it is deleted when the lease ends. */
+	leaseId: zod.string().optional(),
+});
+export type KeyValue = zod.infer<typeof keyValueSchema>;
+
+export const putResultSchema = zod.discriminatedUnion('kind', [
+	zod.object({kind: zod.literal('written'), revision: zod.number().int()}),
+	zod.object({kind: zod.literal('conflict'), current: keyValueSchema.optional()}),
+]);
+export type PutResult = zod.infer<typeof putResultSchema>;
+
+export const leaseSchema = zod.object({
+	leaseId: zod.string(),
+	/** Grows with every lease granted; serves as a fencing number. */
+	number: zod.number().int(),
+	ttlMs: zod.number(),
+});
+export type Lease = zod.infer<typeof leaseSchema>;
+
+/** Why a call of a platform service failed. `mayHaveTakenEffect` is true after a lost answer. */
+export class PlatformError extends Error {
+	readonly service: string;
+	readonly mayHaveTakenEffect: boolean;
+
+	constructor(service: string, message: string, mayHaveTakenEffect: boolean, cause?: unknown) {
+		super(`${service}: ${message}`, {cause});
+		this.name = 'PlatformError';
+		this.service = service;
+		this.mayHaveTakenEffect = mayHaveTakenEffect;
+	}
+}
+
+/** Key-value service. Each call counts against its rates, a waiting watch as one. */
+export abstract class KeyValueStore {
+	/** @returns the value, or undefined when the key does not exist. @throws {@link PlatformError} */
+	abstract get(key: string, signal?: AbortSignal): Promise<KeyValue | undefined>;
+
+	/** Keys and revisions under a prefix, without values. @throws {@link PlatformError} */
+	abstract list(prefix: string, signal?: AbortSignal): Promise<Array<Omit<KeyValue, 'value'>>>;
+
+	/**
+	 * Writes when the current revision of the key equals `expectedRevision`; 0
+	 * means that the key must not exist. @throws {@link PlatformError}
+	 */
+	abstract compareAndSwap(
+		key: string,
+		value: string,
+		expectedRevision: number,
+		options?: {leaseId?: string; signal?: AbortSignal},
+	): Promise<PutResult>;
+
+	/** Deletes a key when its revision matches. @throws {@link PlatformError} */
+	abstract compareAndDelete(key: string, expectedRevision: number): Promise<boolean>;
+
+	/**
+	 * Waits until the key has a revision above `afterRevision` or `waitMs` is
+	 * over (then undefined). @throws {@link PlatformError}
+	 */
+	abstract watch(
+		key: string,
+		afterRevision: number,
+		waitMs: number,
+		signal?: AbortSignal,
+	): Promise<KeyValue | undefined>;
+
+	/** Grants a lease. @throws {@link PlatformError} */
+	abstract grantLease(ttlMs: number): Promise<Lease>;
+
+	/** Renews a lease; false when it has already ended. @throws {@link PlatformError} */
+	abstract renewLease(leaseId: string): Promise<boolean>;
+
+	/** Ends a lease and deletes its keys. @throws {@link PlatformError} */
+	abstract revokeLease(leaseId: string): Promise<void>;
+}
--- /dev/null
+++ b/packages/protocol/src/node/json-rpc.ts
@@ -0,0 +1,80 @@
+/** JSON-RPC 2.0 over HTTP POST, on the `json-rpc-2.0` library. */
+import * as jsonRpc from 'json-rpc-2.0';
+import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as zod from 'zod';
+import * as rpc from '../common/rpc.js';
+
+const defaultTimeoutMs = 2000;
+const maxAnswerBytes = 16_777_216;
+
+/** Client over an {@link httpClient.HttpClient}. */
+export class HttpRpcClient extends rpc.RpcClient {
+	readonly #client: httpClient.HttpClient;
+	#lastId = 0;
+
+	constructor(client: httpClient.HttpClient) {
+		super();
+		this.#client = client;
+	}
+
+	override async call<Params extends zod.ZodType, Result extends zod.ZodType>(
+		peer: string,
+		method: rpc.RpcMethod<Params, Result>,
+		params: zod.infer<Params>,
+		options: {timeoutMs?: number; signal?: AbortSignal} = {},
+	): Promise<zod.infer<Result>> {
+		const request = jsonRpc.createJSONRPCRequest(++this.#lastId, method.name, params);
+		try {
+			const answer = await this.#client.request({
+				peer,
+				method: 'POST',
+				path: rpc.rpcPath,
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify(request),
+				timeoutMs: options.timeoutMs ?? defaultTimeoutMs,
+				signal: options.signal,
+			});
+			const text = await httpClient.readText(answer.body, maxAnswerBytes);
+			const response = JSON.parse(text) as jsonRpc.JSONRPCResponse;
+			if (response.error) {
+				throw new rpc.RpcError(method.name, peer, response.error.message, true);
+			}
+
+			return method.result.parse(response.result);
+		} catch (error) {
+			if (error instanceof rpc.RpcError) {
+				throw error;
+			}
+
+			const mayHaveRun = !(error instanceof httpClient.HttpClientError) || error.mayHaveBeenSent;
+			const message = error instanceof Error ? error.message : String(error);
+			throw new rpc.RpcError(method.name, peer, message, mayHaveRun, error);
+		}
+	}
+}
+
+/** Server side; the HTTP server hands it the text of each request. */
+export class JsonRpcServer extends rpc.RpcServer {
+	/** Calls whose handler threw or whose parameters were wrong. */
+	failedCalls = 0;
+	readonly #server = new jsonRpc.JSONRPCServer({
+		errorListener: () => {
+			this.failedCalls++;
+		},
+	});
+
+	override handle<Params extends zod.ZodType, Result extends zod.ZodType>(
+		method: rpc.RpcMethod<Params, Result>,
+		handler: (params: zod.infer<Params>) => Promise<zod.infer<Result>> | zod.infer<Result>,
+	): void {
+		this.#server.addMethod(method.name, async (params: unknown) =>
+			handler(method.params.parse(params)),
+		);
+	}
+
+	/** Answers one request; empty text for a notification. */
+	async receive(text: string): Promise<string> {
+		const response = await this.#server.receiveJSON(text);
+		return response ? JSON.stringify(response) : '';
+	}
+}
