--- /dev/null
+++ b/packages/decisions/src/common/types.ts
@@ -0,0 +1,76 @@
+/** Interface between the scheduler and the request engine of the entry daemon. */
+import * as zod from 'zod';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as event from '@hawthornfront/base/common/event.js';
+import type * as schema from '@hawthornfront/catalogue/common/schema.js';
+
+/** A request as far as scheduling needs to know it; holds no content. */
+export type WorkItem = {
+	workClass: schema.WorkClass;
+	team: string;
+	/** Name of the model or of the plain service. */
+	model: string;
+	/** Tokens of the prompt and of the expected output. */
+	estimatedTokens: number;
+	/** Hash of the start of the prompt, for cache affinity. */
+	prefixHash?: string;
+	/** On the monotonic clock of this process. */
+	deadlineAtMs: number;
+	canBePreempted: boolean;
+	/** Names of upstreams that already failed this request. */
+	excluded: ReadonlySet<string>;
+	/** Weight of the team in its class; 1 when absent. */
+	weight?: number;
+	/** How often this request was pre-empted before; 0 when absent. */
+	preemptions?: number;
+};
+
+/** How an assignment ended. */
+export type ReleaseResult = 'answered' | 'failed' | 'cancelled';
+
+/** A slot of one upstream, held until it is released. */
+export type Assignment = {
+	readonly upstream: schema.Upstream;
+	/** Fires at most once: cancel the stream and resume it later through a new `acquire`. */
+	readonly onDidPreempt: event.Event<void>;
+	noteFirstToken(): void;
+	/** Counts generated tokens. */
+	noteTokens(count: number): void;
+	/** Gives the slot back. Only the first call counts. */
+	release(result: ReleaseResult): void;
+};
+
+/** Lagged report of a runner, as read from `GET /load`. */
+export const loadReportSchema = zod.object({
+	running: zod.number().int().nonnegative(),
+	waiting: zod.number().int().nonnegative(),
+	slots: zod.number().int().nonnegative(),
+	leaving: zod.boolean(),
+	model: zod.string(),
+	role: zod.string(),
+	/** On a clock of the reporter; only compared with other reports of the same upstream. */
+	observedAtMs: zod.number(),
+});
+export type LoadReport = zod.infer<typeof loadReportSchema>;
+
+/** Holds the queues and everything known about the upstreams of one region. */
+export type Scheduler = disposable.Disposable & {
+	/** Takes the upstreams of a catalogue snapshot; state of known names is kept. */
+	setUpstreams(upstreams: readonly schema.Upstream[]): void;
+	report(upstream: string, load: LoadReport): void;
+	/** Names of all upstreams that are leaving; replaces the previous set. */
+	setLeaving(upstreams: ReadonlySet<string>): void;
+	/**
+	 * Waits for a slot.
+	 * @throws GatewayException of kind `overloaded`, `no-upstream`, `deadline-exceeded` or `caller-gone`.
+	 */
+	acquire(item: WorkItem, signal: AbortSignal): Promise<Assignment>;
+	/** Takes a free slot without waiting; for hedges. */
+	acquireNow(item: WorkItem): Assignment | undefined;
+	/** Expected time in the queue for a new item. Infinity when no upstream serves the model. */
+	expectedWaitMs(workClass: schema.WorkClass, model: string): number;
+	/** Assignments that are not released. */
+	inFlight(): number;
+	/** State without any content of requests. */
+	dump(): unknown;
+};
