--- a/packages/base/src/common/manual-clock.ts
+++ b/packages/base/src/common/manual-clock.ts
@@ -4,13 +4,14 @@
 
 type Timer = {dueMs: number; sequence: number; callback: () => void};
 
-const microtaskRoundsPerTimer = 20;
-
-const drainMicrotasks = async (): Promise<void> => {
-	for (let round = 0; round < microtaskRoundsPerTimer; round++) {
-		await Promise.resolve();
-	}
-};
+/**
+ * Lets all pending promises settle. A fixed number of microtask rounds is not
+ * enough for chains of async generators, so this waits for the next macrotask.
+ */
+const settlePromises = async (): Promise<void> =>
+	new Promise((resolve) => {
+		setImmediate(resolve);
+	});
 
 /** Clock for tests and simulations: timers fire in order of due time, then of registration. */
 export class ManualClock extends clock.Clock {
@@ -56,7 +57,7 @@
 	/** Moves time by `durationMs`, fires due timers and lets promises settle between them. */
 	async advance(durationMs: number): Promise<void> {
 		const endMs = this.#nowMs + durationMs;
-		await drainMicrotasks();
+		await settlePromises();
 		for (;;) {
 			const timer = this.#nextTimer(endMs);
 			if (!timer) {
@@ -66,11 +67,11 @@
 			this.#timers.delete(timer);
 			this.#nowMs = Math.max(this.#nowMs, timer.dueMs);
 			timer.callback();
-			await drainMicrotasks();
+			await settlePromises();
 		}
 
 		this.#nowMs = endMs;
-		await drainMicrotasks();
+		await settlePromises();
 	}
 
 	/** Moves time without firing timers, as a process that was paused sees it. */
--- /dev/null
+++ b/packages/entry/src/test/fake-runner.ts
@@ -0,0 +1,129 @@
+/** Runners in memory whose streams follow a script; they count what they execute. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as attempt from '../common/attempt.js';
+import * as runnerClient from '../common/runner-client.js';
+
+/** What one attempt does. Token numbers are positions in the whole answer. */
+export type Script = {
+	/** Refuses without a byte having left. */
+	refuses?: boolean;
+	delayMs?: number;
+	/** Breaks the connection before this token. */
+	breaksAt?: number;
+	/** Sends nothing more from this token on. */
+	hangsAt?: number;
+	/** Ends cleanly without a finish before this token. */
+	truncatesAt?: number;
+	/** Order of the tokens instead of the natural one. */
+	order?: number[];
+};
+
+export type FakeRunners = {
+	client: runnerClient.RunnerClient;
+	/** Attempts that reached a runner, by address, with their first token. */
+	executions: Array<{address: string; from: number}>;
+	cancelled: string[];
+};
+
+const intervalMs = 10;
+
+const token = (index: number): runnerClient.TokenPart => ({
+	kind: 'token',
+	index,
+	choices: [{index: 0, delta: {content: `t${index} `}}],
+	text: `t${index} `,
+});
+
+/** Creates runners that answer with `length` tokens; scripts are used up per address. */
+export const createFakeRunners = (
+	time: clock.Clock,
+	length: number,
+	scripts: Record<string, Script[]>,
+): FakeRunners => {
+	const executions: FakeRunners['executions'] = [];
+	const cancelled: string[] = [];
+
+	async function* stream(
+		request: runnerClient.RunnerRequest,
+		script: Script,
+	): AsyncGenerator<runnerClient.StreamPart> {
+		const {signal, resumeFromToken} = request;
+		const natural = Array.from({length: length - resumeFromToken}, (_, at) => at + resumeFromToken);
+		try {
+			for (const index of script.order ?? natural) {
+				await time.sleep(intervalMs, signal);
+				if (index === script.breaksAt) {
+					throw new Error('connection reset');
+				}
+
+				if (index === script.truncatesAt) {
+					return;
+				}
+
+				if (index === script.hangsAt) {
+					await time.sleep(1e9, signal);
+				}
+
+				yield token(index);
+			}
+		} finally {
+			if (signal.aborted) {
+				cancelled.push(request.address);
+			}
+		}
+
+		yield {
+			kind: 'finish',
+			finishReason: 'stop',
+			promptTokens: 1,
+			completionTokens: length,
+			partCount: length,
+		};
+		yield {kind: 'done'};
+	}
+
+	class FakeClient extends runnerClient.RunnerClient {
+		override async open(request: runnerClient.RunnerRequest) {
+			const script = scripts[request.address]?.shift() ?? {};
+			if (script.refuses) {
+				throw new httpClient.HttpClientError('connection refused', request.address, false);
+			}
+
+			request.onSent?.();
+			executions.push({address: request.address, from: request.resumeFromToken});
+			await time.sleep(script.delayMs ?? 0, request.signal);
+			return stream(request, script);
+		}
+	}
+
+	return {client: new FakeClient(), executions, cancelled};
+};
+
+export type FakeSource = attempt.AttemptSource & {
+	preempt(): void;
+	releases: string[];
+};
+
+/** A source that records how it was released. */
+export const createFakeSource = (name: string): FakeSource => {
+	const emitter = event.createEmitter<void>();
+	const releases: string[] = [];
+	return {
+		name,
+		address: name,
+		path: '/v1/completions',
+		headers: {},
+		releases,
+		onDidPreempt: emitter.event,
+		preempt() {
+			emitter.fire();
+		},
+		noteFirstToken() {},
+		noteTokens() {},
+		release(result) {
+			releases.push(result);
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/test/model-answer.test.ts
@@ -0,0 +1,179 @@
+// Guards against answers that are truncated, doubled, out of order, or reported as not run after a runner saw them.
+import * as tap from 'tap';
+import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as modelAnswer from '../common/model-answer.js';
+import * as fakeRunner from './fake-runner.js';
+
+const length = 6;
+
+type Options = {
+	scripts?: Record<string, fakeRunner.Script[]>;
+	names?: string[];
+	hedgeDelayMs?: number;
+	isIdempotent?: boolean;
+	unable?: string[];
+	/** Pre-empts the first source after this time. */
+	preemptAfterMs?: number;
+};
+
+const run = async (options: Options) => {
+	const clock = new manualClock.ManualClock();
+	const runners = fakeRunner.createFakeRunners(clock, length, options.scripts ?? {});
+	const names = options.names ?? ['a', 'b', 'c'];
+	const sources: fakeRunner.FakeSource[] = [];
+	const take = (excluded: ReadonlySet<string>) => {
+		const name = names.find((candidate) => !excluded.has(candidate));
+		if (name === undefined) {
+			throw new gatewayError.GatewayException({
+				kind: 'no-upstream',
+				retryAfterMs: 1,
+				step: 'queued',
+				peer: '',
+				outcome: 'not-run',
+				detail: 'none',
+			});
+		}
+
+		const source = fakeRunner.createFakeSource(name);
+		sources.push(source);
+		return source;
+	};
+
+	const parts = modelAnswer.streamAnswer(
+		{
+			clock,
+			client: runners.client,
+			settings: {firstTokenTimeoutMs: 1000, stallTimeoutMs: 200},
+		},
+		{
+			requestId: 'r',
+			body: {},
+			priority: 0,
+			firstToken: 0,
+			isIdempotent: options.isIdempotent ?? true,
+			deadlineAtMs: 5000,
+			signal: new AbortController().signal,
+			acquire: async (excluded) => take(excluded),
+			acquireHedge: (excluded) => take(excluded),
+			hedgeDelayMs: () => options.hedgeDelayMs,
+			mayRetry: () => true,
+			cannotResume: () => options.unable ?? [],
+			noteHedge() {},
+			noteResume() {},
+		},
+	);
+	const tokens: number[] = [];
+	let error: gatewayError.GatewayError | undefined;
+	let isWhole = false;
+	const reading = (async () => {
+		try {
+			for await (const part of parts) {
+				if (part.kind === 'token') {
+					tokens.push(part.index);
+				} else {
+					isWhole = true;
+				}
+			}
+		} catch (thrown) {
+			error = thrown instanceof gatewayError.GatewayException ? thrown.error : undefined;
+		}
+	})();
+	if (options.preemptAfterMs !== undefined) {
+		await clock.advance(options.preemptAfterMs);
+		sources[0]?.preempt();
+	}
+
+	await clock.advance(10_000);
+	await reading;
+	return {tokens, error, isWhole, sources, runners, pendingTimers: clock.pendingTimers};
+};
+
+const allTokens = Array.from({length}, (_, index) => index);
+
+tap.t.test('whole answer, slot released once, no timer left', async (t) => {
+	const result = await run({});
+	t.same(result.tokens, allTokens);
+	t.ok(result.isWhole);
+	t.same(result.sources[0]?.releases, ['answered']);
+	t.equal(result.pendingTimers, 0);
+});
+
+tap.t.test('late and doubled parts are put in order', async (t) => {
+	const result = await run({scripts: {a: [{order: [1, 0, 0, 3, 3, 2, 5, 4]}]}});
+	t.same(result.tokens, allTokens);
+	t.ok(result.isWhole);
+});
+
+for (const [name, script] of Object.entries({
+	'broken stream': {breaksAt: 3},
+	'stalled stream': {hangsAt: 3},
+	'truncated stream': {truncatesAt: 3},
+	'lost part': {order: [0, 1, 2, 4, 5]},
+})) {
+	tap.t.test(`${name} resumes at the exact token`, async (t) => {
+		const result = await run({scripts: {a: [script]}});
+		t.same(result.tokens, allTokens);
+		t.ok(result.isWhole);
+		t.same(result.runners.executions, [
+			{address: 'a', from: 0},
+			{address: 'b', from: 3},
+		]);
+		t.same(result.sources[0]?.releases, ['failed']);
+	});
+}
+
+tap.t.test('broken stream without an upstream that resumes is an error', async (t) => {
+	const result = await run({scripts: {a: [{breaksAt: 3}]}, unable: ['b', 'c']});
+	t.notOk(result.isWhole);
+	t.equal(result.error?.outcome, 'unknown');
+});
+
+tap.t.test('refused by all before a byte left is not-run', async (t) => {
+	const refuses = [{refuses: true}];
+	const result = await run({scripts: {a: refuses, b: [...refuses], c: [...refuses]}});
+	t.equal(result.error?.outcome, 'not-run');
+	t.same(result.runners.executions, []);
+});
+
+tap.t.test('no upstream left after one was reached is unknown', async (t) => {
+	const result = await run({names: ['a'], scripts: {a: [{breaksAt: 0}]}});
+	t.equal(result.error?.outcome, 'unknown');
+});
+
+tap.t.test('non-idempotent work is not repeated once a byte left', async (t) => {
+	const result = await run({isIdempotent: false, scripts: {a: [{breaksAt: 0}]}});
+	t.equal(result.runners.executions.length, 1);
+	t.equal(result.error?.outcome, 'unknown');
+});
+
+tap.t.test('hedge takes the faster answer and cancels the other', async (t) => {
+	const result = await run({hedgeDelayMs: 50, scripts: {a: [{delayMs: 900}]}});
+	t.same(result.tokens, allTokens);
+	t.same(result.sources[0]?.releases, ['cancelled']);
+	t.same(result.sources[1]?.releases, ['answered']);
+});
+
+tap.t.test('non-idempotent work is never hedged', async (t) => {
+	const result = await run({isIdempotent: false, hedgeDelayMs: 50, scripts: {a: [{delayMs: 900}]}});
+	t.equal(result.runners.executions.length, 1);
+	t.ok(result.isWhole);
+});
+
+tap.t.test('pre-empted stream resumes at the exact token', async (t) => {
+	const result = await run({preemptAfterMs: 35});
+	t.same(result.tokens, allTokens);
+	t.same(result.runners.executions, [
+		{address: 'a', from: 0},
+		{address: 'a', from: 3},
+	]);
+	t.same(result.runners.cancelled, ['a']);
+});
+
+tap.t.test('deadline ends an answer that hangs', async (t) => {
+	const hangs = [{delayMs: 1e8}];
+	const result = await run({scripts: {a: hangs, b: [...hangs], c: [...hangs]}});
+	t.ok(result.error);
+	t.equal(result.error?.outcome, 'unknown');
+	t.equal(result.pendingTimers, 0);
+});
