--- /dev/null
+++ b/packages/entry/src/node/engine-counters.ts
@@ -0,0 +1,68 @@
+/** Metrics of the request engine. Labels hold classes and outcomes, never teams or content. */
+import * as metrics from '@hawthornfront/base/node/metrics.js';
+import type * as engineServices from '../common/engine-services.js';
+
+const latencyBucketsSeconds = [0.005, 0.02, 0.05, 0.1, 0.2, 0.42, 1, 2, 5, 10, 30, 120];
+
+/** Creates the counters in a registry. */
+export const createEngineCounters = (
+	registry: metrics.Registry,
+): engineServices.EngineCounters => {
+	const requests = metrics.createCounter(
+		registry,
+		'hawthornfront_requests_total',
+		'Requests by class of work and result',
+		['work_class', 'result'],
+	);
+	const firstToken = metrics.createHistogram(
+		registry,
+		'hawthornfront_first_token_seconds',
+		'Time from arrival to the first token',
+		['work_class'],
+		latencyBucketsSeconds,
+	);
+	const answers = metrics.createHistogram(
+		registry,
+		'hawthornfront_answer_seconds',
+		'Time from arrival to the end of a whole answer',
+		['work_class'],
+		latencyBucketsSeconds,
+	);
+	const hedges = metrics.createCounter(
+		registry,
+		'hawthornfront_hedges_total',
+		'Second attempts by winner',
+		['winner'],
+	);
+	const resumes = metrics.createCounter(
+		registry,
+		'hawthornfront_resumes_total',
+		'Streams that went on at another upstream',
+	);
+	const crossings = metrics.createCounter(
+		registry,
+		'hawthornfront_crossings_total',
+		'Requests sent to another region',
+		['region'],
+	);
+	return {
+		countRequest(workClass, result) {
+			requests.inc({work_class: workClass, result});
+		},
+		observeFirstToken(workClass, latencyMs) {
+			firstToken.observe({work_class: workClass}, latencyMs / 1000);
+		},
+		observeAnswer(workClass, latencyMs) {
+			answers.observe({work_class: workClass}, latencyMs / 1000);
+		},
+		countHedge(winner) {
+			hedges.inc({winner});
+		},
+		countResume() {
+			resumes.inc();
+		},
+		countCrossing(region) {
+			crossings.inc({region});
+		},
+	};
+};
