Add at-most-once execution: keys, owner, witness and resolver

Non-idempotent requests need an execution that is never repeated and a certain answer to whether it happened, without a store or a lease.

Keys name owner and witness and are signed by the owner. The owner runs a request only after its witness acknowledged the intent; a witness that is asked about a key without an intent seals it. A witness remembers the highest expiry of the records that it dropped for each owner incarnation, so a dropped record never looks like one that never was, at any clock rate.

GatewayError carries freshKey in every variant now, because a request that is refused under a key needs a new one whatever the reason was.

--- a/packages/base/src/common/gateway-error.ts
+++ b/packages/base/src/common/gateway-error.ts
@@ -33,6 +33,8 @@
 	outcome: Outcome;
 	/** One sentence for a person; never holds content of the request. */
 	detail: string;
+	/** Idempotency key for a new attempt, where the key of this one will never be run. */
+	freshKey?: string;
 };
 
 export type GatewayError = ErrorBase &
@@ -55,7 +57,7 @@
 		| {kind: 'key-unknown'}
 		| {kind: 'key-reused'}
 		| {kind: 'key-expired'}
-		| {kind: 'key-unavailable'; freshKey?: string}
+		| {kind: 'key-unavailable'}
 		| {kind: 'internal'}
 	);
 
@@ -123,7 +125,7 @@
 	step: error.step,
 	peer: error.peer,
 	...('entries' in error ? {entries: error.entries} : {}),
-	...('freshKey' in error && error.freshKey ? {freshKey: error.freshKey} : {}),
+	...(error.freshKey ? {freshKey: error.freshKey} : {}),
 	...('retryAfterMs' in error ? {retryAfterMs: error.retryAfterMs} : {}),
 });
 
--- /dev/null
+++ b/packages/once/src/common/hand-off.ts
@@ -0,0 +1,106 @@
+/**
+ * Planned stop: gives final records to those who will be asked for them. Records
+ * that have no result are left out; their witness answers `unknown` from the intent.
+ */
+import * as answerModule from './answer.js';
+import * as key from './key.js';
+import type * as ownerRecords from './owner-records.js';
+import type * as witnessClient from './witness-client.js';
+
+export type HandOffResult = {
+	/** Records that a witness or another daemon holds. */
+	kept: number;
+	/** Records that nobody took; keys of these resolve to `unknown`. */
+	lost: number;
+};
+
+export type HandOffOptions = {
+	ownerName: string;
+	records: readonly ownerRecords.OwnerRecord[];
+	/** Live daemons of the failure domain. */
+	others: readonly key.Peer[];
+	client: witnessClient.WitnessClient;
+	maxAnswerBytes: number;
+};
+
+/** Daemons that take over records when the witness is gone, and that a resolver asks. */
+export const maxFallbacks = 2;
+const maxBatchRecords = 64;
+
+/**
+ * Daemons that take over the records of an owner, best first: those that follow
+ * it in the order of names. Every daemon finds the same ones without a message.
+ */
+export const fallbacksOf = (ownerName: string, others: readonly key.Peer[]): key.Peer[] => {
+	const sorted = others
+		.filter((peer) => peer.name !== ownerName)
+		.sort((left, right) => (left.name < right.name ? -1 : 1));
+	const start = sorted.findIndex((peer) => peer.name > ownerName);
+	const rotated = start > 0 ? [...sorted.slice(start), ...sorted.slice(0, start)] : sorted;
+	return rotated.slice(0, maxFallbacks);
+};
+
+const toHandoffRecord = (
+	record: ownerRecords.OwnerRecord,
+	maxAnswerBytes: number,
+): witnessClient.HandoffRecord => {
+	const stored = record.answer && answerModule.toStored(record.answer, maxAnswerBytes);
+	return {
+		key: record.parsed.text,
+		fingerprint: record.fingerprint,
+		result:
+			record.state === 'refused'
+				? {outcome: 'not-run'}
+				: {outcome: 'ran', ...(stored ? {answer: stored} : {})},
+	};
+};
+
+/** Sends one batch to the first peer that takes all of it; undefined when none did. */
+const sendBatch = async (
+	batch: witnessClient.HandoffRecord[],
+	peers: readonly key.Peer[],
+	client: witnessClient.WitnessClient,
+): Promise<boolean> => {
+	for (const peer of peers) {
+		const accepted = await client.handOff(peer, batch);
+		if (accepted === batch.length) {
+			return true;
+		}
+	}
+
+	return false;
+};
+
+/** Hands records over; never throws. */
+export const handOffRecords = async (options: HandOffOptions): Promise<HandOffResult> => {
+	const fallbacks = fallbacksOf(options.ownerName, options.others);
+	const groups = new Map<string, {peers: key.Peer[]; records: ownerRecords.OwnerRecord[]}>();
+	const result: HandOffResult = {kept: 0, lost: 0};
+	for (const record of options.records) {
+		const {witness} = record.parsed;
+		const isWitnessAlive =
+			witness !== undefined && options.others.some((peer) => key.isSameIncarnation(peer, witness));
+		if (record.state === 'unknown' || (record.isWitnessed && isWitnessAlive)) {
+			result.kept += record.state === 'unknown' ? 0 : 1;
+			continue;
+		}
+
+		const peers = isWitnessAlive ? [witness, ...fallbacks] : fallbacks;
+		const groupName = isWitnessAlive ? witness.name : '';
+		const group = groups.get(groupName) ?? {peers, records: []};
+		group.records.push(record);
+		groups.set(groupName, group);
+	}
+
+	for (const group of groups.values()) {
+		for (let start = 0; start < group.records.length; start += maxBatchRecords) {
+			const batch = group.records
+				.slice(start, start + maxBatchRecords)
+				.map((record) => toHandoffRecord(record, options.maxAnswerBytes));
+			const isTaken = await sendBatch(batch, group.peers, options.client);
+			result[isTaken ? 'kept' : 'lost'] += batch.length;
+		}
+	}
+
+	return result;
+};
--- /dev/null
+++ b/packages/once/src/common/resolver.ts
@@ -0,0 +1,175 @@
+/**
+ * Finds out what became of a key whose owner is dead, suspected or unreachable.
+ * A live owner is asked by forwarding the request to it, not here.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
+import type * as onceMethods from '@hawthornfront/protocol/common/once-methods.js';
+import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
+import * as answerModule from './answer.js';
+import * as handOffModule from './hand-off.js';
+import type * as keyIssuer from './key-issuer.js';
+import * as key from './key.js';
+import * as ownerErrors from './owner-errors.js';
+import type * as settings from './settings.js';
+import type * as witnessModule from './witness.js';
+import * as witnessClient from './witness-client.js';
+
+export type ResolverOptions = {
+	self: key.Peer;
+	clock: clock.Clock;
+	rpcClient: rpc.RpcClient;
+	/** The witness of this daemon. */
+	witness: witnessModule.Witness;
+	/** Issues the fresh key that comes with `not-run`. */
+	issuer: keyIssuer.KeyIssuer;
+	/**
+	 * Live daemons that may be asked: those of this region. The address in a key
+	 * of another owner is not signed for this daemon, so it is never contacted
+	 * unless it is one of these.
+	 */
+	peers: () => readonly key.Peer[];
+	settings: settings.OnceSettings;
+};
+
+export type ResolverCounters = {
+	notRun: number;
+	ran: number;
+	unknown: Record<onceMethods.UnknownReason, number>;
+	reused: number;
+	badKeys: number;
+};
+
+export type Resolver = disposable.Disposable & {
+	/**
+	 * Gives the stored answer of a request that ran.
+	 * @throws GatewayException with the outcome otherwise.
+	 */
+	resolve(keyText: string, fingerprint: string): Promise<answerModule.WholeAnswer>;
+	readonly counters: Readonly<ResolverCounters>;
+};
+
+/** Creates a resolver. */
+export const createResolver = (options: ResolverOptions): Resolver => {
+	const {self, witness: ownWitness} = options;
+	const ended = new AbortController();
+	const client = witnessClient.createWitnessClient({...options, signal: ended.signal});
+	const counters: ResolverCounters = {
+		notRun: 0,
+		ran: 0,
+		unknown: {
+			invalid: 0,
+			'no-witness': 0,
+			'witness-unreachable': 0,
+			'other-incarnation': 0,
+			'intent-without-completion': 0,
+			forgotten: 0,
+			full: 0,
+		},
+		reused: 0,
+		badKeys: 0,
+	};
+
+	const ask = async (
+		peer: key.Peer,
+		params: {key: string; fingerprint: string},
+	): Promise<onceMethods.WireResolution | undefined> =>
+		peer.name === self.name ? ownWitness.resolve(params) : client.resolve(peer, params);
+
+	const findPeer = (name: string): key.Peer | undefined =>
+		name === self.name ? self : options.peers().find((peer) => peer.name === name);
+
+	const askWitness = async (
+		parsed: key.ParsedKey,
+		params: {key: string; fingerprint: string},
+	): Promise<onceMethods.WireResolution> => {
+		if (!parsed.witness) {
+			return {outcome: 'unknown', reason: 'no-witness'};
+		}
+
+		// The address comes from the membership. A restarted witness is asked too: it
+		// answers `unknown`, unless a stopping owner handed the record to it.
+		const peer = findPeer(parsed.witness.name);
+		const resolution = peer && (await ask(peer, params));
+		return resolution ?? {outcome: 'unknown', reason: 'witness-unreachable'};
+	};
+
+	/** Asks those who hold the records of a stopped owner whose witness is gone. */
+	const askFallbacks = async (
+		parsed: key.ParsedKey,
+		params: {key: string; fingerprint: string},
+	): Promise<onceMethods.WireResolution | undefined> => {
+		const candidates = [self, ...options.peers().filter((peer) => peer.name !== self.name)];
+		for (const peer of handOffModule.fallbacksOf(parsed.owner.name, candidates)) {
+			if (peer.name === parsed.witness?.name) {
+				continue;
+			}
+
+			const resolution = await ask(peer, params);
+			if (resolution && resolution.outcome !== 'unknown') {
+				return resolution;
+			}
+		}
+
+		return undefined;
+	};
+
+	const find = async (
+		parsed: key.ParsedKey,
+		params: {key: string; fingerprint: string},
+	): Promise<onceMethods.WireResolution> => {
+		const first = await askWitness(parsed, params);
+		if (first.outcome !== 'unknown' || first.reason === 'intent-without-completion') {
+			return first;
+		}
+
+		return (await askFallbacks(parsed, params)) ?? first;
+	};
+
+	const toError = (
+		resolution: Exclude<onceMethods.WireResolution, {outcome: 'ran'}>,
+		peer: string,
+	): gatewayError.GatewayError => {
+		if (resolution.outcome === 'not-run') {
+			counters.notRun++;
+			return {...ownerErrors.sealed(peer), freshKey: options.issuer.issue()};
+		}
+
+		if (resolution.outcome === 'reused') {
+			counters.reused++;
+			return ownerErrors.reused();
+		}
+
+		counters.unknown[resolution.reason]++;
+		return ownerErrors.unresolved(peer, resolution.reason);
+	};
+
+	return {
+		async resolve(keyText, fingerprint) {
+			const parsed = key.parseKey(keyText);
+			if (!parsed) {
+				counters.badKeys++;
+				throw new gatewayError.GatewayException(ownerErrors.unknownKey());
+			}
+
+			const resolution = await find(parsed, {key: parsed.text, fingerprint});
+			if (resolution.outcome !== 'ran') {
+				const peer = parsed.witness?.address ?? '';
+				throw new gatewayError.GatewayException(toError(resolution, peer));
+			}
+
+			counters.ran++;
+			const answer = resolution.answer && answerModule.fromStored(resolution.answer);
+			if (!answer) {
+				throw new gatewayError.GatewayException(ownerErrors.answerNotKept());
+			}
+
+			return answer;
+		},
+		counters,
+		dispose() {
+			ended.abort(new Error('the resolver was disposed'));
+		},
+	};
+};
--- /dev/null
+++ b/packages/once/src/common/witness.ts
@@ -0,0 +1,330 @@
+/**
+ * The witness side: holds intents, completions and seals for other owners in
+ * memory. Its one promise is that it never acknowledges an intent for a key
+ * that it has answered `not-run` for, and never answers `not-run` for a key
+ * whose intent it has acknowledged, whether or not the record is still held.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as identity from '@hawthornfront/protocol/common/identity.js';
+import type * as onceMethods from '@hawthornfront/protocol/common/once-methods.js';
+import type * as zod from 'zod';
+import * as key from './key.js';
+import * as settings from './settings.js';
+import * as witnessOwners from './witness-owners.js';
+
+type IntentParams = zod.infer<typeof onceMethods.intent.params>;
+type IntentResult = zod.infer<typeof onceMethods.intent.result>;
+type CompleteParams = zod.infer<typeof onceMethods.complete.params>;
+
+/** `adopted` records come from a stopped owner whose own witness was gone. */
+type RecordState = 'intent' | 'ran' | 'not-run' | 'sealed';
+
+type WitnessRecord = {
+	state: RecordState;
+	owner: key.Peer;
+	expiresAtMs: number;
+	/** Undefined for a seal. */
+	fingerprint: string | undefined;
+	answer: onceMethods.StoredAnswer | undefined;
+	isAdopted: boolean;
+	forgetAtMs: number;
+};
+
+export type WitnessOptions = {
+	/** This daemon; the incarnation stays the same for the life of the process. */
+	self: identity.Identity;
+	clock: clock.Clock;
+	settings: settings.OnceSettings;
+};
+
+/** Counts since the start of the process. */
+export type WitnessCounters = {
+	intentsRecorded: number;
+	intentsRefused: Record<onceMethods.Refusal, number>;
+	completionsStored: number;
+	answersNotKept: number;
+	seals: number;
+	resolvedNotRun: number;
+	resolvedRan: number;
+	resolvedUnknown: number;
+	recordsForgotten: number;
+	/** A key was both sealed and run; any value above 0 is a fault of this software. */
+	contradictions: number;
+};
+
+export type Witness = disposable.Disposable & {
+	intent(params: IntentParams): IntentResult;
+	complete(params: CompleteParams): {isStored: boolean};
+	resolve(params: {key: string; fingerprint: string}): onceMethods.WireResolution;
+	/** Takes final records of a stopping owner, also for keys of another witness. */
+	handoff(records: readonly CompleteParams[]): number;
+	readonly counters: Readonly<WitnessCounters>;
+	/** State without any content of requests. */
+	dump(): unknown;
+};
+
+const sweepPeriodMs = 5000;
+
+// Seals are made for callers, intents for owners. Callers that send made-up keys
+// must not be able to use up the room that owners need.
+const sealShare = 0.5;
+
+/** Creates the witness of one incarnation. */
+export const createWitness = (options: WitnessOptions): Witness => {
+	const {self, clock, settings: limits} = options;
+	const records = new Map<string, WitnessRecord>();
+	const owners = witnessOwners.createWitnessOwners(limits);
+	let answersBytes = 0;
+	const counters: WitnessCounters = {
+		intentsRecorded: 0,
+		intentsRefused: {
+			invalid: 0,
+			'other-incarnation': 0,
+			sealed: 0,
+			reused: 0,
+			forgotten: 0,
+			full: 0,
+		},
+		completionsStored: 0,
+		answersNotKept: 0,
+		seals: 0,
+		resolvedNotRun: 0,
+		resolvedRan: 0,
+		resolvedUnknown: 0,
+		recordsForgotten: 0,
+		contradictions: 0,
+	};
+
+	const isOwnWitness = (parsed: key.ParsedKey) =>
+		parsed.witness !== undefined && key.isSameIncarnation(parsed.witness, self);
+
+	// The longest time that a key can still be valid, on a clock that may run faster.
+	const longestLifeMs =
+		(limits.keyLifetimeMs + limits.retentionMs) * (1 + settings.maxClockRateDifference);
+
+	const add = (
+		parsed: key.ParsedKey,
+		record: Pick<WitnessRecord, 'state' | 'fingerprint' | 'isAdopted'>,
+		share = 1,
+	): WitnessRecord | undefined => {
+		const hasRoom = records.size < limits.maxWitnessRecords * share;
+		const maxOwners = limits.maxWitnessOwners * share;
+		if (!hasRoom || !owners.addRecord(parsed.owner, clock.nowMs(), maxOwners)) {
+			return undefined;
+		}
+
+		const added: WitnessRecord = {
+			...record,
+			owner: parsed.owner,
+			expiresAtMs: parsed.expiresAtMs,
+			answer: undefined,
+			forgetAtMs: clock.nowMs() + longestLifeMs,
+		};
+		records.set(parsed.text, added);
+		return added;
+	};
+
+	const setAnswer = (record: WitnessRecord, answer: onceMethods.StoredAnswer | undefined) => {
+		if (!answer || record.answer) {
+			return;
+		}
+
+		const sizeBytes = answer.body.length;
+		const isTooLong = sizeBytes > Math.ceil(limits.maxAnswerBytes / 3) * 4;
+		if (isTooLong || answersBytes + sizeBytes > limits.maxAnswersBytes) {
+			counters.answersNotKept++;
+			return;
+		}
+
+		record.answer = answer;
+		answersBytes += sizeBytes;
+	};
+
+	// A record of a made-up key must not move the horizon of an owner past its
+	// real keys, so a seal stays until its expiry is one the owner can have given.
+	const mayDrop = (record: WitnessRecord): boolean =>
+		record.state !== 'sealed' ||
+		owners.isSuperseded(record.owner) ||
+		owners.isPlausibleExpiry(record.owner, record.expiresAtMs, clock.nowMs()) === true;
+
+	const sweep = () => {
+		for (const [text, record] of records) {
+			if (record.forgetAtMs <= clock.nowMs() && mayDrop(record)) {
+				records.delete(text);
+				answersBytes -= record.answer?.body.length ?? 0;
+				owners.dropRecord(record.owner, record.expiresAtMs);
+				counters.recordsForgotten++;
+			}
+		}
+
+		owners.prune(clock.nowMs() - longestLifeMs);
+	};
+
+	const refuse = (reason: onceMethods.Refusal): IntentResult => {
+		counters.intentsRefused[reason]++;
+		return {kind: 'refused', reason};
+	};
+
+	const intent = (params: IntentParams): IntentResult => {
+		const parsed = key.parseKey(params.key);
+		if (!parsed) {
+			return refuse('invalid');
+		}
+
+		if (!isOwnWitness(parsed)) {
+			return refuse('other-incarnation');
+		}
+
+		const known = records.get(parsed.text);
+		if (known) {
+			if (known.state === 'sealed' || known.state === 'not-run') {
+				return refuse('sealed');
+			}
+
+			return known.fingerprint === params.fingerprint ? {kind: 'recorded'} : refuse('reused');
+		}
+
+		if (owners.mayHaveForgotten(parsed.owner, parsed.expiresAtMs)) {
+			return refuse('forgotten');
+		}
+
+		const added = add(parsed, {state: 'intent', fingerprint: params.fingerprint, isAdopted: false});
+		if (!added) {
+			return refuse('full');
+		}
+
+		owners.noteClock(parsed.owner, params.ownerNowMs, clock.nowMs());
+		counters.intentsRecorded++;
+		return {kind: 'recorded'};
+	};
+
+	const store = (params: CompleteParams, isAdopted: boolean): boolean => {
+		const parsed = key.parseKey(params.key);
+		if (!parsed || (!isAdopted && !isOwnWitness(parsed))) {
+			return false;
+		}
+
+		const known = records.get(parsed.text);
+		if (!known && owners.mayHaveForgotten(parsed.owner, parsed.expiresAtMs)) {
+			return false;
+		}
+
+		const {outcome} = params.result;
+		const record =
+			known ?? add(parsed, {state: outcome, fingerprint: params.fingerprint, isAdopted});
+		if (!record) {
+			return false;
+		}
+
+		// A result is final, and messages may arrive twice or late.
+		if (record.state === 'sealed' || record.state === 'not-run' || record.state === 'ran') {
+			if (outcome === 'ran' && record.state !== 'ran') {
+				counters.contradictions++;
+			}
+		} else {
+			record.state = outcome;
+		}
+
+		if (params.result.outcome === 'ran' && record.state === 'ran') {
+			setAnswer(record, params.result.answer);
+		}
+
+		counters.completionsStored++;
+		return true;
+	};
+
+	const answerFrom = (record: WitnessRecord, fingerprint: string): onceMethods.WireResolution => {
+		if (record.fingerprint !== undefined && record.fingerprint !== fingerprint) {
+			return {outcome: 'reused'};
+		}
+
+		if (record.state === 'ran') {
+			return {outcome: 'ran', ...(record.answer ? {answer: record.answer} : {})};
+		}
+
+		return record.state === 'intent'
+			? {outcome: 'unknown', reason: 'intent-without-completion'}
+			: {outcome: 'not-run'};
+	};
+
+	const seal = (parsed: key.ParsedKey): onceMethods.WireResolution => {
+		// The owner may have acknowledgements only from the incarnation named in the
+		// key. A later incarnation of this daemon has lost the records, so for it a
+		// missing intent proves nothing, and a seal would stop only future intents.
+		if (!isOwnWitness(parsed)) {
+			return {outcome: 'unknown', reason: 'other-incarnation'};
+		}
+
+		if (owners.mayHaveForgotten(parsed.owner, parsed.expiresAtMs)) {
+			return {outcome: 'unknown', reason: 'forgotten'};
+		}
+
+		if (owners.isPlausibleExpiry(parsed.owner, parsed.expiresAtMs, clock.nowMs()) === false) {
+			return {outcome: 'unknown', reason: 'invalid'};
+		}
+
+		// Without a record of the seal a later intent would be acknowledged.
+		const record = add(
+			parsed,
+			{state: 'sealed', fingerprint: undefined, isAdopted: false},
+			sealShare,
+		);
+		if (!record) {
+			return {outcome: 'unknown', reason: 'full'};
+		}
+
+		counters.seals++;
+		return {outcome: 'not-run'};
+	};
+
+	const count = (resolution: onceMethods.WireResolution): onceMethods.WireResolution => {
+		if (resolution.outcome === 'ran') {
+			counters.resolvedRan++;
+		} else if (resolution.outcome === 'unknown') {
+			counters.resolvedUnknown++;
+		} else {
+			counters.resolvedNotRun++;
+		}
+
+		return resolution;
+	};
+
+	const timer = clock.setPeriodicTimer(sweep, sweepPeriodMs);
+
+	return {
+		intent,
+		complete: (params) => ({isStored: store(params, false)}),
+		resolve(params) {
+			const parsed = key.parseKey(params.key);
+			if (!parsed) {
+				return count({outcome: 'unknown', reason: 'invalid'});
+			}
+
+			const known = records.get(parsed.text);
+			return count(known ? answerFrom(known, params.fingerprint) : seal(parsed));
+		},
+		handoff: (handedOver) => handedOver.filter((params) => store(params, true)).length,
+		counters,
+		dump() {
+			const byState = {intent: 0, ran: 0, 'not-run': 0, sealed: 0};
+			let adopted = 0;
+			for (const record of records.values()) {
+				byState[record.state]++;
+				adopted += record.isAdopted ? 1 : 0;
+			}
+
+			return {
+				records: records.size,
+				byState,
+				adopted,
+				answersBytes,
+				owners: owners.size,
+				counters: structuredClone(counters),
+			};
+		},
+		dispose() {
+			timer.dispose();
+		},
+	};
+};
