--- a/packages/catalogue/src/common/schema.ts
+++ b/packages/catalogue/src/common/schema.ts
@@ -44,6 +44,8 @@
 	/** Region that the data is bound to; absent when the work may run anywhere. */
 	homeRegion: nameSchema.optional(),
 	idempotent: zod.boolean(),
+	/** Why an entry that leads to a model is not idempotent; services need no reason. */
+	nonIdempotentReason: zod.string().min(1).optional(),
 	limits: limitsSchema.default(limitsSchema.parse({})),
 	/** Share of requests carried by the old setup, 0 to 1. */
 	oldSetupShare: zod.number().min(0).max(1).default(0),
@@ -110,6 +112,11 @@
 	parts: zod.array(partReferenceSchema),
 	/** Names the edit that wrote this root; settles a write whose answer was lost. */
 	operationId: zod.string(),
+	/**
+	 * Operation ids of the edits before this one, newest first. An operator whose
+	 * answer was lost finds its edit here even when another edit followed.
+	 */
+	recentOperationIds: zod.array(zod.string()).default([]),
 	author: zod.string(),
 	acceptedAt: zod.string(),
 });
--- /dev/null
+++ b/packages/ctl/src/test/catalogue-races.test.ts
@@ -0,0 +1,186 @@
+// Guards against lost, doubled or overwritten edits when operators race and answers are lost.
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as random from '@hawthornfront/base/common/random.js';
+import * as recordEdit from '@hawthornfront/catalogue/common/record-edit.js';
+import * as schema from '@hawthornfront/catalogue/common/schema.js';
+import * as catalogueReader from '@hawthornfront/catalogue/node/catalogue-reader.js';
+import * as catalogueStore from '@hawthornfront/catalogue/node/catalogue-store.js';
+import * as fakeStore from '@hawthornfront/platform/test/fake-key-value-store.js';
+import * as fastCheck from 'fast-check';
+import * as tap from 'tap';
+
+const createTeam = (name: string, weight: number): schema.Team =>
+	schema.teamSchema.parse({kind: 'team', name, owner: 'o', keySha256: 'a'.repeat(64), weight});
+
+const initial = ['a', 'b', 'c', 'd'].map((name) => createTeam(name, 1));
+
+type Edit = {name: string; weight: number};
+type Outcome = {kind: 'done'; result: catalogueStore.EditResult} | {kind: 'failed'; error: unknown};
+
+const changesOf = (edits: readonly Edit[]): recordEdit.RecordChange[] => {
+	const wanted = recordEdit.indexRecords(initial);
+	for (const {name, weight} of edits) {
+		wanted.set(`team/${name}`, createTeam(name, weight));
+	}
+
+	return recordEdit.diffRecords(initial, wanted.values());
+};
+
+const createEdit = (
+	store: fakeStore.FakeKeyValueStore,
+	clock: manualClock.ManualClock,
+	operationId: string,
+	stream: random.Random,
+): catalogueStore.EditContext => ({
+	store,
+	clock,
+	random: stream,
+	author: operationId,
+	operationId,
+	validate: () => [],
+});
+
+const settle = async (result: Promise<catalogueStore.EditResult>): Promise<Outcome> => {
+	try {
+		return {kind: 'done', result: await result};
+	} catch (error) {
+		return {kind: 'failed', error};
+	}
+};
+
+const weightOf = (records: readonly schema.CatalogueRecord[], name: string): number | undefined => {
+	const found = recordEdit.indexRecords(records).get(`team/${name}`);
+	return found?.kind === 'team' ? found.weight : undefined;
+};
+
+const faults: fakeStore.StoreFault[] = ['refused', 'dropped', 'lost', 'late'];
+
+tap.t.test('racing edits with lost answers: accepted ones stay, once each', async (t) => {
+	const editArbitrary = fastCheck.record({
+		name: fastCheck.constantFrom('a', 'b', 'c', 'd', 'new-1', 'new-2'),
+		weight: fastCheck.integer({min: 2, max: 4}),
+	});
+	const operatorsArbitrary = fastCheck.array(
+		fastCheck.array(editArbitrary, {minLength: 1, maxLength: 3}),
+		{minLength: 2, maxLength: 5},
+	);
+	const seen = new Map<string, number>();
+	const property = fastCheck.asyncProperty(
+		operatorsArbitrary,
+		fastCheck.integer({min: 1, max: 1_000_000}),
+		fastCheck.double({min: 0, max: 0.3, noNaN: true}),
+		async (operators, seed, faultShare) => {
+			const clock = new manualClock.ManualClock();
+			const stream = random.createRandom(seed);
+			const store = new fakeStore.FakeKeyValueStore(clock);
+			await catalogueStore.applyChanges(
+				createEdit(store, clock, 'initial', stream),
+				recordEdit.diffRecords([], initial),
+			);
+			store.chooseDelayMs = () => stream.integer(1, 40);
+			store.chooseFault = () => (stream.next() < faultShare ? stream.pick(faults)! : 'none');
+			const running = operators.map(async (edits, index) =>
+				settle(
+					catalogueStore.applyChanges(
+						createEdit(store, clock, `op-${index}`, stream.fork()),
+						changesOf(edits),
+					),
+				),
+			);
+			await clock.advance(300_000);
+			const outcomes = await Promise.all(running);
+			store.chooseFault = () => 'none';
+			store.chooseDelayMs = () => 0;
+			const {records} = await catalogueReader.readCatalogue(store);
+			const roots = store.history
+				.filter((value) => value.key === schema.rootKey)
+				.map((value) => schema.rootSchema.parse(JSON.parse(value.value)));
+			const accepted = new Map<string, number>();
+			for (const [index, outcome] of outcomes.entries()) {
+				const writes = roots.filter((root) => root.operationId === `op-${index}`).length;
+				const kind = outcome.kind === 'done' ? outcome.result.kind : 'failed';
+				seen.set(kind, (seen.get(kind) ?? 0) + 1);
+				if (kind === 'applied' && writes !== 1) {
+					throw new Error(`op-${index} was reported as applied and written ${writes} times`);
+				}
+
+				if ((kind === 'conflict' || kind === 'unchanged') && writes !== 0) {
+					throw new Error(`op-${index} was reported as ${kind} but written`);
+				}
+
+				if (writes > 0) {
+					for (const change of changesOf(operators[index]!)) {
+						const {weight} = change.after as schema.Team;
+						const other = accepted.get(change.id);
+						if (other !== undefined && other !== weight) {
+							throw new Error(`two accepted edits gave ${change.id} different weights`);
+						}
+
+						accepted.set(change.id, weight);
+					}
+				}
+			}
+
+			for (const [id, weight] of accepted) {
+				const found = weightOf(records, id.slice('team/'.length));
+				if (found !== weight) {
+					throw new Error(`accepted ${id} with weight ${weight} is ${found} at the end`);
+				}
+			}
+
+			for (const record of initial) {
+				const before = accepted.get(`team/${record.name}`) ?? record.weight;
+				if (weightOf(records, record.name) !== before) {
+					throw new Error(`${record.name} changed without an accepted edit`);
+				}
+			}
+		},
+	);
+	await fastCheck.assert(property, {seed: 20_261_204, numRuns: 150});
+	for (const kind of ['applied', 'conflict', 'unchanged']) {
+		t.ok((seen.get(kind) ?? 0) > 10, `${kind} occurred ${seen.get(kind) ?? 0} times`);
+	}
+});
+
+tap.t.test('every fault at every store call of one edit', async (t) => {
+	const runWith = async (fault: fakeStore.StoreFault, failingCall: number) => {
+		const clock = new manualClock.ManualClock();
+		const store = new fakeStore.FakeKeyValueStore(clock);
+		await catalogueStore.applyChanges(
+			createEdit(store, clock, 'initial', random.createRandom(1)),
+			recordEdit.diffRecords([], initial),
+		);
+		const firstCall = store.calls.length;
+		store.chooseDelayMs = () => 1;
+		store.chooseFault = () => (store.calls.length - firstCall === failingCall ? fault : 'none');
+		const running = settle(
+			catalogueStore.applyChanges(
+				createEdit(store, clock, 'op', random.createRandom(2)),
+				changesOf([
+					{name: 'a', weight: 3},
+					{name: 'new-1', weight: 2},
+				]),
+			),
+		);
+		await clock.advance(60_000);
+		const calls = store.calls.length - firstCall;
+		store.chooseFault = () => 'none';
+		store.chooseDelayMs = () => 0;
+		const writes = store.history.filter(
+			(value) => value.key === schema.rootKey && value.value.includes('"operationId":"op"'),
+		);
+		const {records} = await catalogueReader.readCatalogue(store);
+		return {outcome: await running, writes: writes.length, records, calls};
+	};
+
+	const plain = await runWith('none', 0);
+	t.equal(plain.writes, 1);
+	for (const fault of faults) {
+		for (let call = 1; call <= plain.calls; call++) {
+			const {outcome, writes, records} = await runWith(fault, call);
+			t.match(outcome, {kind: 'done', result: {kind: 'applied'}}, `${fault} at call ${call}`);
+			t.equal(writes, 1, `${fault} at call ${call} writes once`);
+			t.equal(weightOf(records, 'a'), 3);
+		}
+	}
+});
--- /dev/null
+++ b/packages/platform/src/test/fake-key-value-store.ts
@@ -0,0 +1,190 @@
+/** Key-value store in memory on a manual clock, with faults that a test chooses for each call. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as keyValueStore from '../common/key-value-store.js';
+
+/**
+ * `refused`: fails without effect and says so. `dropped`: the request is lost.
+ * `lost`: takes effect, but the answer is lost. `late`: the answer is lost and
+ * the effect comes later.
+ */
+export type StoreFault = 'none' | 'refused' | 'dropped' | 'lost' | 'late';
+
+export type StoreCall = {operation: string; key: string; caller: string};
+
+const lateEffectMs = 700;
+
+type State = {
+	revision: number;
+	leases: number;
+	values: Map<string, keyValueStore.KeyValue>;
+	leaseEnds: Map<string, {endMs: number; ttlMs: number}>;
+	/** All writes in order, for checks. */
+	history: keyValueStore.KeyValue[];
+};
+
+/** Several clients, one for each caller, share one state. */
+export class FakeKeyValueStore extends keyValueStore.KeyValueStore {
+	chooseFault: (call: StoreCall) => StoreFault = () => 'none';
+	chooseDelayMs: (call: StoreCall) => number = () => 0;
+	readonly calls: StoreCall[] = [];
+	readonly #clock: clock.Clock;
+	readonly #caller: string;
+	readonly #state: State;
+
+	constructor(clock: clock.Clock, caller = '', shared?: FakeKeyValueStore) {
+		super();
+		this.#clock = clock;
+		this.#caller = caller;
+		this.#state = shared
+			? shared.#state
+			: {revision: 0, leases: 0, values: new Map(), leaseEnds: new Map(), history: []};
+	}
+
+	get history(): readonly keyValueStore.KeyValue[] {
+		return this.#state.history;
+	}
+
+	/** Value without a call, for checks. */
+	peek(key: string): keyValueStore.KeyValue | undefined {
+		this.#endLeases();
+		return this.#state.values.get(key);
+	}
+
+	override async get(key: string) {
+		return this.#call('get', key, () => this.#state.values.get(key));
+	}
+
+	override async list(prefix: string) {
+		return this.#call('list', prefix, () =>
+			[...this.#state.values.values()]
+				.filter((value) => value.key.startsWith(prefix))
+				.map(({key, revision}) => ({key, revision})),
+		);
+	}
+
+	override async compareAndSwap(
+		key: string,
+		value: string,
+		expectedRevision: number,
+		options: {leaseId?: string} = {},
+	) {
+		return this.#call('compareAndSwap', key, (): keyValueStore.PutResult => {
+			const {leaseId} = options;
+			const current = this.#state.values.get(key);
+			const isLeaseOver = leaseId !== undefined && !this.#state.leaseEnds.has(leaseId);
+			if ((current?.revision ?? 0) !== expectedRevision || isLeaseOver) {
+				return {kind: 'conflict', current};
+			}
+
+			const written = {key, value, revision: ++this.#state.revision, leaseId};
+			this.#state.values.set(key, written);
+			this.#state.history.push(written);
+			return {kind: 'written', revision: written.revision};
+		});
+	}
+
+	override async compareAndDelete(key: string, expectedRevision: number) {
+		return this.#call('compareAndDelete', key, () => {
+			const isCurrent = this.#state.values.get(key)?.revision === expectedRevision;
+			return isCurrent && this.#state.values.delete(key);
+		});
+	}
+
+	override async watch(key: string, afterRevision: number, waitMs: number) {
+		const endMs = this.#clock.nowMs() + waitMs;
+		for (;;) {
+			const found = await this.#call('watch', key, () => this.#state.values.get(key));
+			if (found && found.revision > afterRevision) {
+				return found;
+			}
+
+			if (this.#clock.nowMs() >= endMs) {
+				return undefined;
+			}
+
+			await this.#clock.sleep(Math.min(500, endMs - this.#clock.nowMs()));
+		}
+	}
+
+	override async grantLease(ttlMs: number) {
+		return this.#call('grantLease', '', () => {
+			const number = ++this.#state.leases;
+			const leaseId = `lease-${number}`;
+			this.#state.leaseEnds.set(leaseId, {endMs: this.#clock.nowMs() + ttlMs, ttlMs});
+			return {leaseId, number, ttlMs};
+		});
+	}
+
+	override async renewLease(leaseId: string) {
+		return this.#call('renewLease', leaseId, () => {
+			const lease = this.#state.leaseEnds.get(leaseId);
+			if (lease) {
+				lease.endMs = this.#clock.nowMs() + lease.ttlMs;
+			}
+
+			return lease !== undefined;
+		});
+	}
+
+	override async revokeLease(leaseId: string) {
+		await this.#call('revokeLease', leaseId, () => {
+			this.#state.leaseEnds.delete(leaseId);
+			this.#endLeases();
+		});
+	}
+
+	async #call<T>(operation: string, key: string, effect: () => T): Promise<T> {
+		const call = {operation, key, caller: this.#caller};
+		this.calls.push(call);
+		const delayMs = this.chooseDelayMs(call);
+		if (delayMs > 0) {
+			await this.#clock.sleep(delayMs);
+		}
+
+		this.#endLeases();
+		const fault = this.chooseFault(call);
+		const failure = new keyValueStore.PlatformError(
+			'store',
+			`${fault} ${operation}`,
+			fault !== 'refused',
+		);
+		switch (fault) {
+			case 'none': {
+				return effect();
+			}
+
+			case 'lost': {
+				effect();
+				throw failure;
+			}
+
+			case 'late': {
+				this.#clock.setTimer(() => {
+					this.#endLeases();
+					effect();
+				}, lateEffectMs);
+				throw failure;
+			}
+
+			case 'refused':
+			case 'dropped': {
+				throw failure;
+			}
+		}
+	}
+
+	#endLeases(): void {
+		const nowMs = this.#clock.nowMs();
+		for (const [leaseId, lease] of this.#state.leaseEnds) {
+			if (lease.endMs <= nowMs) {
+				this.#state.leaseEnds.delete(leaseId);
+			}
+		}
+
+		for (const value of this.#state.values.values()) {
+			if (value.leaseId !== undefined && !this.#state.leaseEnds.has(value.leaseId)) {
+				this.#state.values.delete(value.key);
+			}
+		}
+	}
+}
