--- a/packages/entry/src/common/deadline.ts
+++ b/packages/entry/src/common/deadline.ts
@@ -1,4 +1,6 @@
 /** Deadlines of requests, on the monotonic clock. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 
@@ -25,3 +27,42 @@
 
 	return nowMs + Math.min(timeoutMs, entry.limits.deadlineMs);
 };
+
+/** A signal that aborts at a deadline, or when `parent` aborts. */
+export type DeadlineSignal = disposable.Disposable & {readonly signal: AbortSignal};
+
+/** Creates a {@link DeadlineSignal}; disposing it leaves the signal as it is. */
+export const createDeadlineSignal = (
+	time: clock.Clock,
+	deadlineAtMs: number,
+	parent?: AbortSignal,
+): DeadlineSignal => {
+	const controller = new AbortController();
+	const onAbort = () => {
+		controller.abort(parent?.reason);
+	};
+
+	parent?.addEventListener('abort', onAbort, {once: true});
+	if (parent?.aborted) {
+		onAbort();
+	}
+
+	const timer = time.setTimer(() => {
+		controller.abort(
+			new gatewayError.GatewayException({
+				kind: 'deadline-exceeded',
+				step: 'mid-stream',
+				peer: '',
+				outcome: 'unknown',
+				detail: 'the deadline of the request passed before its answer was whole',
+			}),
+		);
+	}, deadlineAtMs - time.nowMs());
+	return {
+		signal: controller.signal,
+		dispose() {
+			timer.dispose();
+			parent?.removeEventListener('abort', onAbort);
+		},
+	};
+};
--- a/packages/entry/src/common/engine-services.ts
+++ b/packages/entry/src/common/engine-services.ts
@@ -1,6 +1,5 @@
 /** What the request engine needs from the rest of the daemon. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
-import type * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
 import type * as snapshot from '@hawthornfront/catalogue/common/snapshot.js';
@@ -58,25 +57,37 @@
 	noteTokens(team: string, workClass: schema.WorkClass, tokens: number): void;
 };
 
-/** What is known about a request under an idempotency key after an attempt to run it. */
-export type KeyedResult =
-	| {kind: 'answered'; answer: serviceAnswer.WholeAnswer; wasStored: boolean}
-	| {kind: 'failed'; error: gatewayError.GatewayError}
-	/** The owner is alive elsewhere: the request goes to it. */
-	| {kind: 'forward'; address: string};
+/** Who can run a request under a key. */
+export type KeyOwner =
+	| {kind: 'self'}
+	/** The owner is alive elsewhere in this region: the request goes to it. */
+	| {kind: 'other'; address: string}
+	/** The owner is gone, or in another region: only the outcome can be found out. */
+	| {kind: 'gone'};
 
 /** Execution of non-idempotent requests at most once. */
 export type KeyedExecution = {
 	/** Issues keys for the entry list. */
 	issue(count: number): string[];
-	/** Runs the request here, names its owner, or says what is known about it. */
+	/** @throws GatewayException `key-unknown` when the system did not issue the key. */
+	ownerOf(key: string): KeyOwner;
+	/** Runs the request here, or repeats what is known. @throws GatewayException with the outcome. */
 	run(
 		key: string,
 		fingerprint: string,
-		execute: (markSent: () => void) => Promise<serviceAnswer.WholeAnswer>,
-	): Promise<KeyedResult>;
-	/** What is known when forwarding to the owner failed. */
-	resolve(key: string, fingerprint: string): Promise<KeyedResult>;
+		execute: (markSent: () => () => void) => Promise<serviceAnswer.WholeAnswer>,
+	): Promise<serviceAnswer.WholeAnswer>;
+	/**
+	 * Refuses a key of this daemon for good; undefined when a request under it was
+	 * received before, so that only `run` can tell its outcome.
+	 */
+	refuse(key: string, fingerprint: string): {freshKey: string} | undefined;
+	/** The stored answer of a request whose owner is gone. @throws GatewayException with the outcome. */
+	resolve(key: string, fingerprint: string): Promise<serviceAnswer.WholeAnswer>;
+	/** Hands records over at a planned stop. */
+	handOff(): Promise<void>;
+	/** State without any content of requests. */
+	dump(): unknown;
 };
 
 /** Counters of the engine; implementations label by class and outcome only, never by content. */
--- a/packages/entry/src/common/model-answer.ts
+++ b/packages/entry/src/common/model-answer.ts
@@ -6,6 +6,7 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import * as attempt from './attempt.js';
+import * as deadline from './deadline.js';
 import type * as runnerClient from './runner-client.js';
 import * as tokenSequencer from './token-sequencer.js';
 
@@ -193,38 +194,6 @@
 	}
 };
 
-/** Signal that ends when the caller goes or the deadline passes. */
-const limitToDeadline = (services: attempt.AttemptServices, request: AnswerRequest) => {
-	const controller = new AbortController();
-	const onAbort = () => {
-		controller.abort(request.signal.reason);
-	};
-
-	request.signal.addEventListener('abort', onAbort, {once: true});
-	if (request.signal.aborted) {
-		onAbort();
-	}
-
-	const timer = services.clock.setTimer(() => {
-		controller.abort(
-			new gatewayError.GatewayException({
-				kind: 'deadline-exceeded',
-				step: 'mid-stream',
-				peer: '',
-				outcome: 'unknown',
-				detail: 'the deadline of the request passed before its answer was whole',
-			}),
-		);
-	}, request.deadlineAtMs - services.clock.nowMs());
-	return {
-		signal: controller.signal,
-		dispose() {
-			timer.dispose();
-			request.signal.removeEventListener('abort', onAbort);
-		},
-	};
-};
-
 /**
  * Yields the tokens of a whole answer in order, then its finish part. Reading
  * stops the work when the generator is closed early.
@@ -234,7 +203,8 @@
 	services: attempt.AttemptServices,
 	request: AnswerRequest,
 ): AsyncGenerator<AnswerPart> {
-	const limit = limitToDeadline(services, request);
+	const {clock} = services;
+	const limit = deadline.createDeadlineSignal(clock, request.deadlineAtMs, request.signal);
 	const run: Run = {
 		services,
 		request,
--- a/packages/entry/src/common/request-context.ts
+++ b/packages/entry/src/common/request-context.ts
@@ -27,7 +27,12 @@
 	homeRegion: string | undefined;
 };
 
-const checkServing = (services: engineServices.EngineServices, team: string): void => {
+export type OpenOptions = {
+	/** True for a request under a key: only this daemon may run it, also while it stops. */
+	isAcceptedWhileStopping?: boolean;
+};
+
+const checkServing = (services: engineServices.EngineServices, options: OpenOptions): void => {
 	const base = {step: 'before-admission', peer: '', outcome: 'not-run'} as const;
 	if (!services.isReady()) {
 		throw new gatewayError.GatewayException({
@@ -38,8 +43,8 @@
 		});
 	}
 
-	if (services.isStopping()) {
-		const others = services.orderedEntryVms(team).map((entryVm) => entryVm.address);
+	if (services.isStopping() && !options.isAcceptedWhileStopping) {
+		const others = services.orderedEntryVms('').map((entryVm) => entryVm.address);
 		throw new gatewayError.GatewayException({
 			...base,
 			kind: 'stopping',
@@ -53,9 +58,10 @@
 export const openContext = (
 	services: engineServices.EngineServices,
 	request: callerRequest.CallerRequest,
+	options: OpenOptions = {},
 ): RequestContext => {
 	admission.checkLoop(request, services.cdnLoopIdentifier);
-	checkServing(services, '');
+	checkServing(services, options);
 	const current = services.snapshot();
 	const team = authorisation.authorise(services.digests, current, request.headers);
 	return {
--- a/packages/entry/src/common/service-answer.ts
+++ b/packages/entry/src/common/service-answer.ts
@@ -20,7 +20,12 @@
 	body: Uint8Array;
 	timeoutMs: number;
 	signal: AbortSignal;
-	onSent?: () => void;
+	/**
+	 * Called before the first byte may leave. It throws when the request may no longer
+	 * run; the function that it returns takes the call back once it is known that no
+	 * byte left.
+	 */
+	markSent?: () => () => void;
 };
 
 const failure = (
@@ -75,6 +80,7 @@
 	client: httpClient.HttpClient,
 	attempt: ServiceAttempt,
 ): Promise<WholeAnswer> => {
+	const takeBack = attempt.markSent?.();
 	try {
 		const response = await client.request({
 			peer: attempt.address,
@@ -84,7 +90,6 @@
 			body: attempt.body.byteLength > 0 ? attempt.body : undefined,
 			timeoutMs: attempt.timeoutMs,
 			signal: attempt.signal,
-			onSent: attempt.onSent,
 		});
 		const body = await readWhole(attempt, response);
 		return {status: response.status, headers: response.headers, body};
@@ -94,6 +99,10 @@
 		}
 
 		const mayHaveRun = !(error instanceof httpClient.HttpClientError) || error.mayHaveBeenSent;
+		if (!mayHaveRun) {
+			takeBack?.();
+		}
+
 		const detail = error instanceof Error ? error.message : String(error);
 		throw failure(attempt, mayHaveRun, detail);
 	}
--- a/packages/entry/src/common/service-request.ts
+++ b/packages/entry/src/common/service-request.ts
@@ -30,6 +30,9 @@
 	return {entryName: rest.slice(0, separator), path: tail.startsWith('/') ? tail : `/${tail}`};
 };
 
+/** See {@link serviceAnswer.ServiceAttempt}. */
+type MarkSent = NonNullable<serviceAnswer.ServiceAttempt['markSent']>;
+
 type Call = {
 	services: engineServices.EngineServices;
 	context: requestContext.EntryContext;
@@ -42,7 +45,7 @@
 const attemptAt = async (
 	call: Call,
 	address: string,
-	onSent?: () => void,
+	markSent?: MarkSent,
 ): Promise<serviceAnswer.WholeAnswer> => {
 	const {services, context} = call;
 	return serviceAnswer.callService(services.httpClient, {
@@ -53,27 +56,27 @@
 		body: call.body,
 		timeoutMs: Math.max(1, call.item.deadlineAtMs - services.clock.nowMs()),
 		signal: call.signal,
-		onSent,
+		markSent,
 	});
 };
 
 const runAtOldSetup = async (
 	call: Call,
-	onSent?: () => void,
+	markSent?: MarkSent,
 ): Promise<serviceAnswer.WholeAnswer | undefined> => {
 	const upstream = oldSetup.chooseOldSetup(call.services.digests, call.context);
-	return upstream && attemptAt(call, upstream.address, onSent);
+	return upstream && attemptAt(call, upstream.address, markSent);
 };
 
 /** One attempt at an upstream that the scheduler chooses. */
 const runOnce = async (
 	call: Call,
 	excluded: Set<string>,
-	onSent?: () => void,
+	markSent?: MarkSent,
 ): Promise<serviceAnswer.WholeAnswer> => {
 	const assignment = await call.services.scheduler.acquire({...call.item, excluded}, call.signal);
 	try {
-		const answer = await attemptAt(call, assignment.upstream.address, onSent);
+		const answer = await attemptAt(call, assignment.upstream.address, markSent);
 		assignment.noteFirstToken();
 		assignment.release('answered');
 		return answer;
@@ -103,14 +106,14 @@
 
 const runWithRetries = async (
 	call: Call,
-	onSent?: () => void,
+	markSent?: MarkSent,
 ): Promise<serviceAnswer.WholeAnswer> => {
 	const excluded = new Set<string>();
 	let mayHaveRun = false;
 	for (let attempts = 1; ; attempts++) {
 		try {
-			const old = attempts === 1 ? await runAtOldSetup(call, onSent) : undefined;
-			return old ?? (await runOnce(call, excluded, onSent));
+			const old = attempts === 1 ? await runAtOldSetup(call, markSent) : undefined;
+			return old ?? (await runOnce(call, excluded, markSent));
 		} catch (error) {
 			const isKnown = error instanceof gatewayError.GatewayException;
 			mayHaveRun ||= !isKnown || error.error.outcome !== 'not-run';
@@ -149,53 +152,83 @@
 	});
 };
 
-const unwrap = (
-	result: Exclude<engineServices.KeyedResult, {kind: 'forward'}>,
-): serviceAnswer.WholeAnswer => {
-	if (result.kind === 'failed') {
-		throw new gatewayError.GatewayException(result.error);
-	}
+const fingerprintOf = (call: Call): string => {
+	const {context, services} = call;
+	const bodyDigest = services.digests.sha256(new TextDecoder('latin1').decode(call.body));
+	return services.digests.sha256(
+		`${context.team.name} ${context.entry.name} ${context.request.method} ${call.path} ${bodyDigest}`,
+	);
+};
 
-	return result.answer;
+/** Applies limits to a keyed request at its owner, where alone a refusal can be certain. */
+const admitKeyed = (
+	call: Call,
+	key: string,
+	fingerprint: string,
+): engineServices.Admission | undefined => {
+	const {services, context} = call;
+	try {
+		return services.limits.admit(context.team, context.entry, tokensPerCall);
+	} catch (error) {
+		const refusal = services.keyedExecution.refuse(key, fingerprint);
+		if (!refusal || !(error instanceof gatewayError.GatewayException)) {
+			// Received before: its outcome comes from the record.
+			return undefined;
+		}
+
+		throw new gatewayError.GatewayException({...error.error, ...refusal});
+	}
 };
 
-const loopOfForwards = (): gatewayError.GatewayException =>
-	new gatewayError.GatewayException({
-		kind: 'loop-detected',
-		step: 'before-admission',
-		peer: '',
-		outcome: 'unknown',
-		detail: 'the owner of the key is another daemon again after one forward',
-	});
+const runAsOwner = async (
+	call: Call,
+	key: string,
+	fingerprint: string,
+): Promise<serviceAnswer.WholeAnswer> => {
+	const {services, item} = call;
+	const admitted = admitKeyed(call, key, fingerprint);
+	try {
+		return await services.keyedExecution.run(key, fingerprint, async (markSent) => {
+			// Other callers may share this execution, so it does not end with this one.
+			const limit = deadline.createDeadlineSignal(services.clock, item.deadlineAtMs);
+			try {
+				return await runWithRetries({...call, signal: limit.signal}, markSent);
+			} finally {
+				limit.dispose();
+			}
+		});
+	} finally {
+		admitted?.release();
+	}
+};
 
 /** Runs a non-idempotent request under its key, here or at the owner of the key. */
 const runWithKey = async (call: Call, key: string): Promise<serviceAnswer.WholeAnswer> => {
 	const {services, context} = call;
-	const {request} = context;
-	const bodyDigest = services.digests.sha256(new TextDecoder('latin1').decode(call.body));
-	const fingerprint = services.digests.sha256(
-		`${context.team.name} ${context.entry.name} ${request.method} ${call.path} ${bodyDigest}`,
-	);
-	const result = await services.keyedExecution.run(key, fingerprint, async (markSent) =>
-		runWithRetries(call, markSent),
-	);
-	if (result.kind !== 'forward') {
-		return unwrap(result);
+	const owner = services.keyedExecution.ownerOf(key);
+	const fingerprint = fingerprintOf(call);
+	if (owner.kind === 'self') {
+		return runAsOwner(call, key, fingerprint);
 	}
 
-	if (request.isForwarded) {
-		throw loopOfForwards();
+	// One forward at most: a forwarded request that has still another owner is resolved.
+	if (owner.kind === 'gone' || context.request.isForwarded) {
+		return services.keyedExecution.resolve(key, fingerprint);
 	}
 
+	const {signal} = context.request;
+	const limit = deadline.createDeadlineSignal(services.clock, call.item.deadlineAtMs, signal);
 	try {
-		return await forwardToOwner(call, result.address);
-	} catch {
-		const resolved = await services.keyedExecution.resolve(key, fingerprint);
-		if (resolved.kind === 'forward') {
-			throw loopOfForwards();
+		return await forwardToOwner({...call, signal: limit.signal}, owner.address);
+	} catch (error) {
+		if (signal.aborted) {
+			// Resolving could seal the key of a request that its owner is still running.
+			throw error;
 		}
 
-		return unwrap(resolved);
+		return await services.keyedExecution.resolve(key, fingerprint);
+	} finally {
+		limit.dispose();
 	}
 };
 
@@ -225,37 +258,47 @@
 	};
 };
 
-const run = async (call: Call): Promise<serviceAnswer.WholeAnswer> => {
-	const {entry, request} = call.context;
-	const key = request.headers[requestHeaders.idempotencyKeyHeader];
-	call.services.repetition.noteRequest(entry.workClass);
-	return entry.idempotent || key === undefined ? runWithRetries(call) : runWithKey(call, key);
+const runWithoutKey = async (call: Call): Promise<serviceAnswer.WholeAnswer> => {
+	const {services, context} = call;
+	const admitted = services.limits.admit(context.team, context.entry, tokensPerCall);
+	const limit = deadline.createDeadlineSignal(
+		services.clock,
+		call.item.deadlineAtMs,
+		context.request.signal,
+	);
+	try {
+		return await runWithRetries({...call, signal: limit.signal});
+	} finally {
+		limit.dispose();
+		admitted.release();
+	}
 };
 
-/** Answers a call of a plain service. @throws GatewayException */
-export const handleService = async (
-	services: engineServices.EngineServices,
-	request: callerRequest.CallerRequest,
-): Promise<callerRequest.CallerResponse> => {
-	const {entryName, path} = parsePath(request.path);
-	const opened = requestContext.openContext(services, request);
-	const context = requestContext.withEntry(services, opened, entryName);
-	if (context.entry.target.kind !== 'service') {
-		throw requestContext.badRequest(`entry "${entryName}" does not lead to a plain service`);
+/**
+ * Runs `work` for a request with a key. A refusal before the key was looked at
+ * cannot say `not-run`: an earlier copy of the request may have run elsewhere.
+ */
+const withoutCertainty = async <T>(key: string | undefined, work: () => Promise<T>): Promise<T> => {
+	try {
+		return await work();
+	} catch (error) {
+		throw key === undefined ? error : withOutcome(error, true);
 	}
+};
 
-	const call = await createCall(services, context, path);
-	const admitted: engineServices.Admission = request.isForwarded
-		? {settle() {}, release() {}}
-		: services.limits.admit(context.team, context.entry, tokensPerCall);
+const countAndAnswer = async (
+	services: engineServices.EngineServices,
+	call: Call,
+	key: string | undefined,
+): Promise<callerRequest.CallerResponse> => {
+	const {entry} = call.context;
 	let result = 'unknown';
+	services.repetition.noteRequest(entry.workClass);
 	try {
-		const answer = await run(call);
+		const answer = await (key === undefined ? runWithoutKey(call) : runWithKey(call, key));
 		result = 'answered';
-		services.counters.observeAnswer(
-			context.entry.workClass,
-			services.clock.nowMs() - context.arrivedAtMs,
-		);
+		const latencyMs = services.clock.nowMs() - call.context.arrivedAtMs;
+		services.counters.observeAnswer(entry.workClass, latencyMs);
 		return {
 			status: answer.status,
 			headers: requestHeaders.headersForCaller(answer.headers),
@@ -265,7 +308,27 @@
 		result = error instanceof gatewayError.GatewayException ? error.error.outcome : 'unknown';
 		throw error;
 	} finally {
-		services.counters.countRequest(context.entry.workClass, result);
-		admitted.release();
+		services.counters.countRequest(entry.workClass, result);
 	}
 };
+
+/** Answers a call of a plain service. @throws GatewayException */
+export const handleService = async (
+	services: engineServices.EngineServices,
+	request: callerRequest.CallerRequest,
+): Promise<callerRequest.CallerResponse> => {
+	const {entryName, path} = parsePath(request.path);
+	const keyHeader = request.headers[requestHeaders.idempotencyKeyHeader];
+	const call = await withoutCertainty(keyHeader, async () => {
+		const options = {isAcceptedWhileStopping: keyHeader !== undefined};
+		const opened = requestContext.openContext(services, request, options);
+		const context = requestContext.withEntry(services, opened, entryName);
+		if (context.entry.target.kind !== 'service') {
+			throw requestContext.badRequest(`entry "${entryName}" does not lead to a plain service`);
+		}
+
+		return createCall(services, context, path);
+	});
+	const key = call.context.entry.idempotent ? undefined : keyHeader;
+	return countAndAnswer(services, call, key);
+};
--- /dev/null
+++ b/packages/entry/src/node/load-poller.ts
@@ -0,0 +1,91 @@
+/** Polls the load of the upstreams that the fleet assigns to this daemon. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as schema from '@hawthornfront/catalogue/common/schema.js';
+import * as zod from 'zod';
+
+/** Short enough that a leaving upstream is known in its domain within 3 s. */
+const pollPeriodMs = 1000;
+const pollTimeoutMs = 900;
+const maxReportBytes = 16_384;
+
+/** Answer of `GET /load`. Services leave out the members of runners. */
+const loadAnswerSchema = zod.object({
+	running: zod.number().int().nonnegative().default(0),
+	waiting: zod.number().int().nonnegative().default(0),
+	slots: zod.number().int().nonnegative().default(0),
+	leaving: zod.boolean().default(false),
+	model: zod.string().nullish(),
+	role: zod.string().nullish(),
+});
+
+export type PolledLoad = {
+	running: number;
+	waiting: number;
+	slots: number;
+	leaving: boolean;
+	model: string;
+	role: string;
+	/** On the monotonic clock of this daemon: when the poll was sent. */
+	observedAtMs: number;
+};
+
+export type LoadPollerOptions = {
+	clock: clock.Clock;
+	client: httpClient.HttpClient;
+	/** Upstreams to poll at this moment. */
+	upstreams(): schema.Upstream[];
+	publish(upstream: string, load: PolledLoad): void;
+};
+
+export type LoadPoller = disposable.Disposable & {
+	/** Polls that got no valid answer. */
+	failures(): number;
+};
+
+/** Starts polling. An upstream that does not answer is left to the scheduler's own observation. */
+export const startLoadPoller = (options: LoadPollerOptions): LoadPoller => {
+	const {clock: time, client} = options;
+	let failures = 0;
+	const pending = new Set<string>();
+
+	const poll = async (upstream: schema.Upstream): Promise<void> => {
+		const observedAtMs = time.nowMs();
+		pending.add(upstream.name);
+		try {
+			const answer = await client.request({
+				peer: upstream.address,
+				method: 'GET',
+				path: '/load',
+				timeoutMs: pollTimeoutMs,
+			});
+			const text = await httpClient.readText(answer.body, maxReportBytes);
+			const load = loadAnswerSchema.parse(JSON.parse(text));
+			options.publish(upstream.name, {
+				...load,
+				model: load.model ?? '',
+				role: load.role ?? '',
+				observedAtMs,
+			});
+		} catch {
+			failures++;
+		} finally {
+			pending.delete(upstream.name);
+		}
+	};
+
+	const timer = time.setPeriodicTimer(() => {
+		for (const upstream of options.upstreams()) {
+			if (!pending.has(upstream.name)) {
+				void poll(upstream);
+			}
+		}
+	}, pollPeriodMs);
+	return {
+		failures: () => failures,
+		dispose() {
+			timer.dispose();
+		},
+	};
+};
