Add membership and configuration distribution between entry daemons

This adds createFleet with its pure cores, the datagram codec and the methods config.pull and members.sync. Refutation uses the pair of incarnation and heartbeat sequence, because idempotency keys name the incarnation and must outlive a false suspicion.

--- /dev/null
+++ b/packages/fleet/src/common/fleet-parts.ts
@@ -0,0 +1,90 @@
+/** What the parts of one fleet member share. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as randomNumbers from '@hawthornfront/base/common/random.js';
+import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
+import type * as platformServices from '@hawthornfront/platform/common/platform-services.js';
+import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
+import type * as configuration from './configuration.js';
+import type * as counters from './counters.js';
+import type * as fleetSettings from './fleet-settings.js';
+import type * as membership from './membership.js';
+
+/** Lines for changes of state; pino's logger satisfies it. */
+export type FleetLogger = {
+	info(fields: Record<string, unknown>, message: string): void;
+	warn(fields: Record<string, unknown>, message: string): void;
+};
+
+export type FleetParts = {
+	cluster: string;
+	clock: clock.Clock;
+	random: randomNumbers.Random;
+	settings: fleetSettings.FleetSettings;
+	counters: counters.FleetCounters;
+	logger: FleetLogger;
+	membership: membership.Membership;
+	configuration: configuration.Configuration;
+	rpcClient: rpc.RpcClient;
+	store: keyValueStore.KeyValueStore;
+	vmList: platformServices.VmList;
+	/** Ends when the fleet is disposed. */
+	signal: AbortSignal;
+};
+
+/** A call took too long, or the daemon stops. */
+export class CallTimeoutError extends Error {}
+
+/**
+ * Runs a call with a limit on the injected clock. The limit holds even when the
+ * call ignores its signal, since a hung call must not end a loop.
+ */
+export const withTimeout = async <Result>(
+	time: clock.Clock,
+	timeoutMs: number,
+	signal: AbortSignal,
+	call: (signal: AbortSignal) => Promise<Result>,
+): Promise<Result> => {
+	const controller = new AbortController();
+	return new Promise<Result>((resolve, reject) => {
+		const end = (settle: () => void) => {
+			timer.dispose();
+			signal.removeEventListener('abort', onAbort);
+			settle();
+		};
+
+		const giveUp = (error: Error) => {
+			end(() => {
+				reject(error);
+			});
+			controller.abort(error);
+		};
+
+		const onAbort = () => {
+			giveUp(new CallTimeoutError('the daemon stops or the call is no longer wanted'));
+		};
+
+		const timer = time.setTimer(() => {
+			giveUp(new CallTimeoutError(`no answer within ${timeoutMs} ms`));
+		}, timeoutMs);
+		if (signal.aborted) {
+			onAbort();
+			return;
+		}
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		const run = async () => {
+			try {
+				const result = await call(controller.signal);
+				end(() => {
+					resolve(result);
+				});
+			} catch (error) {
+				end(() => {
+					reject(error);
+				});
+			}
+		};
+
+		void run();
+	});
+};
--- /dev/null
+++ b/packages/fleet/src/common/relay.ts
@@ -0,0 +1,127 @@
+/** The work of a relay: summaries to and from the other failure domains. */
+import type * as datagram from '@hawthornfront/protocol/common/datagram.js';
+import type * as fleetParts from './fleet-parts.js';
+import type * as memberSync from './member-sync.js';
+import type * as membership from './membership.js';
+import type * as messenger from './messenger.js';
+import type * as peerPull from './peer-pull.js';
+import type * as regionWaits from './region-waits.js';
+import * as roles from './roles.js';
+
+export type RelayParts = fleetParts.FleetParts & {
+	messenger: messenger.Messenger;
+	sync: memberSync.MemberSync;
+	pull: peerPull.PeerPull;
+	regions: regionWaits.RegionTable;
+	/** Expected waits of the own failure domain. */
+	waits: () => datagram.WaitEntry[];
+};
+
+export type Relay = {
+	/** Called in each tick; does nothing on a daemon that is no relay. */
+	tick(isRelay: boolean): void;
+	receive(item: datagram.Summary, isRelay: boolean): void;
+};
+
+/** Creates the relay side of a daemon. */
+export const createRelay = (parts: RelayParts): Relay => {
+	const {membership: view, settings, clock, random} = parts;
+	const own = view.self().member;
+	const heardAtMs = new Map<string, number>();
+	let nextSummaryMs = 0;
+	let round = 0;
+
+	const otherDomains = (): Map<string, membership.Member[]> => {
+		const domains = new Map<string, membership.Member[]>();
+		for (const member of view.members()) {
+			if (member.failureDomain !== own.failureDomain) {
+				domains.set(member.failureDomain, [...(domains.get(member.failureDomain) ?? []), member]);
+			}
+		}
+
+		return domains;
+	};
+
+	/** A relay of the domain or, every other time, any member, in case both relays are lost. */
+	const targetIn = (failureDomain: string, members: membership.Member[]) => {
+		const [first] = roles.relayOrder(members, failureDomain);
+		const isRelayTurn = round % 2 === 0;
+		return isRelayTurn
+			? (members.find((member) => member.name === first) ?? random.pick(members))
+			: random.pick(members);
+	};
+
+	const removeSilent = (failureDomain: string, members: membership.Member[], nowMs: number) => {
+		const lastMs = heardAtMs.get(failureDomain) ?? nowMs;
+		heardAtMs.set(failureDomain, lastMs);
+		if (nowMs - lastMs >= settings.forgetDomainMs) {
+			for (const member of members) {
+				view.remove(member.name, nowMs);
+			}
+
+			heardAtMs.delete(failureDomain);
+		}
+	};
+
+	return {
+		tick(isRelay) {
+			const nowMs = clock.nowMs();
+			if (!isRelay) {
+				// A daemon that becomes a relay gives each domain the full time again.
+				heardAtMs.clear();
+				return;
+			}
+
+			if (nowMs < nextSummaryMs) {
+				return;
+			}
+
+			nextSummaryMs = nowMs + settings.summaryMs - settings.tickMs / 2;
+			round++;
+			parts.regions.merge(nowMs, settings.regionSummaryLifeMs);
+			const waits = parts.waits();
+			for (const [failureDomain, members] of otherDomains()) {
+				const target = targetIn(failureDomain, members);
+				if (target) {
+					parts.messenger.sendSummary(target.datagramAddress, waits);
+				}
+
+				removeSilent(failureDomain, members, nowMs);
+			}
+		},
+		receive(item, isRelay) {
+			const nowMs = clock.nowMs();
+			const {name, incarnation, sequence, state, isWatching, failureDomain} = item;
+			if (failureDomain === own.failureDomain) {
+				return;
+			}
+
+			view.applyShort({name, incarnation, sequence, state, isWatching}, nowMs);
+			heardAtMs.set(failureDomain, nowMs);
+			parts.regions.noteDomain(failureDomain, {
+				region: item.region,
+				observedAtMs: nowMs,
+				waits: item.waits,
+			});
+			if (!isRelay) {
+				parts.regions.merge(nowMs, settings.regionSummaryLifeMs);
+			}
+
+			const known = view.claimOf(name);
+			if (!known) {
+				return;
+			}
+
+			if (item.digest !== view.digest(failureDomain)) {
+				parts.sync.repair(known, failureDomain);
+			}
+
+			parts.pull.offer({
+				name,
+				httpAddress: known.member.httpAddress,
+				revision: item.revision,
+				isNear: false,
+			});
+		},
+	};
+};
--- /dev/null
+++ b/packages/fleet/src/node/fleet.ts
@@ -0,0 +1,299 @@
+/** Puts the parts of membership and distribution together behind one interface. */
+import type * as clockService from '@hawthornfront/base/common/clock.js';
+import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import type * as randomNumbers from '@hawthornfront/base/common/random.js';
+import * as partition from '@hawthornfront/catalogue/node/partition.js';
+import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
+import type * as platformServices from '@hawthornfront/platform/common/platform-services.js';
+import * as datagram from '@hawthornfront/protocol/common/datagram.js';
+import * as methods from '@hawthornfront/protocol/common/fleet-methods.js';
+import * as identities from '@hawthornfront/protocol/common/identity.js';
+import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
+import * as configurations from '../common/configuration.js';
+import * as counting from '../common/counters.js';
+import type * as fleetInterface from '../common/fleet-interface.js';
+import type * as fleetParts from '../common/fleet-parts.js';
+import * as fleetSettings from '../common/fleet-settings.js';
+import * as gossips from '../common/gossip.js';
+import * as loadExchanges from '../common/load-exchange.js';
+import * as memberSyncs from '../common/member-sync.js';
+import * as memberships from '../common/membership.js';
+import * as messengers from '../common/messenger.js';
+import * as peerPulls from '../common/peer-pull.js';
+import * as regionWaits from '../common/region-waits.js';
+import * as relayParts from '../common/relay.js';
+import * as roles from '../common/roles.js';
+import * as storeWatchers from '../common/store-watcher.js';
+import * as watchDuties from '../common/watch-duty.js';
+
+// A tick that comes this much late shows that the process was paused.
+const pausedTicks = 3;
+
+export type FleetOptions = {
+	/** This daemon; the incarnation is derived from the wall clock when it is absent. */
+	self: Omit<identities.MemberInfo, 'incarnation'> & {incarnation?: number};
+	/** Name of the cluster; datagrams and calls of another cluster are dropped. */
+	cluster: string;
+	/** HTTP addresses of daemons, `host:port`. */
+	seeds: readonly string[];
+	clock: clockService.Clock;
+	random: randomNumbers.Random;
+	/** Owned by the caller; the fleet only listens and sends. */
+	socket: datagramSocket.DatagramSocket;
+	rpcClient: rpc.RpcClient;
+	rpcServer: rpc.RpcServer;
+	store: keyValueStore.KeyValueStore;
+	vmList: platformServices.VmList;
+	logger: fleetParts.FleetLogger;
+	settings?: Partial<fleetSettings.FleetSettings>;
+};
+
+/** Starts membership and distribution of one daemon. */
+export const createFleet = (options: FleetOptions): fleetInterface.Fleet => {
+	const {clock, random} = options;
+	const settings = fleetSettings.fleetSettingsSchema.parse(options.settings ?? {});
+	const stop = new AbortController();
+	const owned = disposable.createDisposableStore();
+	// The wall clock is read once: it makes incarnations grow across restarts without a disk.
+	const incarnation = options.self.incarnation ?? Math.max(1, Math.floor(clock.wallMs() / 1000));
+	const membership = memberships.createMembership({...options.self, incarnation}, settings);
+	const configuration = configurations.createConfiguration(clock, partition.digestOf);
+	const counters = counting.createCounters();
+	const parts: fleetParts.FleetParts = {
+		...options,
+		settings,
+		counters,
+		membership,
+		configuration,
+		signal: stop.signal,
+	};
+	const {name, failureDomain} = options.self;
+	const didChangeMembers = event.createEmitter<readonly memberships.Member[]>();
+	const didChangeIdentity = event.createEmitter<identities.Identity>();
+	let announced = incarnation;
+	let waits: datagram.WaitEntry[] = [];
+	let order: string[] | undefined;
+	let pollers = new Map<string, string[]>();
+
+	const relayOrder = (): string[] => {
+		order ??= roles.relayOrder(membership.members(), failureDomain);
+		return order;
+	};
+
+	const relays = () => relayOrder().slice(0, settings.relayCount);
+	const isRelay = () => relays().includes(name);
+
+	const pollersOf = (upstream: string): readonly string[] => {
+		let names = pollers.get(upstream);
+		if (!names) {
+			const {pollerCount} = settings;
+			names = roles.pollersFor(membership.members(), failureDomain, upstream, pollerCount);
+			pollers.set(upstream, names);
+		}
+
+		return names;
+	};
+
+	const codec = datagram.createDatagramCodec(options.cluster);
+	const loads = loadExchanges.createLoadExchange(settings);
+	const regions = regionWaits.createRegionTable(options.self.region);
+	const messenger = messengers.createMessenger(parts, options.socket, codec, loads, regions);
+	const pull = owned.add(peerPulls.createPeerPull(parts, isRelay));
+	const sync = owned.add(
+		memberSyncs.createMemberSync(parts, options.seeds, (httpAddress, answer) => {
+			const isNear = membership.claimOf(answer.name)?.member.failureDomain === failureDomain;
+			pull.offer({...answer, httpAddress, isNear});
+		}),
+	);
+	const gossip = gossips.createGossip({...parts, messenger, sync, pull, loads, regions});
+	const relay = relayParts.createRelay({
+		...parts,
+		messenger,
+		sync,
+		pull,
+		regions,
+		waits: () => waits,
+	});
+	const watcher = owned.add(
+		storeWatchers.createStoreWatcher(parts, () => {
+			membership.setSelf({isWatching: watcher.isHealthy()});
+		}),
+	);
+	const duty = watchDuties.createWatchDuty(settings, random.next());
+	const isReady = () => configuration.snapshot().revision > 0 && sync.hasJoined();
+
+	owned.add(
+		membership.onDidChange(() => {
+			order = undefined;
+			pollers = new Map();
+			const own = membership.self().member;
+			if (own.incarnation !== announced) {
+				announced = own.incarnation;
+				options.logger.warn({incarnation: announced}, 'a higher incarnation was remembered');
+				didChangeIdentity.fire({name, incarnation: announced});
+			}
+
+			didChangeMembers.fire(membership.members());
+		}),
+	);
+	owned.add(
+		configuration.onDidChangeSnapshot((snapshot) => {
+			const local = [...snapshot.upstreams].filter(
+				([, upstream]) => upstream.failureDomain === failureDomain,
+			);
+			loads.setUpstreams(new Map(local));
+			options.logger.info({revision: snapshot.revision}, 'configuration in force');
+			gossip.spread();
+		}),
+	);
+	owned.add(
+		options.socket.onDidReceive(({peer, bytes}) => {
+			counters.messagesReceived++;
+			counters.bytesReceived += bytes.byteLength;
+			const item = codec.decode(bytes);
+			if (stop.signal.aborted) {
+				return;
+			}
+
+			if (!item) {
+				counters.datagramsDropped++;
+			} else if (item.kind === 'heartbeat') {
+				gossip.receive(item, peer);
+			} else {
+				relay.receive(item, isRelay());
+			}
+		}),
+	);
+	options.rpcServer.handle(methods.configPull, (params) => pull.answer(params));
+	options.rpcServer.handle(methods.membersSync, (params) => sync.answer(params));
+
+	const updateDuty = (nowMs: number) => {
+		const rank = relayOrder().indexOf(name);
+		const earlier = new Set(rank === -1 ? relayOrder() : relayOrder().slice(0, rank));
+		const hasEarlierWatcher = membership
+			.members()
+			.some((member) => member.isWatching && earlier.has(member.name));
+		watcher.setActive(sync.hasJoined() && duty.decide(rank, hasEarlierWatcher, nowMs));
+	};
+
+	let lastTickMs = clock.nowMs();
+	let nextReconnectMs = 0;
+	let nextCandidateCheckMs = clock.nowMs() + settings.candidateCheckMs * random.next();
+	let nextSelfHelpMs = clock.nowMs() + settings.selfHelpMs * (1 + random.next());
+
+	const jittered = (periodMs: number) => periodMs * (0.5 + random.next());
+
+	const reconnect = (nowMs: number) => {
+		if (nowMs >= nextReconnectMs) {
+			nextReconnectMs = nowMs + jittered(settings.reconnectMs);
+			const lost = random.pick(membership.lost());
+			if (lost) {
+				messenger.sendHeartbeat(lost.member.datagramAddress, {wantsAnswer: true, claims: [lost]});
+			}
+		}
+
+		if (nowMs >= nextCandidateCheckMs) {
+			nextCandidateCheckMs = nowMs + jittered(settings.candidateCheckMs);
+			void sync.checkCandidates();
+		}
+	};
+
+	const helpSelf = (nowMs: number) => {
+		if (sync.hasJoined() && configuration.snapshot().revision === 0 && nowMs >= nextSelfHelpMs) {
+			nextSelfHelpMs = nowMs + jittered(settings.selfHelpMs * 4);
+			void watcher.readOnce();
+		}
+	};
+
+	const tick = () => {
+		const nowMs = clock.nowMs();
+		const elapsedMs = nowMs - lastTickMs;
+		lastTickMs = nowMs;
+		if (elapsedMs > pausedTicks * settings.tickMs) {
+			// The silence of this time was ours, not that of the others.
+			membership.postpone(elapsedMs);
+			gossip.reset();
+		}
+
+		membership.expire(nowMs);
+		membership.beat();
+		updateDuty(nowMs);
+		gossip.tick();
+		relay.tick(isRelay());
+		reconnect(nowMs);
+		helpSelf(nowMs);
+	};
+
+	owned.add(
+		clock.setTimer(() => {
+			owned.add(clock.setPeriodicTimer(tick, settings.tickMs));
+			tick();
+		}, settings.tickMs * random.next()),
+	);
+	sync.start();
+
+	return {
+		identity: () => ({name, incarnation: membership.self().member.incarnation}),
+		onDidChangeIdentity: didChangeIdentity.event,
+		members: () => membership.members(),
+		onDidChangeMembers: didChangeMembers.event,
+		snapshot: () => configuration.snapshot(),
+		onDidChangeSnapshot: configuration.onDidChangeSnapshot,
+		isReady,
+		relays,
+		pollersOf,
+		isPollerOf: (upstream) => pollersOf(upstream).includes(name),
+		publishLoad(upstream, report) {
+			const nowMs = clock.nowMs();
+			if (loads.publish(upstream, report, nowMs)) {
+				// An upstream that starts to leave must be known in the domain within 3 s.
+				const delta = loads.toDelta(upstream, nowMs);
+				gossip.broadcast({loads: delta ? [delta] : []});
+			}
+		},
+		loadReports: () => loads.reports(),
+		onDidReceiveLoad: loads.onDidReceive,
+		publishWaits(next) {
+			waits = next;
+		},
+		regionSummaries: () => regions.current(clock.nowMs(), settings.regionSummaryLifeMs),
+		announceStopping() {
+			membership.setSelf({state: 'stopping'});
+			gossip.broadcast({});
+		},
+		counters: () => ({...counters}),
+		dump: () => ({
+			identity: identities.identityText(membership.self().member),
+			state: membership.self().state,
+			isReady: isReady(),
+			isRelay: isRelay(),
+			relays: relays(),
+			members: membership
+				.claims()
+				.map(({member, state, sequence, isWatching}) => ({...member, state, sequence, isWatching})),
+			membership: membership.counters(),
+			sync: sync.dump(),
+			configuration: configuration.dump(),
+			pull: pull.dump(),
+			storeWatch: watcher.dump(),
+			loads: loads.reports().size,
+			regions: regions.current(clock.nowMs(), settings.regionSummaryLifeMs),
+			counters: {...counters},
+		}),
+		dispose() {
+			if (stop.signal.aborted) {
+				return;
+			}
+
+			if (membership.self().state === 'stopping') {
+				membership.setSelf({state: 'left'});
+				gossip.broadcast({});
+			}
+
+			stop.abort(new Error('the daemon stops'));
+			owned.dispose();
+		},
+	};
+};
--- /dev/null
+++ b/packages/protocol/src/common/datagram.ts
@@ -0,0 +1,319 @@
+/**
+ * Datagrams between entry daemons, as msgpackr arrays. Every datagram starts
+ * with the version and the token of the cluster, so that foreign datagrams are
+ * dropped. Decoding never throws: a wrong datagram gives undefined.
+ */
+import * as msgpackr from 'msgpackr';
+import * as zod from 'zod';
+import * as claim from './claim.js';
+
+const version = 1;
+
+/** Largest datagram sent; stays below the usual Ethernet MTU with headers. */
+export const maxDatagramBytes = 1200;
+
+/** Load of one upstream. `ageMs` replaces a time, since clocks of daemons differ. */
+export type LoadDelta = {
+	/** Hash of the name, or the name itself where the hash is ambiguous. */
+	upstream: number | string;
+	running: number;
+	waiting: number;
+	slots: number;
+	leaving: boolean;
+	/** Index in the models of the upstream in the catalogue, or the name. */
+	model: number | string;
+	role: string;
+	ageMs: number;
+};
+
+/** Expected wait in one region for one model or service and work class. */
+export type WaitEntry = {
+	model: string;
+	workClass: 'short' | 'long' | 'service';
+	waitMs: number;
+};
+
+/** Expected waits of a region, with the age of the figures. */
+export type RegionWaits = {region: string; ageMs: number; waits: WaitEntry[]};
+
+type Sender = {
+	name: string;
+	incarnation: number;
+	sequence: number;
+	/** Revision of the configuration in force at the sender. */
+	revision: number;
+	state: claim.MemberState;
+	isWatching: boolean;
+};
+
+export type Heartbeat = Sender & {
+	kind: 'heartbeat';
+	/** The receiver answers with a heartbeat of its own. */
+	wantsAnswer: boolean;
+	/** The receiver answers with its full status. */
+	wantsStatus: boolean;
+	/** Digest of the sender's list of live members. */
+	digest: number;
+	/** Full claims, for members that are new or have moved. */
+	claims: claim.Claim[];
+	shortClaims: claim.ShortClaim[];
+	loads: LoadDelta[];
+	/** Members that the receiver shall probe for the sender. */
+	probes: string[];
+	regions: RegionWaits[];
+};
+
+/** Sent by relays to other failure domains. */
+export type Summary = Sender & {
+	kind: 'summary';
+	region: string;
+	failureDomain: string;
+	/** Digest of the members of the sender's failure domain. */
+	digest: number;
+	waits: WaitEntry[];
+};
+
+export type Datagram = Heartbeat | Summary;
+
+const count = zod.number().int().nonnegative();
+const state = zod
+	.number()
+	.int()
+	.min(0)
+	.max(claim.memberStates.length - 1);
+const loadTuple = zod.tuple([
+	zod.union([count, zod.string()]),
+	count,
+	count,
+	count,
+	zod.boolean(),
+	zod.union([count, zod.string()]),
+	zod.string(),
+	count,
+]);
+const waitTuple = zod.tuple([zod.string(), zod.number().int().min(0).max(2), count]);
+const shortClaimTuple = zod.tuple([zod.string(), count, count, state, zod.boolean()]);
+const claimTuple = zod.tuple([
+	zod.string(),
+	count,
+	count,
+	state,
+	zod.boolean(),
+	zod.string(),
+	zod.string(),
+	zod.string(),
+	zod.string(),
+]);
+const senderFields = [zod.string(), count, count, count, state, zod.boolean()] as const;
+const heartbeatRest = zod.tuple([
+	count,
+	count,
+	zod.array(claimTuple),
+	zod.array(shortClaimTuple),
+	zod.array(loadTuple),
+	zod.array(zod.string()),
+	zod.array(zod.tuple([zod.string(), count, zod.array(waitTuple)])),
+]);
+const summaryRest = zod.tuple([zod.string(), zod.string(), count, zod.array(waitTuple)]);
+
+const heartbeatTuple = zod.tuple([...senderFields, ...heartbeatRest.def.items]);
+const summaryTuple = zod.tuple([...senderFields, ...summaryRest.def.items]);
+
+type HeartbeatRest = zod.infer<typeof heartbeatRest>;
+type SummaryRest = zod.infer<typeof summaryRest>;
+
+const workClasses = ['short', 'long', 'service'] as const;
+const kinds = {heartbeat: 0, summary: 1} as const;
+const wantsAnswerBit = 1;
+const wantsStatusBit = 2;
+
+const stateAt = (index: number): claim.MemberState => claim.memberStates[index] ?? 'alive';
+
+const packSender = (sender: Sender) => [
+	sender.name,
+	sender.incarnation,
+	sender.sequence,
+	sender.revision,
+	claim.rankOf(sender.state),
+	sender.isWatching,
+];
+
+const packShortClaim = (item: claim.ShortClaim) => [
+	item.name,
+	item.incarnation,
+	item.sequence,
+	claim.rankOf(item.state),
+	item.isWatching,
+];
+
+const packClaim = ({member, ...rest}: claim.Claim) => [
+	...packShortClaim({name: member.name, incarnation: member.incarnation, ...rest}),
+	member.region,
+	member.failureDomain,
+	member.httpAddress,
+	member.datagramAddress,
+];
+
+const packLoad = (load: LoadDelta) => [
+	load.upstream,
+	load.running,
+	load.waiting,
+	load.slots,
+	load.leaving,
+	load.model,
+	load.role,
+	load.ageMs,
+];
+
+const packWait = (wait: WaitEntry) => [
+	wait.model,
+	workClasses.indexOf(wait.workClass),
+	wait.waitMs,
+];
+
+const packBody = (datagram: Datagram): unknown[] =>
+	datagram.kind === 'heartbeat'
+		? [
+				...packSender(datagram),
+				(datagram.wantsAnswer ? wantsAnswerBit : 0) + (datagram.wantsStatus ? wantsStatusBit : 0),
+				datagram.digest,
+				datagram.claims.map((item) => packClaim(item)),
+				datagram.shortClaims.map((item) => packShortClaim(item)),
+				datagram.loads.map((item) => packLoad(item)),
+				datagram.probes,
+				datagram.regions.map(({region, ageMs, waits}) => [
+					region,
+					ageMs,
+					waits.map((wait) => packWait(wait)),
+				]),
+			]
+		: [
+				...packSender(datagram),
+				datagram.region,
+				datagram.failureDomain,
+				datagram.digest,
+				datagram.waits.map((wait) => packWait(wait)),
+			];
+
+const unpackSender = ([name, incarnation, sequence, revision, rank, isWatching]: readonly [
+	string,
+	number,
+	number,
+	number,
+	number,
+	boolean,
+	...unknown[],
+]): Sender => ({name, incarnation, sequence, revision, state: stateAt(rank), isWatching});
+
+const unpackShortClaim = ([name, incarnation, sequence, rank, isWatching]: zod.infer<
+	typeof shortClaimTuple
+>): claim.ShortClaim => ({name, incarnation, sequence, state: stateAt(rank), isWatching});
+
+const unpackClaim = (tuple: zod.infer<typeof claimTuple>): claim.Claim => {
+	const [name, incarnation, sequence, rank, isWatching] = tuple;
+	const [region, failureDomain, httpAddress, datagramAddress] = tuple.slice(5) as string[];
+	return {
+		member: {
+			name,
+			incarnation,
+			region: region!,
+			failureDomain: failureDomain!,
+			httpAddress: httpAddress!,
+			datagramAddress: datagramAddress!,
+		},
+		sequence,
+		state: stateAt(rank),
+		isWatching,
+	};
+};
+
+const unpackLoad = (tuple: zod.infer<typeof loadTuple>): LoadDelta => {
+	const [upstream, running, waiting, slots, leaving, model, role, ageMs] = tuple;
+	return {upstream, running, waiting, slots, leaving, model, role, ageMs};
+};
+
+const unpackWait = ([model, workClass, waitMs]: zod.infer<typeof waitTuple>): WaitEntry => ({
+	model,
+	workClass: workClasses[workClass] ?? 'short',
+	waitMs,
+});
+
+const unpackHeartbeat = (body: unknown): Heartbeat | undefined => {
+	const parsed = heartbeatTuple.safeParse(body);
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const [flags, digest, claims, shortClaims, loads, probes, regions] = parsed.data.slice(
+		senderFields.length,
+	) as HeartbeatRest;
+	return {
+		kind: 'heartbeat',
+		...unpackSender(parsed.data),
+		wantsAnswer: flags % 2 === wantsAnswerBit,
+		wantsStatus: flags >= wantsStatusBit,
+		digest,
+		claims: claims.map((item) => unpackClaim(item)),
+		shortClaims: shortClaims.map((item) => unpackShortClaim(item)),
+		loads: loads.map((item) => unpackLoad(item)),
+		probes,
+		regions: regions.map(([region, ageMs, waits]) => ({
+			region,
+			ageMs,
+			waits: waits.map((wait) => unpackWait(wait)),
+		})),
+	};
+};
+
+const unpackSummary = (body: unknown): Summary | undefined => {
+	const parsed = summaryTuple.safeParse(body);
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const [region, failureDomain, digest, waits] = parsed.data.slice(
+		senderFields.length,
+	) as SummaryRest;
+	return {
+		kind: 'summary',
+		...unpackSender(parsed.data),
+		region,
+		failureDomain,
+		digest,
+		waits: waits.map((wait) => unpackWait(wait)),
+	};
+};
+
+/** Encodes and decodes the datagrams of one cluster. */
+export type DatagramCodec = {
+	encode(datagram: Datagram): Uint8Array;
+	/** @returns undefined for a datagram that is foreign, of another version or damaged. */
+	decode(bytes: Uint8Array): Datagram | undefined;
+};
+
+/** Creates the codec of a cluster. `token` keeps clusters apart; it is no secret. */
+export const createDatagramCodec = (token: string): DatagramCodec => {
+	const packr = new msgpackr.Packr({useRecords: false});
+	return {
+		encode: (datagram) => packr.pack([version, token, kinds[datagram.kind], ...packBody(datagram)]),
+		decode(bytes) {
+			let fields: unknown;
+			try {
+				fields = packr.unpack(bytes);
+			} catch {
+				return undefined;
+			}
+
+			if (!Array.isArray(fields) || fields[0] !== version || fields[1] !== token) {
+				return undefined;
+			}
+
+			const [kind, ...body] = fields.slice(2) as unknown[];
+			if (kind === kinds.heartbeat) {
+				return unpackHeartbeat(body);
+			}
+
+			return kind === kinds.summary ? unpackSummary(body) : undefined;
+		},
+	};
+};
