--- a/packages/once/src/common/owner.ts
+++ b/packages/once/src/common/owner.ts
@@ -8,13 +8,14 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
-import * as answerModule from './answer.js';
-import * as execution from './execution.js';
+import type * as answerModule from './answer.js';
+import type * as execution from './execution.js';
 import * as handOffModule from './hand-off.js';
 import type * as keyIssuer from './key-issuer.js';
 import * as key from './key.js';
 import * as ownerCounters from './owner-counters.js';
 import * as ownerErrors from './owner-errors.js';
+import * as ownerExecution from './owner-execution.js';
 import * as ownerRecords from './owner-records.js';
 import type * as settings from './settings.js';
 import * as witnessClient from './witness-client.js';
@@ -82,6 +83,15 @@
 	const records = ownerRecords.createOwnerRecords(limits);
 	const counters = ownerCounters.createOwnerCounters();
 	let isStopped = false;
+	const executor = ownerExecution.createExecutor({
+		clock,
+		client,
+		issuer,
+		records,
+		counters,
+		settings: limits,
+		isStopped: () => isStopped,
+	});
 	// Keys without a record up to this expiry were refused when there was no room
 	// for a record of the refusal.
 	let refusedUpToMs = -1;
@@ -94,182 +104,6 @@
 		return new gatewayError.GatewayException(error);
 	};
 
-	const withdraw = (record: ownerRecords.OwnerRecord) => {
-		// Without this the witness would have to answer `unknown` for an intent that
-		// is recorded and was never used.
-		void complete(record, {outcome: 'not-run'});
-	};
-
-	const refuseRecord = (
-		record: ownerRecords.OwnerRecord,
-		reason: ownerCounters.NotRunReason,
-		error: gatewayError.GatewayError,
-	): gatewayError.GatewayException => {
-		record.state = 'refused';
-		// Repeats get the same fresh key, so that two copies of one request do not
-		// become two requests.
-		record.error = {...error, outcome: 'not-run', freshKey: issuer.issue()};
-		counters.notRun[reason]++;
-		return new gatewayError.GatewayException(record.error);
-	};
-
-	const complete = async (
-		record: ownerRecords.OwnerRecord,
-		result: witnessClient.HandoffRecord['result'],
-	) => {
-		const {witness, text} = record.parsed;
-		if (!witness) {
-			return;
-		}
-
-		record.isWitnessed = await client.sendCompletion(witness, {
-			key: text,
-			fingerprint: record.fingerprint,
-			result,
-		});
-		if (record.isWitnessed) {
-			counters.completionsAcknowledged++;
-		} else {
-			counters.completionsGivenUp++;
-		}
-	};
-
-	/** Holds the answer back for a short time, so that a crash right after it is known. */
-	const completeRan = async (
-		record: ownerRecords.OwnerRecord,
-		answer: answerModule.Answer | undefined,
-	) => {
-		const stored = answer && answerModule.toStored(answer, limits.maxAnswerBytes);
-		const completion = complete(record, {outcome: 'ran', ...(stored ? {answer: stored} : {})});
-		const limit = new AbortController();
-		const wait = async () => {
-			try {
-				await clock.sleep(limits.completionWaitMs, limit.signal);
-			} catch {
-				// The completion was acknowledged first.
-			}
-		};
-
-		await Promise.race([completion, wait()]);
-		limit.abort();
-	};
-
-	/** Returns an error when the request was refused before dispatch. */
-	const recordIntent = async (
-		record: ownerRecords.OwnerRecord,
-	): Promise<gatewayError.GatewayException | undefined> => {
-		const {witness, text} = record.parsed;
-		if (!witness) {
-			return undefined;
-		}
-
-		record.state = 'intent-sent';
-		const outcome = await client.recordIntent(witness, {
-			key: text,
-			fingerprint: record.fingerprint,
-			ownerNowMs: Math.max(0, issuer.nowMs()),
-		});
-		if (outcome.kind === 'recorded') {
-			return undefined;
-		}
-
-		const isSealed = outcome.kind === 'refused' && outcome.reason === 'sealed';
-		if (!isSealed) {
-			issuer.avoidWitness(witness.name);
-		}
-
-		const error =
-			outcome.kind === 'lost'
-				? refuseRecord(record, 'witness-unreachable', ownerErrors.witnessUnreachable(witness))
-				: refuseRecord(record, 'witness-refused', ownerErrors.witnessRefused(witness));
-		if (outcome.kind === 'lost') {
-			withdraw(record);
-		}
-
-		return error;
-	};
-
-	const checkSend = (record: ownerRecords.OwnerRecord): gatewayError.GatewayError | undefined => {
-		if (isStopped) {
-			return ownerErrors.stopping();
-		}
-
-		return record.parsed.expiresAtMs <= issuer.nowMs() ? ownerErrors.expired('not-run') : undefined;
-	};
-
-	const attempt = async (
-		record: ownerRecords.OwnerRecord,
-		execute: execution.Execute,
-		maxAttempts: number,
-	): Promise<execution.AttemptResult> => {
-		for (let number = 1; ; number++) {
-			const result = await execution.runAttempt(
-				execute,
-				() => checkSend(record),
-				(isSent) => {
-					record.state = isSent ? 'dispatched' : 'ready';
-				},
-			);
-			const mayRepeat =
-				result.kind === 'failed' && !result.isSent && number < maxAttempts && !checkSend(record);
-			if (!mayRepeat) {
-				return result;
-			}
-
-			counters.attemptsRepeated++;
-		}
-	};
-
-	const finishFailed = async (
-		record: ownerRecords.OwnerRecord,
-		failure: execution.AttemptResult & {kind: 'failed'},
-	): Promise<gatewayError.GatewayException> => {
-		if (!failure.isSent) {
-			const error = refuseRecord(record, 'failed-before-sending', failure.error);
-			withdraw(record);
-			return error;
-		}
-
-		const hasRun = failure.error.outcome === 'ran';
-		record.state = hasRun ? 'completed' : 'unknown';
-		record.error = {...failure.error, outcome: hasRun ? 'ran' : 'unknown'};
-		if (hasRun) {
-			counters.ran++;
-			await completeRan(record, undefined);
-		} else {
-			counters.unknown++;
-		}
-
-		return new gatewayError.GatewayException(record.error);
-	};
-
-	const perform = async (
-		record: ownerRecords.OwnerRecord,
-		execute: execution.Execute,
-		maxAttempts: number,
-	): Promise<answerModule.Answer> => {
-		try {
-			const refusal = await recordIntent(record);
-			if (refusal) {
-				throw refusal;
-			}
-
-			record.state = 'ready';
-			const result = await attempt(record, execute, maxAttempts);
-			if (result.kind === 'failed') {
-				throw await finishFailed(record, result);
-			}
-
-			record.state = 'completed';
-			counters.ran++;
-			records.keepAnswer(record, result.answer, answerModule.sizeBytes(result.answer));
-			await completeRan(record, result.answer);
-			return result.answer;
-		} finally {
-			record.running = undefined;
-		}
-	};
-
 	const repeat = async (
 		record: ownerRecords.OwnerRecord,
 		fingerprint: string,
@@ -383,7 +217,7 @@
 			}
 
 			const record = addRecord(parsed, fingerprint);
-			record.running = perform(record, execute, runOptions?.maxAttempts ?? 1);
+			record.running = executor.perform(record, execute, runOptions?.maxAttempts ?? 1);
 			return {answer: await record.running, isReplay: false};
 		},
 		refuse(keyText, fingerprint) {
@@ -398,7 +232,7 @@
 			}
 
 			const record = addRecord(parsed, fingerprint);
-			const {error} = refuseRecord(record, 'refused-by-engine', ownerErrors.refusedByEngine());
+			const {error} = executor.refuse(record, 'refused-by-engine', ownerErrors.refusedByEngine());
 			return {freshKey: error.freshKey!};
 		},
 		async handOff(others) {
--- a/packages/once/src/common/witness.ts
+++ b/packages/once/src/common/witness.ts
@@ -10,27 +10,14 @@
 import type * as onceMethods from '@hawthornfront/protocol/common/once-methods.js';
 import type * as zod from 'zod';
 import * as key from './key.js';
-import * as settings from './settings.js';
+import type * as settings from './settings.js';
 import * as witnessOwners from './witness-owners.js';
+import * as witnessRecords from './witness-records.js';
 
 type IntentParams = zod.infer<typeof onceMethods.intent.params>;
 type IntentResult = zod.infer<typeof onceMethods.intent.result>;
 type CompleteParams = zod.infer<typeof onceMethods.complete.params>;
 
-/** `adopted` records come from a stopped owner whose own witness was gone. */
-type RecordState = 'intent' | 'ran' | 'not-run' | 'sealed';
-
-type WitnessRecord = {
-	state: RecordState;
-	owner: key.Peer;
-	expiresAtMs: number;
-	/** Undefined for a seal. */
-	fingerprint: string | undefined;
-	answer: onceMethods.StoredAnswer | undefined;
-	isAdopted: boolean;
-	forgetAtMs: number;
-};
-
 export type WitnessOptions = {
 	/** This daemon; the incarnation stays the same for the life of the process. */
 	self: identity.Identity;
@@ -73,9 +60,8 @@
 /** Creates the witness of one incarnation. */
 export const createWitness = (options: WitnessOptions): Witness => {
 	const {self, clock, settings: limits} = options;
-	const records = new Map<string, WitnessRecord>();
 	const owners = witnessOwners.createWitnessOwners(limits);
-	let answersBytes = 0;
+	const records = witnessRecords.createWitnessRecords({clock, owners, settings: limits});
 	const counters: WitnessCounters = {
 		intentsRecorded: 0,
 		intentsRefused: {
@@ -99,68 +85,6 @@
 	const isOwnWitness = (parsed: key.ParsedKey) =>
 		parsed.witness !== undefined && key.isSameIncarnation(parsed.witness, self);
 
-	// The longest time that a key can still be valid, on a clock that may run faster.
-	const longestLifeMs =
-		(limits.keyLifetimeMs + limits.retentionMs) * (1 + settings.maxClockRateDifference);
-
-	const add = (
-		parsed: key.ParsedKey,
-		record: Pick<WitnessRecord, 'state' | 'fingerprint' | 'isAdopted'>,
-		share = 1,
-	): WitnessRecord | undefined => {
-		const hasRoom = records.size < limits.maxWitnessRecords * share;
-		const maxOwners = limits.maxWitnessOwners * share;
-		if (!hasRoom || !owners.addRecord(parsed.owner, clock.nowMs(), maxOwners)) {
-			return undefined;
-		}
-
-		const added: WitnessRecord = {
-			...record,
-			owner: parsed.owner,
-			expiresAtMs: parsed.expiresAtMs,
-			answer: undefined,
-			forgetAtMs: clock.nowMs() + longestLifeMs,
-		};
-		records.set(parsed.text, added);
-		return added;
-	};
-
-	const setAnswer = (record: WitnessRecord, answer: onceMethods.StoredAnswer | undefined) => {
-		if (!answer || record.answer) {
-			return;
-		}
-
-		const sizeBytes = answer.body.length;
-		const isTooLong = sizeBytes > Math.ceil(limits.maxAnswerBytes / 3) * 4;
-		if (isTooLong || answersBytes + sizeBytes > limits.maxAnswersBytes) {
-			counters.answersNotKept++;
-			return;
-		}
-
-		record.answer = answer;
-		answersBytes += sizeBytes;
-	};
-
-	// A record of a made-up key must not move the horizon of an owner past its
-	// real keys, so a seal stays until its expiry is one the owner can have given.
-	const mayDrop = (record: WitnessRecord): boolean =>
-		record.state !== 'sealed' ||
-		owners.isSuperseded(record.owner) ||
-		owners.isPlausibleExpiry(record.owner, record.expiresAtMs, clock.nowMs()) === true;
-
-	const sweep = () => {
-		for (const [text, record] of records) {
-			if (record.forgetAtMs <= clock.nowMs() && mayDrop(record)) {
-				records.delete(text);
-				answersBytes -= record.answer?.body.length ?? 0;
-				owners.dropRecord(record.owner, record.expiresAtMs);
-				counters.recordsForgotten++;
-			}
-		}
-
-		owners.prune(clock.nowMs() - longestLifeMs);
-	};
-
 	const refuse = (reason: onceMethods.Refusal): IntentResult => {
 		counters.intentsRefused[reason]++;
 		return {kind: 'refused', reason};
@@ -189,7 +113,11 @@
 			return refuse('forgotten');
 		}
 
-		const added = add(parsed, {state: 'intent', fingerprint: params.fingerprint, isAdopted: false});
+		const added = records.add(parsed, {
+			state: 'intent',
+			fingerprint: params.fingerprint,
+			isAdopted: false,
+		});
 		if (!added) {
 			return refuse('full');
 		}
@@ -199,6 +127,15 @@
 		return {kind: 'recorded'};
 	};
 
+	const keepAnswer = (
+		record: witnessRecords.WitnessRecord,
+		answer: onceMethods.StoredAnswer | undefined,
+	) => {
+		if (answer && !record.answer && !records.setAnswer(record, answer)) {
+			counters.answersNotKept++;
+		}
+	};
+
 	const store = (params: CompleteParams, isAdopted: boolean): boolean => {
 		const parsed = key.parseKey(params.key);
 		if (!parsed || (!isAdopted && !isOwnWitness(parsed))) {
@@ -212,7 +149,7 @@
 
 		const {outcome} = params.result;
 		const record =
-			known ?? add(parsed, {state: outcome, fingerprint: params.fingerprint, isAdopted});
+			known ?? records.add(parsed, {state: outcome, fingerprint: params.fingerprint, isAdopted});
 		if (!record) {
 			return false;
 		}
@@ -227,14 +164,17 @@
 		}
 
 		if (params.result.outcome === 'ran' && record.state === 'ran') {
-			setAnswer(record, params.result.answer);
+			keepAnswer(record, params.result.answer);
 		}
 
 		counters.completionsStored++;
 		return true;
 	};
 
-	const answerFrom = (record: WitnessRecord, fingerprint: string): onceMethods.WireResolution => {
+	const answerFrom = (
+		record: witnessRecords.WitnessRecord,
+		fingerprint: string,
+	): onceMethods.WireResolution => {
 		if (record.fingerprint !== undefined && record.fingerprint !== fingerprint) {
 			return {outcome: 'reused'};
 		}
@@ -265,7 +205,7 @@
 		}
 
 		// Without a record of the seal a later intent would be acknowledged.
-		const record = add(
+		const record = records.add(
 			parsed,
 			{state: 'sealed', fingerprint: undefined, isAdopted: false},
 			sealShare,
@@ -290,7 +230,9 @@
 		return resolution;
 	};
 
-	const timer = clock.setPeriodicTimer(sweep, sweepPeriodMs);
+	const timer = clock.setPeriodicTimer(() => {
+		counters.recordsForgotten += records.sweep();
+	}, sweepPeriodMs);
 
 	return {
 		intent,
@@ -306,23 +248,7 @@
 		},
 		handoff: (handedOver) => handedOver.filter((params) => store(params, true)).length,
 		counters,
-		dump() {
-			const byState = {intent: 0, ran: 0, 'not-run': 0, sealed: 0};
-			let adopted = 0;
-			for (const record of records.values()) {
-				byState[record.state]++;
-				adopted += record.isAdopted ? 1 : 0;
-			}
-
-			return {
-				records: records.size,
-				byState,
-				adopted,
-				answersBytes,
-				owners: owners.size,
-				counters: structuredClone(counters),
-			};
-		},
+		dump: () => ({...records.dump(), counters: structuredClone(counters)}),
 		dispose() {
 			timer.dispose();
 		},
