--- /dev/null
+++ b/packages/entry/src/node/daemon.ts
@@ -0,0 +1,241 @@
+/** Puts an entry daemon together: servers, fleet, scheduler, key handling and request engine. */
+import * as crypto from 'node:crypto';
+import * as net from 'node:net';
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as random from '@hawthornfront/base/common/random.js';
+import type * as log from '@hawthornfront/base/node/log.js';
+import * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as scheduler from '@hawthornfront/decisions/common/scheduler.js';
+import * as schedulerSettings from '@hawthornfront/decisions/common/scheduler-settings.js';
+import type * as fleetInterface from '@hawthornfront/fleet/common/fleet-interface.js';
+import type * as fleetSettings from '@hawthornfront/fleet/common/fleet-settings.js';
+import * as fleet from '@hawthornfront/fleet/node/fleet.js';
+import * as httpKeyValueStore from '@hawthornfront/platform/node/http-key-value-store.js';
+import * as httpPlatformServices from '@hawthornfront/platform/node/http-platform-services.js';
+import * as jsonRpc from '@hawthornfront/protocol/node/json-rpc.js';
+import type * as authorisation from '../common/authorisation.js';
+import * as demandMeter from '../common/demand-meter.js';
+import type * as engineServices from '../common/engine-services.js';
+import * as requestEngine from '../common/request-engine.js';
+import * as clusterHttpClient from './cluster-http-client.js';
+import * as decisionServices from './decision-services.js';
+import * as directoryPublisher from './directory-publisher.js';
+import * as engineCounters from './engine-counters.js';
+import * as httpRunnerClient from './http-runner-client.js';
+import * as httpServer from './http-server.js';
+import * as keyedService from './keyed-service.js';
+import * as operatorPages from './operator-pages.js';
+import * as peers from './peers.js';
+import type * as settings from './settings.js';
+import * as upstreamWatch from './upstream-watch.js';
+
+const drainCheckMs = 50;
+/** Time for which a stopping daemon still answers, so that callers see it leave the list first. */
+const leaveNoticeMs = 1500;
+
+export type EntryDaemonOptions = {
+	settings: settings.EntrySettings;
+	clock: clock.Clock;
+	random: random.Random;
+	logger: log.Logger;
+	/** For upstreams, platform and other daemons; closed by its owner. */
+	httpClient: httpClient.HttpClient;
+	/** Owned by the caller. */
+	socket: datagramSocket.DatagramSocket;
+	/** `host:port` under which other daemons reach the socket. */
+	datagramAddress: string;
+	fleetSettings?: Partial<fleetSettings.FleetSettings>;
+};
+
+export type EntryDaemon = {
+	/** `host:port` of HTTP. */
+	readonly address: string;
+	readonly fleet: fleetInterface.Fleet;
+	dump(): unknown;
+	/** Planned stop: leaves the list, finishes requests in progress, hands key records over. */
+	stop(): Promise<void>;
+	/** Ends at once, as a crash does. */
+	crash(): void;
+};
+
+const digests: authorisation.Digests = {
+	sha256: (text) => crypto.createHash('sha256').update(text).digest('hex'),
+	equals: (left, right) =>
+		left.length === right.length && crypto.timingSafeEqual(Buffer.from(left), Buffer.from(right)),
+};
+
+const isAddress = (address: string): boolean =>
+	net.isIPv4(address.slice(0, address.lastIndexOf(':')));
+
+/** Starts an entry daemon. It is ready once it has a configuration. */
+export const startEntryDaemon = async (options: EntryDaemonOptions): Promise<EntryDaemon> => {
+	const {settings: config, clock: time, random: numbers, logger} = options;
+	const {daemon, cluster, platform} = config;
+	const resources = disposable.createDisposableStore();
+	const registry = metrics.createRegistry({daemon: daemon.name, region: daemon.region});
+	const clusterHeaders = {[httpServer.clusterTokenHeader]: cluster.token};
+	const peerClient = new clusterHttpClient.ClusterHttpClient(options.httpClient, clusterHeaders);
+	const rpcClient = new jsonRpc.HttpRpcClient(peerClient);
+	const rpcServer = new jsonRpc.JsonRpcServer();
+	let isStopping = false;
+	let engine: requestEngine.RequestEngine | undefined;
+	let pages: operatorPages.OperatorPages | undefined;
+
+	const server = await httpServer.startHttpServer({
+		host: daemon.host,
+		port: daemon.httpPort,
+		clusterToken: cluster.token,
+		handlers: {
+			handle: async (request) =>
+				engine ? engine.handle(request) : {status: 503, headers: {}, body: ''},
+			handleRpc: async (text) => rpcServer.receive(text),
+			handleOperator: async (path) => pages?.handle(path),
+		},
+	});
+	const address = `${daemon.host}:${server.port}`;
+	const vmList = new httpPlatformServices.HttpVmList(options.httpClient, platform.vmList);
+	const members = fleet.createFleet({
+		self: {
+			name: daemon.name,
+			region: daemon.region,
+			failureDomain: daemon.failureDomain,
+			httpAddress: address,
+			datagramAddress: options.datagramAddress,
+		},
+		cluster: cluster.name,
+		seeds: cluster.seeds.filter((seed) => isAddress(seed)),
+		clock: time,
+		random: numbers.fork(),
+		socket: options.socket,
+		rpcClient,
+		rpcServer,
+		store: new httpKeyValueStore.HttpKeyValueStore(options.httpClient, platform.store),
+		vmList,
+		logger,
+		settings: options.fleetSettings,
+	});
+	resources.add(members);
+	const queue = scheduler.createScheduler({
+		clock: time,
+		random: numbers.fork(),
+		settings: schedulerSettings.schedulerSettingsSchema.parse({}),
+	});
+	resources.add(queue);
+	const keyed = keyedService.createKeyedService({
+		fleet: members,
+		clock: time,
+		random: numbers.fork(),
+		rpcClient,
+		rpcServer,
+		address,
+		region: daemon.region,
+		failureDomain: daemon.failureDomain,
+	});
+	resources.add(keyed);
+	const watch = upstreamWatch.startUpstreamWatch({
+		clock: time,
+		client: options.httpClient,
+		fleet: members,
+		scheduler: queue,
+		vmList,
+		name: daemon.name,
+		region: daemon.region,
+		failureDomain: daemon.failureDomain,
+	});
+	resources.add(watch);
+	resources.add(
+		directoryPublisher.startDirectoryPublisher({
+			clock: time,
+			fleet: members,
+			directory: new httpPlatformServices.HttpDirectory(options.httpClient, platform.directory),
+			name: daemon.name,
+			failureDomain: daemon.failureDomain,
+		}),
+	);
+	const counters = engineCounters.createEngineCounters(registry);
+	const decisions = decisionServices.createDecisionServices({
+		settings: config,
+		clock: time,
+		random: numbers.fork(),
+		fleet: members,
+		scheduler: queue,
+	});
+	resources.add(decisions);
+	const demand = demandMeter.createDemandMeter(time);
+	const services: engineServices.EngineServices = {
+		...decisions.services,
+		region: daemon.region,
+		cdnLoopIdentifier: `hawthornfront-${cluster.name}`,
+		clock: time,
+		digests,
+		clusterHeaders,
+		snapshot: () => members.snapshot(),
+		isReady: () => members.isReady(),
+		isStopping: () => isStopping,
+		entryVmsOf: (region) => peers.entryVmsOf(members, region),
+		scheduler: queue,
+		keyedExecution: keyed.execution,
+		demand,
+		runnerClient: new httpRunnerClient.HttpRunnerClient(options.httpClient),
+		httpClient: options.httpClient,
+		attemptSettings: {
+			firstTokenTimeoutMs: config.requests.firstTokenTimeoutMs,
+			stallTimeoutMs: config.requests.stallTimeoutMs,
+		},
+		counters,
+	};
+	engine = requestEngine.createRequestEngine(services);
+	const running = engine;
+	const dump = () => ({
+		revision: members.snapshot().revision,
+		isStopping,
+		inFlight: running.inFlight(),
+		demand: demand.read(),
+		fleet: members.dump(),
+		scheduler: queue.dump(),
+		decisions: decisions.dump(),
+		upstreams: watch.dump(),
+		keyedExecution: keyed.execution.dump(),
+	});
+	pages = operatorPages.createOperatorPages({
+		registry,
+		fleet: members,
+		isStopping: () => isStopping,
+		dump,
+	});
+	logger.info({address}, 'entry daemon started');
+
+	const drain = async () => {
+		while (running.inFlight() > 0) {
+			await time.sleep(drainCheckMs);
+		}
+	};
+
+	return {
+		address,
+		fleet: members,
+		dump,
+		async stop() {
+			if (isStopping) {
+				return;
+			}
+
+			isStopping = true;
+			logger.info({inFlight: running.inFlight()}, 'entry daemon stopping');
+			members.announceStopping();
+			await time.sleep(leaveNoticeMs);
+			await drain();
+			await keyed.execution.handOff();
+			resources.dispose();
+			await server.close();
+			logger.info({}, 'entry daemon stopped');
+		},
+		crash() {
+			resources.dispose();
+			server.abort();
+		},
+	};
+};
--- a/packages/fleet/src/test/fleet-cluster.ts
+++ b/packages/fleet/src/test/fleet-cluster.ts
@@ -113,12 +113,12 @@
 				store.put(catalogue.partKey(part.digest), part.text);
 			}
 
-			const root: catalogue.Root = {
+			const root: catalogue.Root = catalogue.rootSchema.parse({
 				parts: parts.map(({partition: number, digest}) => ({partition: number, digest})),
 				operationId: `op-${++lastOperation}`,
 				author: 'test',
 				acceptedAt: '2026-01-01T00:00:00Z',
-			};
+			});
 			return store.put(catalogue.rootKey, JSON.stringify(root));
 		},
 		/** Names that a daemon lists, of one failure domain if named. */
