--- a/packages/entry/src/common/openai.ts
+++ b/packages/entry/src/common/openai.ts
@@ -39,7 +39,7 @@
 
 /** Text of a prompt, for estimates and cache affinity. */
 export const promptText = (body: ModelBody): string =>
-	JSON.stringify('messages' in body ? body.messages : (body).prompt);
+	JSON.stringify('messages' in body ? body.messages : body.prompt);
 
 /** Start of the prompt that decides about reuse of a prefix cache. */
 export const promptPrefix = (prompt: string): string => prompt.slice(0, prefixLength);
--- a/packages/entry/src/node/daemon.ts
+++ b/packages/entry/src/node/daemon.ts
@@ -1,4 +1,5 @@
 /** Puts an entry daemon together: servers, fleet, scheduler, key handling and request engine. */
+import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
 import * as net from 'node:net';
 import type * as clock from '@hawthornfront/base/common/clock.js';
@@ -64,7 +65,7 @@
 const digests: authorisation.Digests = {
 	sha256: (text) => crypto.createHash('sha256').update(text).digest('hex'),
 	equals: (left, right) =>
-		left.length === right.length && crypto.timingSafeEqual(Buffer.from(left), Buffer.from(right)),
+		left.length === right.length && crypto.timingSafeEqual(buffer.Buffer.from(left), buffer.Buffer.from(right)),
 };
 
 const isAddress = (address: string): boolean =>
@@ -81,8 +82,8 @@
 	const rpcClient = new jsonRpc.HttpRpcClient(peerClient);
 	const rpcServer = new jsonRpc.JsonRpcServer();
 	let isStopping = false;
-	let engine: requestEngine.RequestEngine | undefined;
-	let pages: operatorPages.OperatorPages | undefined;
+	// The server starts first, because the fleet announces its port.
+	const served: {engine?: requestEngine.RequestEngine; pages?: operatorPages.OperatorPages} = {};
 
 	const server = await httpServer.startHttpServer({
 		host: daemon.host,
@@ -90,9 +91,9 @@
 		clusterToken: cluster.token,
 		handlers: {
 			handle: async (request) =>
-				engine ? engine.handle(request) : {status: 503, headers: {}, body: ''},
+				served.engine ? served.engine.handle(request) : {status: 503, headers: {}, body: ''},
 			handleRpc: async (text) => rpcServer.receive(text),
-			handleOperator: async (path) => pages?.handle(path),
+			handleOperator: async (path) => served.pages?.handle(path),
 		},
 	});
 	const address = `${daemon.host}:${server.port}`;
@@ -187,12 +188,12 @@
 		},
 		counters,
 	};
-	engine = requestEngine.createRequestEngine(services);
-	const running = engine;
+	const engine = requestEngine.createRequestEngine(services);
+	served.engine = engine;
 	const dump = () => ({
 		revision: members.snapshot().revision,
 		isStopping,
-		inFlight: running.inFlight(),
+		inFlight: engine.inFlight(),
 		demand: demand.read(),
 		fleet: members.dump(),
 		scheduler: queue.dump(),
@@ -200,7 +201,7 @@
 		upstreams: watch.dump(),
 		keyedExecution: keyed.execution.dump(),
 	});
-	pages = operatorPages.createOperatorPages({
+	served.pages = operatorPages.createOperatorPages({
 		registry,
 		fleet: members,
 		isStopping: () => isStopping,
@@ -209,7 +210,7 @@
 	logger.info({address}, 'entry daemon started');
 
 	const drain = async () => {
-		while (running.inFlight() > 0) {
+		while (engine.inFlight() > 0) {
 			await time.sleep(drainCheckMs);
 		}
 	};
@@ -224,7 +225,7 @@
 			}
 
 			isStopping = true;
-			logger.info({inFlight: running.inFlight()}, 'entry daemon stopping');
+			logger.info({inFlight: engine.inFlight()}, 'entry daemon stopping');
 			members.announceStopping();
 			await time.sleep(leaveNoticeMs);
 			await drain();
--- a/packages/entry/src/node/engine-counters.ts
+++ b/packages/entry/src/node/engine-counters.ts
@@ -5,9 +5,7 @@
 const latencyBucketsSeconds = [0.005, 0.02, 0.05, 0.1, 0.2, 0.42, 1, 2, 5, 10, 30, 120];
 
 /** Creates the counters in a registry. */
-export const createEngineCounters = (
-	registry: metrics.Registry,
-): engineServices.EngineCounters => {
+export const createEngineCounters = (registry: metrics.Registry): engineServices.EngineCounters => {
 	const requests = metrics.createCounter(
 		registry,
 		'hawthornfront_requests_total',
--- a/packages/entry/src/node/http-server.ts
+++ b/packages/entry/src/node/http-server.ts
@@ -50,10 +50,7 @@
 		detail: `the body is longer than ${limitBytes} bytes`,
 	});
 
-const readBody = async (
-	body: Request['body'],
-	limitBytes: number,
-): Promise<Uint8Array> => {
+const readBody = async (body: Request['body'], limitBytes: number): Promise<Uint8Array> => {
 	if (!body) {
 		return new Uint8Array();
 	}
@@ -127,8 +124,7 @@
 	headers: Object.fromEntries(request.headers),
 	isForwarded: path.startsWith(attemptSources.forwardPrefix),
 	signal: request.signal,
-	readBody: async (limitBytes) =>
-		readBody(request.body, limitBytes),
+	readBody: async (limitBytes) => readBody(request.body, limitBytes),
 });
 
 const createApp = (options: HttpServerOptions): h3.H3 => {
--- a/packages/entry/src/node/leaving-marks.ts
+++ b/packages/entry/src/node/leaving-marks.ts
@@ -25,7 +25,7 @@
 		},
 		has: isValid,
 		current() {
-			for (const upstream of [...validUntilMs.keys()]) {
+			for (const upstream of validUntilMs.keys()) {
 				if (!isValid(upstream)) {
 					validUntilMs.delete(upstream);
 				}
--- a/packages/entry/src/node/load-poller.ts
+++ b/packages/entry/src/node/load-poller.ts
@@ -1,6 +1,6 @@
 /** Polls the load of the upstreams that the fleet assigns to this daemon. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
-import * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
 import * as zod from 'zod';
--- a/packages/entry/src/node/peers.ts
+++ b/packages/entry/src/node/peers.ts
@@ -16,13 +16,13 @@
 export const regionPeers = (fleet: fleetInterface.Fleet, region: string): keys.Peer[] =>
 	others(fleet)
 		.filter((member) => member.region === region)
-		.map(toPeer);
+		.map((member) => toPeer(member));
 
 /** Other daemons of a failure domain that take new work. */
 export const domainPeers = (fleet: fleetInterface.Fleet, failureDomain: string): keys.Peer[] =>
 	others(fleet)
 		.filter((member) => member.failureDomain === failureDomain && member.state === 'alive')
-		.map(toPeer);
+		.map((member) => toPeer(member));
 
 /** HTTP addresses of the entry VMs of a region. */
 export const entryVmsOf = (fleet: fleetInterface.Fleet, region: string): string[] =>
--- a/packages/entry/src/node/upstream-watch.ts
+++ b/packages/entry/src/node/upstream-watch.ts
@@ -64,9 +64,7 @@
 
 		try {
 			const vms = await options.vmList.list();
-			const leaving = new Set(
-				vms.filter((vm) => vm.state === 'leaving').map((vm) => vm.address),
-			);
+			const leaving = new Set(vms.filter((vm) => vm.state === 'leaving').map((vm) => vm.address));
 			for (const upstream of localUpstreams()) {
 				if (leaving.has(upstream.address)) {
 					const known = fleet.loadReports().get(upstream.name) ?? unknownLoad;
--- a/packages/entry/src/test/model-answer.test.ts
+++ b/packages/entry/src/test/model-answer.test.ts
@@ -75,8 +75,8 @@
 					isWhole = true;
 				}
 			}
-		} catch (thrown) {
-			error = thrown instanceof gatewayError.GatewayException ? thrown.error : undefined;
+		} catch (error_) {
+			error = error_ instanceof gatewayError.GatewayException ? error_.error : undefined;
 		}
 	})();
 	if (options.preemptAfterMs !== undefined) {
