--- a/packages/fleet/src/common/fleet-parts.ts
+++ b/packages/fleet/src/common/fleet-parts.ts
@@ -80,7 +80,7 @@
 				});
 			} catch (error) {
 				end(() => {
-					reject(error);
+					reject(error instanceof Error ? error : new Error(String(error)));
 				});
 			}
 		};
--- a/packages/fleet/src/common/gossip.ts
+++ b/packages/fleet/src/common/gossip.ts
@@ -34,6 +34,10 @@
 	spread(): void;
 	/** Sends a heartbeat to all peers of the domain; only for rare and urgent changes. */
 	broadcast(options: messenger.HeartbeatOptions): void;
+	/** Sends a heartbeat to some removed members, in case they are back or were never gone. */
+	reconnect(count: number): void;
+	/** True when most of the domain seems lost, so that the fault is likely here. */
+	seemsDeaf(): boolean;
 	/** Forgets open probes after this daemon was paused. */
 	reset(): void;
 };
@@ -69,6 +73,15 @@
 		return found;
 	};
 
+	const pickSome = <Item>(items: Item[], count: number): Item[] => {
+		const picked: Item[] = [];
+		while (picked.length < count && items.length > 0) {
+			picked.push(...items.splice(random.integer(0, items.length - 1), 1));
+		}
+
+		return picked;
+	};
+
 	const ageHelp = () => {
 		for (const [name, requests] of help) {
 			const open = requests.filter((request) => --request.ticksLeft > 0);
@@ -206,12 +219,17 @@
 		},
 		receive,
 		spread() {
-			const names = [...peers().keys()];
-			for (let count = 0; count <= settings.gossipFanout && names.length > 0; count++) {
-				const [name] = names.splice(random.integer(0, names.length - 1), 1);
-				send(name!, {hasNews: true});
+			for (const name of pickSome([...peers().keys()], settings.gossipFanout + 1)) {
+				send(name, {hasNews: true});
+			}
+		},
+		reconnect(count) {
+			for (const lost of pickSome(membership.lost(), count)) {
+				const address = lost.member.datagramAddress;
+				parts.messenger.sendHeartbeat(address, {wantsAnswer: true, claims: [lost]});
 			}
 		},
+		seemsDeaf: () => membership.lost().length > peers().size,
 		broadcast(options) {
 			for (const name of peers().keys()) {
 				send(name, options);
--- a/packages/fleet/src/common/memory-network.ts
+++ b/packages/fleet/src/common/memory-network.ts
@@ -33,7 +33,7 @@
 	socket: datagramSocket.DatagramSocket;
 	rpcClient: rpc.RpcClient;
 	rpcServer: rpc.RpcServer;
-	/** A paused process neither receives nor answers. */
+	/** A paused process answers no call and receives its datagrams when it resumes. */
 	setPaused(isPaused: boolean): void;
 	detach(): void;
 };
@@ -42,8 +42,12 @@
 	emitter: event.Emitter<datagramSocket.Datagram>;
 	handlers: Map<string, Handler>;
 	isPaused: boolean;
+	/** Datagrams that wait in the receive buffer of a paused process. */
+	buffer: datagramSocket.Datagram[];
 };
 
+const maxBuffered = 64;
+
 /** Creates a network without faults. `delayMs` is the one-way delay of a pair of addresses. */
 export const createMemoryNetwork = (
 	clock: clockService.Clock,
@@ -59,8 +63,14 @@
 		clock.setTimer(
 			() => {
 				const node = nodes.get(to);
-				if (node && !node.isPaused) {
+				if (!node) {
+					return;
+				}
+
+				if (!node.isPaused) {
 					node.emitter.fire({peer: from, bytes});
+				} else if (node.buffer.length < maxBuffered) {
+					node.buffer.push({peer: from, bytes});
 				}
 			},
 			delayOf(from, to),
@@ -147,7 +157,12 @@
 	return {
 		faults,
 		attach(address) {
-			const node: Node = {emitter: event.createEmitter(), handlers: new Map(), isPaused: false};
+			const node: Node = {
+				emitter: event.createEmitter(),
+				handlers: new Map(),
+				isPaused: false,
+				buffer: [],
+			};
 			nodes.set(address, node);
 			return {
 				socket: new MemorySocket(address, node),
@@ -155,6 +170,9 @@
 				rpcServer: new MemoryRpcServer(node.handlers),
 				setPaused(isPaused) {
 					node.isPaused = isPaused;
+					for (const item of isPaused ? [] : node.buffer.splice(0)) {
+						node.emitter.fire(item);
+					}
 				},
 				detach() {
 					if (nodes.get(address) === node) {
--- a/packages/fleet/src/common/relay.ts
+++ b/packages/fleet/src/common/relay.ts
@@ -20,7 +20,7 @@
 export type Relay = {
 	/** Called in each tick; does nothing on a daemon that is no relay. */
 	tick(isRelay: boolean): void;
-	receive(item: datagram.Summary, isRelay: boolean): void;
+	receive(item: datagram.Summary, address: string, isRelay: boolean): void;
 };
 
 /** Creates the relay side of a daemon. */
@@ -51,6 +51,13 @@
 			: random.pick(members);
 	};
 
+	const anyClaimIn = (failureDomain: string) => {
+		const member = random.pick(
+			view.members().filter((item) => item.failureDomain === failureDomain),
+		);
+		return member && view.claimOf(member.name);
+	};
+
 	const removeSilent = (failureDomain: string, members: membership.Member[], nowMs: number) => {
 		const lastMs = heardAtMs.get(failureDomain) ?? nowMs;
 		heardAtMs.set(failureDomain, lastMs);
@@ -89,7 +96,7 @@
 				removeSilent(failureDomain, members, nowMs);
 			}
 		},
-		receive(item, isRelay) {
+		receive(item, address, isRelay) {
 			const nowMs = clock.nowMs();
 			const {name, incarnation, sequence, state, isWatching, failureDomain} = item;
 			if (failureDomain === own.failureDomain) {
@@ -107,8 +114,10 @@
 				parts.regions.merge(nowMs, settings.regionSummaryLifeMs);
 			}
 
-			const known = view.claimOf(name);
+			const known = view.claimOf(name) ?? anyClaimIn(failureDomain);
 			if (!known) {
+				// Nobody of the domain is known here, so the sender is asked who it is.
+				parts.messenger.sendHeartbeat(address, {wantsStatus: true});
 				return;
 			}
 
@@ -117,7 +126,7 @@
 			}
 
 			parts.pull.offer({
-				name,
+				name: known.member.name,
 				httpAddress: known.member.httpAddress,
 				revision: item.revision,
 				isNear: false,
--- a/packages/fleet/src/node/fleet.ts
+++ b/packages/fleet/src/node/fleet.ts
@@ -162,7 +162,7 @@
 			} else if (item.kind === 'heartbeat') {
 				gossip.receive(item, peer);
 			} else {
-				relay.receive(item, isRelay());
+				relay.receive(item, peer, isRelay());
 			}
 		}),
 	);
@@ -188,10 +188,10 @@
 	const reconnect = (nowMs: number) => {
 		if (nowMs >= nextReconnectMs) {
 			nextReconnectMs = nowMs + jittered(settings.reconnectMs);
-			const lost = random.pick(membership.lost());
-			if (lost) {
-				messenger.sendHeartbeat(lost.member.datagramAddress, {wantsAnswer: true, claims: [lost]});
-			}
+			gossip.reconnect(1);
+		} else if (gossip.seemsDeaf()) {
+			// Others may still hear this daemon, so it does not fall silent.
+			gossip.reconnect(settings.gossipFanout + 1);
 		}
 
 		if (nowMs >= nextCandidateCheckMs) {
--- a/packages/fleet/src/test/fleet-cluster.ts
+++ b/packages/fleet/src/test/fleet-cluster.ts
@@ -1,20 +1,72 @@
 /** A cluster of fleets on a manual clock and an in-memory network. */
+import * as clockService from '@hawthornfront/base/common/clock.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as randomNumbers from '@hawthornfront/base/common/random.js';
 import * as catalogue from '@hawthornfront/catalogue/common/schema.js';
 import * as partition from '@hawthornfront/catalogue/node/partition.js';
+import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
 import type * as fleetInterface from '../common/fleet-interface.js';
 import type * as fleetSettings from '../common/fleet-settings.js';
 import * as memoryNetwork from '../common/memory-network.js';
 import * as memoryStore from '../common/memory-store.js';
 import * as fleets from '../node/fleet.js';
 
+/** Clock of one process: its timers wait while the process is paused. */
+class PausableClock extends clockService.Clock {
+	readonly #clock: clockService.Clock;
+	#waiting: Array<() => void> | undefined;
+
+	constructor(clock: clockService.Clock) {
+		super();
+		this.#clock = clock;
+	}
+
+	override nowMs() {
+		return this.#clock.nowMs();
+	}
+
+	override wallMs() {
+		return this.#clock.wallMs();
+	}
+
+	override setTimer(callback: () => void, delayMs: number) {
+		let isDisposed = false;
+		const run = () => {
+			if (!isDisposed) {
+				callback();
+			}
+		};
+
+		const timer = this.#clock.setTimer(() => {
+			if (this.#waiting) {
+				this.#waiting.push(run);
+			} else {
+				run();
+			}
+		}, delayMs);
+		return disposable.toDisposable(() => {
+			isDisposed = true;
+			timer.dispose();
+		});
+	}
+
+	setPaused(isPaused: boolean) {
+		const due = this.#waiting ?? [];
+		this.#waiting = isPaused ? due : undefined;
+		for (const run of isPaused ? [] : due) {
+			run();
+		}
+	}
+}
+
 export type Place = {name: string; region: string; failureDomain: string; address: string};
 
 export type Node = {
 	place: Place;
 	fleet: fleetInterface.Fleet;
 	endpoint: memoryNetwork.Endpoint;
+	clock: PausableClock;
 	/** Revisions in the order in which they came into force. */
 	revisions: number[];
 };
@@ -63,6 +115,9 @@
 		store,
 		vmList,
 		nodes,
+		/** The first root that was written, as a lagging replica still gives it. */
+		firstRoot: undefined as keyValueStore.KeyValue | undefined,
+		lastRevision: 0,
 		/** Starts a daemon; `storeOf` lets one daemon see another store. */
 		start(
 			place: Place,
@@ -71,6 +126,7 @@
 		): Node {
 			const endpoint = network.attach(place.address);
 			const {name, region, failureDomain, address} = place;
+			const ownClock = new PausableClock(clock);
 			const fleet = fleets.createFleet({
 				self: {
 					name,
@@ -82,7 +138,7 @@
 				},
 				cluster: 'test',
 				seeds,
-				clock,
+				clock: ownClock,
 				random: random.fork(),
 				socket: endpoint.socket,
 				rpcClient: endpoint.rpcClient,
@@ -92,13 +148,19 @@
 				logger: silent,
 				settings,
 			});
-			const node: Node = {place, fleet, endpoint, revisions: []};
+			const node: Node = {place, fleet, endpoint, clock: ownClock, revisions: []};
 			fleet.onDidChangeSnapshot((snapshot) => {
 				node.revisions.push(snapshot.revision);
 			});
 			nodes.set(name, node);
 			return node;
 		},
+		/** Stops or resumes a process, as a pause of its VM does. */
+		setPaused(name: string, isPaused: boolean) {
+			const node = nodes.get(name);
+			node?.clock.setPaused(isPaused);
+			node?.endpoint.setPaused(isPaused);
+		},
 		/** Ends a daemon without a word. */
 		crash(name: string) {
 			const node = nodes.get(name)!;
@@ -119,7 +181,11 @@
 				author: 'test',
 				acceptedAt: '2026-01-01T00:00:00Z',
 			};
-			return store.put(catalogue.rootKey, JSON.stringify(root));
+			const value = JSON.stringify(root);
+			const revision = store.put(catalogue.rootKey, value);
+			cluster.firstRoot ??= {key: catalogue.rootKey, value, revision};
+			cluster.lastRevision = revision;
+			return revision;
 		},
 		/** Names that a daemon lists, of one failure domain if named. */
 		view: (name: string, failureDomain?: string): string[] =>
