Make two catalogue tests able to fail

With the list of recent operation ids ignored, and with the time limit of an edit removed, both tests still passed. The first now edits the same record behind the lost answer, the second pauses after the part was written again. Both fail when their rule is broken.

--- a/packages/ctl/src/test/catalogue-races.test.ts
+++ b/packages/ctl/src/test/catalogue-races.test.ts
@@ -184,3 +184,26 @@
 		}
 	}
 });
+
+tap.t.test('an edit whose answer was lost is found behind a later edit', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const store = new fakeStore.FakeKeyValueStore(clock);
+	const edit = (operationId: string) =>
+		createEdit(store, clock, operationId, random.createRandom(3));
+	await catalogueStore.applyChanges(edit('initial'), recordEdit.diffRecords([], initial));
+	store.chooseFault = ({operation, key}) =>
+		operation === 'compareAndSwap' && key === schema.rootKey ? 'lost' : 'none';
+	const changes = changesOf([{name: 'a', weight: 2}]);
+	const first = settle(catalogueStore.applyChanges(edit('first'), changes));
+	while (!store.peek(schema.rootKey)?.value.includes('"operationId":"first"')) {
+		await clock.advance(0);
+	}
+
+	// Changes the same record from what the first edit made of it.
+	store.chooseFault = () => 'none';
+	const before = createTeam('a', 2);
+	const after = createTeam('a', 3);
+	await catalogueStore.applyChanges(edit('second'), [{id: 'team/a', before, after}]);
+	await clock.advance(60_000);
+	t.match(await first, {kind: 'done', result: {kind: 'applied'}});
+});
--- a/packages/ctl/src/test/clean-up.test.ts
+++ b/packages/ctl/src/test/clean-up.test.ts
@@ -88,7 +88,7 @@
 	let pauses = 0;
 	store.compareAndSwap = async (key, value, expectedRevision, options) => {
 		const result = await swap(key, value, expectedRevision, options);
-		if (key !== schema.rootKey && pauses++ === 0) {
+		if (key !== schema.rootKey && result.kind === 'written' && pauses++ === 0) {
 			await clock.sleep(2 * cleanUp.minGraceMs);
 		}
 
