--- a/packages/demo/src/node/checks.ts
+++ b/packages/demo/src/node/checks.ts
@@ -27,8 +27,12 @@
 const checkBound = (system: deployment.Deployment, facts: scenario.Facts): Check => {
 	const bound = (service: deployment.Service) =>
 		service.standin.executions.filter((execution) => execution.path.startsWith('/bound/')).length;
-	const inside = system.services.filter((service) => service.region === 'veneto').map((service) => bound(service));
-	const outside = system.services.filter((service) => service.region !== 'veneto').map((service) => bound(service));
+	const inside = system.services
+		.filter((service) => service.region === 'veneto')
+		.map((service) => bound(service));
+	const outside = system.services
+		.filter((service) => service.region !== 'veneto')
+		.map((service) => bound(service));
 	const sum = (values: number[]) => values.reduce((total, value) => total + value, 0);
 	return {
 		name: 'data bound to a region stays there',
--- a/packages/entry/src/node/daemon.ts
+++ b/packages/entry/src/node/daemon.ts
@@ -65,7 +65,8 @@
 const digests: authorisation.Digests = {
 	sha256: (text) => crypto.createHash('sha256').update(text).digest('hex'),
 	equals: (left, right) =>
-		left.length === right.length && crypto.timingSafeEqual(buffer.Buffer.from(left), buffer.Buffer.from(right)),
+		left.length === right.length &&
+		crypto.timingSafeEqual(buffer.Buffer.from(left), buffer.Buffer.from(right)),
 };
 
 const isAddress = (address: string): boolean =>
--- a/packages/standins/src/test/runner.test.ts
+++ b/packages/standins/src/test/runner.test.ts
@@ -45,7 +45,7 @@
 		}
 	};
 
-	// eslint-disable-next-line promise/prefer-await-to-then -- the test reads the failure later
+	 
 	run().catch((error: unknown) => {
 		reading.failure = String(error);
 	});
