--- a/packages/standins/src/common/lagged.ts
+++ b/packages/standins/src/common/lagged.ts
@@ -59,19 +59,22 @@
 	cacheEventGapProbability: number;
 };
 
-const maxEvents = 4096;
-
-/** Creates the log of cache events of one runner. */
+/** Creates the log of cache events of one runner; it keeps the last `maxEvents`. */
 export const createCacheEventLog = (
 	clock: clockModule.Clock,
 	random: randomModule.Random,
 	faults: CacheEventFaults,
+	maxEvents: number,
 ): CacheEventLog => {
 	let events: Array<{atMs: number; isLost: boolean; event: CacheEvent}> = [];
 	let sequence = 0;
 	return {
 		append(change) {
 			sequence++;
+			if (maxEvents === 0) {
+				return;
+			}
+
 			const isLost =
 				faults.cacheEventGapProbability > 0 && random.next() < faults.cacheEventGapProbability;
 			events.push({atMs: clock.nowMs(), isLost, event: {...change, sequence}});
--- a/packages/standins/src/common/runner-model.ts
+++ b/packages/standins/src/common/runner-model.ts
@@ -85,7 +85,7 @@
 		},
 	};
 
-	const cacheLog = lagged.createCacheEventLog(clock, random, faults);
+	const cacheLog = lagged.createCacheEventLog(clock, random, faults, settings.maxCacheEvents);
 	const cache = prefixCache.createPrefixCache(settings.cacheBlocks, cacheLog.append);
 	const state = lagged.createLaggedValue(clock, {running: 0, waiting: 0}, settings.loadLagMs);
 	const orders = runnerOrders.createOrderBook(clock, settings, () => {
--- a/packages/standins/src/common/runner-types.ts
+++ b/packages/standins/src/common/runner-types.ts
@@ -12,6 +12,8 @@
 		cacheBlocks: number;
 		/** Tokens that may wait for a slow reader before its sequence pauses. */
 		maxBufferedTokens: number;
+		/** Cache events that are kept for readers; 0 keeps none. */
+		maxCacheEvents: number;
 		/** Delay of load reports. */
 		loadLagMs: number;
 	};
@@ -25,6 +27,7 @@
 	maxIterationsPerStep: 1,
 	cacheBlocks: 512,
 	maxBufferedTokens: 64,
+	maxCacheEvents: 4096,
 	loadLagMs: 500,
 	model: 'model',
 	role: 'mixed',
