--- a/packages/fleet/src/common/membership.ts
+++ b/packages/fleet/src/common/membership.ts
@@ -170,7 +170,7 @@
 			// An earlier life is remembered as higher: its clock was ahead of ours.
 			const member = {...selfClaim.member, incarnation: item.incarnation + 1};
 			selfClaim = {...selfClaim, member, sequence: 1};
-		} else if (isLive(item.state) && item.state !== 'suspect') {
+		} else if (claim.rankOf(item.state) <= claim.rankOf(selfClaim.state)) {
 			return 'refreshed';
 		} else {
 			selfClaim = {...selfClaim, sequence: selfClaim.sequence + 1};
