--- /dev/null
+++ b/packages/fleet/src/node/bench-cells.ts
@@ -0,0 +1,193 @@
+/** The cells of the control measurement. Each builds its own world and disposes it. */
+import type * as fleetSettings from '../common/fleet-settings.js';
+import * as benchLoad from './bench-load.js';
+import * as benchMeasure from './bench-measure.js';
+import * as benchWorld from './bench-world.js';
+
+export type WorldKind = 'loopback' | 'memory';
+
+export type CellOptions = {
+	kind: WorldKind;
+	daemons: number;
+	domains: number;
+	runnersPerDomain: number;
+	sendsFullStatus: boolean;
+	teams: number;
+	seed: number;
+	settleMs: number;
+	measureMs: number;
+};
+
+const joinLimitMs = 60_000;
+const changeLimitMs = 30_000;
+
+const createWorld = (options: CellOptions): benchWorld.World => {
+	const settings: Partial<fleetSettings.FleetSettings> = {
+		sendsFullStatus: options.sendsFullStatus,
+	};
+	return options.kind === 'loopback'
+		? benchWorld.createLoopbackWorld(options.seed, settings)
+		: benchWorld.createMemoryWorld(options.seed, settings);
+};
+
+const recordsOf = (options: CellOptions, editedWeight = 1) => [
+	...benchLoad.createTeams(options.teams, editedWeight),
+	...Array.from({length: options.domains}, (_, index) =>
+		benchLoad.createRunners(`domain-${index}`, options.runnersPerDomain),
+	).flat(),
+];
+
+const startAll = async (world: benchWorld.World, places: benchWorld.Place[]) => {
+	const seeds: string[] = [];
+	for (const place of places) {
+		const node = await world.start(place, [...seeds]);
+		// One seed in each of the first domains is enough; the others are learnt.
+		if (seeds.length < 3) {
+			seeds.push(node.place.address);
+		}
+	}
+
+	return seeds;
+};
+
+const isSettled = (world: benchWorld.World) => (node: benchWorld.BenchNode) =>
+	node.fleet.isReady() && node.fleet.members().length === world.nodes.length;
+
+/** Starts a world and waits until every daemon is ready and lists all others. */
+const createSettledWorld = async (options: CellOptions) => {
+	const world = createWorld(options);
+	benchWorld.configure(world.store, recordsOf(options));
+	const seeds = await startAll(world, benchWorld.createPlaces(options.daemons, options.domains));
+	const joinMs = await benchMeasure.timeUntil(world, isSettled(world), joinLimitMs);
+	return {world, seeds, joinMs};
+};
+
+export type SteadyResult = benchMeasure.CellResult & {joinMs: number | undefined};
+
+/** Rates without changes, after the first ones have spread. */
+export const runSteadyCell = async (options: CellOptions): Promise<SteadyResult> => {
+	const {world, joinMs} = await createSettledWorld(options);
+	const load = benchLoad.startLoad(world, options.runnersPerDomain, options.seed);
+	await world.advance(options.settleMs);
+	const result = await benchMeasure.measureCell(world, options.measureMs);
+	load.dispose();
+	await world.dispose();
+	return {...result, joinMs};
+};
+
+export type ChangeResult = {
+	/** From the write of the root until it is in force at all daemons, for each change. */
+	inForceMs: Array<number | undefined>;
+	/** Processor time of one daemon for one change, above the steady rate. */
+	cpuMsPerChange: number;
+	/** Calls of the cluster to the store for one change, above the steady rate. */
+	storeCallsPerChange: number;
+	/** JSON text that the daemons passed on for one change, both ways, mean of one daemon. */
+	callBytesPerChange: number;
+};
+
+const cpuMs = () => {
+	const usage = process.cpuUsage();
+	return (usage.user + usage.system) / 1000;
+};
+
+/** Time until a change of one team is in force everywhere. */
+export const runChangeCell = async (
+	options: CellOptions,
+	changes: number,
+): Promise<ChangeResult> => {
+	const {world} = await createSettledWorld(options);
+	await world.advance(options.settleMs);
+	const steady = await benchMeasure.measureCell(world, options.measureMs);
+	const inForceMs: Array<number | undefined> = [];
+	const before = [...benchMeasure.sample(world).values()];
+	const callsBefore = world.store.calls;
+	const startMs = world.clock.nowMs();
+	const cpuBefore = cpuMs();
+	let generationMs = 0;
+	for (let change = 0; change < changes; change++) {
+		const generationStart = cpuMs();
+		const revision = benchWorld.configure(world.store, recordsOf(options, 2 + change));
+		generationMs += cpuMs() - generationStart;
+		const isInForce = (node: benchWorld.BenchNode) => node.fleet.snapshot().revision === revision;
+		inForceMs.push(await benchMeasure.timeUntil(world, isInForce, changeLimitMs));
+		await world.advance(1000);
+	}
+
+	const seconds = (world.clock.nowMs() - startMs) / 1000;
+	const steadyCpuMs = (steady.cpuPercent / 100) * seconds * 1000;
+	const sumOf = (items: Array<{callBytes: number}>) =>
+		items.reduce((sum, item) => sum + item.callBytes, 0);
+	const bytes = sumOf([...benchMeasure.sample(world).values()]) - sumOf(before);
+	const spentMs = (cpuMs() - cpuBefore - generationMs) / options.daemons;
+	const steadyCalls = steady.storeCallsPerSecond * seconds;
+	const result = {
+		inForceMs,
+		cpuMsPerChange: (spentMs - steadyCpuMs) / changes,
+		storeCallsPerChange: (world.store.calls - callsBefore - steadyCalls) / changes,
+		callBytesPerChange: bytes / options.daemons / changes,
+	};
+	await world.dispose();
+	return result;
+};
+
+export type MemoryResult = {bytesPerDaemon: number};
+
+/** Heap and buffers of one daemon: all members, catalogue and load reports. */
+export const runMemoryCell = async (options: CellOptions): Promise<MemoryResult> => {
+	const before = benchWorld.usedBytes();
+	const world = createWorld(options);
+	// The text of the catalogue in the store is part of the first figure.
+	benchWorld.configure(world.store, recordsOf(options));
+	const withStore = benchWorld.usedBytes();
+	await startAll(world, benchWorld.createPlaces(options.daemons, options.domains));
+	await benchMeasure.timeUntil(world, isSettled(world), joinLimitMs);
+	await world.advance(options.settleMs);
+	const bytesPerDaemon = (benchWorld.usedBytes() - Math.max(before, withStore)) / options.daemons;
+	await world.dispose();
+	return {bytesPerDaemon};
+};
+
+export type RecoveryResult = benchMeasure.Peak & {
+	/** Until all new daemons are ready and listed by all. */
+	recoveredMs: number | undefined;
+};
+
+/** A whole failure domain is replaced at once, with or without a working store. */
+export const runRecoveryCell = async (
+	options: CellOptions,
+	isStoreUp: boolean,
+): Promise<RecoveryResult> => {
+	const {world, seeds} = await createSettledWorld(options);
+	await world.advance(options.settleMs);
+	const lost = world.nodes.filter((node) => node.place.failureDomain === 'domain-1');
+	for (const node of lost) {
+		await world.stop(node);
+	}
+
+	world.store.mode = isStoreUp ? 'up' : 'down';
+	const startMs = world.clock.nowMs();
+	const replacements = lost.map(async ({place}) => {
+		const address = place.address.replace('.0.', '.9.');
+		await world.start({...place, name: `${place.name}-new`, address}, seeds);
+	});
+	await Promise.all(replacements);
+	const fresh = world.nodes.filter((node) => node.place.name.endsWith('-new'));
+	let recoveredMs: number | undefined;
+	const peak: benchMeasure.Peak = {bytesOfOneDaemon: 0, messagesOfOneDaemon: 0, storeCalls: 0};
+	while (recoveredMs === undefined && world.clock.nowMs() - startMs < joinLimitMs) {
+		const next = await benchMeasure.measurePeak(world, 1);
+		peak.bytesOfOneDaemon = Math.max(peak.bytesOfOneDaemon, next.bytesOfOneDaemon);
+		peak.messagesOfOneDaemon = Math.max(peak.messagesOfOneDaemon, next.messagesOfOneDaemon);
+		peak.storeCalls = Math.max(peak.storeCalls, next.storeCalls);
+		if (
+			fresh.every((node) => node.fleet.isReady()) &&
+			world.nodes.every((node) => isSettled(world)(node))
+		) {
+			recoveredMs = world.clock.nowMs() - startMs;
+		}
+	}
+
+	await world.dispose();
+	return {...peak, recoveredMs};
+};
--- /dev/null
+++ b/packages/fleet/src/node/bench-control.ts
@@ -0,0 +1,222 @@
+/**
+ * Measures the control work of daemons: bytes, messages, processor time, memory,
+ * store calls, the time until a change is in force and the peaks of a recovery.
+ * Prints tables and writes `bench/results/control.json`.
+ */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as process from 'node:process';
+import * as url from 'node:url';
+import * as benchCells from './bench-cells.js';
+
+const resultsFile = 'bench/results/control.json';
+const designTeams = 14_000;
+const runnersPerDomain = 60;
+
+export type ControlBenchOptions = {
+	/** Shortens every cell; the figures are then good for a smoke test only. */
+	isQuick?: boolean;
+	print?: (line: string) => void;
+};
+
+export type ControlBenchResult = {
+	startedAt: string;
+	steady: Array<benchCells.CellOptions & benchCells.SteadyResult>;
+	changes: Array<benchCells.CellOptions & benchCells.ChangeResult>;
+	memory: Array<benchCells.CellOptions & benchCells.MemoryResult>;
+	recovery: Array<benchCells.CellOptions & benchCells.RecoveryResult & {isStoreUp: boolean}>;
+};
+
+const base: benchCells.CellOptions = {
+	kind: 'loopback',
+	daemons: 7,
+	domains: 1,
+	runnersPerDomain: 0,
+	sendsFullStatus: false,
+	teams: 50,
+	seed: 1,
+	settleMs: 5000,
+	measureMs: 12_000,
+};
+
+type Shape = Partial<benchCells.CellOptions>;
+
+/** Loopback cells carry the processor time; the others repeat on a manual clock. */
+const steadyShapes: Shape[] = [
+	...[7, 41, 100].flatMap((daemons) => [
+		{daemons},
+		{daemons, runnersPerDomain},
+		{daemons, runnersPerDomain, sendsFullStatus: true},
+	]),
+	{daemons: 41, runnersPerDomain: 20},
+	{daemons: 21, domains: 3, runnersPerDomain},
+	{daemons: 41, domains: 3, runnersPerDomain},
+	{daemons: 100, domains: 10, runnersPerDomain},
+	{kind: 'memory', daemons: 41, runnersPerDomain, measureMs: 60_000},
+	{kind: 'memory', daemons: 41, runnersPerDomain, measureMs: 60_000, sendsFullStatus: true},
+	{kind: 'memory', daemons: 100, domains: 10, runnersPerDomain, measureMs: 60_000},
+];
+
+const changeShapes: Shape[] = [
+	{daemons: 7, teams: designTeams},
+	{daemons: 41, teams: designTeams},
+	{daemons: 41, domains: 3, teams: designTeams},
+	{daemons: 100, domains: 10, teams: 1000},
+];
+
+const memoryShapes: Shape[] = [
+	{daemons: 7},
+	{daemons: 41},
+	{daemons: 100, domains: 10},
+	{daemons: 7, teams: designTeams},
+	{daemons: 7, teams: designTeams, runnersPerDomain: 600},
+];
+
+const recoveryShapes: Shape[] = [
+	{kind: 'memory', daemons: 21, domains: 3, teams: designTeams},
+	{kind: 'memory', daemons: 82, domains: 2, teams: 2000},
+];
+
+const shapeText = (cell: benchCells.CellOptions): string[] => [
+	cell.kind,
+	String(cell.daemons),
+	String(cell.domains),
+	String(cell.runnersPerDomain),
+	String(cell.teams),
+	cell.sendsFullStatus ? 'full' : 'split',
+];
+const shapeHead = ['world', 'daemons', 'domains', 'runners/domain', 'teams', 'status'];
+
+/** Renders rows as a Markdown table. */
+export const renderTable = (head: string[], rows: string[][]): string[] => {
+	const lines = [head, head.map(() => '---'), ...rows];
+	return lines.map((row) => `| ${row.join(' | ')} |`);
+};
+
+const fixed = (value: number | undefined, digits = 0): string => value?.toFixed(digits) ?? 'never';
+
+const steadyTable = (rows: ControlBenchResult['steady']): string[] =>
+	renderTable(
+		[
+			...shapeHead,
+			'plain msg/s sent',
+			'plain B/s sent',
+			'plain B/s received',
+			'relay msg/s sent',
+			'relay B/s sent',
+			'relay B/s received',
+			'list B/s',
+			'CPU % of a core',
+			'store calls/s',
+		],
+		rows.map((row) => [
+			...shapeText(row),
+			fixed(row.plain.messagesSent, 1),
+			fixed(row.plain.bytesSent),
+			fixed(row.plain.bytesReceived),
+			fixed(row.relay.messagesSent, 1),
+			fixed(row.relay.bytesSent),
+			fixed(row.relay.bytesReceived),
+			fixed(row.plain.callBytes),
+			fixed(row.cpuPercent, 2),
+			fixed(row.storeCallsPerSecond, 2),
+		]),
+	);
+
+const changeTable = (rows: ControlBenchResult['changes']): string[] =>
+	renderTable(
+		[...shapeHead, 'in force ms, each change', 'CPU ms/change', 'store calls/change', 'B/change'],
+		rows.map((row) => [
+			...shapeText(row),
+			row.inForceMs.map((value) => fixed(value)).join(' '),
+			fixed(row.cpuMsPerChange, 1),
+			fixed(row.storeCallsPerChange, 1),
+			fixed(row.callBytesPerChange),
+		]),
+	);
+
+const memoryTable = (rows: ControlBenchResult['memory']): string[] =>
+	renderTable(
+		[...shapeHead, 'MB/daemon'],
+		rows.map((row) => [...shapeText(row), fixed(row.bytesPerDaemon / 1e6, 2)]),
+	);
+
+const recoveryTable = (rows: ControlBenchResult['recovery']): string[] =>
+	renderTable(
+		[...shapeHead, 'store', 'recovered ms', 'peak B/s', 'peak msg/s', 'peak store calls/s'],
+		rows.map((row) => [
+			...shapeText(row),
+			row.isStoreUp ? 'up' : 'down',
+			fixed(row.recoveredMs),
+			fixed(row.bytesOfOneDaemon),
+			fixed(row.messagesOfOneDaemon),
+			fixed(row.storeCalls),
+		]),
+	);
+
+const writeResults = (result: ControlBenchResult) => {
+	fs.mkdirSync(path.dirname(resultsFile), {recursive: true});
+	fs.writeFileSync(resultsFile, `${JSON.stringify(result, undefined, '\t')}\n`);
+};
+
+/** Runs all cells, one after the other. Takes about eight minutes unless quick. */
+export const runControlBench = async (
+	options: ControlBenchOptions = {},
+): Promise<ControlBenchResult> => {
+	const print = options.print ?? console.log;
+	const short = options.isQuick ? {settleMs: 1000, measureMs: 2000} : {};
+	const shapes = (list: Shape[]): benchCells.CellOptions[] =>
+		(options.isQuick ? list.slice(0, 1) : list).map((shape) => ({...base, ...shape, ...short}));
+	const changes = options.isQuick ? 1 : 3;
+	const result: ControlBenchResult = {
+		startedAt: new Date().toISOString(),
+		steady: [],
+		changes: [],
+		memory: [],
+		recovery: [],
+	};
+	const printTable = (title: string, lines: string[]) => {
+		print(`\n${title}\n`);
+		for (const line of lines) {
+			print(line);
+		}
+	};
+
+	// Memory comes first, before other cells have grown the heap.
+	for (const cell of shapes(memoryShapes)) {
+		result.memory.push({...cell, ...(await benchCells.runMemoryCell(cell))});
+	}
+
+	printTable(
+		'Memory of one daemon (heap and buffers, without the process)',
+		memoryTable(result.memory),
+	);
+	for (const cell of shapes(steadyShapes)) {
+		result.steady.push({...cell, ...(await benchCells.runSteadyCell(cell))});
+	}
+
+	printTable(
+		'Steady state, for one daemon (bytes with IP and UDP headers)',
+		steadyTable(result.steady),
+	);
+	for (const cell of shapes(changeShapes)) {
+		result.changes.push({...cell, ...(await benchCells.runChangeCell(cell, changes))});
+	}
+
+	printTable('A change of one team', changeTable(result.changes));
+	for (const cell of shapes(recoveryShapes)) {
+		for (const isStoreUp of [true, false]) {
+			const figures = await benchCells.runRecoveryCell(cell, isStoreUp);
+			result.recovery.push({...cell, isStoreUp, ...figures});
+		}
+	}
+
+	printTable('One whole failure domain replaced at once', recoveryTable(result.recovery));
+	writeResults(result);
+	print(`\nwritten to ${resultsFile}`);
+	return result;
+};
+
+if (process.argv[1] === url.fileURLToPath(import.meta.url)) {
+	await runControlBench({isQuick: process.argv.includes('--quick')});
+}
