--- /dev/null
+++ b/packages/decisions/src/test/region-chooser.test.ts
@@ -0,0 +1,121 @@
+// Guards against bound work that leaves its region, loops, flapping and overfilled links.
+import * as tap from 'tap';
+import * as fastCheck from 'fast-check';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as regionChooser from '../common/region-chooser.js';
+
+const freeRegion: Record<string, number> = {saare: 0};
+
+const create = (settings: Record<string, unknown> = {}) => {
+	const clock = new manualClock.ManualClock();
+	const parsed = regionChooser.regionChooserSettingsSchema.parse({
+		links: {saare: {delayMs: 50, bitsPerSecond: 100_000_000}, ida: {}},
+		maxRemoteShare: 1,
+		coldCacheMs: 0,
+		...settings,
+	});
+	const subject = regionChooser.createRegionChooser(clock, parsed);
+	const ask = (
+		fields: Partial<regionChooser.RegionQuestion> = {},
+		waits: Record<string, number> = freeRegion,
+	) =>
+		subject.choose({
+			workClass: 'long',
+			model: 'm',
+			isBound: false,
+			crossings: 0,
+			localWaitMs: 1000,
+			promptTokens: 0,
+			transferBytes: 1000,
+			summaries: Object.entries(waits).map(([region, expectedWaitMs]) => ({
+				region,
+				workClass: 'long',
+				model: 'm',
+				expectedWaitMs,
+				receivedAtMs: clock.nowMs(),
+			})),
+			...fields,
+		});
+	return {clock, subject, ask};
+};
+
+const isRemote = (choice: regionChooser.RegionChoice) => choice.kind === 'remote';
+
+tap.t.test('a long local wait sends work to the region with the least cost', async (t) => {
+	const {ask} = create();
+	t.same(ask({}, {saare: 300, ida: 100}), {kind: 'remote', region: 'ida'});
+});
+
+tap.t.test('bound work and work that crossed already stays, whatever the load', async (t) => {
+	fastCheck.assert(
+		fastCheck.property(
+			fastCheck.double({min: 0, noNaN: true}),
+			fastCheck.integer({min: 1, max: 3}),
+			(localWaitMs, crossings) => {
+				const {ask} = create();
+				return (
+					!isRemote(ask({localWaitMs, isBound: true})) && !isRemote(ask({localWaitMs, crossings}))
+				);
+			},
+		),
+		{seed: 2},
+	);
+	t.pass();
+});
+
+tap.t.test('delay, transfer and cold cache count against crossing', async (t) => {
+	const wait = {localWaitMs: 260};
+	t.ok(isRemote(create().ask(wait)));
+	t.notOk(isRemote(create().ask({...wait, transferBytes: 1_000_000})));
+	t.notOk(isRemote(create().ask({...wait, promptTokens: 1000})));
+	t.notOk(isRemote(create({coldCacheMs: 50}).ask(wait)));
+	t.notOk(isRemote(create().ask(wait, {saare: 50})));
+});
+
+tap.t.test('hysteresis: crossing starts late and ends late', async (t) => {
+	const {ask} = create({waitPerSentItemMs: 0});
+	const choices = [150, 240, 150, 120, 90, 150].map((localWaitMs) => isRemote(ask({localWaitMs})));
+	t.same(choices, [false, true, true, true, false, false]);
+});
+
+tap.t.test('stale summaries, unknown links and missing upstreams are ignored', async (t) => {
+	const {clock, ask} = create();
+	const stale = {region: 'saare', workClass: 'long', model: 'm', expectedWaitMs: 0} as const;
+	const summaries = [{...stale, receivedAtMs: clock.nowMs()}];
+	await clock.advance(3001);
+	t.notOk(isRemote(ask({summaries})));
+	t.notOk(isRemote(ask({}, {nowhere: 0})));
+	t.notOk(isRemote(ask({}, {saare: Number.POSITIVE_INFINITY})));
+});
+
+tap.t.test('the remote share is capped, except where nothing serves the work here', async (t) => {
+	const {subject, ask} = create({maxRemoteShare: 0.2});
+	for (let count = 0; count < 100; count++) {
+		ask({localWaitMs: 100_000});
+	}
+
+	t.same(subject.counts(), {unbound: 100, remote: 20});
+	t.ok(isRemote(ask({localWaitMs: Number.POSITIVE_INFINITY})));
+});
+
+tap.t.test('bytes per second on a link are capped', async (t) => {
+	const {clock, ask} = create();
+	let sentBytes = 0;
+	for (let count = 0; count < 300; count++) {
+		sentBytes += isRemote(ask({localWaitMs: 1e9, transferBytes: 100_000})) ? 100_000 : 0;
+		await clock.advance(10);
+	}
+
+	// 10% of 100 Mb/s for 3 s, and the burst of 1 s.
+	t.ok(sentBytes <= 5_000_000 && sentBytes > 4_500_000, `${sentBytes}`);
+});
+
+tap.t.test('work sent since the last summary counts as wait', async (t) => {
+	const {ask} = create({maxRemoteShare: 1, maxSavedCrossings: 100});
+	let remote = 0;
+	for (let count = 0; count < 100; count++) {
+		remote += isRemote(ask({localWaitMs: 500})) ? 1 : 0;
+	}
+
+	t.ok(remote > 5 && remote < 25, `${remote} before the region counts as full`);
+});
--- a/packages/decisions/src/test/upstream-choice.test.ts
+++ b/packages/decisions/src/test/upstream-choice.test.ts
@@ -74,12 +74,12 @@
 tap.t.test('random sampling of many upstreams still finds the owner of a prefix', async (t) => {
 	const names = Array.from({length: 40}, (_, index) => `u${index}`);
 	const {subject} = create(names);
-	const [owner] = hash.order(
-		'tariff',
-		names.map((name) => ({name})),
-	);
-	const next = await subject.acquire(createItem({prefixHash: 'tariff'}), never);
-	t.equal(next.upstream.name, owner!.name);
+	const named = names.map((name) => ({name}));
+	for (const prefixHash of ['tariff', 'contract', 'fault', 'season']) {
+		const [owner] = hash.order(prefixHash, named);
+		const next = await subject.acquire(createItem({prefixHash}), never);
+		t.equal(next.upstream.name, owner!.name);
+	}
 });
 
 tap.t.test('an upstream that was slow once is tried again', async (t) => {
