--- a/packages/decisions/src/test/limits.test.ts
+++ b/packages/decisions/src/test/limits.test.ts
@@ -120,35 +120,38 @@
 });
 type View = typeof view extends fastCheck.Arbitrary<infer Value> ? Value : never;
 
-/** Sum of the parts of all daemons; `noise` gives every daemon its own idea of demand. */
-const sumOf = ({floorShare, demands, islandOf, noise}: View, isNoisy: boolean): number => {
+/** Part of one daemon; with noise it has its own idea of all demand. */
+const partOf = (value: View, domain: number, own: number, isNoisy: boolean): number => {
+	const {floorShare, demands, islandOf, noise} = value;
+	const blurred = (demand: number, index: number) =>
+		isNoisy ? noise[(index * 7 + domain * 4 + own) % noise.length]! : demand;
+	const seen = demands
+		.map((list, index) => ({
+			name: `d${index}`,
+			demand: blurred(
+				list.reduce((a, b) => a + b, 0),
+				index,
+			),
+		}))
+		.filter((_, index) => islandOf[index] === islandOf[domain]);
+	return limitShares.daemonShare({
+		floorShare,
+		domainCount: demands.length,
+		ownDomain: `d${domain}`,
+		domains: seen,
+		ownDaemon: `v${own}`,
+		daemons: demands[domain]!.map((demand, index) => ({
+			name: `v${index}`,
+			demand: blurred(demand, index + 3),
+		})),
+	});
+};
+
+const sumOf = (value: View, isNoisy: boolean): number => {
 	let sum = 0;
-	let daemonIndex = 0;
-	for (const [domain, daemons] of demands.entries()) {
+	for (const [domain, daemons] of value.demands.entries()) {
 		for (const own of daemons.keys()) {
-			const blurred = (demand: number, index: number) =>
-				isNoisy ? noise[(index * 7 + daemonIndex) % noise.length]! : demand;
-			const seen = demands
-				.map((list, index) => ({
-					name: `d${index}`,
-					demand: blurred(
-						list.reduce((a, b) => a + b, 0),
-						index,
-					),
-				}))
-				.filter((_, index) => islandOf[index] === islandOf[domain]);
-			sum += limitShares.daemonShare({
-				floorShare,
-				domainCount: demands.length,
-				ownDomain: `d${domain}`,
-				domains: seen,
-				ownDaemon: `v${own}`,
-				daemons: daemons.map((demand, index) => ({
-					name: `v${index}`,
-					demand: blurred(demand, index + 3),
-				})),
-			});
-			daemonIndex++;
+			sum += partOf(value, domain, own, isNoisy);
 		}
 	}
 
