Discard the first numbers of seeded random streams

The generator hardly mixes a small seed into its first numbers: the first number of createRandom was above 0.9999 for each of the seeds 1 to 1999 (mean 0.99999977), so daemons with neighbouring seeds began with the same jitter, and an exponential wait began with ten or more times its mean. Twenty numbers are now discarded; the mean of the first numbers of the same seeds is 0.5012.

--- a/packages/base/src/common/random.ts
+++ b/packages/base/src/common/random.ts
@@ -17,9 +17,17 @@
 
 const twoTo32 = 2 ** 32;
 
+// The first numbers of the generator hardly depend on a small seed: without
+// this, the first one was above 0.9999 for every seed below 2000.
+const discardedNumbers = 20;
+
 /** Creates a stream from a 32-bit seed. */
 export const createRandom = (seed: number): Random => {
 	const generator = pureRand.xoroshiro128plus(seed);
+	for (let count = 0; count < discardedNumbers; count++) {
+		generator.next();
+	}
+
 	// The generator gives signed 32-bit integers.
 	const next = () => (generator.next() / twoTo32 + 1) % 1;
 	return {
