--- a/packages/standins/src/node/settings.ts
+++ b/packages/standins/src/node/settings.ts
@@ -51,6 +51,8 @@
 	prefillMsPerToken: settings.numberSetting(0, 1000).default(0.25),
 	decodeMsPerToken: settings.numberSetting(0, 10_000).default(20),
 	batchGrowth: settings.numberSetting(0, 10).default(0.04),
+	minimumAnswerTokens: settings.numberSetting(1, 1_000_000).default(16),
+	maximumAnswerTokens: settings.numberSetting(1, 1_000_000).default(64),
 	cacheBlocks: settings.numberSetting(0, 1_000_000).default(512),
 	loadLagMs: settings.numberSetting(0, hourMs).default(500),
 	loadMs: settings.numberSetting(0, hourMs).default(5000),
