Let failure domains agree on a third one

When a whole domain was replaced, its new members joined through two different domains and stayed two groups: no domain told another about a third one, so views of 21 daemons still differed after 90 s (17 and 18 members). Summaries now carry a digest of all members, and a repair of one domain sends the caller's claims too.

--- a/packages/fleet/src/common/member-sync.ts
+++ b/packages/fleet/src/common/member-sync.ts
@@ -64,7 +64,9 @@
 			from: membership.self(),
 			failureDomain,
 			digests: membership.digests(),
+			claims: failureDomain === undefined ? [] : membership.claims(failureDomain),
 		};
+		counters.callBytes += params.claims.length * claimChars;
 		try {
 			const answer = await withTimeout(clock, callTimeoutMs, parts.signal, async (signal) =>
 				parts.rpcClient.call(address, methods.membersSync, params, {
@@ -173,7 +175,7 @@
 				await syncWith(address);
 			}
 		},
-		answer({cluster, from, failureDomain, digests}) {
+		answer({cluster, from, failureDomain, digests, claims: told}) {
 			if (cluster !== parts.cluster) {
 				return {kind: 'foreign'};
 			}
@@ -186,6 +188,7 @@
 
 			counters.callsAnswered++;
 			membership.apply(from, nowMs);
+			merge(told);
 			const own = membership.digests();
 			const claims = membership.claims(failureDomain).filter(({member}) => {
 				// The caller may be remembered as a later life and must learn that.
--- a/packages/fleet/src/common/messenger.ts
+++ b/packages/fleet/src/common/messenger.ts
@@ -88,7 +88,16 @@
 		sendSummary(address, waits) {
 			const {region, failureDomain} = membership.self().member;
 			const digest = membership.digest(failureDomain);
-			send(address, {kind: 'summary', ...sender(), region, failureDomain, digest, waits});
+			const fullDigest = membership.digest();
+			send(address, {
+				kind: 'summary',
+				...sender(),
+				region,
+				failureDomain,
+				digest,
+				fullDigest,
+				waits,
+			});
 		},
 	};
 };
--- a/packages/fleet/src/common/relay.ts
+++ b/packages/fleet/src/common/relay.ts
@@ -1,4 +1,5 @@
 /** The work of a relay: summaries to and from the other failure domains. */
+import type * as claim from '@hawthornfront/protocol/common/claim.js';
 import type * as datagram from '@hawthornfront/protocol/common/datagram.js';
 import type * as fleetParts from './fleet-parts.js';
 import type * as memberSync from './member-sync.js';
@@ -8,6 +9,9 @@
 import type * as regionWaits from './region-waits.js';
 import * as roles from './roles.js';
 
+// A change elsewhere takes a few summaries to reach both sides.
+const mismatchesBeforeRepair = 4;
+
 export type RelayParts = fleetParts.FleetParts & {
 	messenger: messenger.Messenger;
 	sync: memberSync.MemberSync;
@@ -27,6 +31,7 @@
 export const createRelay = (parts: RelayParts): Relay => {
 	const {membership: view, settings, clock, random} = parts;
 	const own = view.self().member;
+	const mismatches = new Map<string, number>();
 	const heardAtMs = new Map<string, number>();
 	let nextSummaryMs = 0;
 	let round = 0;
@@ -58,6 +63,17 @@
 		return member && view.claimOf(member.name);
 	};
 
+	/** Two domains can agree on each other and differ on a third, which none of its members tells. */
+	const compareAll = (item: datagram.Summary, known: claim.Claim) => {
+		const isEqual = item.fullDigest === view.digest();
+		const count = isEqual ? 0 : (mismatches.get(item.failureDomain) ?? 0) + 1;
+		mismatches.set(item.failureDomain, count);
+		if (count >= mismatchesBeforeRepair) {
+			mismatches.delete(item.failureDomain);
+			parts.sync.repair(known);
+		}
+	};
+
 	const removeSilent = (failureDomain: string, members: membership.Member[], nowMs: number) => {
 		const lastMs = heardAtMs.get(failureDomain) ?? nowMs;
 		heardAtMs.set(failureDomain, lastMs);
@@ -123,6 +139,8 @@
 
 			if (item.digest !== view.digest(failureDomain)) {
 				parts.sync.repair(known, failureDomain);
+			} else if (isRelay) {
+				compareAll(item, known);
 			}
 
 			parts.pull.offer({
--- a/packages/fleet/src/node/bench-cells.ts
+++ b/packages/fleet/src/node/bench-cells.ts
@@ -1,4 +1,5 @@
 /** The cells of the control measurement. Each builds its own world and disposes it. */
+import * as process from 'node:process';
 import type * as fleetSettings from '../common/fleet-settings.js';
 import * as benchLoad from './bench-load.js';
 import * as benchMeasure from './bench-measure.js';
--- a/packages/fleet/src/node/bench-measure.ts
+++ b/packages/fleet/src/node/bench-measure.ts
@@ -1,4 +1,5 @@
 /** Measures one cell of the control measurement: rates for each role and times of changes. */
+import * as process from 'node:process';
 import * as counting from '../common/counters.js';
 import type * as benchWorld from './bench-world.js';
 
--- a/packages/fleet/src/node/bench-world.ts
+++ b/packages/fleet/src/node/bench-world.ts
@@ -2,6 +2,7 @@
  * Worlds of the control measurement: many fleets in one process, either over
  * UDP and HTTP on loopback or over in-memory links on a manual clock.
  */
+import * as process from 'node:process';
 import * as http from 'node:http';
 import * as v8 from 'node:v8';
 import * as vm from 'node:vm';
--- a/packages/protocol/src/common/datagram.ts
+++ b/packages/protocol/src/common/datagram.ts
@@ -70,6 +70,8 @@
 	failureDomain: string;
 	/** Digest of the members of the sender's failure domain. */
 	digest: number;
+	/** Digest of all members that the sender lists. */
+	fullDigest: number;
 	waits: WaitEntry[];
 };
 
@@ -114,7 +116,7 @@
 	zod.array(zod.string()),
 	zod.array(zod.tuple([zod.string(), count, zod.array(waitTuple)])),
 ]);
-const summaryRest = zod.tuple([zod.string(), zod.string(), count, zod.array(waitTuple)]);
+const summaryRest = zod.tuple([zod.string(), zod.string(), count, count, zod.array(waitTuple)]);
 
 const heartbeatTuple = zod.tuple([...senderFields, ...heartbeatRest.def.items]);
 const summaryTuple = zod.tuple([...senderFields, ...summaryRest.def.items]);
@@ -192,6 +194,7 @@
 				datagram.region,
 				datagram.failureDomain,
 				datagram.digest,
+				datagram.fullDigest,
 				datagram.waits.map((wait) => packWait(wait)),
 			];
 
@@ -271,7 +274,7 @@
 		return undefined;
 	}
 
-	const [region, failureDomain, digest, waits] = parsed.data.slice(
+	const [region, failureDomain, digest, fullDigest, waits] = parsed.data.slice(
 		senderFields.length,
 	) as SummaryRest;
 	return {
@@ -280,6 +283,7 @@
 		region,
 		failureDomain,
 		digest,
+		fullDigest,
 		waits: waits.map((wait) => unpackWait(wait)),
 	};
 };
--- a/packages/protocol/src/common/fleet-methods.ts
+++ b/packages/protocol/src/common/fleet-methods.ts
@@ -29,7 +29,7 @@
 	]),
 );
 
-/** Gives the claims of all failure domains on which caller and peer differ. */
+/** Exchanges the claims of all failure domains on which caller and peer differ. */
 export const membersSync = rpc.defineMethod(
 	'members.sync',
 	zod.object({
@@ -40,6 +40,11 @@
 		failureDomain: zod.string().optional(),
 		/** Digest of the caller's members for each failure domain; equal domains are left out. */
 		digests: zod.record(zod.string(), zod.number()),
+		/**
+		 * The caller's claims of the named failure domain. Its members may lack some
+		 * of them, for instance when they were all replaced and joined separately.
+		 */
+		claims: zod.array(claim.claimSchema),
 	}),
 	zod.discriminatedUnion('kind', [
 		zod.object({
--- a/packages/protocol/src/test/datagram.test.ts
+++ b/packages/protocol/src/test/datagram.test.ts
@@ -63,6 +63,7 @@
 	region: name,
 	failureDomain: name,
 	digest: count,
+	fullDigest: count,
 	waits,
 });
 
