Add the core of the placer

One placer per region holds a lease in the store and orders runners to their desired state. The lease counts on the monotonic clock from before the call that granted or renewed it, and the number is asked for right before each order, so a holder that was paused sends nothing after its lease.

A new holder first writes the desired state under its own number: a write of an earlier holder then finds another revision. It also repeats their state once to runners that check fencing, because a runner that has not heard of the new number would still accept a late order of the earlier holder (seen in a test).

A runner that turns out to be the last one with its model keeps it. Without this rule, two runners with each other's model waited for each other for ever.

--- /dev/null
+++ b/packages/placer/src/common/region-view.ts
@@ -0,0 +1,21 @@
+/** What the catalogue says about one region. */
+import type * as schema from '@hawthornfront/catalogue/common/schema.js';
+import type * as snapshot from '@hawthornfront/catalogue/common/snapshot.js';
+
+/** Models that entries may use in a region, sorted. */
+export const modelsOf = (catalogue: snapshot.Snapshot, region: string): string[] => {
+	const models = new Set<string>();
+	for (const {target, homeRegion} of catalogue.entries.values()) {
+		if (target.kind === 'model' && (homeRegion ?? region) === region) {
+			models.add(target.model);
+		}
+	}
+
+	return [...models].sort();
+};
+
+/** Runners of a region; those of the old setup take no orders from here. */
+export const runnersOf = (catalogue: snapshot.Snapshot, region: string): schema.Upstream[] =>
+	[...catalogue.upstreams.values()].filter(
+		(upstream) => upstream.type === 'runner' && upstream.region === region && !upstream.oldSetup,
+	);
--- /dev/null
+++ b/packages/placer/src/test/pauses.test.ts
@@ -0,0 +1,38 @@
+// Guards against orders of a placer that was paused beyond its lease, and wrong end states after it.
+import * as tap from 'tap';
+import * as fakeRegion from './fake-region.js';
+import * as scenario from './scenario.js';
+
+for (const checksFencing of [true, false]) {
+	const kind = checksFencing ? 'check fencing' : 'ignore fencing';
+	tap.t.test(
+		`a placer paused at any call sends nothing after its lease; runners ${kind}`,
+		async (t) => {
+			const calls = await scenario.countCalls();
+			t.ok(calls > 50);
+			for (let index = 1; index <= calls; index++) {
+				const region = fakeRegion.createRegion(scenario.options(checksFencing));
+				scenario.askForB(region);
+				const one = region.startPlacer('one');
+				region.hooks.beforeCall = (call) => {
+					if (call.placer === 'one' && call.index === index) {
+						one.pause();
+					}
+				};
+
+				await region.time.advance(100);
+				const two = region.startPlacer('two');
+				await region.time.advance(25_000);
+				// The demand turns while the first placer is paused.
+				Object.assign(region.demand, {a: 1500, b: 100});
+				await region.time.advance(45_000);
+				one.resume();
+				await region.time.advance(20_000);
+				scenario.checkEnd(t, region, `paused at call ${index}`);
+				t.equal(Object.values(region.desired()).filter(({model}) => model === 'b').length, 1);
+				one.placer.dispose();
+				two.placer.dispose();
+			}
+		},
+	);
+}
--- /dev/null
+++ b/packages/placer/src/test/placer.test.ts
@@ -0,0 +1,96 @@
+// Guards against wrong end states, loads above the weight store's rate and swinging.
+import * as tap from 'tap';
+import * as fakeRegion from './fake-region.js';
+import * as scenario from './scenario.js';
+
+tap.t.test('moves runners to a model without one and follows demand', async (t) => {
+	const region = fakeRegion.createRegion(scenario.options(true));
+	scenario.askForB(region);
+	const one = region.startPlacer('one');
+	await region.time.advance(30_000);
+	scenario.checkEnd(t, region, 'plain');
+	t.equal(Object.values(region.desired()).filter(({model}) => model === 'b').length, 2);
+	t.ok(one.placer.isHolder());
+	t.equal(one.placer.counts().failedStoreCalls, 0);
+	one.placer.dispose();
+});
+
+tap.t.test('a stale order that reaches a runner is corrected', async (t) => {
+	for (const checksFencing of [true, false]) {
+		const region = fakeRegion.createRegion(scenario.options(checksFencing));
+		scenario.askForB(region);
+		const one = region.startPlacer('one');
+		await region.time.advance(30_000);
+		const stopping = one.placer.stop();
+		await region.time.advance(100);
+		await stopping;
+		const two = region.startPlacer('two');
+		await region.time.advance(30_000);
+		const servesB = region.runners.find((runner) => runner.model === 'b')!;
+		servesB.give({order: 'load', fencing: 1, model: 'a', role: 'mixed'});
+		servesB.give({order: 'change-role', fencing: 1, model: 'a', role: 'long'});
+		t.equal(servesB.role, checksFencing ? 'mixed' : 'long');
+		t.equal(servesB.model, checksFencing ? 'b' : '');
+		await region.time.advance(30_000);
+		t.same(region.differences(), []);
+		t.same(region.missing(), []);
+		two.placer.dispose();
+	}
+});
+
+tap.t.test(
+	'loads keep to the rate of the weight store and never take the last runner',
+	async (t) => {
+		const region = fakeRegion.createRegion({
+			models: ['a', 'b', 'c'],
+			runners: ['a', 'a', 'a', 'a', 'a', 'a', 'a', 'a'],
+			checksFencing: true,
+			ticketPeriodMs: 20_000,
+		});
+		Object.assign(region.demand, {a: 100, b: 1500, c: 1500});
+		const one = region.startPlacer('one');
+		for (let second = 0; second < 300; second++) {
+			await region.time.advance(1000);
+			t.ok(region.runners.some((runner) => runner.model === 'a'));
+			t.ok(
+				region.runners.filter((runner) => runner.model === '').length <= 2,
+				'loads are staggered',
+			);
+		}
+
+		scenario.checkEnd(t, region, 'limited');
+		t.ok(one.placer.counts().ticketsLimited > 0);
+		one.placer.dispose();
+	},
+);
+
+tap.t.test('oscillating demand does not make placement swing', async (t) => {
+	const region = fakeRegion.createRegion(scenario.options(true));
+	const one = region.startPlacer('one');
+	let changes = 0;
+	one.placer.onDidChange((change) => {
+		changes += change.kind === 'placed' && change.reason !== 'adopted' ? 1 : 0;
+	});
+	for (let cycle = 0; cycle < 60; cycle++) {
+		Object.assign(region.demand, {a: 200, b: 2000});
+		await region.time.advance(15_000);
+		Object.assign(region.demand, {a: 2000, b: 200});
+		await region.time.advance(15_000);
+	}
+
+	t.ok(changes >= 1 && changes <= 3, `${changes} changes in 30 minutes`);
+	t.same(region.differences(), []);
+	one.placer.dispose();
+});
+
+tap.t.test('one broken runner does not hold up the others', async (t) => {
+	const region = fakeRegion.createRegion(scenario.options(true));
+	scenario.askForB(region);
+	region.runners[0]!.give = () => 'accepted';
+	region.runners[1]!.isSilent = true;
+	const one = region.startPlacer('one');
+	await region.time.advance(400_000);
+	t.ok(region.runners.some((runner) => runner.model === 'b'));
+	t.ok(region.runners.some((runner) => runner.model === 'a' && !runner.isSilent));
+	one.placer.dispose();
+});
--- /dev/null
+++ b/packages/placer/src/test/scenario.ts
@@ -0,0 +1,39 @@
+/** Scenario and checks that the tests of the placer share. */
+import type * as tap from 'tap';
+import * as fakeRegion from './fake-region.js';
+
+export const options = (checksFencing: boolean): fakeRegion.RegionOptions => ({
+	models: ['a', 'b'],
+	runners: ['a', 'a', 'a', 'a'],
+	checksFencing,
+});
+
+type Region = ReturnType<typeof fakeRegion.createRegion>;
+
+/** Demand that moves two runners to model b. */
+export const askForB = (region: Region) => {
+	Object.assign(region.demand, {a: 100, b: 1200});
+};
+
+export const ordersOutsideLease = (region: Region) =>
+	region.sent
+		.filter((order) => !order.isLeaseAlive)
+		.map((order) => `${order.placer} ordered ${order.runner} at ${order.atMs}`);
+
+export const checkEnd = (t: tap.Test, region: Region, label: string) => {
+	t.same(ordersOutsideLease(region), [], `${label}: no order outside a lease`);
+	t.same(region.differences(), [], `${label}: runners are as desired`);
+	t.same(region.missing(), [], `${label}: every model has a runner`);
+	const loads = region.runners.reduce((sum, runner) => sum + runner.loads, 0);
+	t.ok(loads <= region.weightStore.grantedAtMs.length, `${label}: no load without a ticket`);
+};
+
+/** Service calls of an undisturbed placer in its first 12 s; the steps of the fault matrix. */
+export const countCalls = async (): Promise<number> => {
+	const region = fakeRegion.createRegion(options(true));
+	askForB(region);
+	const one = region.startPlacer('one');
+	await region.time.advance(12_000);
+	one.placer.dispose();
+	return one.calls;
+};
