Send the entry's name to the other region and add an in-memory deployment for tests

Cause: a request that crossed regions carried the name of the model in place of the catalogue entry, and the other region refused it with 400, so no crossing ever succeeded. It was found by the new deployment in memory on a manual clock. Change: the source of an attempt may replace members of the body. After: a request for a model that only the other region serves is answered whole.

--- a/packages/demo/src/node/deployment.ts
+++ b/packages/demo/src/node/deployment.ts
@@ -6,6 +6,7 @@
 import * as udpSocket from '@hawthornfront/base/node/udp-socket.js';
 import * as undiciHttpClient from '@hawthornfront/base/node/undici-http-client.js';
 import * as daemon from '@hawthornfront/entry/node/daemon.js';
+import * as httpPlatform from '@hawthornfront/entry/node/http-platform.js';
 import * as entrySettings from '@hawthornfront/entry/node/settings.js';
 import * as faultyNetwork from '@hawthornfront/standins/common/faulty-network.js';
 import * as platformStandins from '@hawthornfront/standins/node/platform-standins.js';
@@ -115,6 +116,7 @@
 	const socket = await udpSocket.bindUdpSocket(host, 0);
 	const datagramAddress = `${host}:${socket.port}`;
 	const client = new undiciHttpClient.UndiciHttpClient();
+	const wrapped = network.wrapHttpClient(client, region);
 	network.addAddress(datagramAddress, region);
 	const started = await daemon.startEntryDaemon({
 		settings: entrySettings.entrySettingsSchema.parse({
@@ -140,7 +142,8 @@
 		clock: options.clock,
 		random: options.random.fork(),
 		logger: options.logger.child({daemon: name}),
-		httpClient: network.wrapHttpClient(client, region),
+		httpClient: wrapped,
+		platform: httpPlatform.createHttpPlatform(wrapped, platform),
 		socket: network.wrapDatagramSocket(socket, region),
 		datagramAddress,
 	});
--- a/packages/entry/src/common/attempt-sources.ts
+++ b/packages/entry/src/common/attempt-sources.ts
@@ -98,6 +98,8 @@
 		name: regionName(remote.region),
 		address: remote.address,
 		path: forwardPrefix + path,
+		// The other region finds the model by the entry, as this one did.
+		bodyMembers: {model: context.entry.name},
 		headers: {
 			...loopHeader,
 			...services.clusterHeaders,
--- a/packages/entry/src/common/attempt.ts
+++ b/packages/entry/src/common/attempt.ts
@@ -13,6 +13,8 @@
 	address: string;
 	path: string;
 	headers: Record<string, string>;
+	/** Members that replace those of the request's body. */
+	bodyMembers?: Record<string, unknown>;
 	onDidPreempt: event.Event<void>;
 	noteFirstToken(): void;
 	noteTokens(count: number): void;
@@ -109,6 +111,7 @@
 
 	const opened = client.open({
 		...request,
+		body: {...request.body, ...source.bodyMembers},
 		address: source.address,
 		path: source.path,
 		headers: source.headers,
--- a/packages/entry/src/node/daemon.ts
+++ b/packages/entry/src/node/daemon.ts
@@ -14,8 +14,8 @@
 import type * as fleetInterface from '@hawthornfront/fleet/common/fleet-interface.js';
 import type * as fleetSettings from '@hawthornfront/fleet/common/fleet-settings.js';
 import * as fleet from '@hawthornfront/fleet/node/fleet.js';
-import * as httpKeyValueStore from '@hawthornfront/platform/node/http-key-value-store.js';
-import * as httpPlatformServices from '@hawthornfront/platform/node/http-platform-services.js';
+import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
+import type * as platformServices from '@hawthornfront/platform/common/platform-services.js';
 import * as jsonRpc from '@hawthornfront/protocol/node/json-rpc.js';
 import type * as authorisation from '../common/authorisation.js';
 import * as demandMeter from '../common/demand-meter.js';
@@ -38,6 +38,13 @@
 /** Time for which a stopping daemon still answers, so that callers see it leave the list first. */
 const leaveNoticeMs = 1500;
 
+/** Services of the platform that the daemon uses. */
+export type Platform = {
+	store: keyValueStore.KeyValueStore;
+	vmList: platformServices.VmList;
+	directory: platformServices.Directory;
+};
+
 export type EntryDaemonOptions = {
 	settings: settings.EntrySettings;
 	clock: clock.Clock;
@@ -49,6 +56,9 @@
 	socket: datagramSocket.DatagramSocket;
 	/** `host:port` under which other daemons reach the socket. */
 	datagramAddress: string;
+	platform: Platform;
+	/** Opens the server; over HTTP unless a test keeps everything in memory. */
+	startServer?: (options: httpServer.HttpServerOptions) => Promise<httpServer.HttpServer>;
 	fleetSettings?: Partial<fleetSettings.FleetSettings>;
 };
 
@@ -76,7 +86,8 @@
 /** Starts an entry daemon. It is ready once it has a configuration. */
 export const startEntryDaemon = async (options: EntryDaemonOptions): Promise<EntryDaemon> => {
 	const {settings: config, clock: time, random: numbers, logger} = options;
-	const {daemon, cluster, platform} = config;
+	const {daemon, cluster} = config;
+	const {platform} = options;
 	const resources = disposable.createDisposableStore();
 	const registry = metrics.createRegistry({daemon: daemon.name, region: daemon.region});
 	const clusterHeaders = {[httpServer.clusterTokenHeader]: cluster.token};
@@ -87,7 +98,7 @@
 	// The server starts first, because the fleet announces its port.
 	const served: {engine?: requestEngine.RequestEngine; pages?: operatorPages.OperatorPages} = {};
 
-	const server = await httpServer.startHttpServer({
+	const server = await (options.startServer ?? httpServer.startHttpServer)({
 		host: daemon.host,
 		port: daemon.httpPort,
 		clusterToken: cluster.token,
@@ -99,7 +110,6 @@
 		},
 	});
 	const address = `${daemon.host}:${server.port}`;
-	const vmList = new httpPlatformServices.HttpVmList(options.httpClient, platform.vmList);
 	const members = fleet.createFleet({
 		self: {
 			name: daemon.name,
@@ -115,8 +125,8 @@
 		socket: options.socket,
 		rpcClient,
 		rpcServer,
-		store: new httpKeyValueStore.HttpKeyValueStore(options.httpClient, platform.store),
-		vmList,
+		store: platform.store,
+		vmList: platform.vmList,
 		logger,
 		settings: options.fleetSettings,
 	});
@@ -143,7 +153,7 @@
 		client: options.httpClient,
 		fleet: members,
 		scheduler: queue,
-		vmList,
+		vmList: platform.vmList,
 		name: daemon.name,
 		region: daemon.region,
 		failureDomain: daemon.failureDomain,
@@ -153,7 +163,7 @@
 		directoryPublisher.startDirectoryPublisher({
 			clock: time,
 			fleet: members,
-			directory: new httpPlatformServices.HttpDirectory(options.httpClient, platform.directory),
+			directory: platform.directory,
 			name: daemon.name,
 			failureDomain: daemon.failureDomain,
 		}),
--- a/packages/entry/src/node/main.ts
+++ b/packages/entry/src/node/main.ts
@@ -9,6 +9,7 @@
 import * as undiciHttpClient from '@hawthornfront/base/node/undici-http-client.js';
 import * as cac from 'cac';
 import * as daemon from './daemon.js';
+import * as httpPlatform from './http-platform.js';
 import * as entrySettings from './settings.js';
 
 const version = '0.1.0';
@@ -28,6 +29,7 @@
 		httpClient,
 		socket,
 		datagramAddress: `${host}:${socket.port}`,
+		platform: httpPlatform.createHttpPlatform(httpClient, config.platform),
 	});
 	const stop = async () => {
 		await running.stop();
