--- a/packages/standins/src/test/http.test.ts
+++ b/packages/standins/src/test/http.test.ts
@@ -54,7 +54,7 @@
 	...change,
 });
 
-type StreamItem = {token_index: number; usage?: {completion_tokens: number}};
+type StreamItem = {token_index: number; choices: unknown[]; usage?: {completion_tokens: number}};
 
 const itemsOf = (text: string) =>
 	text
@@ -76,7 +76,7 @@
 	t.equal(items.at(-1)?.usage?.completion_tokens, 8);
 	t.ok(stream.text.endsWith('data: [DONE]\n\n'));
 	const resumed = await post(runner.address, chatPath, question({resume_from_token: 5}));
-	t.same(itemsOf(resumed.text)[0], items[5]);
+	t.match(itemsOf(resumed.text)[0], {token_index: 5, choices: items[5]?.choices});
 	const whole = await post(runner.address, chatPath, question({stream: false}));
 	t.equal(
 		(JSON.parse(whole.text) as {usage: {completion_tokens: number}}).usage.completion_tokens,
