--- a/packages/load/src/common/experiment.ts
+++ b/packages/load/src/common/experiment.ts
@@ -39,8 +39,6 @@
 	work: workload.WorkRequest[];
 };
 
-export const modelName = 'model';
-
 const createUpstream = (region: string, index: number, slots: number): schema.Upstream => ({
 	kind: 'upstream',
 	name: `${region}-runner-${index}`,
@@ -48,7 +46,7 @@
 	region,
 	failureDomain: `${region}-1`,
 	address: `127.0.0.1:${index + 1}`,
-	models: [modelName],
+	models: [prompts.modelName],
 	slots,
 	checksFencing: true,
 	resumesStreams: true,
@@ -64,7 +62,7 @@
 	const {scenario} = options;
 	// Work is drawn first, so that every policy gets the same.
 	const work = workload.createWork(random.fork(), setup.name, setup.load);
-	const settings = {...prompts.runnerSettings, ...scenario.runner, model: modelName};
+	const settings = {...prompts.runnerSettings, ...scenario.runner, model: prompts.modelName};
 	const runners = Array.from({length: setup.runners}, (_, index) => ({
 		upstream: createUpstream(setup.name, index, settings.slots ?? 8),
 		model: runnerModel.createRunnerModel({clock, seed: random.integer(1, 2 ** 30), settings}),
--- a/packages/load/src/common/policy.ts
+++ b/packages/load/src/common/policy.ts
@@ -11,6 +11,7 @@
 	team: string;
 	model: string;
 	estimatedTokens: number;
+	promptTokens: number;
 	prefixHash?: string;
 	deadlineAtMs: number;
 	canBePreempted: boolean;
@@ -18,6 +19,8 @@
 	preemptions?: number;
 	/** Set when the work may not leave the region of its caller. */
 	homeRegion?: string;
+	/** True until a token was received or an upstream has failed. */
+	isFirst: boolean;
 };
 
 /** A place at one upstream until it is released. */
@@ -35,6 +38,21 @@
 	/** Waits until the request may start. Rejects when it is refused. */
 	abstract acquire(item: PolicyItem, signal: AbortSignal): Promise<PolicyAssignment>;
 
+	/** Place for a second attempt without waiting; undefined when there is none. */
+	acquireHedge(_item: PolicyItem): PolicyAssignment | undefined {
+		return undefined;
+	}
+
+	/** Time without a first token after which a second attempt is tried; undefined for never. */
+	hedgeDelayMs(_item: PolicyItem): number | undefined {
+		return undefined;
+	}
+
+	/** Hears of the time from the dispatch of an attempt to its first token. */
+	noteFirstTokenLatency(_workClass: schema.WorkClass, _durationMs: number): void {
+		// Policies without hedges do not learn it.
+	}
+
 	/** Takes a lagged load report of an upstream. */
 	abstract report(upstream: string, load: runnerTypes.RunnerLoad): void;
 
--- a/packages/load/src/common/prompts.ts
+++ b/packages/load/src/common/prompts.ts
@@ -3,6 +3,9 @@
 import * as tokens from '@hawthornfront/standins/common/tokens.js';
 import type * as workload from './workload.js';
 
+/** Model that all runners of the experiments serve. */
+export const modelName = 'model';
+
 /** Settings that keep virtual time fast; they do not change any time of the model. */
 export const runnerSettings: Partial<runnerTypes.RunnerSettings> = {
 	maxIterationsPerStep: 64,
--- a/packages/load/src/common/request-run.ts
+++ b/packages/load/src/common/request-run.ts
@@ -1,41 +1,20 @@
-/** Carries requests of an experiment through a policy and the runners. */
+/**
+ * Carries requests of an experiment through a policy and the runners: attempts,
+ * hedges, resuming after pre-emption or failure.
+ */
 import type * as clockModule from '@hawthornfront/base/common/clock.js';
-import * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as runnerModel from '@hawthornfront/standins/common/runner-model.js';
 import type * as runnerTypes from '@hawthornfront/standins/common/runner-types.js';
+import * as answerProgress from './answer-progress.js';
 import type * as measures from './measures.js';
 import type * as policyModule from './policy.js';
 import * as prompts from './prompts.js';
+import * as runnerAttempt from './runner-attempt.js';
 import type * as workload from './workload.js';
 
-// Long enough that a refusal for lateness means a real fault of a policy.
-const deadlineMs: Record<workload.WorkClass, number> = {short: 300_000, long: 1_800_000};
-
-// One-way delays between an entry daemon and a runner (design page, section 1).
-const hopInRegionMs = 0.5;
-const hopBetweenRegionsMs = 50;
-
 // A request that fails this often is given up, so that a run always ends.
 const maxAttempts = 10;
 
-type Progress = {
-	request: workload.WorkRequest;
-	/** Index of the next token that the caller expects. */
-	nextToken: number;
-	firstTokenAtMs?: number;
-	lastTokenAtMs?: number;
-	longestGapMs: number;
-	hasEnded: boolean;
-	isDuplicated: boolean;
-	/** Aborted when the experiment ends first; one for each request, since listeners add up. */
-	stopping: AbortController;
-	excluded: Set<string>;
-	preemptions: number;
-	/** Delay of the way back of the latest attempt. */
-	hopMs: number;
-	wasRemote: boolean;
-};
-
 export type RequestRun = {
 	start(
 		request: workload.WorkRequest,
@@ -51,6 +30,13 @@
 	abandon(): void;
 };
 
+type Carried = {
+	progress: answerProgress.Progress;
+	policy: policyModule.Policy;
+	models: ReadonlyMap<string, runnerModel.RunnerModel>;
+	endedAtMs: number;
+};
+
 /** Creates the engine of one experiment. */
 export const createRequestRun = (options: {
 	clock: clockModule.Clock;
@@ -60,141 +46,137 @@
 	aloneMs: (request: workload.WorkRequest) => number;
 }): RequestRun => {
 	const {clock, policy: factory, recorder, aloneMs} = options;
-	const inProgress = new Set<Progress>();
+	const inProgress = new Set<answerProgress.Progress>();
 	let answeredTokens = 0;
 	let finished = 0;
 	let finishedRemotely = 0;
 
-	const record = (progress: Progress, outcome: measures.Outcome) => {
+	const record = (
+		progress: answerProgress.Progress,
+		outcome: measures.Outcome,
+		endedAtMs: number,
+	) => {
 		if (!inProgress.delete(progress)) {
 			return;
 		}
 
 		finished++;
 		finishedRemotely += progress.wasRemote ? 1 : 0;
-		const {request} = progress;
-		// A refusal counts with its whole deadline, so that it cannot improve a percentile.
-		const wasAnswered = outcome === 'answered';
-		const elapsedMs = wasAnswered
-			? clock.nowMs() + progress.hopMs - request.arrivesAtMs
-			: deadlineMs[request.workClass];
-		recorder.record({
-			workClass: request.workClass,
-			outcome,
-			waitMs:
-				progress.firstTokenAtMs === undefined
-					? elapsedMs
-					: progress.firstTokenAtMs - request.arrivesAtMs,
-			latencyMs: elapsedMs,
-			longestGapMs: progress.longestGapMs,
-			stretch: elapsedMs / aloneMs(request),
-		});
+		answeredTokens += outcome === 'answered' ? progress.nextToken : 0;
+		const alone = aloneMs(progress.request);
+		recorder.record(answerProgress.sampleOf(progress, outcome, endedAtMs, alone));
 	};
 
-	const noteTokens = (progress: Progress, tokenIndex: number, count: number) => {
-		const nowMs = clock.nowMs();
-		progress.isDuplicated ||= tokenIndex < progress.nextToken;
-		progress.nextToken = tokenIndex + count;
-		progress.firstTokenAtMs ??= nowMs + progress.hopMs;
-		const gapMs = nowMs - (progress.lastTokenAtMs ?? nowMs);
-		// Virtual time combines tokens into one chunk; the pause is spread over them.
-		progress.longestGapMs = Math.max(progress.longestGapMs, gapMs / count);
-		progress.lastTokenAtMs = nowMs;
-	};
-
-	const toGeneration = (progress: Progress): runnerTypes.GenerationRequest => ({
-		requestId: progress.request.id,
-		model: 'model',
-		prompt: prompts.promptOf(progress.request),
-		outputTokens: progress.request.outputTokens,
+	const toGeneration = ({
+		request,
+		nextToken,
+	}: answerProgress.Progress): runnerTypes.GenerationRequest => ({
+		requestId: request.id,
+		model: prompts.modelName,
+		prompt: prompts.promptOf(request),
+		outputTokens: request.outputTokens,
 		finishReason: 'stop',
-		priority: factory.priorityOf(progress.request.workClass),
-		resumeFromToken: progress.nextToken,
+		priority: factory.priorityOf(request.workClass),
+		resumeFromToken: nextToken,
 	});
 
-	const toItem = (progress: Progress): policyModule.PolicyItem => {
+	const toItem = (progress: answerProgress.Progress): policyModule.PolicyItem => {
 		const {request} = progress;
 		return {
 			workClass: request.workClass,
 			team: request.team,
-			model: 'model',
+			model: prompts.modelName,
 			estimatedTokens: Math.max(1, request.estimatedTokens - progress.nextToken),
+			promptTokens: request.sharedPromptTokens + request.ownPromptTokens,
 			prefixHash: prompts.sharedPrefix(request),
-			deadlineAtMs: request.arrivesAtMs + deadlineMs[request.workClass],
+			deadlineAtMs: request.arrivesAtMs + answerProgress.deadlineMs[request.workClass],
 			canBePreempted: request.workClass === 'long',
 			excluded: progress.excluded,
 			preemptions: progress.preemptions,
 			homeRegion: request.isBound ? request.region : undefined,
+			isFirst: progress.nextToken === 0 && progress.excluded.size === 0,
 		};
 	};
 
-	/** One attempt at one upstream; true when the answer has ended. */
-	const attempt = async (
-		progress: Progress,
+	/** Runs one attempt and, when its first token is late, a second one beside it. */
+	const race = async (
+		carried: Carried,
 		assignment: policyModule.PolicyAssignment,
-		model: runnerModel.RunnerModel,
 	): Promise<void> => {
-		const owned = disposable.createDisposableStore();
-		const cancelling = new AbortController();
-		let isPreempted = false;
-		owned.add(
-			assignment.onDidPreempt(() => {
-				isPreempted = true;
-				cancelling.abort(new Error('pre-empted'));
-			}),
-		);
-		const {signal} = progress.stopping;
-		const onStop = () => {
-			cancelling.abort(signal.reason);
+		const {progress, policy, models} = carried;
+		const {request} = progress;
+		const attempts: runnerAttempt.Attempt[] = [];
+		let winner: runnerAttempt.Attempt | undefined;
+
+		const noteLatency = ({dispatchedAtMs}: runnerAttempt.Attempt) => {
+			policy.noteFirstTokenLatency(request.workClass, clock.nowMs() - dispatchedAtMs);
 		};
 
-		signal.addEventListener('abort', onStop);
-		owned.add({
-			dispose() {
-				signal.removeEventListener('abort', onStop);
-			},
-		});
-		let hasFirstToken = false;
-		const isRemote = assignment.upstream.region !== progress.request.region;
-		progress.wasRemote ||= isRemote;
-		progress.hopMs = isRemote ? hopBetweenRegionsMs : hopInRegionMs;
-		try {
-			await clock.sleep(progress.hopMs, cancelling.signal);
-			const chunks = model.generate(toGeneration(progress), cancelling.signal);
-			for await (const chunk of chunks) {
-				if (chunk.kind === 'end') {
+		const begin = (place: policyModule.PolicyAssignment) => {
+			const attempt = runnerAttempt.startAttempt({
+				clock,
+				assignment: place,
+				model: models.get(place.upstream.name)!,
+				generation: toGeneration(progress),
+				region: request.region,
+				signal: progress.stopping.signal,
+				onFirstToken(first) {
+					winner ??= first;
+					if (winner !== first) {
+						return false;
+					}
+
+					noteLatency(first);
+					for (const other of attempts) {
+						if (other !== first) {
+							other.loseRace();
+						}
+					}
+
+					return true;
+				},
+				onTokens({tokenIndex, count}, atMs) {
+					answerProgress.noteTokens(progress, atMs, tokenIndex, count);
+				},
+				onEnd(atMs) {
 					progress.hasEnded = true;
-					continue;
-				}
-
-				if (!hasFirstToken) {
-					hasFirstToken = true;
-					assignment.noteFirstToken();
-				}
+					carried.endedAtMs = atMs;
+				},
+			});
+			progress.wasRemote ||= attempt.isRemote;
+			attempts.push(attempt);
+			return attempt;
+		};
 
-				noteTokens(progress, chunk.tokenIndex, chunk.count);
-				assignment.noteTokens(chunk.count);
+		const first = begin(assignment);
+		const delayMs = policy.hedgeDelayMs(toItem(progress));
+		const timer =
+			delayMs === undefined
+				? undefined
+				: clock.setTimer(() => {
+						const excluded = new Set([...progress.excluded, first.upstream]);
+						const place = winner ? undefined : policy.acquireHedge({...toItem(progress), excluded});
+						if (place) {
+							begin(place);
+						}
+					}, delayMs);
+		// The list grows when a hedge starts.
+		for (const attempt of attempts) {
+			const end = await attempt.ended;
+			timer?.dispose();
+			progress.preemptions += end === 'pre-empted' ? 1 : 0;
+			if (end === 'failed') {
+				progress.excluded.add(attempt.upstream);
 			}
 
-			assignment.release('answered');
-		} catch {
-			if (isPreempted) {
-				progress.preemptions++;
-			} else {
-				progress.excluded.add(assignment.upstream.name);
+			if (end === 'lost-race') {
+				noteLatency(attempt);
 			}
-
-			assignment.release(isPreempted ? 'cancelled' : 'failed');
-		} finally {
-			owned.dispose();
 		}
 	};
 
-	const carry = async (
-		progress: Progress,
-		policy: policyModule.Policy,
-		models: ReadonlyMap<string, runnerModel.RunnerModel>,
-	): Promise<measures.Outcome> => {
+	const carry = async (carried: Carried): Promise<measures.Outcome> => {
+		const {progress, policy} = carried;
 		for (let count = 0; count < maxAttempts && !progress.hasEnded; count++) {
 			let assignment;
 			try {
@@ -203,39 +185,20 @@
 				return progress.nextToken === 0 ? 'not-run' : 'truncated';
 			}
 
-			await attempt(progress, assignment, models.get(assignment.upstream.name)!);
-		}
-
-		if (progress.isDuplicated) {
-			return 'duplicated';
+			await race(carried, assignment);
 		}
 
-		const isWhole = progress.hasEnded && progress.nextToken === progress.request.outputTokens;
-		return isWhole ? 'answered' : 'truncated';
+		return answerProgress.outcomeOf(progress);
 	};
 
 	return {
 		start(request, policy, models) {
-			const progress: Progress = {
-				request,
-				nextToken: 0,
-				longestGapMs: 0,
-				hasEnded: false,
-				isDuplicated: false,
-				stopping: new AbortController(),
-				excluded: new Set(),
-				preemptions: 0,
-				hopMs: hopInRegionMs,
-				wasRemote: false,
-			};
+			const progress = answerProgress.createProgress(request);
+			const carried = {progress, policy, models, endedAtMs: 0};
 			inProgress.add(progress);
 			const finish = async () => {
-				const outcome = await carry(progress, policy, models);
-				if (outcome === 'answered') {
-					answeredTokens += progress.nextToken;
-				}
-
-				record(progress, outcome);
+				const outcome = await carry(carried);
+				record(progress, outcome, carried.endedAtMs);
 			};
 
 			void finish();
@@ -245,7 +208,7 @@
 		remoteShare: () => (finished === 0 ? 0 : finishedRemotely / finished),
 		abandon() {
 			for (const progress of inProgress) {
-				record(progress, 'lost');
+				record(progress, 'lost', clock.nowMs());
 				progress.stopping.abort(new Error('the experiment has ended'));
 			}
 		},
--- a/packages/load/src/test/experiment.test.ts
+++ b/packages/load/src/test/experiment.test.ts
@@ -47,14 +47,19 @@
 	const clock = new manualClock.ManualClock();
 	const settings = {...prompts.runnerSettings, slots};
 	const runner = runnerModel.createRunnerModel({clock, seed: 1, settings});
+	const other = runnerModel.createRunnerModel({clock, seed: 2, settings});
 	const recorder = measures.createRecorder();
 	const factory = {...policy.roundRobin, create: () => runPolicy};
 	const run = requestRun.createRequestRun({clock, policy: factory, recorder, aloneMs: () => 1});
 	const start = (fields?: Partial<workload.WorkRequest>) => {
-		run.start(request(fields), runPolicy, new Map([['one', runner]]));
+		const models = new Map([
+			['one', runner],
+			['two', other],
+		]);
+		run.start(request(fields), runPolicy, models);
 	};
 
-	return {clock, runner, recorder, run, start};
+	return {clock, runner, other, recorder, run, start};
 };
 
 const createRoundRobin = () =>
@@ -129,18 +134,36 @@
 	t.equal(recorder.summary().long!.outcomes.lost, 1);
 });
 
-class PreemptingPolicy extends policy.Policy {
+class ScriptedPolicy extends policy.Policy {
 	readonly released: string[] = [];
 	readonly didPreempt = event.createEmitter<void>();
+	readonly latencies: number[] = [];
+	hedgeAfterMs: number | undefined;
 
-	override async acquire(): Promise<policy.PolicyAssignment> {
+	override async acquire() {
+		return this.#assign(upstream);
+	}
+
+	override acquireHedge() {
+		return this.#assign({...upstream, name: 'two'});
+	}
+
+	override hedgeDelayMs() {
+		return this.hedgeAfterMs;
+	}
+
+	override noteFirstTokenLatency(_workClass: string, durationMs: number) {
+		this.latencies.push(durationMs);
+	}
+
+	#assign(place: schema.Upstream): policy.PolicyAssignment {
 		return {
-			upstream,
+			upstream: place,
 			onDidPreempt: this.didPreempt.event,
 			noteFirstToken: () => undefined,
 			noteTokens: () => undefined,
 			release: (result) => {
-				this.released.push(result);
+				this.released.push(`${place.name} ${result}`);
 			},
 		};
 	}
@@ -155,18 +178,41 @@
 }
 
 tap.t.test('a pre-empted stream resumes at the exact token', async (t) => {
-	const preempting = new PreemptingPolicy();
+	const preempting = new ScriptedPolicy();
 	const {clock, runner, recorder, run, start} = startRun(preempting);
 	start();
 	await clock.advance(1000);
 	preempting.didPreempt.fire();
 	await clock.advance(60_000);
-	t.same(preempting.released, ['cancelled', 'answered']);
+	t.same(preempting.released, ['one cancelled', 'one answered']);
 	t.equal(recorder.summary().long!.outcomes.answered, 1);
 	t.equal(run.answeredTokens(), 100);
 	t.equal(runner.counts.executions.get('r'), 2);
 });
 
+tap.t.test('a hedge runs beside a late attempt, and the loser is cancelled', async (t) => {
+	const hedging = new ScriptedPolicy();
+	hedging.hedgeAfterMs = 200;
+	const {clock, runner, other, recorder, start} = startRun(hedging);
+	runner.faults.slowFactor = 100;
+	start({workClass: 'short'});
+	await clock.advance(60_000);
+	t.same(hedging.released, ['one cancelled', 'two answered']);
+	t.match(recorder.summary().short!.outcomes, {answered: 1, duplicated: 0});
+	t.equal(runner.counts.cancelled, 1);
+	t.equal(other.counts.answered, 1);
+	t.equal(hedging.latencies.length, 2, 'the age of the loser is learned too');
+});
+
+tap.t.test('no hedge after the first token', async (t) => {
+	const hedging = new ScriptedPolicy();
+	hedging.hedgeAfterMs = 200;
+	const {clock, other, start} = startRun(hedging);
+	start({workClass: 'short'});
+	await clock.advance(60_000);
+	t.equal(other.counts.received, 0);
+});
+
 tap.t.test('bound work stays in its region', async (t) => {
 	const remote = {...upstream, name: 'two', region: 'west'};
 	const everywhere = policy.leastInFlightEverywhere.create({
@@ -181,6 +227,8 @@
 		team: 't',
 		model: 'model',
 		estimatedTokens: 1,
+		promptTokens: 1,
+		isFirst: true,
 		deadlineAtMs: 1,
 		canBePreempted: false,
 		excluded: new Set<string>(),
