--- a/packages/standins/src/test/runner.test.ts
+++ b/packages/standins/src/test/runner.test.ts
@@ -187,3 +187,30 @@
 	ignoring.orders.give({order: 'load', fencing: 5, model: 'other'});
 	t.match(ignoring.orders.give({order: 'unload', fencing: 4}), {accepted: true});
 });
+
+tap.t.test('busy slot time counts held slots only', async (t) => {
+	const {clock, runner} = create({slots: 2});
+	await clock.advance(1000);
+	const first = read(clock, runner.generate(request('a')));
+	const second = read(clock, runner.generate(request('b', {outputTokens: 50})));
+	await clock.advance(60_000);
+	// The second one starts after the prefill step of the first: 256 tokens at 0.25 ms.
+	const heldMs = first.endedAtMs! - 1000 + (second.endedAtMs! - 1064);
+	t.equal(Math.round(runner.counts.busySlotMs), Math.round(heldMs));
+});
+
+tap.t.test('cache events come late and with gaps', async (t) => {
+	const {clock, runner} = create();
+	runner.faults.cacheEventLagMs = 1000;
+	runner.faults.cacheEventGapProbability = 0.5;
+	const prompt = tokens.promptOfText('w'.repeat(16_384));
+	read(clock, runner.generate(request('a', {prompt, outputTokens: 1})));
+	await clock.advance(500);
+	t.same(runner.cacheEvents(0), {events: [], last: 0});
+	await clock.advance(2000);
+	const {events, last} = runner.cacheEvents(0);
+	t.equal(last, 64);
+	t.ok(events.length > 10 && events.length < 54, `${events.length} of 64 events`);
+	const half = events[Math.floor(events.length / 2)]!.sequence;
+	t.ok(runner.cacheEvents(half).events.every((item) => item.sequence > half));
+});
