Let long streams make room for short items that are stuck at the engine

Load reports lag, so several daemons fill the same free slots and the engine queues short items behind long streams that no report showed. A short item without a first token in time now stops an own stream on the same upstream and counts as hidden work of others until a newer report. Long work leaves a quarter of the slots and competes much later for an upstream that others keep full.

--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -1,6 +1,7 @@
 /**
  * Decides which long streams make room for short items that have waited too
- * long. One stream is stopped per overdue item, and only where it can resume.
+ * long, in the queue of this daemon or unanswered in the queue of an engine.
+ * One stream is stopped per overdue item, and only where it can resume.
  */
 import type * as schedulerSettings from './scheduler-settings.js';
 import type * as types from './types.js';
@@ -103,3 +104,74 @@
 
 	return {victims, nextAtMs};
 };
+
+export type ReliefOptions = Omit<PreemptionOptions, 'waiting'>;
+
+type StuckItem = {running: upstreamState.Running; dueAtMs: number};
+
+const unansweredShort = (
+	state: upstreamState.UpstreamState,
+	{nowMs, settings}: ReliefOptions,
+): StuckItem[] => {
+	const expectedMs = state.firstTokenMs.short.value(nowMs);
+	return [...state.running]
+		.filter(({item, firstTokenAtMs}) => item.workClass === 'short' && firstTokenAtMs === undefined)
+		.map((running) => ({
+			running,
+			dueAtMs: running.startedAtMs + settings.preemptAfterMs + expectedMs,
+		}));
+};
+
+/** Plans for one upstream; see {@link planRelief}. */
+const relieveUpstream = (
+	state: upstreamState.UpstreamState,
+	options: ReliefOptions,
+): PreemptionPlan => {
+	const {nowMs, settings} = options;
+	const stoppable = [...state.running]
+		.filter((running) => canPreempt(running, state, settings.maxPreemptions))
+		.sort((a, b) => a.tokens - b.tokens);
+	const stuck = unansweredShort(state, options);
+	const overdue = stuck.filter(({dueAtMs}) => dueAtMs <= nowMs);
+	for (const {running} of overdue) {
+		state.noteStuck(running, nowMs);
+	}
+
+	const isFull = state.running.size + state.others(nowMs) >= options.usableSlots(state);
+	if (stoppable.length === 0 || stuck.length === 0 || !isFull) {
+		return {victims: [], nextAtMs: undefined};
+	}
+
+	const wanted = overdue.length - countStopping([state]);
+	const isDue = ({startedAtMs}: upstreamState.Running) =>
+		startedAtMs + settings.minimumRunMs <= nowMs;
+	const victims = stoppable.filter((running) => isDue(running)).slice(0, Math.max(0, wanted));
+	const times = stuck.map(({dueAtMs}) => dueAtMs).filter((dueAtMs) => dueAtMs > nowMs);
+	if (victims.length < wanted) {
+		for (const {startedAtMs} of stoppable.filter((running) => !isDue(running))) {
+			times.push(startedAtMs + settings.minimumRunMs);
+		}
+	}
+
+	return {victims, nextAtMs: times.length > 0 ? Math.min(...times) : undefined};
+};
+
+/**
+ * Plans for short items that were sent and got no first token in time. Load
+ * reports lag, so several daemons fill the same free slots, and the engine then
+ * queues short items behind streams that no report showed.
+ */
+export const planRelief = (options: ReliefOptions): PreemptionPlan => {
+	const victims: upstreamState.Running[] = [];
+	let nextAtMs: number | undefined;
+	for (const state of options.upstreams) {
+		const plan = relieveUpstream(state, options);
+		victims.push(...plan.victims);
+		nextAtMs = Math.min(
+			nextAtMs ?? Number.POSITIVE_INFINITY,
+			plan.nextAtMs ?? Number.POSITIVE_INFINITY,
+		);
+	}
+
+	return {victims, nextAtMs: Number.isFinite(nextAtMs) ? nextAtMs : undefined};
+};
--- a/packages/decisions/src/common/scheduler-settings.ts
+++ b/packages/decisions/src/common/scheduler-settings.ts
@@ -19,20 +19,22 @@
 	tickMs: setting.number(50, 1, 10_000),
 
 	/** Share of the slots of each upstream that long work leaves to short work. */
-	reservedShare: setting.share(0.125),
+	reservedShare: setting.share(0.25),
 	/** Without short work for this time, nothing is reserved. */
 	reserveForMs: setting.number(60_000, 0, 86_400_000),
 	/** Share of slots given on top, so that the queue of the engine is not empty. */
 	overCommitShare: setting.share(0.1),
 	/** Wait after which an item competes for an upstream that other daemons keep full. */
 	starvedAfterMs: setting.number(200, 0, 60_000),
+	/** The same for long work, which would keep the upstream full for longer. */
+	starvedLongAfterMs: setting.number(20_000, 0, 600_000),
 
 	/** Wait of a short item after which a long stream makes room. */
 	preemptAfterMs: setting.number(150, 0, 60_000),
 	/** A long stream runs at least this long before it makes room. */
-	minimumRunMs: setting.number(2000, 0, 600_000),
+	minimumRunMs: setting.number(1000, 0, 600_000),
 	/** How often one request makes room. */
-	maxPreemptions: setting.number(2, 0, 100),
+	maxPreemptions: setting.number(3, 0, 100),
 
 	/** Delay between the observation and the receipt of a load report. */
 	reportLagMs: setting.number(300, 0, 60_000),
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -8,6 +8,7 @@
 import type * as schedulerSettings from './scheduler-settings.js';
 import type * as types from './types.js';
 import * as upstreamPool from './upstream-pool.js';
+import type * as upstreamState from './upstream-state.js';
 import * as waitingItem from './waiting-item.js';
 
 export type SchedulerOptions = {
@@ -110,6 +111,17 @@
 		}
 	};
 
+	const stop = (victims: readonly upstreamState.Running[]) => {
+		for (const victim of victims) {
+			victim.isPreempted = true;
+			counters.preempted++;
+		}
+
+		for (const victim of victims) {
+			victim.preempt.fire();
+		}
+	};
+
 	/** Stops streams for overdue items and returns when to look again. */
 	const preempt = (current: lane.Lane): number | undefined => {
 		const plan = preemption.planPreemptions({
@@ -119,24 +131,28 @@
 			nowMs: clock.nowMs(),
 			settings,
 		});
-		for (const victim of plan.victims) {
-			victim.isPreempted = true;
-			counters.preempted++;
-		}
-
-		for (const victim of plan.victims) {
-			victim.preempt.fire();
-		}
+		stop(plan.victims);
+		return plan.nextAtMs;
+	};
 
+	const relieve = (): number | undefined => {
+		const plan = preemption.planRelief({
+			upstreams: pool.all(),
+			usableSlots: pool.usableSlots,
+			nowMs: clock.nowMs(),
+			settings,
+		});
+		stop(plan.victims);
 		return plan.nextAtMs;
 	};
 
 	const schedule = (nextAtMs: number) => {
 		timer?.dispose();
 		timer = undefined;
-		if (queued > 0 && !isDisposed) {
-			const delayMs = Math.min(settings.tickMs, Math.max(1, nextAtMs - clock.nowMs()));
-			timer = clock.setTimer(drain, delayMs);
+		const tickAtMs = queued > 0 ? clock.nowMs() + settings.tickMs : Number.POSITIVE_INFINITY;
+		const atMs = Math.min(nextAtMs, tickAtMs);
+		if (Number.isFinite(atMs) && !isDisposed) {
+			timer = clock.setTimer(drain, Math.max(1, atMs - clock.nowMs()));
 		}
 	};
 
@@ -153,7 +169,7 @@
 			placeInTurn(current);
 		}
 
-		let nextAtMs = Number.POSITIVE_INFINITY;
+		let nextAtMs = relieve() ?? Number.POSITIVE_INFINITY;
 		for (const current of busy) {
 			nextAtMs = Math.min(nextAtMs, preempt(current) ?? Number.POSITIVE_INFINITY);
 		}
@@ -226,7 +242,10 @@
 
 	const enqueue = async (item: types.WorkItem, signal: AbortSignal): Promise<types.Assignment> => {
 		const {queue} = laneOf(item.model);
-		const starvedAfterMs = settings.starvedAfterMs * (0.5 + random.next());
+		const afterMs =
+			item.workClass === 'long' ? settings.starvedLongAfterMs : settings.starvedAfterMs;
+		// Daemons that are starved at the same time must not all send at once.
+		const starvedAfterMs = afterMs * (0.5 + random.next());
 		const {waiting, promise} = waitingItem.createWaiting({
 			clock,
 			item,
--- a/packages/decisions/src/common/upstream-pool.ts
+++ b/packages/decisions/src/common/upstream-pool.ts
@@ -28,6 +28,8 @@
 	noteShort(model: string): void;
 	/** Upstreams that serve the model and are not leaving. */
 	candidates(model: string): upstreamState.UpstreamState[];
+	/** All upstreams. */
+	all(): upstreamState.UpstreamState[];
 	/** Whether some upstream may serve the item, now or later. */
 	isServable(item: types.WorkItem): boolean;
 	/** Slots of an upstream that may be used now; fewer while it ramps up, 0 when ejected. */
@@ -206,6 +208,7 @@
 			shortSeenAtMs.set(model, clock.nowMs());
 		},
 		candidates,
+		all: () => [...states.values()],
 		isServable: (item) =>
 			candidates(item.model).some((state) => !item.excluded.has(state.upstream.name)),
 		usableSlots: (state) => slots.usableSlots({state, nowMs: clock.nowMs(), share: shareOf(state)}),
--- a/packages/decisions/src/common/upstream-state.ts
+++ b/packages/decisions/src/common/upstream-state.ts
@@ -16,6 +16,8 @@
 	sampledTokens: number;
 	sampledAtMs: number;
 	isPreempted: boolean;
+	/** When it was first seen without a first token in time. */
+	stuckAtMs?: number;
 };
 
 type Ended = {startedAtMs: number; endedAtMs: number};
@@ -41,6 +43,8 @@
 	/** Assignments made after the time that the last report describes. */
 	sentSinceReport(nowMs: number): number;
 	noteReport(report: types.LoadReport, nowMs: number): void;
+	/** Notes an item without a first token in time: the upstream has more work than was reported. */
+	noteStuck(running: Running, nowMs: number): void;
 	noteEnd(running: Running, nowMs: number): void;
 	/** Requests of other daemons at this upstream, as far as the last report tells. */
 	others(nowMs: number): number;
@@ -90,6 +94,19 @@
 		return count;
 	};
 
+	/** Work of others that stuck items reveal, unless the last report is newer. */
+	const hiddenOthers = (nowMs: number): number => {
+		const describedMs =
+			(freshReport(nowMs)?.receivedAtMs ?? Number.NEGATIVE_INFINITY) - settings.reportLagMs;
+		let count = 0;
+		for (const {firstTokenAtMs, stuckAtMs} of running) {
+			const isStuck = firstTokenAtMs === undefined && stuckAtMs !== undefined;
+			count += isStuck && stuckAtMs > describedMs ? 1 : 0;
+		}
+
+		return count;
+	};
+
 	const state: UpstreamState = {
 		upstream,
 		running,
@@ -128,12 +145,15 @@
 			};
 			state.isReportedLeaving = load.leaving;
 		},
+		noteStuck(item, nowMs) {
+			item.stuckAtMs ??= nowMs;
+		},
 		noteEnd(item, nowMs) {
 			running.delete(item);
 			ended = ended.filter(({endedAtMs}) => nowMs - endedAtMs <= settings.reportLagMs);
 			ended.push({startedAtMs: item.startedAtMs, endedAtMs: nowMs});
 		},
-		others: (nowMs) => freshReport(nowMs)?.others ?? 0,
+		others: (nowMs) => (freshReport(nowMs)?.others ?? 0) + hiddenOthers(nowMs),
 		waiting: (nowMs) => freshReport(nowMs)?.waiting ?? 0,
 		slots(nowMs) {
 			const reported = freshReport(nowMs)?.slots ?? 0;
--- a/packages/decisions/src/test/scheduler-preemption.test.ts
+++ b/packages/decisions/src/test/scheduler-preemption.test.ts
@@ -103,3 +103,28 @@
 	await clock.advance(0);
 	t.equal(made[0]?.item.preemptions, 1);
 });
+
+tap.t.test(
+	'a stream makes room for a short item that is stuck in the queue of the engine',
+	async (t) => {
+		const {clock, subject} = createSubject(settings);
+		subject.setUpstreams([createUpstream('a', {slots: 2})]);
+		const long = await subject.acquire(createLong(), never);
+		long.noteTokens(1);
+		let fired = 0;
+		long.onDidPreempt(() => {
+			fired++;
+		});
+		await clock.advance(2000);
+		const answered = await subject.acquire(createItem(), never);
+		answered.noteFirstToken();
+		await clock.advance(1000);
+		t.equal(fired, 0);
+		answered.release('answered');
+		const stuck = await subject.acquire(createItem(), never);
+		await clock.advance(1000);
+		t.equal(fired, 1, 'the engine has work that no report shows');
+		t.equal(subject.acquireNow(createItem()), undefined);
+		stuck.release('cancelled');
+	},
+);
