Split the scheduler and look at stuck items without a queue

A short item that was stuck at an engine was only looked at while other work was queued, because no timer was set before the upstream counted as full. Reports that cannot start work no longer run a whole pass.

--- a/packages/decisions/src/common/lane.ts
+++ b/packages/decisions/src/common/lane.ts
@@ -20,6 +20,8 @@
 export type Lane = {
 	readonly model: string;
 	readonly queue: workQueue.WorkQueue<Waiting>;
+	/** Short items in the queue, oldest first. */
+	shortItems(): Waiting[];
 	noteServed(running: upstreamState.Running, nowMs: number): void;
 	expectedWaitMs(
 		workClass: schema.WorkClass,
@@ -74,6 +76,7 @@
 	return {
 		model,
 		queue,
+		shortItems: () => queue.items('short').sort((a, b) => a.enqueuedAtMs - b.enqueuedAtMs),
 		noteServed({item, startedAtMs}, nowMs) {
 			msPerToken.add((nowMs - startedAtMs) / Math.max(1, item.estimatedTokens), nowMs);
 		},
--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -138,11 +138,11 @@
 	}
 
 	const isFull = state.running.size + state.others(nowMs) >= options.usableSlots(state);
-	if (stoppable.length === 0 || stuck.length === 0 || !isFull) {
+	if (stoppable.length === 0 || stuck.length === 0) {
 		return {victims: [], nextAtMs: undefined};
 	}
 
-	const wanted = overdue.length - countStopping([state]);
+	const wanted = isFull ? overdue.length - countStopping([state]) : 0;
 	const isDue = ({startedAtMs}: upstreamState.Running) =>
 		startedAtMs + settings.minimumRunMs <= nowMs;
 	const victims = stoppable.filter((running) => isDue(running)).slice(0, Math.max(0, wanted));
--- /dev/null
+++ b/packages/decisions/src/common/preemptor.ts
@@ -0,0 +1,57 @@
+/** Carries out the plans of `preemption`: marks the streams and tells their owners. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as lane from './lane.js';
+import * as preemption from './preemption.js';
+import type * as schedulerSettings from './scheduler-settings.js';
+import type * as upstreamPool from './upstream-pool.js';
+import type * as upstreamState from './upstream-state.js';
+
+export type PreemptorOptions = {
+	clock: clock.Clock;
+	pool: upstreamPool.UpstreamPool;
+	settings: schedulerSettings.SchedulerSettings;
+};
+
+export type Preemptor = {
+	/** Stops streams for overdue items and returns when to look again; Infinity when nothing is due. */
+	run(lanes: readonly lane.Lane[]): number;
+	/** Streams stopped since the start. */
+	count(): number;
+};
+
+/** Creates a preemptor. */
+export const createPreemptor = ({clock, pool, settings}: PreemptorOptions): Preemptor => {
+	let count = 0;
+
+	const carryOut = ({victims, nextAtMs}: preemption.PreemptionPlan): number => {
+		// All are marked first, since a listener may release at once and start the next plan.
+		for (const victim of victims) {
+			victim.isPreempted = true;
+			count++;
+		}
+
+		for (const victim of victims) {
+			victim.preempt.fire();
+		}
+
+		return nextAtMs ?? Number.POSITIVE_INFINITY;
+	};
+
+	return {
+		run(lanes) {
+			const shared = {usableSlots: pool.usableSlots, nowMs: clock.nowMs(), settings};
+			let nextAtMs = carryOut(preemption.planRelief({...shared, upstreams: pool.all()}));
+			for (const current of lanes) {
+				const plan = preemption.planPreemptions({
+					...shared,
+					waiting: current.shortItems(),
+					upstreams: pool.candidates(current.model),
+				});
+				nextAtMs = Math.min(nextAtMs, carryOut(plan));
+			}
+
+			return nextAtMs;
+		},
+		count: () => count,
+	};
+};
--- a/packages/decisions/src/common/scheduler-settings.ts
+++ b/packages/decisions/src/common/scheduler-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of the scheduler. Units are in the names; shares are between 0 and 1. */
 import * as zod from 'zod';
-import * as ejection from './ejection.js';
+import * as ejectionSettings from './ejection-settings.js';
 import * as setting from './setting.js';
 
 export const schedulerSettingsSchema = zod.object({
@@ -62,6 +62,6 @@
 	rampInitialShare: setting.number(0.25, 0.01, 1),
 	rampMs: setting.number(20_000, 0, 3_600_000),
 
-	ejection: ejection.ejectionSettingsSchema.prefault({}),
+	ejection: ejectionSettings.ejectionSettingsSchema.prefault({}),
 });
 export type SchedulerSettings = zod.infer<typeof schedulerSettingsSchema>;
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -3,12 +3,11 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as lane from './lane.js';
-import * as preemption from './preemption.js';
+import * as preemptorModule from './preemptor.js';
 import * as refusal from './refusal.js';
 import type * as schedulerSettings from './scheduler-settings.js';
 import type * as types from './types.js';
 import * as upstreamPool from './upstream-pool.js';
-import type * as upstreamState from './upstream-state.js';
 import * as waitingItem from './waiting-item.js';
 
 export type SchedulerOptions = {
@@ -23,7 +22,8 @@
 	const pool = upstreamPool.createUpstreamPool(options);
 	const lanes = new Map<string, lane.Lane>();
 	const queuedByTeam = new Map<string, number>();
-	const counters = {assigned: 0, preempted: 0, overloaded: 0, expired: 0};
+	const preemptor = preemptorModule.createPreemptor({clock, pool, settings});
+	const counters = {assigned: 0, overloaded: 0, expired: 0};
 	let queued = 0;
 	let timer: disposable.Disposable | undefined;
 	let isDisposed = false;
@@ -59,14 +59,10 @@
 		return assignment;
 	};
 
-	/** Oldest first. */
-	const shortItems = ({queue}: lane.Lane) =>
-		queue.items('short').sort((a, b) => a.enqueuedAtMs - b.enqueuedAtMs);
-
 	/** Overdue short items go first, so that no long item takes the slot of a stream that made room. */
 	const placeOverdue = (current: lane.Lane) => {
 		const overdueSinceMs = clock.nowMs() - settings.preemptAfterMs;
-		for (const waiting of shortItems(current)) {
+		for (const waiting of current.shortItems()) {
 			if (waiting.enqueuedAtMs > overdueSinceMs) {
 				return;
 			}
@@ -93,10 +89,12 @@
 		}
 	};
 
-	const rejectUnservable = ({queue}: lane.Lane) => {
-		for (const waiting of queue.allItems()) {
-			if (!pool.isServable(waiting.item)) {
-				waiting.reject(refusal.createRefusal('no-upstream', 0));
+	const rejectUnservable = () => {
+		for (const {queue} of lanes.values()) {
+			for (const waiting of queue.allItems()) {
+				if (!pool.isServable(waiting.item)) {
+					waiting.reject(refusal.createRefusal('no-upstream', 0));
+				}
 			}
 		}
 	};
@@ -111,41 +109,6 @@
 		}
 	};
 
-	const stop = (victims: readonly upstreamState.Running[]) => {
-		for (const victim of victims) {
-			victim.isPreempted = true;
-			counters.preempted++;
-		}
-
-		for (const victim of victims) {
-			victim.preempt.fire();
-		}
-	};
-
-	/** Stops streams for overdue items and returns when to look again. */
-	const preempt = (current: lane.Lane): number | undefined => {
-		const plan = preemption.planPreemptions({
-			waiting: shortItems(current),
-			upstreams: pool.candidates(current.model),
-			usableSlots: pool.usableSlots,
-			nowMs: clock.nowMs(),
-			settings,
-		});
-		stop(plan.victims);
-		return plan.nextAtMs;
-	};
-
-	const relieve = (): number | undefined => {
-		const plan = preemption.planRelief({
-			upstreams: pool.all(),
-			usableSlots: pool.usableSlots,
-			nowMs: clock.nowMs(),
-			settings,
-		});
-		stop(plan.victims);
-		return plan.nextAtMs;
-	};
-
 	const schedule = (nextAtMs: number) => {
 		timer?.dispose();
 		timer = undefined;
@@ -169,12 +132,7 @@
 			placeInTurn(current);
 		}
 
-		let nextAtMs = relieve() ?? Number.POSITIVE_INFINITY;
-		for (const current of busy) {
-			nextAtMs = Math.min(nextAtMs, preempt(current) ?? Number.POSITIVE_INFINITY);
-		}
-
-		schedule(nextAtMs);
+		schedule(preemptor.run(busy));
 	};
 
 	/** A listener of `onDidPreempt` may release at once and so ask for another pass. */
@@ -200,10 +158,7 @@
 
 	const changeUpstreams = (change: () => void) => {
 		change();
-		for (const current of lanes.values()) {
-			rejectUnservable(current);
-		}
-
+		rejectUnservable();
 		drain();
 	};
 
@@ -272,9 +227,15 @@
 			});
 		},
 		report(upstream, load) {
-			changeUpstreams(() => {
-				pool.report(upstream, load);
-			});
+			const isLeavingChanged = pool.report(upstream, load);
+			if (isLeavingChanged) {
+				rejectUnservable();
+			}
+
+			// Reports are frequent, so those that cannot start any work cost little.
+			if (queued > 0) {
+				drain();
+			}
 		},
 		setLeaving(upstreams) {
 			changeUpstreams(() => {
@@ -299,6 +260,7 @@
 		inFlight: () => pool.inFlight(),
 		dump: () => ({
 			...counters,
+			preempted: preemptor.count(),
 			queued,
 			inFlight: pool.inFlight(),
 			lanes: [...lanes.values()].map(({model, queue}) => ({
--- a/packages/decisions/src/common/upstream-pool.ts
+++ b/packages/decisions/src/common/upstream-pool.ts
@@ -22,7 +22,8 @@
 	/** Fires after a slot was released. */
 	readonly onDidRelease: event.Event<upstreamState.Running>;
 	setUpstreams(upstreams: readonly schema.Upstream[]): void;
-	report(name: string, load: types.LoadReport): void;
+	/** Returns whether the leaving mark changed. */
+	report(name: string, load: types.LoadReport): boolean;
 	setLeaving(names: ReadonlySet<string>): void;
 	/** Notes that short work for the model exists, so that slots are reserved for it. */
 	noteShort(model: string): void;
@@ -193,11 +194,18 @@
 		},
 		report(name, load) {
 			const state = states.get(name);
-			if (state) {
-				changeLeaving(() => {
-					state.noteReport(load, clock.nowMs());
-				});
+			const wasLeaving = state?.isReportedLeaving;
+			state?.noteReport(load, clock.nowMs());
+			if (!state || state.isReportedLeaving === wasLeaving) {
+				return false;
 			}
+
+			if (!isLeaving(state)) {
+				markCold(state);
+			}
+
+			updateGroups();
+			return true;
 		},
 		setLeaving(names) {
 			changeLeaving(() => {
--- a/packages/decisions/src/test/ejection.test.ts
+++ b/packages/decisions/src/test/ejection.test.ts
@@ -3,12 +3,13 @@
 import * as fastCheck from 'fast-check';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as ejection from '../common/ejection.js';
+import * as ejectionSettings from '../common/ejection-settings.js';
 
 const create = (names: string[], settings: Record<string, unknown> = {}) => {
 	const clock = new manualClock.ManualClock();
 	const subject = ejection.createEjection(
 		clock,
-		ejection.ejectionSettingsSchema.parse({evaluateEveryMs: 0, ...settings}),
+		ejectionSettings.ejectionSettingsSchema.parse({evaluateEveryMs: 0, ...settings}),
 	);
 	subject.setGroups(new Map([['m', new Set(names)]]));
 	const observe = (latencies: Record<string, number>) => {
--- a/packages/decisions/src/test/scheduler-preemption.test.ts
+++ b/packages/decisions/src/test/scheduler-preemption.test.ts
@@ -108,7 +108,7 @@
 	'a stream makes room for a short item that is stuck in the queue of the engine',
 	async (t) => {
 		const {clock, subject} = createSubject(settings);
-		subject.setUpstreams([createUpstream('a', {slots: 2})]);
+		subject.setUpstreams([createUpstream('a', {slots: 3})]);
 		const long = await subject.acquire(createLong(), never);
 		long.noteTokens(1);
 		let fired = 0;
