--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -3,7 +3,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as lane from './lane.js';
-import * as preemption from './preemption.js';
+import * as preemptorModule from './preemptor.js';
 import * as refusal from './refusal.js';
 import type * as schedulerSettings from './scheduler-settings.js';
 import type * as types from './types.js';
@@ -22,7 +22,8 @@
 	const pool = upstreamPool.createUpstreamPool(options);
 	const lanes = new Map<string, lane.Lane>();
 	const queuedByTeam = new Map<string, number>();
-	const counters = {assigned: 0, preempted: 0, overloaded: 0, expired: 0};
+	const preemptor = preemptorModule.createPreemptor({clock, pool, settings});
+	const counters = {assigned: 0, overloaded: 0, expired: 0};
 	let queued = 0;
 	let timer: disposable.Disposable | undefined;
 	let isDisposed = false;
@@ -58,14 +59,10 @@
 		return assignment;
 	};
 
-	/** Oldest first. */
-	const shortItems = ({queue}: lane.Lane) =>
-		queue.items('short').sort((a, b) => a.enqueuedAtMs - b.enqueuedAtMs);
-
 	/** Overdue short items go first, so that no long item takes the slot of a stream that made room. */
 	const placeOverdue = (current: lane.Lane) => {
 		const overdueSinceMs = clock.nowMs() - settings.preemptAfterMs;
-		for (const waiting of shortItems(current)) {
+		for (const waiting of current.shortItems()) {
 			if (waiting.enqueuedAtMs > overdueSinceMs) {
 				return;
 			}
@@ -92,10 +89,12 @@
 		}
 	};
 
-	const rejectUnservable = ({queue}: lane.Lane) => {
-		for (const waiting of queue.allItems()) {
-			if (!pool.isServable(waiting.item)) {
-				waiting.reject(refusal.createRefusal('no-upstream', 0));
+	const rejectUnservable = () => {
+		for (const {queue} of lanes.values()) {
+			for (const waiting of queue.allItems()) {
+				if (!pool.isServable(waiting.item)) {
+					waiting.reject(refusal.createRefusal('no-upstream', 0));
+				}
 			}
 		}
 	};
@@ -110,33 +109,13 @@
 		}
 	};
 
-	/** Stops streams for overdue items and returns when to look again. */
-	const preempt = (current: lane.Lane): number | undefined => {
-		const plan = preemption.planPreemptions({
-			waiting: shortItems(current),
-			upstreams: pool.candidates(current.model),
-			usableSlots: pool.usableSlots,
-			nowMs: clock.nowMs(),
-			settings,
-		});
-		for (const victim of plan.victims) {
-			victim.isPreempted = true;
-			counters.preempted++;
-		}
-
-		for (const victim of plan.victims) {
-			victim.preempt.fire();
-		}
-
-		return plan.nextAtMs;
-	};
-
 	const schedule = (nextAtMs: number) => {
 		timer?.dispose();
 		timer = undefined;
-		if (queued > 0 && !isDisposed) {
-			const delayMs = Math.min(settings.tickMs, Math.max(1, nextAtMs - clock.nowMs()));
-			timer = clock.setTimer(drain, delayMs);
+		const tickAtMs = queued > 0 ? clock.nowMs() + settings.tickMs : Number.POSITIVE_INFINITY;
+		const atMs = Math.min(nextAtMs, tickAtMs);
+		if (Number.isFinite(atMs) && !isDisposed) {
+			timer = clock.setTimer(drain, Math.max(1, atMs - clock.nowMs()));
 		}
 	};
 
@@ -153,12 +132,7 @@
 			placeInTurn(current);
 		}
 
-		let nextAtMs = Number.POSITIVE_INFINITY;
-		for (const current of busy) {
-			nextAtMs = Math.min(nextAtMs, preempt(current) ?? Number.POSITIVE_INFINITY);
-		}
-
-		schedule(nextAtMs);
+		schedule(preemptor.run(busy));
 	};
 
 	/** A listener of `onDidPreempt` may release at once and so ask for another pass. */
@@ -184,10 +158,7 @@
 
 	const changeUpstreams = (change: () => void) => {
 		change();
-		for (const current of lanes.values()) {
-			rejectUnservable(current);
-		}
-
+		rejectUnservable();
 		drain();
 	};
 
@@ -226,7 +197,10 @@
 
 	const enqueue = async (item: types.WorkItem, signal: AbortSignal): Promise<types.Assignment> => {
 		const {queue} = laneOf(item.model);
-		const starvedAfterMs = settings.starvedAfterMs * (0.5 + random.next());
+		const afterMs =
+			item.workClass === 'long' ? settings.starvedLongAfterMs : settings.starvedAfterMs;
+		// Daemons that are starved at the same time must not all send at once.
+		const starvedAfterMs = afterMs * (0.5 + random.next());
 		const {waiting, promise} = waitingItem.createWaiting({
 			clock,
 			item,
@@ -253,9 +227,15 @@
 			});
 		},
 		report(upstream, load) {
-			changeUpstreams(() => {
-				pool.report(upstream, load);
-			});
+			const isLeavingChanged = pool.report(upstream, load);
+			if (isLeavingChanged) {
+				rejectUnservable();
+			}
+
+			// Reports are frequent, so those that cannot start any work cost little.
+			if (queued > 0) {
+				drain();
+			}
 		},
 		setLeaving(upstreams) {
 			changeUpstreams(() => {
@@ -280,6 +260,7 @@
 		inFlight: () => pool.inFlight(),
 		dump: () => ({
 			...counters,
+			preempted: preemptor.count(),
 			queued,
 			inFlight: pool.inFlight(),
 			lanes: [...lanes.values()].map(({model, queue}) => ({
--- a/packages/decisions/src/common/upstream-pool.ts
+++ b/packages/decisions/src/common/upstream-pool.ts
@@ -22,12 +22,15 @@
 	/** Fires after a slot was released. */
 	readonly onDidRelease: event.Event<upstreamState.Running>;
 	setUpstreams(upstreams: readonly schema.Upstream[]): void;
-	report(name: string, load: types.LoadReport): void;
+	/** Returns whether the leaving mark changed. */
+	report(name: string, load: types.LoadReport): boolean;
 	setLeaving(names: ReadonlySet<string>): void;
 	/** Notes that short work for the model exists, so that slots are reserved for it. */
 	noteShort(model: string): void;
 	/** Upstreams that serve the model and are not leaving. */
 	candidates(model: string): upstreamState.UpstreamState[];
+	/** All upstreams. */
+	all(): upstreamState.UpstreamState[];
 	/** Whether some upstream may serve the item, now or later. */
 	isServable(item: types.WorkItem): boolean;
 	/** Slots of an upstream that may be used now; fewer while it ramps up, 0 when ejected. */
@@ -191,11 +194,18 @@
 		},
 		report(name, load) {
 			const state = states.get(name);
-			if (state) {
-				changeLeaving(() => {
-					state.noteReport(load, clock.nowMs());
-				});
+			const wasLeaving = state?.isReportedLeaving;
+			state?.noteReport(load, clock.nowMs());
+			if (!state || state.isReportedLeaving === wasLeaving) {
+				return false;
 			}
+
+			if (!isLeaving(state)) {
+				markCold(state);
+			}
+
+			updateGroups();
+			return true;
 		},
 		setLeaving(names) {
 			changeLeaving(() => {
@@ -206,6 +216,7 @@
 			shortSeenAtMs.set(model, clock.nowMs());
 		},
 		candidates,
+		all: () => [...states.values()],
 		isServable: (item) =>
 			candidates(item.model).some((state) => !item.excluded.has(state.upstream.name)),
 		usableSlots: (state) => slots.usableSlots({state, nowMs: clock.nowMs(), share: shareOf(state)}),
