Let a daemon wait for the revisions of its peers before it is ready

A daemon could become ready with the configuration of the one peer that it joined through. It now listens for three ticks and is ready only when no heard peer holds a higher revision. The property test gives a restarted daemon the seeds of the cluster; before, it got itself as its only seed. The parts of the control benchmark can be run alone.

--- a/packages/fleet/src/common/fleet-interface.ts
+++ b/packages/fleet/src/common/fleet-interface.ts
@@ -20,7 +20,10 @@
 	readonly onDidChangeMembers: event.Event<readonly membership.Member[]>;
 	snapshot(): snapshots.Snapshot;
 	readonly onDidChangeSnapshot: event.Event<snapshots.Snapshot>;
-	/** True once a configuration is in force and the first search for peers is over. */
+	/**
+	 * True once the first search for peers is over and a configuration is in force
+	 * that is not lower than any that the heard peers hold; stays true from then on.
+	 */
 	isReady(): boolean;
 	/** Names of the relays of the own failure domain. */
 	relays(): readonly string[];
--- a/packages/fleet/src/common/peer-pull.ts
+++ b/packages/fleet/src/common/peer-pull.ts
@@ -27,6 +27,8 @@
 	/** Notes an announcement; the pull itself happens after a random delay. */
 	offer(source: PullSource): void;
 	answer(params: PullParams): PullResult;
+	/** True while a peer is known that holds a higher configuration. */
+	isBehind(): boolean;
 	dump(): unknown;
 };
 
@@ -221,6 +223,7 @@
 				parts: missingParts(digests),
 			};
 		},
+		isBehind: () => nextSource() !== undefined,
 		dump: () => ({isPulling, sources: [...sources.values()], lastError}),
 		dispose() {
 			timer?.dispose();
--- a/packages/fleet/src/node/bench-cells.ts
+++ b/packages/fleet/src/node/bench-cells.ts
@@ -136,15 +136,14 @@
 
 /** Heap and buffers of one daemon: all members, catalogue and load reports. */
 export const runMemoryCell = async (options: CellOptions): Promise<MemoryResult> => {
-	const before = benchWorld.usedBytes();
 	const world = createWorld(options);
-	// The text of the catalogue in the store is part of the first figure.
 	benchWorld.configure(world.store, recordsOf(options));
-	const withStore = benchWorld.usedBytes();
+	// The text of the catalogue in the store belongs to the measurement, not to a daemon.
+	const before = await benchWorld.usedBytes();
 	await startAll(world, benchWorld.createPlaces(options.daemons, options.domains));
 	await benchMeasure.timeUntil(world, isSettled(world), joinLimitMs);
 	await world.advance(options.settleMs);
-	const bytesPerDaemon = (benchWorld.usedBytes() - Math.max(before, withStore)) / options.daemons;
+	const bytesPerDaemon = ((await benchWorld.usedBytes()) - before) / options.daemons;
 	await world.dispose();
 	return {bytesPerDaemon};
 };
--- a/packages/fleet/src/node/bench-control.ts
+++ b/packages/fleet/src/node/bench-control.ts
@@ -1,7 +1,8 @@
 /**
  * Measures the control work of daemons: bytes, messages, processor time, memory,
  * store calls, the time until a change is in force and the peaks of a recovery.
- * Prints tables and writes `bench/results/control.json`.
+ * Prints tables and writes `bench/results/control.json`. Arguments: any of
+ * `memory`, `steady`, `changes` and `recovery` to run these parts only, `--quick`.
  */
 import * as fs from 'node:fs';
 import * as path from 'node:path';
@@ -13,7 +14,12 @@
 const designTeams = 14_000;
 const runnersPerDomain = 60;
 
+export const partNames = ['memory', 'steady', 'changes', 'recovery'] as const;
+export type PartName = (typeof partNames)[number];
+
 export type ControlBenchOptions = {
+	/** Runs some of the parts only; all when absent. */
+	parts?: readonly PartName[];
 	/** Shortens every cell; the figures are then good for a smoke test only. */
 	isQuick?: boolean;
 	print?: (line: string) => void;
@@ -68,8 +74,9 @@
 	{daemons: 7},
 	{daemons: 41},
 	{daemons: 100, domains: 10},
+	{daemons: 7, teams: designTeams / 2},
 	{daemons: 7, teams: designTeams},
-	{daemons: 7, teams: designTeams, runnersPerDomain: 600},
+	{daemons: 7, runnersPerDomain: 600},
 ];
 
 const recoveryShapes: Shape[] = [
@@ -159,64 +166,77 @@
 	fs.writeFileSync(resultsFile, `${JSON.stringify(result, undefined, '\t')}\n`);
 };
 
-/** Runs all cells, one after the other. Takes about eight minutes unless quick. */
+type Run = {
+	cells: (list: Shape[]) => benchCells.CellOptions[];
+	changes: number;
+	result: ControlBenchResult;
+};
+
+/** Fills one part of the result and gives its title and table. */
+const runners: Record<PartName, (run: Run) => Promise<[title: string, lines: string[]]>> = {
+	async memory({cells, result}) {
+		for (const cell of cells(memoryShapes)) {
+			result.memory.push({...cell, ...(await benchCells.runMemoryCell(cell))});
+		}
+
+		return ['Memory of one daemon (heap and buffers)', memoryTable(result.memory)];
+	},
+	async steady({cells, result}) {
+		for (const cell of cells(steadyShapes)) {
+			result.steady.push({...cell, ...(await benchCells.runSteadyCell(cell))});
+		}
+
+		return ['Steady state, one daemon (bytes with IP and UDP headers)', steadyTable(result.steady)];
+	},
+	async changes({cells, changes, result}) {
+		for (const cell of cells(changeShapes)) {
+			result.changes.push({...cell, ...(await benchCells.runChangeCell(cell, changes))});
+		}
+
+		return ['A change of one team', changeTable(result.changes)];
+	},
+	async recovery({cells, result}) {
+		for (const cell of cells(recoveryShapes)) {
+			for (const isStoreUp of [true, false]) {
+				const figures = await benchCells.runRecoveryCell(cell, isStoreUp);
+				result.recovery.push({...cell, isStoreUp, ...figures});
+			}
+		}
+
+		return ['One whole failure domain replaced at once', recoveryTable(result.recovery)];
+	},
+};
+
+/** Runs the parts one after the other. All together take about eight minutes unless quick. */
 export const runControlBench = async (
 	options: ControlBenchOptions = {},
 ): Promise<ControlBenchResult> => {
 	const print = options.print ?? console.log;
 	const short = options.isQuick ? {settleMs: 1000, measureMs: 2000} : {};
-	const shapes = (list: Shape[]): benchCells.CellOptions[] =>
-		(options.isQuick ? list.slice(0, 1) : list).map((shape) => ({...base, ...shape, ...short}));
-	const changes = options.isQuick ? 1 : 3;
 	const result: ControlBenchResult = {
 		startedAt: new Date().toISOString(),
+		memory: [],
 		steady: [],
 		changes: [],
-		memory: [],
 		recovery: [],
 	};
-	const printTable = (title: string, lines: string[]) => {
-		print(`\n${title}\n`);
-		for (const line of lines) {
-			print(line);
-		}
-	};
-
+	const cells = (list: Shape[]) =>
+		(options.isQuick ? list.slice(0, 1) : list).map((shape) => ({...base, ...shape, ...short}));
 	// Memory comes first, before other cells have grown the heap.
-	for (const cell of shapes(memoryShapes)) {
-		result.memory.push({...cell, ...(await benchCells.runMemoryCell(cell))});
-	}
-
-	printTable(
-		'Memory of one daemon (heap and buffers, without the process)',
-		memoryTable(result.memory),
-	);
-	for (const cell of shapes(steadyShapes)) {
-		result.steady.push({...cell, ...(await benchCells.runSteadyCell(cell))});
-	}
-
-	printTable(
-		'Steady state, for one daemon (bytes with IP and UDP headers)',
-		steadyTable(result.steady),
-	);
-	for (const cell of shapes(changeShapes)) {
-		result.changes.push({...cell, ...(await benchCells.runChangeCell(cell, changes))});
-	}
-
-	printTable('A change of one team', changeTable(result.changes));
-	for (const cell of shapes(recoveryShapes)) {
-		for (const isStoreUp of [true, false]) {
-			const figures = await benchCells.runRecoveryCell(cell, isStoreUp);
-			result.recovery.push({...cell, isStoreUp, ...figures});
-		}
+	for (const part of options.parts ?? partNames) {
+		const [title, lines] = await runners[part]({cells, changes: options.isQuick ? 1 : 3, result});
+		print([`\n${title}\n`, ...lines].join('\n'));
 	}
 
-	printTable('One whole failure domain replaced at once', recoveryTable(result.recovery));
 	writeResults(result);
 	print(`\nwritten to ${resultsFile}`);
 	return result;
 };
 
 if (process.argv[1] === url.fileURLToPath(import.meta.url)) {
-	await runControlBench({isQuick: process.argv.includes('--quick')});
+	const parts = partNames.filter((part) => process.argv.includes(part));
+	await runControlBench({
+		isQuick: process.argv.includes('--quick'),
+		parts: parts.length > 0 ? parts : undefined,
+	});
 }
--- a/packages/fleet/src/node/bench-world.ts
+++ b/packages/fleet/src/node/bench-world.ts
@@ -2,12 +2,12 @@
  * Worlds of the control measurement: many fleets in one process, either over
  * UDP and HTTP on loopback or over in-memory links on a manual clock.
  */
+import type * as net from 'node:net';
 import * as process from 'node:process';
 import * as http from 'node:http';
 import * as v8 from 'node:v8';
 import * as vm from 'node:vm';
 import type * as clockService from '@hawthornfront/base/common/clock.js';
-import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as randomNumbers from '@hawthornfront/base/common/random.js';
 import * as systemClock from '@hawthornfront/base/node/system-clock.js';
@@ -15,7 +15,6 @@
 import * as undiciHttpClient from '@hawthornfront/base/node/undici-http-client.js';
 import * as catalogue from '@hawthornfront/catalogue/common/schema.js';
 import * as partition from '@hawthornfront/catalogue/node/partition.js';
-import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
 import * as rpcs from '@hawthornfront/protocol/common/rpc.js';
 import * as jsonRpc from '@hawthornfront/protocol/node/json-rpc.js';
 import * as h3 from 'h3';
@@ -79,36 +78,48 @@
 	return store.put(catalogue.rootKey, JSON.stringify(root));
 };
 
+const collections = 4;
+const collectionPauseMs = 250;
+
 /** Bytes of heap and buffers in use after garbage collection. */
-export const usedBytes = (): number => {
+export const usedBytes = async (): Promise<number> => {
 	v8.setFlagsFromString('--expose-gc');
 	const collect = vm.runInNewContext('gc') as () => void;
+	// Closed sockets and servers give their memory back a few turns of the loop later.
+	for (let round = 0; round < collections; round++) {
+		collect();
+		await new Promise((resolve) => {
+			setTimeout(resolve, collectionPauseMs);
+		});
+	}
+
 	collect();
 	const usage = process.memoryUsage();
 	return usage.heapUsed + usage.external;
 };
 
-const optionsOf = (place: Place, seeds: string[], settings: Settings) => ({
-	self: {...place, httpAddress: place.address, datagramAddress: place.address},
+const optionsOf = (place: Place, seeds: string[], settings: Settings, datagramAddress: string) => ({
+	self: {...place, httpAddress: place.address, datagramAddress},
 	cluster,
 	seeds,
 	logger: silent,
 	settings,
 });
 
-const serve = async (port: number): Promise<{server: http.Server; rpcServer: rpc.RpcServer}> => {
+const serve = async () => {
 	const rpcServer = new jsonRpc.JsonRpcServer();
 	const app = new h3.H3();
 	app.post(rpcs.rpcPath, async (request) => rpcServer.receive(await request.req.text()));
 	const server = http.createServer(h3Node.toNodeHandler(app));
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
-		server.listen(port, '127.0.0.1', resolve);
+		server.listen(0, '127.0.0.1', resolve);
 	});
-	return {server, rpcServer};
+	const {port} = server.address() as net.AddressInfo;
+	return {server, rpcServer, port};
 };
 
-/** World over loopback in real time. Ports are chosen by the operating system unless given. */
+/** World over loopback in real time. Ports are chosen by the operating system. */
 export const createLoopbackWorld = (seed: number, settings: Settings): World => {
 	const clock = new systemClock.SystemClock();
 	const random = randomNumbers.createRandom(seed);
@@ -120,15 +131,11 @@
 		store,
 		nodes: [],
 		async start(wanted, seeds) {
-			const wantedPort = wanted.address.startsWith('127.') ? wanted.address.split(':')[1] : 0;
-			const socket: datagramSocket.DatagramSocket & {port: number} = await udpSocket.bindUdpSocket(
-				'127.0.0.1',
-				Number(wantedPort),
-			);
-			const place = {...wanted, address: `127.0.0.1:${socket.port}`};
-			const {server, rpcServer} = await serve(socket.port);
+			const socket = await udpSocket.bindUdpSocket('127.0.0.1', 0);
+			const {server, rpcServer, port} = await serve();
+			const place = {...wanted, address: `127.0.0.1:${port}`};
 			const fleet = fleets.createFleet({
-				...optionsOf(place, seeds, settings),
+				...optionsOf(place, seeds, settings, `127.0.0.1:${socket.port}`),
 				clock,
 				random: random.fork(),
 				socket,
@@ -180,7 +187,7 @@
 			const endpoint = network.attach(place.address);
 			const {socket, rpcClient, rpcServer} = endpoint;
 			const fleet = fleets.createFleet({
-				...optionsOf(place, seeds, settings),
+				...optionsOf(place, seeds, settings, place.address),
 				clock,
 				random: random.fork(),
 				socket,
--- a/packages/fleet/src/node/fleet.ts
+++ b/packages/fleet/src/node/fleet.ts
@@ -31,6 +31,10 @@
 // A tick that comes this much late shows that the process was paused.
 const pausedTicks = 3;
 
+// In this many ticks a new daemon hears the revisions of several peers, so that it does not start
+// with the configuration of one that lags behind.
+const ticksBeforeReady = 3;
+
 export type FleetOptions = {
 	/** This daemon; the incarnation is derived from the wall clock when it is absent. */
 	self: Omit<identities.MemberInfo, 'incarnation'> & {incarnation?: number};
@@ -122,7 +126,17 @@
 		}),
 	);
 	const duty = watchDuties.createWatchDuty(settings, random.next());
-	const isReady = () => configuration.snapshot().revision > 0 && sync.hasJoined();
+	let joinedForTicks = 0;
+	let isReady = false;
+
+	const updateReadiness = () => {
+		joinedForTicks += sync.hasJoined() ? 1 : 0;
+		const isListening = joinedForTicks < ticksBeforeReady;
+		if (!isReady && !isListening && configuration.snapshot().revision > 0 && !pull.isBehind()) {
+			isReady = true;
+			options.logger.info({revision: configuration.snapshot().revision}, 'ready');
+		}
+	};
 
 	owned.add(
 		membership.onDidChange(() => {
@@ -224,6 +238,7 @@
 		relay.tick(isRelay());
 		reconnect(nowMs);
 		helpSelf(nowMs);
+		updateReadiness();
 	};
 
 	owned.add(
@@ -241,7 +256,7 @@
 		onDidChangeMembers: didChangeMembers.event,
 		snapshot: () => configuration.snapshot(),
 		onDidChangeSnapshot: configuration.onDidChangeSnapshot,
-		isReady,
+		isReady: () => isReady,
 		relays,
 		pollersOf,
 		isPollerOf: (upstream) => pollersOf(upstream).includes(name),
@@ -267,7 +282,7 @@
 		dump: () => ({
 			identity: identities.identityText(membership.self().member),
 			state: membership.self().state,
-			isReady: isReady(),
+			isReady,
 			isRelay: isRelay(),
 			relays: relays(),
 			members: membership
--- a/packages/fleet/src/test/fleet-faults.test.ts
+++ b/packages/fleet/src/test/fleet-faults.test.ts
@@ -308,7 +308,11 @@
 	};
 
 	publish(false);
-	await cluster.clock.advance(1000);
+	await cluster.clock.advance(6000);
+	for (const node of cluster.nodes.values()) {
+		t.match(node.fleet.loadReports().get('runner-1'), {leaving: false, slots: 8});
+	}
+
 	publish(true);
 	await cluster.clock.advance(2900);
 	for (const node of cluster.nodes.values()) {
@@ -357,3 +361,35 @@
 
 	cluster.disposeAll();
 });
+
+tap.t.test('a restarted daemon is not ready below the revision of its peers', async (t) => {
+	const cluster = clusters.createCluster(37);
+	const places = clusters.createPlaces(['north/a'], 5);
+	const laggingStore = new memoryStore.MemoryStore(cluster.clock);
+	cluster.configure([clusters.team('one')]);
+	const [first, lagging] = places;
+	const restarted = places.at(-1);
+	for (const place of places) {
+		const store = place === lagging ? laggingStore : cluster.store;
+		cluster.start(place, [first!.address], {store});
+	}
+
+	await cluster.clock.advance(joinMs);
+	cluster.crash(restarted!.name);
+	const isOf = (place: clusters.Place, from: string, to: string) =>
+		from === place.address || to === place.address;
+	// The lagging daemon reaches the restarted one only.
+	cluster.network.faults.isCut = (from, to) =>
+		isOf(lagging!, from, to) && !isOf(restarted!, from, to);
+	const second = await changeAndWait(cluster, 'two');
+	cluster.store.mode = 'down';
+	const {fleet} = cluster.start(restarted!, [lagging!.address]);
+	while (!fleet.isReady()) {
+		await cluster.clock.advance(5);
+	}
+
+	t.equal(fleet.snapshot().revision, second);
+	cluster.disposeAll();
+	await cluster.clock.advance(20_000);
+	t.equal(cluster.clock.pendingTimers, 0, 'a disposed fleet leaves no timer');
+});
--- a/packages/fleet/src/test/fleet-properties.test.ts
+++ b/packages/fleet/src/test/fleet-properties.test.ts
@@ -29,9 +29,13 @@
 	faults: fc.array(faultArbitrary, {maxLength: 8}),
 });
 
-const startAll = (cluster: clusters.Cluster, places: clusters.Place[]) => {
+const startAll = (
+	cluster: clusters.Cluster,
+	places: clusters.Place[],
+	seeds = [places[0]!.address, places.at(-1)!.address],
+) => {
 	for (const place of places) {
-		cluster.start(place, [places[0]!.address, places.at(-1)!.address]);
+		cluster.start(place, seeds);
 	}
 };
 
@@ -62,7 +66,7 @@
 			case 'crash': {
 				const restart = () => {
 					if (!cluster.nodes.has(place.name)) {
-						startAll(cluster, [place]);
+						startAll(cluster, [place], [places[0]!.address, places.at(-1)!.address]);
 					}
 				};
 
