--- a/packages/ctl/src/node/commands/apply.ts
+++ b/packages/ctl/src/node/commands/apply.ts
@@ -96,7 +96,7 @@
 		options.base === undefined
 			? undefined
 			: ctlContext.readCatalogueFile(context, String(options.base));
-	const store = context.openStore(settings.store.address);
+	const store = context.openStore(settings.platform.store);
 	const stored = await catalogueReader.readCatalogue(store);
 	const changes = findChanges(records, stored, base, options);
 	for (const change of changes) {
--- a/packages/ctl/src/node/commands/other-commands.ts
+++ b/packages/ctl/src/node/commands/other-commands.ts
@@ -31,7 +31,7 @@
 	options: {config?: string},
 ): Promise<void> => {
 	const settings = ctlContext.readSettings(options);
-	const store = await storeLine(context, settings.store.address);
+	const store = await storeLine(context, settings.platform.store);
 	context.print(store.line);
 	let failures = store.revision === undefined ? 1 : 0;
 	let behind = 0;
@@ -92,7 +92,7 @@
 	}
 
 	const result = await cleanUp.cleanUpParts({
-		store: context.openStore(settings.store.address),
+		store: context.openStore(settings.platform.store),
 		clock: context.clock,
 		graceMs,
 		maxRemovals,
--- a/packages/ctl/src/node/context.ts
+++ b/packages/ctl/src/node/context.ts
@@ -73,6 +73,6 @@
 	context: CtlContext,
 	options: {config?: string},
 ): Promise<catalogueReader.StoredCatalogue> => {
-	const {address} = readSettings(options).store;
-	return catalogueReader.readCatalogue(context.openStore(address));
+	const {platform} = readSettings(options);
+	return catalogueReader.readCatalogue(context.openStore(platform.store));
 };
--- a/packages/ctl/src/node/settings.ts
+++ b/packages/ctl/src/node/settings.ts
@@ -3,7 +3,7 @@
 import * as zod from 'zod';
 
 export const settingsSchema = zod.object({
-	store: zod.object({address: settings.addressSetting}, 'expected a section with "address"'),
+	platform: zod.object({store: settings.addressSetting}, 'expected a section with "store"'),
 	operator: zod.object(
 		{name: zod.string('expected the name of the operator').min(1)},
 		'expected a section with "name"',
--- /dev/null
+++ b/packages/placer/src/test/leadership.test.ts
@@ -0,0 +1,86 @@
+// Guards against a lease that is believed longer than the store keeps it.
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as fakeStore from '@hawthornfront/platform/test/fake-key-value-store.js';
+import * as tap from 'tap';
+import * as leadership from '../common/leadership.js';
+
+const ttlMs = 15_000;
+const marginMs = 5000;
+
+/** Store whose answers to lease calls take long after the call took effect. */
+class SlowAnswers extends fakeStore.FakeKeyValueStore {
+	answerMs = 0;
+	readonly #time: manualClock.ManualClock;
+
+	constructor(time: manualClock.ManualClock) {
+		super(time);
+		this.#time = time;
+	}
+
+	override async grantLease(ms: number) {
+		const lease = await super.grantLease(ms);
+		await this.#time.sleep(this.answerMs);
+		return lease;
+	}
+
+	override async renewLease(leaseId: string) {
+		const isRenewed = await super.renewLease(leaseId);
+		await this.#time.sleep(this.answerMs);
+		return isRenewed;
+	}
+}
+
+const createHolder = () => {
+	const time = new manualClock.ManualClock();
+	const store = new SlowAnswers(time);
+	const lease = leadership.createLeadership({
+		clock: time,
+		store,
+		region: 'saare',
+		holder: 'one',
+		ttlMs,
+		marginMs,
+		standbyMs: 1000,
+	});
+	const step = async (answerMs: number) => {
+		store.answerMs = answerMs;
+		const stepping = lease.step();
+		await time.advance(answerMs);
+		await stepping;
+	};
+
+	return {time, store, lease, step};
+};
+
+tap.t.test('the lease counts from before the call that granted or renewed it', async (t) => {
+	const {time, lease, step} = createHolder();
+	await step(4000);
+	t.equal(lease.remainingMs(), ttlMs - marginMs - 4000);
+	await step(3000);
+	t.equal(lease.remainingMs(), ttlMs - marginMs - 3000);
+	await time.advance(ttlMs - marginMs - 3000 - 1);
+	t.equal(lease.fencing(), 1);
+	await time.advance(1);
+	t.equal(lease.fencing(), undefined);
+});
+
+tap.t.test(
+	'a grant that was answered after its end gives nothing, and the next is higher',
+	async (t) => {
+		const {time, lease, step} = createHolder();
+		await step(ttlMs + 1000);
+		t.equal(lease.fencing(), undefined);
+		await time.advance(2000);
+		await step(0);
+		t.equal(lease.fencing(), 2);
+	},
+);
+
+tap.t.test('a release frees the region at once', async (t) => {
+	const {store, lease, step} = createHolder();
+	await step(0);
+	t.ok(store.peek(leadership.holderKey('saare')));
+	await lease.release();
+	t.equal(lease.fencing(), undefined);
+	t.notOk(store.peek(leadership.holderKey('saare')));
+});
