Read settled runners and demand less often

Reading 430 runners and 137 daemons of the largest region every second takes far more than the 3 KB/s that control work may use. Settled runners and demand are now read every 30 s; a runner on its way is read in every round. Because reports are older now, the placer asks another runner of the old model right before it sends a load that takes a model from a runner.

--- a/packages/placer/src/common/observation.ts
+++ b/packages/placer/src/common/observation.ts
@@ -9,14 +9,31 @@
 	runners: runnerClient.RunnerClient;
 	demand: runnerClient.DemandClient;
 	entryAddresses: readonly string[];
+	settings: ObservationSettings;
+};
+
+export type ObservationSettings = {
+	/**
+	 * Time between two reads of a runner that is where it should be. A region of
+	 * 430 runners read every second would take 20 times the network budget.
+	 */
+	settledMs: number;
 	/** A runner silent for this long is not counted on any more. */
 	silentMs: number;
-	demandSettings: demand.DemandSettings;
+	/** Time between two reads of the demand at one entry daemon. */
+	demandMs: number;
+	demand: demand.DemandSettings;
 };
 
 export type Observation = {
-	/** Asks all runners and daemons once. Never rejects. */
-	refresh(runners: readonly schema.Upstream[]): Promise<void>;
+	/**
+	 * Asks the runners and daemons that are due; a runner that is not settled is
+	 * always due. Never rejects.
+	 */
+	refresh(
+		runners: readonly schema.Upstream[],
+		isSettled: (runner: schema.Upstream) => boolean,
+	): Promise<void>;
 	/** Last report of a runner; undefined when it is too old. */
 	loadOf(name: string): runnerClient.RunnerLoad | undefined;
 	/** Smoothed demand; undefined while it is not known. */
@@ -28,33 +45,51 @@
 /** Creates an observation that has seen nothing. */
 export const createObservation = (context: ObservationContext): Observation => {
 	const {clock: timeSource} = context;
-	const tracker = demand.createDemandTracker(timeSource, context.demandSettings);
+	const {settings} = context;
+	const tracker = demand.createDemandTracker(timeSource, settings.demand);
 	const reports = new Map<string, {atMs: number; load: runnerClient.RunnerLoad}>();
+	const demandReadAtMs = new Map<string, number>();
+
+	const isOlder = (atMs: number | undefined, ageMs: number): boolean =>
+		atMs === undefined || timeSource.nowMs() - atMs >= ageMs;
+
+	const readLoad = async ({name, address}: schema.Upstream) => {
+		const atMs = timeSource.nowMs();
+		try {
+			reports.set(name, {atMs, load: await context.runners.load(address)});
+		} catch {
+			// The last report counts until the runner has been silent for too long.
+		}
+	};
+
+	const readDemand = async (address: string) => {
+		const atMs = timeSource.nowMs();
+		try {
+			tracker.report(address, await context.demand.read(address));
+			demandReadAtMs.set(address, atMs);
+		} catch {
+			// The last answer of a daemon counts until it is stale.
+		}
+	};
+
 	return {
-		async refresh(runners) {
-			const loads = runners.map(async ({name, address}) => {
-				const atMs = timeSource.nowMs();
-				try {
-					reports.set(name, {atMs, load: await context.runners.load(address)});
-				} catch {
-					// The last report counts until the runner has been silent for too long.
-				}
-			});
-			const demands = context.entryAddresses.map(async (address) => {
-				try {
-					tracker.report(address, await context.demand.read(address));
-				} catch {
-					// The last answer of a daemon counts until it is stale.
-				}
-			});
-			await Promise.all([...loads, ...demands]);
+		async refresh(runners, isSettled) {
+			const dueRunners = runners.filter(
+				(runner) =>
+					!isSettled(runner) || isOlder(reports.get(runner.name)?.atMs, settings.settledMs),
+			);
+			const dueAddresses = context.entryAddresses.filter((address) =>
+				isOlder(demandReadAtMs.get(address), settings.demandMs),
+			);
+			await Promise.all([
+				...dueRunners.map(async (runner) => readLoad(runner)),
+				...dueAddresses.map(async (address) => readDemand(address)),
+			]);
 			tracker.update();
 		},
 		loadOf(name) {
 			const report = reports.get(name);
-			return report && timeSource.nowMs() - report.atMs < context.silentMs
-				? report.load
-				: undefined;
+			return report && !isOlder(report.atMs, settings.silentMs) ? report.load : undefined;
 		},
 		demand: () => tracker.current(),
 		reset() {
--- a/packages/placer/src/common/orders.ts
+++ b/packages/placer/src/common/orders.ts
@@ -44,6 +44,9 @@
 	settings: OrderSettings;
 };
 
+// A model of many runners is confirmed by the first that answers.
+const maxConfirmations = 3;
+
 type Progress = {sentAtMs?: number; sentOrder?: string; ticket?: {model: string; atMs: number}};
 
 type Order = Omit<runnerClient.RunnerOrder, 'fencing'>;
@@ -136,7 +139,28 @@
 		);
 	};
 
-	/** Loads wait for each other, for the weight store and for another runner of the old model. */
+	/** Asks the other runners of a model, because reports of settled runners are old. */
+	const isStillServed = async (
+		model: string,
+		except: OrderedRunner,
+		runners: readonly OrderedRunner[],
+	): Promise<boolean> => {
+		const others = runners.filter((other) => other !== except && placement.isServing(other, model));
+		for (const other of others.slice(0, maxConfirmations)) {
+			try {
+				const load = await context.runners.load(other.address);
+				if (load.model === model && !load.leaving) {
+					return true;
+				}
+			} catch {
+				counts.failed++;
+			}
+		}
+
+		return false;
+	};
+
+	/** Loads wait for each other, for another runner of the old model and for a ticket. */
 	const mayLoad = async (
 		runner: OrderedRunner,
 		runners: readonly OrderedRunner[],
@@ -147,12 +171,13 @@
 			return false;
 		}
 
-		const unloadsLast =
-			models.has(observed.model) &&
-			runner.models.includes(observed.model) &&
-			!placement.isServedByOthers(runners, observed.model, runner.name);
 		const loading = runners.filter((other) => other !== runner && hasTicket(other));
-		if (unloadsLast || loading.length >= settings.maxLoadsInProgress) {
+		if (loading.length >= settings.maxLoadsInProgress) {
+			return false;
+		}
+
+		const isWanted = models.has(observed.model) && runner.models.includes(observed.model);
+		if (isWanted && !(await isStillServed(observed.model, runner, runners))) {
 			return false;
 		}
 
--- a/packages/placer/src/common/placement.ts
+++ b/packages/placer/src/common/placement.ts
@@ -58,19 +58,15 @@
 export const isUsable = (runner: RunnerState): boolean =>
 	runner.observed !== undefined && !runner.observed.leaving;
 
-/** Whether another runner is meant to serve the model and is seen serving it. */
-export const isServedByOthers = (
+/** Whether a runner is meant to serve the model and is seen serving it. */
+export const isServing = (runner: RunnerState, model: string): boolean =>
+	isUsable(runner) && runner.desired?.model === model && runner.observed?.model === model;
+
+const isServedByOthers = (
 	runners: readonly RunnerState[],
 	model: string,
 	exceptName: string,
-): boolean =>
-	runners.some(
-		(runner) =>
-			runner.name !== exceptName &&
-			isUsable(runner) &&
-			runner.desired?.model === model &&
-			runner.observed?.model === model,
-	);
+): boolean => runners.some((runner) => runner.name !== exceptName && isServing(runner, model));
 
 /** Working copy of the state while changes are chosen. */
 type Board = {
--- a/packages/placer/src/common/placer.ts
+++ b/packages/placer/src/common/placer.ts
@@ -10,7 +10,6 @@
 import type * as snapshot from '@hawthornfront/catalogue/common/snapshot.js';
 import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
 import type * as platformServices from '@hawthornfront/platform/common/platform-services.js';
-import type * as demand from './demand.js';
 import * as desiredState from './desired-state.js';
 import * as leadership from './leadership.js';
 import * as orders from './orders.js';
@@ -34,9 +33,7 @@
 	catalogueMs: number;
 	/** Time between two rounds of observing, deciding and ordering. */
 	roundMs: number;
-	/** A runner silent for this long is not counted on any more. */
-	silentMs: number;
-	demand: demand.DemandSettings;
+	observation: observing.ObservationSettings;
 	placement: placement.PlacementSettings;
 	orders: orders.OrderSettings;
 };
@@ -98,8 +95,7 @@
 		runners: services.runners,
 		demand: services.demand,
 		entryAddresses: services.entryAddresses,
-		silentMs: settings.silentMs,
-		demandSettings: settings.demand,
+		settings: settings.observation,
 	});
 	/** Lease number under which the desired state was taken over; undefined before that. */
 	let takenOverAs: number | undefined;
@@ -163,7 +159,7 @@
 
 	/** A holder that just took over waits for runners that have not answered yet. */
 	const isObservationComplete = (runners: readonly orders.OrderedRunner[]): boolean =>
-		timeSource.nowMs() - takenOverAtMs >= settings.silentMs ||
+		timeSource.nowMs() - takenOverAtMs >= settings.observation.silentMs ||
 		runners.every((runner) => runner.observed !== undefined);
 
 	const decide = async (
@@ -221,7 +217,7 @@
 		}
 
 		const upstreams = regionView.runnersOf(catalogue, region);
-		await observation.refresh(upstreams);
+		await observation.refresh(upstreams, (upstream) => placement.isInPlace(toState(upstream)));
 		const models = regionView.modelsOf(catalogue, region);
 		const before = upstreams.map((upstream) => toState(upstream));
 		if (isObservationComplete(before)) {
--- a/packages/placer/src/common/region-view.ts
+++ b/packages/placer/src/common/region-view.ts
@@ -14,8 +14,10 @@
 	return [...models].sort();
 };
 
-/** Runners of a region; those of the old setup take no orders from here. */
+/** Runners of a region, sorted by name; those of the old setup take no orders from here. */
 export const runnersOf = (catalogue: snapshot.Snapshot, region: string): schema.Upstream[] =>
-	[...catalogue.upstreams.values()].filter(
-		(upstream) => upstream.type === 'runner' && upstream.region === region && !upstream.oldSetup,
-	);
+	[...catalogue.upstreams.values()]
+		.filter(
+			(upstream) => upstream.type === 'runner' && upstream.region === region && !upstream.oldSetup,
+		)
+		.sort((left, right) => (left.name < right.name ? -1 : 1));
--- a/packages/placer/src/node/settings.ts
+++ b/packages/placer/src/node/settings.ts
@@ -34,7 +34,7 @@
 		minChangeMs: milliseconds(600_000),
 		maxChangesInProgress: settings.numberSetting(1, 1000).default(2),
 		demandHalfLifeMs: milliseconds(60_000),
-		demandStaleMs: milliseconds(60_000),
+		demandStaleMs: milliseconds(90_000),
 	})
 	.prefault({});
 
@@ -44,7 +44,9 @@
 		repeatMs: milliseconds(10_000),
 		timeoutMs: milliseconds(1000),
 		loadTimeoutMs: milliseconds(600_000),
-		silentMs: milliseconds(10_000),
+		settledMs: milliseconds(30_000),
+		silentMs: milliseconds(45_000),
+		demandMs: milliseconds(30_000),
 	})
 	.prefault({});
 
@@ -89,6 +91,14 @@
 			refuse(['lease', 'ttlMs'], 'expected at least marginMs and twice renewMs together');
 		}
 
+		if (orders.silentMs < orders.settledMs + 2 * orders.roundMs) {
+			refuse(['orders', 'silentMs'], 'expected at least settledMs and twice roundMs together');
+		}
+
+		if (placement.demandStaleMs <= orders.demandMs) {
+			refuse(['placement', 'demandStaleMs'], 'expected more than demandMs of section [orders]');
+		}
+
 		if (placement.lowShare >= placement.highShare) {
 			refuse(['placement', 'lowShare'], 'expected less than highShare');
 		}
@@ -109,8 +119,12 @@
 		standbyMs: lease.standbyMs,
 		catalogueMs,
 		roundMs: orders.roundMs,
-		silentMs: orders.silentMs,
-		demand: {halfLifeMs: placement.demandHalfLifeMs, staleMs: placement.demandStaleMs},
+		observation: {
+			settledMs: orders.settledMs,
+			silentMs: orders.silentMs,
+			demandMs: orders.demandMs,
+			demand: {halfLifeMs: placement.demandHalfLifeMs, staleMs: placement.demandStaleMs},
+		},
 		placement: {
 			role: placement.role,
 			tokensPerSecondPerSlot: placement.tokensPerSecondPerSlot,
--- a/packages/placer/src/test/placer.test.ts
+++ b/packages/placer/src/test/placer.test.ts
@@ -94,3 +94,24 @@
 	t.ok(region.runners.some((runner) => runner.model === 'a' && !runner.isSilent));
 	one.placer.dispose();
 });
+
+tap.t.test('the last runner is not unloaded on an old report of the other one', async (t) => {
+	const region = fakeRegion.createRegion({
+		models: ['a', 'b'],
+		runners: ['a', 'a'],
+		checksFencing: true,
+	});
+	const one = region.startPlacer('one');
+	let decided = 0;
+	one.placer.onDidChange((change) => {
+		if (change.kind === 'placed' && change.reason === 'no-runner') {
+			decided++;
+			region.runners[1]!.leaving = true;
+		}
+	});
+	await region.time.advance(30_000);
+	t.equal(decided, 1);
+	t.equal(region.runners[0]!.model, 'a');
+	t.equal(region.runners[0]!.loads, 0);
+	one.placer.dispose();
+});
