--- a/packages/ctl/src/test/clean-up.test.ts
+++ b/packages/ctl/src/test/clean-up.test.ts
@@ -71,6 +71,11 @@
 	store.chooseDelayMs = ({operation, key}) =>
 		operation === 'compareAndSwap' && key === schema.rootKey ? 500 : 0;
 	const editing = setWeight(1);
+	// The edit gets to its root before time moves, however many promises that takes.
+	for (let turn = 0; turn < 20; turn++) {
+		await clock.advance(0);
+	}
+
 	await clock.advance(100);
 	t.same(await cleaning, {found: 1, removed: 0});
 	await clock.advance(500);
--- a/packages/ctl/src/test/commands.test.ts
+++ b/packages/ctl/src/test/commands.test.ts
@@ -5,6 +5,7 @@
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
+import * as fakeHttpClient from '@hawthornfront/base/test/fake-http-client.js';
 import * as fakeStore from '@hawthornfront/platform/test/fake-key-value-store.js';
 import * as tap from 'tap';
 import * as run from '../node/run.js';
@@ -12,39 +13,24 @@
 const examples = path.resolve(url.fileURLToPath(import.meta.url), '../../../examples');
 const example = (name: string): string => path.join(examples, name);
 
-/** Answers `GET /debug/state` of every daemon with one revision. */
-class FakeDaemons extends httpClient.HttpClient {
-	revision = 0;
-	readonly unreachable = new Set<string>();
-
-	override async request(request: httpClient.HttpRequest): Promise<httpClient.HttpResponse> {
-		if (this.unreachable.has(request.peer)) {
-			throw new httpClient.HttpClientError('connection refused', request.peer, false);
-		}
-
-		const bytes = new TextEncoder().encode(JSON.stringify({revision: this.revision, demand: {}}));
-		const body = (async function* () {
-			yield bytes;
-		})();
-		return {status: 200, headers: {}, body};
-	}
-
-	override async close(): Promise<void> {
-		// Nothing is open.
-	}
-}
-
 const createConsole = () => {
 	const clock = new manualClock.ManualClock();
 	const store = new fakeStore.FakeKeyValueStore(clock);
-	const daemons = new FakeDaemons();
+	const daemons = {revision: 0, unreachable: new Set<string>()};
+	const http = new fakeHttpClient.FakeHttpClient(({peer}) => {
+		if (daemons.unreachable.has(peer)) {
+			throw new httpClient.HttpClientError('connection refused', peer, false);
+		}
+
+		return {revision: daemons.revision, demand: {}};
+	});
 	const output: string[] = [];
 	const errors: string[] = [];
 	let operations = 0;
 	const context = {
 		clock,
 		random: random.createRandom(7),
-		http: daemons,
+		http,
 		openStore: () => store,
 		createOperationId: () => `operation-${++operations}`,
 		print: (line: string) => output.push(line),
--- a/packages/placer/src/test/fake-region.ts
+++ b/packages/placer/src/test/fake-region.ts
@@ -4,7 +4,7 @@
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as schema from '@hawthornfront/catalogue/common/schema.js';
 import * as snapshot from '@hawthornfront/catalogue/common/snapshot.js';
-import * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
+import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
 import * as platformServices from '@hawthornfront/platform/common/platform-services.js';
 import * as fakeStore from '@hawthornfront/platform/test/fake-key-value-store.js';
 import * as placer from '../common/placer.js';
@@ -241,24 +241,7 @@
 			const fault = hooks.chooseFault(details);
 			hooks.beforeCall(details);
 			try {
-				const failure = new keyValueStore.PlatformError(service, fault, fault !== 'refused');
-				if (fault === 'refused' || fault === 'dropped') {
-					throw failure;
-				}
-
-				if (fault === 'late') {
-					time.setTimer(() => {
-						void effect();
-					}, 700);
-					throw failure;
-				}
-
-				const result = await effect();
-				if (fault === 'lost') {
-					throw failure;
-				}
-
-				return result;
+				return await fakeStore.withFault(fault, time, service, effect);
 			} finally {
 				await own.running();
 			}
--- a/packages/placer/src/test/process.test.ts
+++ b/packages/placer/src/test/process.test.ts
@@ -4,13 +4,14 @@
 import * as url from 'node:url';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as random from '@hawthornfront/base/common/random.js';
 import * as log from '@hawthornfront/base/node/log.js';
 import * as settings from '@hawthornfront/base/node/settings.js';
 import * as undiciHttpClient from '@hawthornfront/base/node/undici-http-client.js';
+import * as fakeHttpClient from '@hawthornfront/base/test/fake-http-client.js';
 import * as catalogueFile from '@hawthornfront/catalogue/common/catalogue-file.js';
 import * as recordEdit from '@hawthornfront/catalogue/common/record-edit.js';
 import * as catalogueStore from '@hawthornfront/catalogue/node/catalogue-store.js';
-import * as random from '@hawthornfront/base/common/random.js';
 import * as fakeStore from '@hawthornfront/platform/test/fake-key-value-store.js';
 import * as tap from 'tap';
 import * as placerProcess from '../node/placer-process.js';
@@ -47,91 +48,46 @@
 	}
 });
 
-/** Answers the store, the weight store, one entry daemon and runners that obey at once. */
-class FakeNetwork extends httpClient.HttpClient {
-	readonly orders: string[] = [];
-	readonly models = new Map<string, string>();
-	readonly #store: fakeStore.FakeKeyValueStore;
+type Body = Record<'key' | 'value' | 'leaseId' | 'model' | 'order', string> &
+	Record<'expectedRevision' | 'ttlMs' | 'fencing', number>;
 
-	constructor(store: fakeStore.FakeKeyValueStore) {
-		super();
-		this.#store = store;
-	}
-
-	override async request(request: httpClient.HttpRequest): Promise<httpClient.HttpResponse> {
+/** The store, the weight store, an entry daemon and runners that obey at once. */
+const createNetwork = (store: fakeStore.FakeKeyValueStore) => {
+	const orders: string[] = [];
+	const models = new Map<string, string>();
+	const answer = async (request: httpClient.HttpRequest): Promise<unknown> => {
 		const body = JSON.parse(String(request.body ?? '{}')) as Body;
-		const bytes = new TextEncoder().encode(JSON.stringify(await this.#answer(request, body)));
-		const stream = (async function* () {
-			yield bytes;
-		})();
-		return {status: 200, headers: {}, body: stream};
-	}
-
-	override async close(): Promise<void> {
-		this.models.clear();
-	}
-
-	async #answer({peer, path: requestPath}: httpClient.HttpRequest, body: Body): Promise<unknown> {
-		switch (requestPath) {
-			case '/kv/get': {
-				return {found: await this.#store.get(body.key)};
-			}
-
-			case '/kv/compare-and-swap': {
-				const {key, value, expectedRevision, leaseId} = body;
-				return this.#store.compareAndSwap(key, value, expectedRevision, {leaseId});
-			}
-
-			case '/kv/grant-lease': {
-				return this.#store.grantLease(body.ttlMs);
-			}
-
-			case '/kv/renew-lease': {
-				return {renewed: await this.#store.renewLease(body.leaseId)};
-			}
-
-			case '/kv/revoke-lease': {
-				await this.#store.revokeLease(body.leaseId);
+		const {key, value, expectedRevision, leaseId, model} = body;
+		const {peer} = request;
+		const answers: Record<string, () => unknown> = {
+			'/kv/get': async () => ({found: await store.get(key)}),
+			'/kv/compare-and-swap': async () =>
+				store.compareAndSwap(key, value, expectedRevision, {leaseId}),
+			'/kv/grant-lease': async () => store.grantLease(body.ttlMs),
+			'/kv/renew-lease': async () => ({renewed: await store.renewLease(leaseId)}),
+			async '/kv/revoke-lease'() {
+				await store.revokeLease(leaseId);
 				return {};
-			}
-
-			case '/weights/tickets': {
-				return {kind: 'granted', model: body.model};
-			}
-
-			case '/load': {
-				const model = this.models.get(peer) ?? 'report';
-				return {running: 0, waiting: 0, slots: 8, leaving: false, model, role: 'mixed'};
-			}
-
-			case '/orders': {
-				this.orders.push(`${peer} ${body.order} ${body.model} ${body.fencing}`);
-				this.models.set(peer, body.model);
+			},
+			'/weights/tickets': () => ({kind: 'granted', model}),
+			'/load': () => ({leaving: false, model: models.get(peer) ?? 'report', role: 'mixed'}),
+			'/orders'() {
+				orders.push(`${peer} ${body.order} ${model} ${body.fencing}`);
+				models.set(peer, model);
 				return {accepted: true};
-			}
-
-			default: {
-				return {revision: 1, demand: {report: 10, field: 900}};
-			}
-		}
-	}
-}
+			},
+			'/debug/state': () => ({revision: 1, demand: {report: 10, field: 900}}),
+		};
+		return answers[request.path]!();
+	};
 
-type Body = {
-	key: string;
-	value: string;
-	expectedRevision: number;
-	leaseId: string;
-	ttlMs: number;
-	model: string;
-	order: string;
-	fencing: number;
+	return {orders, client: new fakeHttpClient.FakeHttpClient(answer)};
 };
 
 tap.t.test('a placer process orders over HTTP and serves its operator pages', async (t) => {
 	const clock = new manualClock.ManualClock();
 	const store = new fakeStore.FakeKeyValueStore(clock);
-	const network = new FakeNetwork(store);
+	const network = createNetwork(store);
 	const text = fs.readFileSync(example('kaasik-catalogue.json'), 'utf8');
 	const applied = await catalogueStore.applyChanges(
 		{store, clock, random: random.createRandom(1), author: 'test', operationId: 'op'},
@@ -143,7 +99,7 @@
 	);
 	const running = await placerProcess.startPlacer({
 		clock,
-		http: network,
+		http: network.client,
 		logger: log.createSilentLogger(),
 		settings: {...ini, placer: {...ini.placer, host: '127.0.0.1', httpPort: 0}},
 	});
--- a/packages/platform/src/test/fake-key-value-store.ts
+++ b/packages/platform/src/test/fake-key-value-store.ts
@@ -2,6 +2,8 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as keyValueStore from '../common/key-value-store.js';
 
+const lateEffectMs = 700;
+
 /**
  * `refused`: fails without effect and says so. `dropped`: the request is lost.
  * `lost`: takes effect, but the answer is lost. `late`: the answer is lost and
@@ -9,9 +11,27 @@
  */
 export type StoreFault = 'none' | 'refused' | 'dropped' | 'lost' | 'late';
 
-export type StoreCall = {operation: string; key: string; caller: string};
+export const withFault = async <T>(
+	fault: StoreFault,
+	timeSource: clock.Clock,
+	name: string,
+	effect: () => Promise<T> | T,
+): Promise<T> => {
+	if (fault === 'late') {
+		timeSource.setTimer(() => {
+			void effect();
+		}, lateEffectMs);
+	}
 
-const lateEffectMs = 700;
+	const result = fault === 'none' || fault === 'lost' ? await effect() : undefined;
+	if (fault === 'none') {
+		return result as T;
+	}
+
+	throw new keyValueStore.PlatformError(name, fault, fault !== 'refused');
+};
+
+export type StoreCall = {operation: string; key: string; caller: string};
 
 type State = {
 	revision: number;
@@ -141,36 +161,10 @@
 			await this.#clock.sleep(delayMs);
 		}
 
-		this.#endLeases();
-		const fault = this.chooseFault(call);
-		const failure = new keyValueStore.PlatformError(
-			'store',
-			`${fault} ${operation}`,
-			fault !== 'refused',
-		);
-		switch (fault) {
-			case 'none': {
-				return effect();
-			}
-
-			case 'lost': {
-				effect();
-				throw failure;
-			}
-
-			case 'late': {
-				this.#clock.setTimer(() => {
-					this.#endLeases();
-					effect();
-				}, lateEffectMs);
-				throw failure;
-			}
-
-			case 'refused':
-			case 'dropped': {
-				throw failure;
-			}
-		}
+		return withFault(this.chooseFault(call), this.#clock, `store ${operation}`, () => {
+			this.#endLeases();
+			return effect();
+		});
 	}
 
 	#endLeases(): void {
