--- a/packages/load/src/common/live-run.ts
+++ b/packages/load/src/common/live-run.ts
@@ -137,7 +137,7 @@
 
 		if (answer.status >= okStatusLimit) {
 			noteFailure(answer.status);
-			const text = await httpClient.readText(answer.body, maxAnswerBytes).catch(() => ''); // eslint-disable-line promise/prefer-await-to-then
+			const text = await httpClient.readText(answer.body, maxAnswerBytes).catch(() => '');
 			return {outcome: outcomeOfProblem(text), longestGapMs: 0};
 		}
 
