--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -11,6 +11,7 @@
 import * as benchmark from '../common/benchmark.js';
 import * as htmlReport from '../common/html-report.js';
 import * as policy from '../common/policy.js';
+import * as projectPolicy from '../common/project-policy.js';
 import * as scenarios from '../common/scenarios.js';
 import type * as summary from '../common/summary.js';
 import * as targets from '../common/targets.js';
@@ -19,7 +20,7 @@
 const fullPlan = {seeds: 5, durationMs: 360_000};
 const quickPlan = {seeds: 2, durationMs: 120_000};
 
-const policies = [
+const baselines = [
 	policy.roundRobin,
 	policy.leastInFlight,
 	policy.roundRobinEverywhere,
@@ -27,7 +28,14 @@
 	policy.leastInFlightWithPriority,
 ];
 
-type Options = {quick: boolean; seeds: number; durationMs: number; output: string; only: string};
+type Options = {
+	quick: boolean;
+	seeds: number;
+	durationMs: number;
+	output: string;
+	only: string;
+	overrides: projectPolicy.ProjectOverrides;
+};
 
 const print = (text: string) => {
 	process.stdout.write(`${text}\n`);
@@ -60,7 +68,7 @@
 	let previousAtMs = startedAtMs;
 	const results = await benchmark.runBenchmark({
 		scenarios: chosen,
-		policies,
+		policies: [...baselines, projectPolicy.createProjectPolicy(options.overrides)],
 		seeds,
 		onResult(result) {
 			const nowMs = performance.now();
@@ -93,12 +101,30 @@
 	print(`Written to ${options.output}`);
 };
 
+/** Reads `part.key=value` settings. @throws Error for other text. */
+const parseOverrides = (given: unknown): projectPolicy.ProjectOverrides => {
+	const overrides: Record<string, Record<string, unknown>> = {};
+	const texts = given === undefined ? [] : [given].flat().map(String);
+	for (const text of texts) {
+		const match = /^(scheduler|hedge|region)\.(\w+)=(.+)$/u.exec(text);
+		if (!match) {
+			throw new Error(`expected --set scheduler|hedge|region.KEY=VALUE, got "${text}"`);
+		}
+
+		const [, part, key, value] = match as unknown as [string, string, string, string];
+		overrides[part] = {...overrides[part], [key]: value};
+	}
+
+	return overrides;
+};
+
 const main = async () => {
 	const cli = cac.cac('bench');
 	cli.option('--quick', 'Fewer seeds and less virtual time');
 	cli.option('--seeds <count>', 'Number of seeds');
 	cli.option('--duration <seconds>', 'Virtual time during which requests arrive');
 	cli.option('--only <text>', 'Scenarios whose name contains this text');
+	cli.option('--set <setting>', 'Setting of the project, like scheduler.preemptAfterMs=500');
 	cli.option('--output <directory>', 'Directory of the results', {default: 'bench/results'});
 	cli.help();
 	const {options, args} = cli.parse();
@@ -119,6 +145,7 @@
 		durationMs: Number(options.duration ?? plan.durationMs / 1000) * 1000,
 		output: String(options.output),
 		only: String(options.only ?? ''),
+		overrides: parseOverrides(options.set),
 	});
 };
 
