--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -105,7 +105,9 @@
 	return {victims, nextAtMs};
 };
 
-export type ReliefOptions = Omit<PreemptionOptions, 'waiting'>;
+export type ReliefOptions = Omit<PreemptionOptions, 'waiting' | 'upstreams'> & {
+	upstreams: Iterable<upstreamState.UpstreamState>;
+};
 
 type StuckItem = {running: upstreamState.Running; dueAtMs: number};
 
@@ -165,6 +167,10 @@
 	const victims: upstreamState.Running[] = [];
 	let nextAtMs: number | undefined;
 	for (const state of options.upstreams) {
+		if (state.running.size === 0) {
+			continue;
+		}
+
 		const plan = relieveUpstream(state, options);
 		victims.push(...plan.victims);
 		nextAtMs = Math.min(
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -195,6 +195,12 @@
 		}
 	};
 
+	/** Without a queue there is no order to keep, and what waits is not overtaken. */
+	const assignAtOnce = (item: types.WorkItem) => {
+		const waiting = lanes.get(item.model)?.queue.count(item.workClass) ?? 0;
+		return waiting > 0 ? undefined : assign(item, false);
+	};
+
 	const enqueue = async (item: types.WorkItem, signal: AbortSignal): Promise<types.Assignment> => {
 		const {queue} = laneOf(item.model);
 		const afterMs =
@@ -248,14 +254,21 @@
 				pool.noteShort(item.model);
 			}
 
-			return enqueue(item, signal);
-		},
-		acquireNow(item) {
-			// A hedge must not overtake what waits in the queue.
-			const waiting = lanes.get(item.model)?.queue.count(item.workClass) ?? 0;
-			const isExpired = item.deadlineAtMs <= clock.nowMs();
-			return waiting > 0 || isExpired || isDisposed ? undefined : assign(item, false);
+			const assignment = assignAtOnce(item);
+			if (!assignment) {
+				return enqueue(item, signal);
+			}
+
+			if (queued > 0) {
+				drain();
+			} else {
+				schedule(preemptor.run([]));
+			}
+
+			return assignment;
 		},
+		acquireNow: (item) =>
+			item.deadlineAtMs <= clock.nowMs() || isDisposed ? undefined : assignAtOnce(item),
 		expectedWaitMs,
 		inFlight: () => pool.inFlight(),
 		dump: () => ({
--- a/packages/decisions/src/common/upstream-pool.ts
+++ b/packages/decisions/src/common/upstream-pool.ts
@@ -28,9 +28,9 @@
 	/** Notes that short work for the model exists, so that slots are reserved for it. */
 	noteShort(model: string): void;
 	/** Upstreams that serve the model and are not leaving. */
-	candidates(model: string): upstreamState.UpstreamState[];
+	candidates(model: string): readonly upstreamState.UpstreamState[];
 	/** All upstreams. */
-	all(): upstreamState.UpstreamState[];
+	all(): Iterable<upstreamState.UpstreamState>;
 	/** Whether some upstream may serve the item, now or later. */
 	isServable(item: types.WorkItem): boolean;
 	/** Slots of an upstream that may be used now; fewer while it ramps up, 0 when ejected. */
@@ -61,6 +61,8 @@
 	const ejected = ejection.createEjection(clock, settings.ejection);
 	const released = event.createEmitter<upstreamState.Running>();
 	const shortSeenAtMs = new Map<string, number>();
+	/** Cleared whenever upstreams or leaving marks change. */
+	const candidatesByModel = new Map<string, readonly upstreamState.UpstreamState[]>();
 	let leaving: ReadonlySet<string> = new Set();
 	let inFlight = 0;
 
@@ -74,6 +76,7 @@
 	};
 
 	const updateGroups = () => {
+		candidatesByModel.clear();
 		const groups = new Map<string, Set<string>>();
 		for (const state of states.values()) {
 			if (isLeaving(state)) {
@@ -114,8 +117,22 @@
 	const shareOf = (state: upstreamState.UpstreamState) =>
 		Math.min(ejected.shareOf(state.upstream.name), rampShareOf(state));
 
-	const candidates = (model: string) =>
-		[...states.values()].filter((state) => serves(state.upstream, model) && !isLeaving(state));
+	const candidates = (model: string) => {
+		const known = candidatesByModel.get(model);
+		if (known) {
+			return known;
+		}
+
+		const found = [...states.values()].filter(
+			(state) => serves(state.upstream, model) && !isLeaving(state),
+		);
+		// Callers may ask for models that do not exist; those are not worth memory.
+		if (found.length > 0) {
+			candidatesByModel.set(model, found);
+		}
+
+		return found;
+	};
 
 	const isShortActive = (model: string) =>
 		clock.nowMs() - (shortSeenAtMs.get(model) ?? Number.NEGATIVE_INFINITY) <= settings.reserveForMs;
@@ -216,7 +233,7 @@
 			shortSeenAtMs.set(model, clock.nowMs());
 		},
 		candidates,
-		all: () => [...states.values()],
+		all: () => states.values(),
 		isServable: (item) =>
 			candidates(item.model).some((state) => !item.excluded.has(state.upstream.name)),
 		usableSlots: (state) => slots.usableSlots({state, nowMs: clock.nowMs(), share: shareOf(state)}),
@@ -225,6 +242,10 @@
 		canAssign: (item, isStarved) => freeFor(item, isStarved).length > 0,
 		assign(item, isStarved) {
 			const free = freeFor(item, isStarved);
+			if (free.length === 0) {
+				return undefined;
+			}
+
 			const owners = candidates(item.model).filter(
 				(state) => ejected.shareOf(state.upstream.name) > 0,
 			);
