--- a/packages/once/src/common/base64.ts
+++ b/packages/once/src/common/base64.ts
@@ -1,25 +1,19 @@
 /** Base64 without Node APIs. */
-
-const chunkBytes = 8192; // keeps the argument list of String.fromCodePoint short
+import * as base64 from 'base64-js';
 
 /** Encodes bytes as base64. */
-export const encodeBase64 = (bytes: Uint8Array): string => {
-	let text = '';
-	for (let start = 0; start < bytes.byteLength; start += chunkBytes) {
-		text += String.fromCodePoint(...bytes.subarray(start, start + chunkBytes));
-	}
-
-	return globalThis.btoa(text);
-};
+export const encodeBase64 = (bytes: Uint8Array): string => base64.fromByteArray(bytes);
 
-/** Decodes base64. @throws Error when the text is not base64. */
-export const decodeBase64 = (text: string): Uint8Array =>
-	Uint8Array.from(globalThis.atob(text), (character) => character.codePointAt(0)!);
+/**
+ * Decodes base64 or base64url, with padding. Characters outside the alphabet are
+ * not noticed. @throws Error when the length is wrong.
+ */
+export const decodeBase64 = (text: string): Uint8Array => base64.toByteArray(text);
 
 /** Encodes bytes as base64url without padding (RFC 4648, section 5). */
 export const encodeBase64Url = (bytes: Uint8Array): string =>
 	encodeBase64(bytes).replaceAll('+', '-').replaceAll('/', '_').replaceAll('=', '');
 
-/** Decodes base64url. @throws Error when the text is not base64url. */
+/** Decodes base64url without padding; see {@link decodeBase64}. */
 export const decodeBase64Url = (text: string): Uint8Array =>
-	decodeBase64(text.replaceAll('-', '+').replaceAll('_', '/'));
+	decodeBase64(text.padEnd(Math.ceil(text.length / 4) * 4, '='));
--- a/packages/once/src/common/owner-execution.ts
+++ b/packages/once/src/common/owner-execution.ts
@@ -3,6 +3,7 @@
  * attempts, completion at the witness.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import * as answerModule from './answer.js';
 import * as execution from './execution.js';
@@ -91,19 +92,18 @@
 		record: ownerRecords.OwnerRecord,
 		answer: answerModule.Answer | undefined,
 	) => {
+		if (!record.parsed.witness) {
+			return;
+		}
+
 		const stored = answer && answerModule.toStored(answer, limits.maxAnswerBytes);
 		const completion = complete(record, {outcome: 'ran', ...(stored ? {answer: stored} : {})});
-		const limit = new AbortController();
-		const wait = async () => {
-			try {
-				await clock.sleep(limits.completionWaitMs, limit.signal);
-			} catch {
-				// The completion was acknowledged first.
-			}
-		};
-
-		await Promise.race([completion, wait()]);
-		limit.abort();
+		let timer: disposable.Disposable | undefined;
+		const waited = new Promise<void>((resolve) => {
+			timer = clock.setTimer(resolve, limits.completionWaitMs);
+		});
+		await Promise.race([completion, waited]);
+		timer?.dispose();
 	};
 
 	/** Returns an error when the request was refused before dispatch. */
--- a/packages/once/src/common/owner.ts
+++ b/packages/once/src/common/owner.ts
@@ -73,12 +73,10 @@
 /** Creates the owner of one incarnation. */
 export const createOwner = (options: OwnerOptions): Owner => {
 	const {self, clock, issuer, settings: limits} = options;
-	const ended = new AbortController();
 	const client = witnessClient.createWitnessClient({
 		clock,
 		rpcClient: options.rpcClient,
 		settings: limits,
-		signal: ended.signal,
 	});
 	const records = ownerRecords.createOwnerRecords(limits);
 	const counters = ownerCounters.createOwnerCounters();
@@ -167,27 +165,27 @@
 		return record;
 	};
 
-	const classify = (keyText: string): KeyClass => {
+	const read = (keyText: string): {keyClass: KeyClass; parsed: key.ParsedKey | undefined} => {
 		const parsed = key.parseKey(keyText);
 		if (!parsed) {
-			return 'invalid';
+			return {keyClass: 'invalid', parsed};
 		}
 
 		if (parsed.owner.name !== self.name) {
-			return 'other';
+			return {keyClass: 'other', parsed};
 		}
 
 		if (parsed.owner.incarnation !== self.incarnation) {
-			return 'previous';
+			return {keyClass: 'previous', parsed};
 		}
 
-		return issuer.isIssuer(parsed) ? 'own' : 'invalid';
+		return {keyClass: issuer.isIssuer(parsed) ? 'own' : 'invalid', parsed};
 	};
 
 	/** @throws GatewayException when the key is not of this incarnation. */
-	const parseOwn = (keyText: string): key.ParsedKey => {
-		const keyClass = classify(keyText);
-		if (keyClass === 'invalid') {
+	const readOwn = (keyText: string): key.ParsedKey => {
+		const {keyClass, parsed} = read(keyText);
+		if (!parsed || keyClass === 'invalid') {
 			throw refuseUnrecorded('bad-key', ownerErrors.unknownKey());
 		}
 
@@ -195,7 +193,7 @@
 			throw new gatewayError.GatewayException(ownerErrors.otherOwner());
 		}
 
-		return key.parseKey(keyText)!;
+		return parsed;
 	};
 
 	const sweepTimer = clock.setPeriodicTimer(() => {
@@ -203,9 +201,9 @@
 	}, sweepPeriodMs);
 
 	return {
-		classify,
+		classify: (keyText) => read(keyText).keyClass,
 		async run(keyText, fingerprint, execute, runOptions) {
-			const parsed = parseOwn(keyText);
+			const parsed = readOwn(keyText);
 			const known = records.get(parsed.text);
 			if (known) {
 				return repeat(known, fingerprint);
@@ -221,7 +219,7 @@
 			return {answer: await record.running, isReplay: false};
 		},
 		refuse(keyText, fingerprint) {
-			const parsed = parseOwn(keyText);
+			const parsed = readOwn(keyText);
 			if (records.get(parsed.text)) {
 				return undefined;
 			}
@@ -255,7 +253,7 @@
 		}),
 		dispose() {
 			sweepTimer.dispose();
-			ended.abort(new Error('the owner was disposed'));
+			client.dispose();
 		},
 	};
 };
--- a/packages/once/src/common/resolver.ts
+++ b/packages/once/src/common/resolver.ts
@@ -53,8 +53,7 @@
 /** Creates a resolver. */
 export const createResolver = (options: ResolverOptions): Resolver => {
 	const {self, witness: ownWitness} = options;
-	const ended = new AbortController();
-	const client = witnessClient.createWitnessClient({...options, signal: ended.signal});
+	const client = witnessClient.createWitnessClient(options);
 	const counters: ResolverCounters = {
 		notRun: 0,
 		ran: 0,
@@ -169,7 +168,7 @@
 		},
 		counters,
 		dispose() {
-			ended.abort(new Error('the resolver was disposed'));
+			client.dispose();
 		},
 	};
 };
--- a/packages/once/src/common/settings.ts
+++ b/packages/once/src/common/settings.ts
@@ -44,11 +44,13 @@
 	avoidWitnessMs: 5000,
 	resolveAttempts: 2,
 	resolveTimeoutMs: 500,
-	maxOwnerRecords: 16_384,
-	maxWitnessRecords: 16_384,
+	// 8192 records take about 8 MB at an owner and 5 MB at a witness, and last for
+	// 45 requests a second over the 180 s that a record is kept.
+	maxOwnerRecords: 8192,
+	maxWitnessRecords: 8192,
 	maxWitnessOwners: 16_384,
 	maxAnswerBytes: 16_384,
-	maxAnswersBytes: 8_388_608,
+	maxAnswersBytes: 4_194_304,
 };
 
 /** Time for which clocks of two daemons may differ in rate, as a share. */
--- a/packages/once/src/common/witness-client.ts
+++ b/packages/once/src/common/witness-client.ts
@@ -1,5 +1,6 @@
 /** The owner's and the resolver's calls to witnesses, each bounded in time and attempts. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as onceMethods from '@hawthornfront/protocol/common/once-methods.js';
 import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
 import type * as zod from 'zod';
@@ -18,11 +19,10 @@
 	clock: clock.Clock;
 	rpcClient: rpc.RpcClient;
 	settings: settings.OnceSettings;
-	/** Ends calls and retries in progress. */
-	signal: AbortSignal;
 };
 
-export type WitnessClient = {
+/** Disposing it ends calls and retries in progress. */
+export type WitnessClient = disposable.Disposable & {
 	recordIntent(
 		witness: key.Peer,
 		params: zod.infer<typeof onceMethods.intent.params>,
@@ -40,9 +40,18 @@
 
 const retryPauseMs = 50;
 
-/** Creates a client; it keeps no state. */
+/** Creates a client. */
 export const createWitnessClient = (options: WitnessClientOptions): WitnessClient => {
-	const {clock, rpcClient, settings: limits, signal} = options;
+	const {clock, rpcClient, settings: limits} = options;
+	// One signal for all calls would collect a listener for each call in progress.
+	const inProgress = new Set<AbortController>();
+	let isDisposed = false;
+
+	const open = (): AbortController => {
+		const controller = new AbortController();
+		inProgress.add(controller);
+		return controller;
+	};
 
 	// The limit of an HTTP client ends with the headers, so a peer that stops in
 	// the middle of a body needs this limit on the whole call.
@@ -52,32 +61,29 @@
 		params: zod.infer<Params>,
 		timeoutMs: number,
 	): Promise<zod.infer<Result> | undefined> => {
-		const limit = new AbortController();
+		const ended = open();
 		const timer = clock.setTimer(() => {
-			limit.abort(new Error(`${method.name} took longer than ${timeoutMs} ms`));
+			ended.abort(new Error(`${method.name} took longer than ${timeoutMs} ms`));
 		}, timeoutMs);
-		const ended = AbortSignal.any([limit.signal, signal]);
 		const endedFirst = new Promise<undefined>((resolve) => {
-			ended.addEventListener(
-				'abort',
-				() => {
-					resolve(undefined);
-				},
-				{once: true},
-			);
+			ended.signal.addEventListener('abort', () => {
+				resolve(undefined);
+			});
 		});
 		const call = async () => {
 			try {
-				return await rpcClient.call(peer.address, method, params, {timeoutMs, signal: ended});
+				const options = {timeoutMs, signal: ended.signal};
+				return await rpcClient.call(peer.address, method, params, options);
 			} catch {
 				return undefined;
 			}
 		};
 
 		try {
-			return ended.aborted ? undefined : await Promise.race([call(), endedFirst]);
+			return await Promise.race([call(), endedFirst]);
 		} finally {
 			timer.dispose();
+			inProgress.delete(ended);
 		}
 	};
 
@@ -85,7 +91,11 @@
 		attempts: number,
 		call: () => Promise<Value | undefined>,
 	): Promise<Value | undefined> => {
-		for (let attempt = 1; attempt <= attempts && !signal.aborted; attempt++) {
+		for (let attempt = 1; attempt <= attempts; attempt++) {
+			if (isDisposed) {
+				return undefined;
+			}
+
 			const value = await call();
 			if (value !== undefined) {
 				return value;
@@ -100,10 +110,13 @@
 	};
 
 	const pause = async (attempt: number) => {
+		const ended = open();
 		try {
-			await clock.sleep(retryPauseMs * attempt, signal);
+			await clock.sleep(retryPauseMs * attempt, ended.signal);
 		} catch {
-			// The component was disposed; the loop ends by the signal.
+			// The client was disposed, which ends the loop too.
+		} finally {
+			inProgress.delete(ended);
 		}
 	};
 
@@ -131,5 +144,11 @@
 				callWithin(peer, onceMethods.resolve, params, limits.resolveTimeoutMs),
 			);
 		},
+		dispose() {
+			isDisposed = true;
+			for (const controller of inProgress) {
+				controller.abort(new Error('the client was disposed'));
+			}
+		},
 	};
 };
