Ask the daemons that take over records whenever a witness knows no result

A stopping owner hands its records to another daemon also when its witness is alive but does not answer in time. The resolver believed the intent at the witness then and never asked further.

Adds tests for an owner that is alone in its failure domain and for the loss of owner and witness.

--- a/packages/once/src/common/hand-off.ts
+++ b/packages/once/src/common/hand-off.ts
@@ -25,7 +25,7 @@
 
 /** Daemons that take over records when the witness is gone, and that a resolver asks. */
 export const maxFallbacks = 2;
-const maxBatchRecords = 64;
+const maxBatchRecords = 32; // at most about 0.7 MB with answers of 16 KB
 
 /**
  * Daemons that take over the records of an owner, best first: those that follow
--- a/packages/once/src/common/owner.ts
+++ b/packages/once/src/common/owner.ts
@@ -47,7 +47,8 @@
 	classify(keyText: string): KeyClass;
 	/**
 	 * Executes a request at most once under its key, or gives what an earlier call
-	 * with the same key gave.
+	 * with the same key gave. The fingerprint must cover the team, the entry, the
+	 * method, the path and the body, since an equal one is given the kept answer.
 	 * @throws GatewayException with the outcome; `not-run` is final for the key.
 	 */
 	run(
--- a/packages/once/src/common/resolver.ts
+++ b/packages/once/src/common/resolver.ts
@@ -1,6 +1,14 @@
 /**
  * Finds out what became of a key whose owner is dead, suspected or unreachable.
- * A live owner is asked by forwarding the request to it, not here.
+ * A live owner is asked by forwarding the request to it, not here; asking here
+ * all the same is safe and may cost the owner the key. The owner may only be paused:
+ *
+ * - before its intent: the witness seals the key and refuses the intent when the
+ *   owner resumes, so `not-run` is certain;
+ * - between intent and dispatch, or after dispatch: the witness holds an intent
+ *   without a result, and whether it is used cannot be known, so `unknown`;
+ * - witness restarted, or owner and witness gone: the records are lost, so
+ *   `unknown`, even for a request that never started.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -119,11 +127,8 @@
 		params: {key: string; fingerprint: string},
 	): Promise<onceMethods.WireResolution> => {
 		const first = await askWitness(parsed, params);
-		if (first.outcome !== 'unknown' || first.reason === 'intent-without-completion') {
-			return first;
-		}
-
-		return (await askFallbacks(parsed, params)) ?? first;
+		// A stopping owner hands over to others also when its witness did not answer in time.
+		return first.outcome === 'unknown' ? ((await askFallbacks(parsed, params)) ?? first) : first;
 	};
 
 	const toError = (
--- a/packages/once/src/test/owner.test.ts
+++ b/packages/once/src/test/owner.test.ts
@@ -134,6 +134,30 @@
 	}
 });
 
+tap.t.test('an owner alone runs, and nothing is known after its crash', async (t) => {
+	const world = createWorld();
+	const {owner, issuer} = world.lives[0]!;
+	issuer.avoidWitness('vm-1');
+	const text = issuer.issue();
+	t.match(await settle(world, owner.run(text, 'a', answerOf(3))), {answer: {status: 200}});
+	world.crash(0);
+	t.match(await settle(world, world.lives[1]!.resolver.resolve(text, 'a')), {outcome: 'unknown'});
+});
+
+tap.t.test('nothing is known when owner and witness are gone', async (t) => {
+	const world = createWorld({}, undefined, 3);
+	const {owner, issuer} = world.lives[0]!;
+	const text = issuer.issue();
+	const witnessName = key.parseKey(text)!.witness!.name;
+	await settle(world, owner.run(text, 'a', answerOf(3)));
+	world.crash(0);
+	world.restart(world.lives.findIndex((life) => life.self.name === witnessName));
+	for (const life of world.lives.slice(1)) {
+		const error = await settle(world, life.resolver.resolve(text, 'a'));
+		t.match(error, {outcome: 'unknown', detail: /other-incarnation/u});
+	}
+});
+
 tap.t.test('a full witness refuses and forgets nothing', (t) => {
 	const world = createWorld({maxWitnessRecords: 4});
 	const {issuer} = world.lives[0]!;
