--- a/packages/fleet/src/common/member-sync.ts
+++ b/packages/fleet/src/common/member-sync.ts
@@ -15,6 +15,8 @@
 const vmListTimeoutMs = 3000;
 const minRepairMs = 3000;
 const maxJoinAttempts = 4;
+// One answer may come from a daemon that is cut off and lags behind.
+const joinAnswers = 2;
 /** Rough length of one claim as JSON text, for the counter of bytes. */
 const claimChars = 220;
 
@@ -117,9 +119,14 @@
 		}
 
 		const addresses = candidates();
+		let answers = 0;
 		for (let attempt = 0; attempt < maxJoinAttempts && addresses.length > 0; attempt++) {
 			const [address] = addresses.splice(random.integer(0, addresses.length - 1), 1);
 			if (await syncWith(address!)) {
+				answers++;
+			}
+
+			if (answers >= joinAnswers) {
 				return;
 			}
 		}
--- a/packages/protocol/src/common/datagram.ts
+++ b/packages/protocol/src/common/datagram.ts
@@ -93,8 +93,8 @@
 	zod.union([count, zod.string()]),
 	count,
 ]);
-// Model, then the wait for each work class; one model appears once.
-const waitTuple = zod.tuple([zod.string(), count.nullable(), count.nullable(), count.nullable()]);
+// Model, then a value for each work class.
+const waitTuple = zod.tuple([zod.string(), count, count, count]);
 const shortClaimTuple = zod.tuple([zod.string(), count, count, state, zod.boolean()]);
 const claimTuple = zod.tuple([
 	zod.string(),
@@ -177,12 +177,12 @@
 	Math.round(load.ageMs / ageUnitMs),
 ];
 
+/** One tuple a model; a wait is sent as its value plus one, and 0 stands for none. */
 const packWaits = (waits: readonly WaitEntry[]) => {
-	const groups = new Map<string, Array<number | undefined>>();
+	const groups = new Map<string, number[]>();
 	for (const {model, workClass, waitMs} of waits) {
-		 
-		const group = groups.get(model) ?? [null, null, null];
-		group[workClasses.indexOf(workClass)] = waitMs;
+		const group = groups.get(model) ?? workClasses.map(() => 0);
+		group[workClasses.indexOf(workClass)] = waitMs + 1;
 		groups.set(model, group);
 	}
 
@@ -251,8 +251,8 @@
 const unpackWaits = (tuples: Array<zod.infer<typeof waitTuple>>): WaitEntry[] =>
 	tuples.flatMap(([model, ...group]) =>
 		workClasses.flatMap((workClass, index) => {
-			const waitMs = group[index];
-			return typeof waitMs === 'number' ? [{model, workClass, waitMs}] : [];
+			const value = group[index] ?? 0;
+			return value > 0 ? [{model, workClass, waitMs: value - 1}] : [];
 		}),
 	);
 
