--- a/packages/catalogue/src/node/catalogue-store.ts
+++ b/packages/catalogue/src/node/catalogue-store.ts
@@ -16,6 +16,8 @@
 
 const maxRecentOperationIds = 64;
 const defaultMaxAttempts = 12;
+// The store takes 1 MB; the rest is for characters of more than one byte.
+const maxPartCharacters = 900_000;
 const maxPartAttempts = 8;
 const firstBackoffMs = 50;
 const maxBackoffMs = 2000;
@@ -107,14 +109,12 @@
 	cache: catalogueReader.PartCache;
 };
 
-/** One attempt; undefined when another operator was faster. */
-const attemptEdit = async (
+/** What to write for the changes on the current catalogue, or why nothing is written. */
+const planEdit = (
 	context: EditContext,
 	changes: readonly recordEdit.RecordChange[],
-	progress: Progress,
-): Promise<EditResult | undefined> => {
-	const startMs = context.clock.nowMs();
-	const current = await catalogueReader.readCatalogue(context.store, {cache: progress.cache});
+	current: catalogueReader.StoredCatalogue,
+): EditResult | {kind: 'write'; parts: partition.Part[]} => {
 	const {revision} = current;
 	if (isApplied(current.root, context.operationId)) {
 		return {kind: 'applied', revision};
@@ -135,8 +135,31 @@
 	}
 
 	const parts = partition.splitIntoParts(rebased.records);
+	const tooLarge = parts.find((part) => part.text.length > maxPartCharacters);
+	if (tooLarge) {
+		const record = `partition ${tooLarge.partition}`;
+		const expected = `expected at most ${maxPartCharacters} characters of records in one partition`;
+		return {kind: 'invalid', revision, problems: [{record, field: '', expected}]};
+	}
+
+	return {kind: 'write', parts};
+};
+
+/** One attempt; undefined when another operator was faster or the attempt took too long. */
+const attemptEdit = async (
+	context: EditContext,
+	changes: readonly recordEdit.RecordChange[],
+	progress: Progress,
+): Promise<EditResult | undefined> => {
+	const startMs = context.clock.nowMs();
+	const current = await catalogueReader.readCatalogue(context.store, {cache: progress.cache});
+	const plan = planEdit(context, changes, current);
+	if (plan.kind !== 'write') {
+		return plan;
+	}
+
 	const present = new Set(current.root?.parts.map((part) => part.digest));
-	for (const part of parts) {
+	for (const part of plan.parts) {
 		if (!present.has(part.digest)) {
 			await writePart(context, part);
 		}
@@ -146,9 +169,9 @@
 		return undefined;
 	}
 
-	const text = JSON.stringify(createRoot(context, parts, current.root));
+	const text = JSON.stringify(createRoot(context, plan.parts, current.root));
 	try {
-		const result = await context.store.compareAndSwap(schema.rootKey, text, revision);
+		const result = await context.store.compareAndSwap(schema.rootKey, text, current.revision);
 		return result.kind === 'written' ? {kind: 'applied', revision: result.revision} : undefined;
 	} catch (error) {
 		progress.isUncertain ||= recordStore.mayHaveTakenEffect(error);
--- a/packages/ctl/src/test/catalogue-races.test.ts
+++ b/packages/ctl/src/test/catalogue-races.test.ts
@@ -94,7 +94,7 @@
 			const {records} = await catalogueReader.readCatalogue(store);
 			const roots = store.history
 				.filter((value) => value.key === schema.rootKey)
-				.map((value) => schema.rootSchema.parse(JSON.parse(value.value)));
+				.map(({value, revision}) => ({revision, ...schema.rootSchema.parse(JSON.parse(value))}));
 			const accepted = new Map<string, number>();
 			const check = (isRight: boolean, message: string) => {
 				if (!isRight) {
@@ -103,11 +103,14 @@
 			};
 
 			for (const [index, outcome] of outcomes.entries()) {
-				const writes = roots.filter((root) => root.operationId === `op-${index}`).length;
+				const own = roots.filter((root) => root.operationId === `op-${index}`);
+				const writes = own.length;
 				const kind = outcome.kind === 'done' ? outcome.result.kind : 'failed';
 				seen.set(kind, (seen.get(kind) ?? 0) + 1);
 				check(writes <= 1, `op-${index} was written ${writes} times`);
 				check(kind !== 'applied' || writes === 1, `op-${index} was applied but not written`);
+				const reported = outcome.kind === 'done' ? outcome.result.revision : Infinity;
+				check(reported >= (own[0]?.revision ?? 0), `op-${index} reported a lower revision`);
 				const isRefused = kind === 'conflict' || kind === 'unchanged';
 				check(!isRefused || writes === 0, `op-${index} was written but reported as ${kind}`);
 				for (const {id, after} of writes > 0 ? changesOf(operators[index]!) : []) {
