--- a/packages/entry/src/node/decision-services.ts
+++ b/packages/entry/src/node/decision-services.ts
@@ -17,8 +17,8 @@
 
 /** Expected waits go to other regions this often. */
 const waitsPeriodMs = 1000;
-/** Summaries travel by relays every 2 s and then spread inside the domain. */
-const summaryMaxAgeMs = 8000;
+/** Summaries travel by relays and spread inside the domain; the fleet drops them after the same time. */
+const summaryMaxAgeMs = 10_000;
 /** Bytes of one streamed token on a link, with its JSON envelope. */
 const bytesPerStreamedToken = 200;
 
