Make every decision of the entry daemon settable from INI and count keyed outcomes

Each section now goes to its schema, an unknown section or key is refused with its name, and /metrics shows keyed requests by outcome. npm run bench -- control runs the control benchmark.

--- a/packages/base/src/node/metrics.ts
+++ b/packages/base/src/node/metrics.ts
@@ -57,6 +57,28 @@
 	return gauge;
 };
 
+/** Creates a gauge with one label, whose values are read when metrics are scraped. */
+export const createLabelledGauge = (
+	registry: Registry,
+	name: string,
+	help: string,
+	labelName: string,
+	read: () => Record<string, number>,
+): prom.Gauge => {
+	const gauge = new prom.Gauge({
+		name,
+		help,
+		labelNames: [labelName],
+		registers: [registry],
+		collect() {
+			for (const [label, value] of Object.entries(read())) {
+				gauge.set({[labelName]: label}, value);
+			}
+		},
+	});
+	return gauge;
+};
+
 /** Creates a histogram in a registry; `buckets` are in the unit that the name ends with. */
 export const createHistogram = (
 	registry: Registry,
--- a/packages/base/src/node/settings.ts
+++ b/packages/base/src/node/settings.ts
@@ -21,6 +21,11 @@
 	const result = schema.safeParse(ini.parse(text));
 	if (!result.success) {
 		const [issue] = result.error.issues;
+		if (issue?.code === 'unrecognized_keys') {
+			const [unknown = ''] = issue.keys;
+			throw new SettingsError(file, [...issue.path, unknown], 'expected only known settings');
+		}
+
 		throw new SettingsError(file, issue?.path ?? [], issue?.message ?? 'invalid settings');
 	}
 
--- a/packages/decisions/src/common/region-chooser.ts
+++ b/packages/decisions/src/common/region-chooser.ts
@@ -32,8 +32,8 @@
 	linkShare: setting.share(0.1),
 	/** Time at that rate that may be used at once. */
 	linkBurstMs: setting.number(1000, 1, 600_000),
-	/** Summaries of other regions that are older are ignored. */
-	summaryMaxAgeMs: setting.number(3000, 1, 600_000),
+	/** Summaries of other regions that are older are ignored; the fleet keeps them as long. */
+	summaryMaxAgeMs: setting.number(10_000, 1, 600_000),
 	/** Cost of a prompt whose start is not cached in the other region. */
 	coldCacheMs: setting.number(50, 0, 600_000),
 	coldCacheMsPerToken: setting.number(0.1, 0, 1000),
--- a/packages/demo/src/node/deployment.ts
+++ b/packages/demo/src/node/deployment.ts
@@ -130,14 +130,16 @@
 			},
 			cluster: {name: 'demo', token: 'demo-cluster-token', seeds: seeds.join(',')},
 			platform,
-			link: Object.fromEntries(
-				shape.regions
-					.filter((other) => other !== region)
-					.map((other) => [
-						other,
-						{delayMs: shape.regionDelayMs, bitsPerSecond: shape.linkBitsPerSecond},
-					]),
-			),
+			regions: {
+				links: Object.fromEntries(
+					shape.regions
+						.filter((other) => other !== region)
+						.map((other) => [
+							other,
+							{delayMs: shape.regionDelayMs, bitsPerSecond: shape.linkBitsPerSecond},
+						]),
+				),
+			},
 		}),
 		clock: options.clock,
 		random: options.random.fork(),
--- a/packages/demo/src/test/world/world.ts
+++ b/packages/demo/src/test/world/world.ts
@@ -182,11 +182,13 @@
 			},
 			cluster: {name: 'test', token: 'test-token', seeds: '10.0.0.1:80,10.0.0.3:80'},
 			platform: {store: '10.9.0.1:1', vmList: '10.9.0.1:2', directory: '10.9.0.1:3'},
-			link: Object.fromEntries(
-				['home', 'away']
-					.filter((region) => region !== place.region)
-					.map((region) => [region, {delayMs: regionDelayMs, bitsPerSecond: 1e9}]),
-			),
+			regions: {
+				links: Object.fromEntries(
+					['home', 'away']
+						.filter((region) => region !== place.region)
+						.map((region) => [region, {delayMs: regionDelayMs, bitsPerSecond: 1e9}]),
+				),
+			},
 		}),
 		clock,
 		random: numbers.fork(),
--- a/packages/entry/src/common/demand-ledger.ts
+++ b/packages/entry/src/common/demand-ledger.ts
@@ -6,8 +6,6 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as limitShares from '@hawthornfront/decisions/common/limit-shares.js';
 
-/** Part of each limit that is split evenly, so that a domain that is cut off can go on. */
-const floorShare = 0.3;
 /** A report that was not renewed for this time no longer counts. */
 const claimLifeMs = 60_000;
 
@@ -40,8 +38,8 @@
 	size(): number;
 };
 
-/** Creates an empty ledger. */
-export const createDemandLedger = (time: clock.Clock): DemandLedger => {
+/** Creates an empty ledger. `floorShare` is the part of each limit that is split evenly. */
+export const createDemandLedger = (time: clock.Clock, floorShare: number): DemandLedger => {
 	let own: ReadonlyMap<string, number> = new Map();
 	const others = new Map<string, Claims>();
 
--- a/packages/entry/src/common/engine-services.ts
+++ b/packages/entry/src/common/engine-services.ts
@@ -1,5 +1,6 @@
 /** What the request engine needs from the rest of the daemon. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
 import type * as snapshot from '@hawthornfront/catalogue/common/snapshot.js';
@@ -95,6 +96,8 @@
 	refuse(key: string, fingerprint: string): {freshKey: string} | undefined;
 	/** The stored answer of a request whose owner is gone. @throws GatewayException with the outcome. */
 	resolve(key: string, fingerprint: string): Promise<serviceAnswer.WholeAnswer>;
+	/** Keyed requests by outcome since the start, from the owner's side. */
+	outcomes(): Record<gatewayError.Outcome, number>;
 	/** Hands records over at a planned stop. */
 	handOff(): Promise<void>;
 	/** State without any content of requests. */
--- a/packages/entry/src/node/daemon.ts
+++ b/packages/entry/src/node/daemon.ts
@@ -10,9 +10,7 @@
 import type * as log from '@hawthornfront/base/node/log.js';
 import * as metrics from '@hawthornfront/base/node/metrics.js';
 import * as scheduler from '@hawthornfront/decisions/common/scheduler.js';
-import * as schedulerSettings from '@hawthornfront/decisions/common/scheduler-settings.js';
 import type * as fleetInterface from '@hawthornfront/fleet/common/fleet-interface.js';
-import type * as fleetSettings from '@hawthornfront/fleet/common/fleet-settings.js';
 import * as fleet from '@hawthornfront/fleet/node/fleet.js';
 import type * as keyValueStore from '@hawthornfront/platform/common/key-value-store.js';
 import type * as platformServices from '@hawthornfront/platform/common/platform-services.js';
@@ -59,7 +57,6 @@
 	platform: Platform;
 	/** Opens the server; over HTTP unless a test keeps everything in memory. */
 	startServer?: (options: httpServer.HttpServerOptions) => Promise<httpServer.HttpServer>;
-	fleetSettings?: Partial<fleetSettings.FleetSettings>;
 };
 
 export type EntryDaemon = {
@@ -128,13 +125,13 @@
 		store: platform.store,
 		vmList: platform.vmList,
 		logger,
-		settings: options.fleetSettings,
+		settings: config.fleet,
 	});
 	resources.add(members);
 	const queue = scheduler.createScheduler({
 		clock: time,
 		random: numbers.fork(),
-		settings: schedulerSettings.schedulerSettingsSchema.parse({}),
+		settings: config.scheduler,
 	});
 	resources.add(queue);
 	const keyed = keyedService.createKeyedService({
@@ -146,6 +143,7 @@
 		address,
 		region: daemon.region,
 		failureDomain: daemon.failureDomain,
+		settings: config.once,
 	});
 	resources.add(keyed);
 	const watch = upstreamWatch.startUpstreamWatch({
@@ -169,6 +167,7 @@
 		}),
 	);
 	const counters = engineCounters.createEngineCounters(registry);
+	engineCounters.registerKeyedOutcomes(registry, keyed.execution);
 	const decisions = decisionServices.createDecisionServices({
 		settings: config,
 		clock: time,
@@ -185,7 +184,8 @@
 		rpcServer,
 		name: daemon.name,
 		failureDomain: daemon.failureDomain,
-		entryVmsPerTeam: config.requests.entryVmsPerTeam,
+		vmsPerDomain: config.steering.vmsPerDomain,
+		floorShare: config.steering.floorShare,
 	});
 	resources.add(exchange);
 	const demand = demandMeter.createDemandMeter(time);
--- a/packages/entry/src/node/decision-services.ts
+++ b/packages/entry/src/node/decision-services.ts
@@ -17,8 +17,6 @@
 
 /** Expected waits go to other regions this often. */
 const waitsPeriodMs = 1000;
-/** Summaries travel by relays and spread inside the domain; the fleet drops them after the same time. */
-const summaryMaxAgeMs = 10_000;
 /** Bytes of one streamed token on a link, with its JSON envelope. */
 const bytesPerStreamedToken = 200;
 
@@ -57,12 +55,9 @@
 	},
 });
 
-const createRepetition = (time: clock.Clock) => {
-	const hedges = hedge.createHedgePolicy(time, hedge.hedgeSettingsSchema.parse({}));
-	const retries = retryBudget.createRetryBudget(
-		time,
-		retryBudget.retryBudgetSettingsSchema.parse({}),
-	);
+const createRepetition = (time: clock.Clock, config: settings.EntrySettings) => {
+	const hedges = hedge.createHedgePolicy(time, config.hedge);
+	const retries = retryBudget.createRetryBudget(time, config.retries);
 	const repetition: engineServices.Repetition = {
 		noteRequest(candidate) {
 			hedges.noteRequest(candidate);
@@ -81,10 +76,8 @@
 	};
 };
 
-const createEstimator = () => {
-	const estimator = outputEstimator.createOutputEstimator(
-		outputEstimator.outputEstimatorSettingsSchema.parse({}),
-	);
+const createEstimator = (config: settings.EntrySettings) => {
+	const estimator = outputEstimator.createOutputEstimator(config.outputs);
 	const service: engineServices.OutputEstimator = {
 		estimateTokens: (team, workClass, maxTokens) =>
 			estimator.estimate(team, workClass, maxTokens).meanTokens,
@@ -97,10 +90,7 @@
 
 const createRegionChoice = (options: DecisionServicesOptions) => {
 	const {fleet, scheduler, random: numbers, settings: config} = options;
-	const chooser = regionChooser.createRegionChooser(
-		options.clock,
-		regionChooser.regionChooserSettingsSchema.parse({links: config.link, summaryMaxAgeMs}),
-	);
+	const chooser = regionChooser.createRegionChooser(options.clock, config.regions);
 	const summaries = (item: types.WorkItem): regionChooser.RegionSummary[] =>
 		fleet.regionSummaries().flatMap(({region, observedAtMs, waits}) =>
 			waits
@@ -167,7 +157,7 @@
 		isSuspect: member.state === 'suspect',
 		isLeaving: member.state === 'stopping',
 	}));
-	const perDomain = config.requests.entryVmsPerTeam;
+	const perDomain = config.steering.vmsPerDomain;
 	return entrySteering
 		.orderEntryVms(team, members, perDomain, {region, failureDomain})
 		.map((member) => ({
@@ -181,9 +171,9 @@
 /** Creates the services. */
 export const createDecisionServices = (options: DecisionServicesOptions): DecisionServices => {
 	const resources = disposable.createDisposableStore();
-	const limiter = limits.createLimiter(options.clock, limits.limiterSettingsSchema.parse({}));
-	const {repetition, dump: dumpRepetition} = createRepetition(options.clock);
-	const estimator = createEstimator();
+	const limiter = limits.createLimiter(options.clock, options.settings.limits);
+	const {repetition, dump: dumpRepetition} = createRepetition(options.clock, options.settings);
+	const estimator = createEstimator(options.settings);
 	const {regionChoice, counts} = createRegionChoice(options);
 	resources.add(
 		options.clock.setPeriodicTimer(() => {
--- a/packages/entry/src/node/demand-exchange.ts
+++ b/packages/entry/src/node/demand-exchange.ts
@@ -29,7 +29,8 @@
 	rpcServer: rpc.RpcServer;
 	name: string;
 	failureDomain: string;
-	entryVmsPerTeam: number;
+	vmsPerDomain: number;
+	floorShare: number;
 };
 
 export type DemandExchange = disposable.Disposable & {
@@ -43,7 +44,7 @@
 export const startDemandExchange = (options: DemandExchangeOptions): DemandExchange => {
 	const {clock: time, fleet, limiter, rpcClient, name, failureDomain} = options;
 	const resources = disposable.createDisposableStore();
-	const ledger = demandLedger.createDemandLedger(time);
+	const ledger = demandLedger.createDemandLedger(time, options.floorShare);
 	const sent = new Map<string, Sent>();
 	let period = 0;
 	let calls = 0;
@@ -65,7 +66,7 @@
 		entrySteering.orderEntryVms(
 			team,
 			members.map((member) => ({...member, isSuspect: false, isLeaving: false})),
-			options.entryVmsPerTeam,
+			options.vmsPerDomain,
 		);
 
 	const isDue = (key: string, demand: number): boolean => {
--- a/packages/entry/src/node/engine-counters.ts
+++ b/packages/entry/src/node/engine-counters.ts
@@ -64,3 +64,17 @@
 		},
 	};
 };
+
+/** Adds a counter of keyed requests by outcome, read when metrics are scraped. */
+export const registerKeyedOutcomes = (
+	registry: metrics.Registry,
+	execution: engineServices.KeyedExecution,
+): void => {
+	metrics.createLabelledGauge(
+		registry,
+		'hawthornfront_keyed_requests',
+		'Non-idempotent requests under a key since the start, by outcome',
+		'outcome',
+		() => execution.outcomes(),
+	);
+};
--- a/packages/entry/src/node/keyed-service.ts
+++ b/packages/entry/src/node/keyed-service.ts
@@ -8,7 +8,7 @@
 import * as owner from '@hawthornfront/once/common/owner.js';
 import * as registerMethods from '@hawthornfront/once/common/register-methods.js';
 import * as resolver from '@hawthornfront/once/common/resolver.js';
-import * as onceSettings from '@hawthornfront/once/common/settings.js';
+import type * as onceSettings from '@hawthornfront/once/common/settings.js';
 import * as witness from '@hawthornfront/once/common/witness.js';
 import * as hmacSigner from '@hawthornfront/once/node/hmac-signer.js';
 import type * as rpc from '@hawthornfront/protocol/common/rpc.js';
@@ -26,6 +26,7 @@
 	address: string;
 	region: string;
 	failureDomain: string;
+	settings: onceSettings.OnceSettings;
 };
 
 export type KeyedService = disposable.Disposable & {
@@ -38,9 +39,8 @@
 };
 
 const createGeneration = (options: KeyedServiceOptions): Generation => {
-	const {fleet, clock: time, rpcClient, region, failureDomain} = options;
+	const {fleet, clock: time, rpcClient, region, failureDomain, settings} = options;
 	const resources = disposable.createDisposableStore();
-	const settings = onceSettings.defaultSettings;
 	const self: keys.Peer = {...fleet.identity(), address: options.address};
 	const regionPeers = () => peers.regionPeers(fleet, region);
 	const domainPeers = () => peers.domainPeers(fleet, failureDomain);
@@ -114,6 +114,7 @@
 			run: async (key, fingerprint, execute) => current.execution.run(key, fingerprint, execute),
 			refuse: (key, fingerprint) => current.execution.refuse(key, fingerprint),
 			resolve: async (key, fingerprint) => current.execution.resolve(key, fingerprint),
+			outcomes: () => current.execution.outcomes(),
 			handOff: async () => current.execution.handOff(),
 			dump: () => current.execution.dump(),
 		},
--- a/packages/entry/src/node/settings.ts
+++ b/packages/entry/src/node/settings.ts
@@ -1,5 +1,13 @@
 /** Settings of the entry daemon, read from INI. */
 import * as settings from '@hawthornfront/base/node/settings.js';
+import * as hedge from '@hawthornfront/decisions/common/hedge.js';
+import * as limits from '@hawthornfront/decisions/common/limits.js';
+import * as outputEstimator from '@hawthornfront/decisions/common/output-estimator.js';
+import * as regionChooser from '@hawthornfront/decisions/common/region-chooser.js';
+import * as retryBudget from '@hawthornfront/decisions/common/retry-budget.js';
+import * as schedulerSettings from '@hawthornfront/decisions/common/scheduler-settings.js';
+import * as fleetSettings from '@hawthornfront/fleet/common/fleet-settings.js';
+import * as onceSettings from '@hawthornfront/once/node/settings.js';
 import * as zod from 'zod';
 
 const name = zod
@@ -9,16 +17,13 @@
 const milliseconds = (defaultValue: number) =>
 	settings.numberSetting(1, 3_600_000).default(defaultValue);
 
-/** One link to another region, section `[link.NAME]`. */
-const linkSchema = zod.object({
-	/** One-way delay. */
-	delayMs: settings.numberSetting(0, 60_000),
-	/** What this daemon may assume of the link, each way. */
-	bitsPerSecond: settings.numberSetting(1, 1e12),
-});
+/** Settings of the fleet as INI text; the schema of the fleet checks their ranges. */
+const fleetSection = zod
+	.record(zod.string(), zod.coerce.number('expected a number'))
+	.pipe(fleetSettings.fleetSettingsSchema.omit({sendsFullStatus: true}).partial());
 
-export const entrySettingsSchema = zod.object({
-	daemon: zod.object({
+export const entrySettingsSchema = zod.strictObject({
+	daemon: zod.strictObject({
 		name,
 		region: name,
 		failureDomain: name,
@@ -28,26 +33,40 @@
 		datagramPort: settings.numberSetting(0, 65_535),
 		logLevel: zod.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
 	}),
-	cluster: zod.object({
+	cluster: zod.strictObject({
 		name,
 		/** Shared secret of the daemons of this cluster. */
 		token: zod.string('expected a secret').min(8, 'expected at least 8 characters'),
 		/** HTTP addresses of other entry daemons. */
 		seeds: settings.listSetting(settings.addressSetting).default([]),
 	}),
-	platform: zod.object({
+	platform: zod.strictObject({
 		store: settings.addressSetting,
 		vmList: settings.addressSetting,
 		directory: settings.addressSetting,
 	}),
 	requests: zod
-		.object({
+		.strictObject({
 			firstTokenTimeoutMs: milliseconds(30_000),
 			stallTimeoutMs: milliseconds(10_000),
+		})
+		.prefault({}),
+	steering: zod
+		.strictObject({
 			/** Entry VMs of each failure domain that one team uses. */
-			entryVmsPerTeam: settings.numberSetting(1, 100).default(2),
+			vmsPerDomain: settings.numberSetting(1, 100).default(2),
+			/** Part of each limit that is split evenly, so that a domain that is cut off can go on. */
+			floorShare: settings.numberSetting(0, 1).default(0.5),
 		})
 		.prefault({}),
-	link: zod.record(name, linkSchema).default({}),
+	scheduler: schedulerSettings.schedulerSettingsSchema.prefault({}),
+	limits: limits.limiterSettingsSchema.prefault({}),
+	hedge: hedge.hedgeSettingsSchema.prefault({}),
+	retries: retryBudget.retryBudgetSettingsSchema.prefault({}),
+	/** Links to other regions are sections `[regions.links.NAME]`. */
+	regions: regionChooser.regionChooserSettingsSchema.prefault({}),
+	outputs: outputEstimator.outputEstimatorSettingsSchema.prefault({}),
+	once: onceSettings.onceSectionSchema.prefault({}),
+	fleet: fleetSection.prefault({}),
 });
 export type EntrySettings = zod.infer<typeof entrySettingsSchema>;
--- a/packages/entry/src/test/demand-ledger.test.ts
+++ b/packages/entry/src/test/demand-ledger.test.ts
@@ -13,7 +13,7 @@
 
 const createLedger = (own: number) => {
 	const clock = new manualClock.ManualClock();
-	const ledger = demandLedger.createDemandLedger(clock);
+	const ledger = demandLedger.createDemandLedger(clock, 0.3);
 	ledger.setOwn(new Map([['team', own]]));
 	return {clock, ledger};
 };
--- a/packages/entry/src/test/settings.test.ts
+++ b/packages/entry/src/test/settings.test.ts
@@ -16,17 +16,22 @@
 		);
 		t.equal(loaded.length, 7);
 		t.equal(new Set(loaded.map((item) => item.daemon.host)).size, 7);
-		for (const {daemon, cluster, link} of loaded) {
+		for (const {daemon, cluster, regions} of loaded) {
 			t.equal(cluster.seeds.length, 3);
 			t.notOk(cluster.seeds.includes(`${daemon.host}:${daemon.httpPort}`));
-			t.notOk(daemon.region in link);
-			t.equal(Object.keys(link).length, 2);
+			t.notOk(daemon.region in regions.links);
+			t.equal(Object.keys(regions.links).length, 2);
 		}
 	});
 }
 
 for (const [name, line, expected] of [
 	['wrong port', 'httpPort = 99999', 'section [daemon], key "httpPort": expected a number'],
+	[
+		'misspelt key',
+		'httpPort = 8080\nhttpPrt = 8080',
+		'section [daemon], key "httpPrt": expected only',
+	],
 	['wrong host', 'host = entry.example', 'section [daemon], key "host": expected a numeric'],
 ] as const) {
 	tap.t.test(`${name} is named with section and key`, async (t) => {
--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -7,6 +7,7 @@
 import * as path from 'node:path';
 // A namespace import makes exitCode read-only.
 import process from 'node:process';
+import * as benchControl from '@hawthornfront/fleet/node/bench-control.js';
 import * as cac from 'cac';
 import * as benchmark from '../common/benchmark.js';
 import * as htmlReport from '../common/html-report.js';
@@ -132,6 +133,11 @@
 		return;
 	}
 
+	if (args[0] === 'control') {
+		await benchControl.runControlBench({isQuick: options.quick === true, print});
+		return;
+	}
+
 	if (args.length > 0) {
 		process.stderr.write(`bench: unknown experiment "${args.join(' ')}"\n`);
 		process.exitCode = 1;
