Let the periodic work of a daemon fall due together

Change: periodic timers of one daemon share their phase, and one relay a domain reads the VM list in place of two. The charge of a request that was not run is now given back to the team's limit.

--- a/packages/entry/src/common/model-request.ts
+++ b/packages/entry/src/common/model-request.ts
@@ -224,7 +224,7 @@
 		throw error;
 	} finally {
 		services.counters.countRequest(workClass, result);
-		admitted.settle(plan.promptTokens + tokens);
+		admitted.settle(result === 'not-run' ? 0 : plan.promptTokens + tokens);
 		admitted.release();
 	}
 }
--- a/packages/entry/src/node/daemon.ts
+++ b/packages/entry/src/node/daemon.ts
@@ -2,6 +2,7 @@
 import * as buffer from 'node:buffer';
 import * as crypto from 'node:crypto';
 import * as net from 'node:net';
+import * as alignedClock from '@hawthornfront/base/common/aligned-clock.js';
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -82,7 +83,8 @@
 
 /** Starts an entry daemon. It is ready once it has a configuration. */
 export const startEntryDaemon = async (options: EntryDaemonOptions): Promise<EntryDaemon> => {
-	const {settings: config, clock: time, random: numbers, logger} = options;
+	const {settings: config, random: numbers, logger} = options;
+	const time = new alignedClock.AlignedClock(options.clock);
 	const {daemon, cluster} = config;
 	const {platform} = options;
 	const resources = disposable.createDisposableStore();
--- a/packages/entry/src/node/upstream-watch.ts
+++ b/packages/entry/src/node/upstream-watch.ts
@@ -12,7 +12,7 @@
 import * as leavingMarks from './leaving-marks.js';
 import * as loadPoller from './load-poller.js';
 
-/** Relays read the VM list this often; with one hop by datagram this keeps the bound of 3 s. */
+/** The first relay of a domain reads the VM list this often; with one hop by datagram this keeps the bound of 3 s. */
 const vmListPeriodMs = 1000;
 
 export type UpstreamWatchOptions = {
@@ -58,7 +58,8 @@
 	};
 
 	const readVmList = async () => {
-		if (!fleet.relays().includes(options.name)) {
+		// One reader a domain: two would double the load on the list for no gain.
+		if (fleet.relays()[0] !== options.name) {
 			return;
 		}
 
