--- a/packages/fleet/src/node/bench-control.ts
+++ b/packages/fleet/src/node/bench-control.ts
@@ -243,7 +243,7 @@
 	},
 };
 
-/** Runs the parts one after the other. All together take about eight minutes unless quick. */
+/** Runs the parts one after the other. All together take about eleven minutes unless quick. */
 export const runControlBench = async (
 	options: ControlBenchOptions = {},
 ): Promise<ControlBenchResult> => {
