--- a/packages/decisions/src/test/scheduler.test.ts
+++ b/packages/decisions/src/test/scheduler.test.ts
@@ -1,5 +1,6 @@
 // Guards against lost slots, work on leaving upstreams and items that wait without an end.
 import * as tap from 'tap';
+import * as decisionsSettings from '../common/decisions-settings.js';
 import * as fixtures from './fixtures.js';
 
 const {createItem, createLong, createReport, createSubject, createUpstream, never} = fixtures;
@@ -144,3 +145,30 @@
 	await clock.advance(10_000);
 	t.ok(subject.acquireNow(createItem()));
 });
+
+tap.t.test('the expected wait grows with the queue and is 0 while a slot is free', async (t) => {
+	const {subject} = createSubject();
+	subject.setUpstreams([createUpstream('a', {slots: 2})]);
+	t.equal(subject.expectedWaitMs('short', 'm'), 0);
+	await subject.acquire(createItem(), never);
+	await subject.acquire(createItem(), never);
+	const waits = [subject.expectedWaitMs('short', 'm')];
+	for (let count = 0; count < 3; count++) {
+		subject.acquire(createItem(), never);
+		waits.push(subject.expectedWaitMs('short', 'm'));
+	}
+
+	t.ok(waits.every((wait, index) => wait > (waits[index - 1] ?? 0)));
+	t.ok(subject.expectedWaitMs('long', 'm') >= waits.at(-1)!);
+});
+
+tap.t.test('settings come as text and are checked', async (t) => {
+	const parse = (input: unknown) => decisionsSettings.decisionsSettingsSchema.safeParse(input);
+	const good = parse({scheduler: {tickMs: '20'}, regions: {links: {saare: {delayMs: '40'}}}});
+	t.equal(good.data?.scheduler.tickMs, 20);
+	t.equal(good.data?.regions.links.saare?.delayMs, 40);
+	t.match(parse({hedge: {quantile: '2'}}).error?.issues[0], {
+		path: ['hedge', 'quantile'],
+		message: 'expected a number from 0 to 1',
+	});
+});
