Look at each kind of item once per pass over a full queue

With 1500 queued items of 500 teams and 60 upstreams, a release with the next assignment took 27 ms of processor time in a trial on a scratch copy, because every queued item compared all upstreams.

--- a/packages/decisions/src/common/lane.ts
+++ b/packages/decisions/src/common/lane.ts
@@ -76,7 +76,7 @@
 	return {
 		model,
 		queue,
-		shortItems: () => queue.items('short').sort((a, b) => a.enqueuedAtMs - b.enqueuedAtMs),
+		shortItems: () => queue.items('short'),
 		noteServed({item, startedAtMs}, nowMs) {
 			msPerToken.add((nowMs - startedAtMs) / Math.max(1, item.estimatedTokens), nowMs);
 		},
--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -88,6 +88,10 @@
 			continue;
 		}
 
+		if (stoppable.length === 0) {
+			continue;
+		}
+
 		const usable = stoppable.filter(({state}) => !item.excluded.has(state.upstream.name));
 		const victim = usable.find(({running}) => running.startedAtMs + settings.minimumRunMs <= nowMs);
 		if (victim) {
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -59,15 +59,55 @@
 		return assignment;
 	};
 
+	/**
+	 * Remembers during one pass for which kinds of items there is a free slot.
+	 * Without this, a full queue looks at every upstream for every item.
+	 */
+	const createPlacement = () => {
+		const known = new Map<string, boolean>();
+		const kindOf = (waiting: lane.Waiting) => `${waiting.workClass}/${isStarved(waiting)}`;
+		const canPlace = (waiting: lane.Waiting): boolean => {
+			const kind = kindOf(waiting);
+			// What is blocked for all is blocked for an item that excludes upstreams too.
+			const isKnown = known.get(kind);
+			if (isKnown === false || (isKnown && waiting.item.excluded.size === 0)) {
+				return isKnown;
+			}
+
+			const isPlaceable = pool.canAssign(waiting.item, isStarved(waiting));
+			if (waiting.item.excluded.size === 0) {
+				known.set(kind, isPlaceable);
+			}
+
+			return isPlaceable;
+		};
+
+		return {
+			canPlace,
+			place(waiting: lane.Waiting): types.Assignment | undefined {
+				const assignment = canPlace(waiting) ? assign(waiting.item, isStarved(waiting)) : undefined;
+				// Slots are only taken during a pass, so what is blocked stays blocked.
+				for (const [kind, isPlaceable] of assignment ? known : []) {
+					if (isPlaceable) {
+						known.delete(kind);
+					}
+				}
+
+				return assignment;
+			},
+		};
+	};
+
 	/** Overdue short items go first, so that no long item takes the slot of a stream that made room. */
 	const placeOverdue = (current: lane.Lane) => {
 		const overdueSinceMs = clock.nowMs() - settings.preemptAfterMs;
+		const placement = createPlacement();
 		for (const waiting of current.shortItems()) {
 			if (waiting.enqueuedAtMs > overdueSinceMs) {
 				return;
 			}
 
-			const assignment = assign(waiting.item, isStarved(waiting));
+			const assignment = placement.place(waiting);
 			if (assignment) {
 				current.queue.remove(waiting, true);
 				waiting.resolve(assignment);
@@ -76,11 +116,10 @@
 	};
 
 	const placeInTurn = ({queue}: lane.Lane) => {
+		const placement = createPlacement();
 		for (;;) {
-			const waiting = queue.take((candidate) =>
-				pool.canAssign(candidate.item, isStarved(candidate)),
-			);
-			const assignment = waiting && assign(waiting.item, isStarved(waiting));
+			const waiting = queue.take(placement.canPlace);
+			const assignment = waiting && placement.place(waiting);
 			if (!assignment) {
 				return;
 			}
--- a/packages/decisions/src/common/work-queue.ts
+++ b/packages/decisions/src/common/work-queue.ts
@@ -29,6 +29,7 @@
 	remove(item: Item, isServed: boolean): void;
 	/** Takes the next item in fair order among those that `canPlace` accepts. */
 	take(canPlace: (item: Item) => boolean): Item | undefined;
+	/** In order of arrival. */
 	items(workClass: schema.WorkClass): Item[];
 	allItems(): Item[];
 	count(workClass: schema.WorkClass): number;
@@ -38,7 +39,8 @@
 type ClassQueue<Item> = {
 	teams: Map<string, Item[]>;
 	turns: deficitRoundRobin.DeficitRoundRobin<string>;
-	count: number;
+	/** All items in order of arrival. */
+	items: Set<Item>;
 };
 
 /** Creates an empty queue. */
@@ -48,7 +50,7 @@
 	const createClassQueue = (): ClassQueue<Item> => ({
 		teams: new Map(),
 		turns: deficitRoundRobin.createDeficitRoundRobin(options.quantumTokens),
-		count: 0,
+		items: new Set(),
 	});
 	const classes: Record<schema.WorkClass, ClassQueue<Item>> = {
 		short: createClassQueue(),
@@ -73,7 +75,7 @@
 		}
 
 		items.splice(index, 1);
-		queue.count--;
+		queue.items.delete(item);
 		if (isServed) {
 			queue.turns.charge(item.team, item.cost);
 			classTurns.charge(item.workClass, item.cost);
@@ -84,12 +86,12 @@
 			queue.turns.deactivate(item.team);
 		}
 
-		if (queue.count === 0) {
+		if (queue.items.size === 0) {
 			classTurns.deactivate(item.workClass);
 		}
 	};
 
-	const itemsOf = (workClass: schema.WorkClass) => [...classes[workClass].teams.values()].flat();
+	const itemsOf = (workClass: schema.WorkClass) => [...classes[workClass].items];
 
 	return {
 		push(item, isFirst) {
@@ -102,7 +104,7 @@
 				items.push(item);
 			}
 
-			queue.count++;
+			queue.items.add(item);
 			queue.turns.activate(item.team, item.weight);
 			classTurns.activate(item.workClass, options.classWeights[item.workClass]);
 		},
@@ -126,7 +128,7 @@
 		},
 		items: itemsOf,
 		allItems: () => [...itemsOf('short'), ...itemsOf('long'), ...itemsOf('service')],
-		count: (workClass) => classes[workClass].count,
-		size: () => classes.short.count + classes.long.count + classes.service.count,
+		count: (workClass) => classes[workClass].items.size,
+		size: () => classes.short.items.size + classes.long.items.size + classes.service.items.size,
 	};
 };
