--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -171,7 +171,7 @@
 	const victims: upstreamState.Running[] = [];
 	let nextAtMs: number | undefined;
 	for (const state of options.upstreams) {
-		if (state.running.size === 0) {
+		if (!state.hasUnanswered()) {
 			continue;
 		}
 
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -3,6 +3,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as lane from './lane.js';
+import * as placement from './placement.js';
 import * as preemptorModule from './preemptor.js';
 import * as refusal from './refusal.js';
 import type * as schedulerSettings from './scheduler-settings.js';
@@ -51,63 +52,22 @@
 		}
 	};
 
-	const isStarved = (waiting: lane.Waiting) => clock.nowMs() >= waiting.starvedAtMs;
-
 	const assign = (item: types.WorkItem, starved: boolean) => {
 		const assignment = pool.assign(item, starved);
 		counters.assigned += assignment ? 1 : 0;
 		return assignment;
 	};
 
-	/**
-	 * Remembers during one pass for which kinds of items there is a free slot.
-	 * Without this, a full queue looks at every upstream for every item.
-	 */
-	const createPlacement = () => {
-		const known = new Map<string, boolean>();
-		const kindOf = (waiting: lane.Waiting) => `${waiting.workClass}/${isStarved(waiting)}`;
-		const canPlace = (waiting: lane.Waiting): boolean => {
-			const kind = kindOf(waiting);
-			// What is blocked for all is blocked for an item that excludes upstreams too.
-			const isKnown = known.get(kind);
-			if (isKnown === false || (isKnown && waiting.item.excluded.size === 0)) {
-				return isKnown;
-			}
-
-			const isPlaceable = pool.canAssign(waiting.item, isStarved(waiting));
-			if (waiting.item.excluded.size === 0) {
-				known.set(kind, isPlaceable);
-			}
-
-			return isPlaceable;
-		};
-
-		return {
-			canPlace,
-			place(waiting: lane.Waiting): types.Assignment | undefined {
-				const assignment = canPlace(waiting) ? assign(waiting.item, isStarved(waiting)) : undefined;
-				// Slots are only taken during a pass, so what is blocked stays blocked.
-				for (const [kind, isPlaceable] of assignment ? known : []) {
-					if (isPlaceable) {
-						known.delete(kind);
-					}
-				}
-
-				return assignment;
-			},
-		};
-	};
-
 	/** Overdue short items go first, so that no long item takes the slot of a stream that made room. */
 	const placeOverdue = (current: lane.Lane) => {
 		const overdueSinceMs = clock.nowMs() - settings.preemptAfterMs;
-		const placement = createPlacement();
+		const pass = placement.createPlacement({clock, pool, assign});
 		for (const waiting of current.shortItems()) {
 			if (waiting.enqueuedAtMs > overdueSinceMs) {
 				return;
 			}
 
-			const assignment = placement.place(waiting);
+			const assignment = pass.place(waiting);
 			if (assignment) {
 				current.queue.remove(waiting, true);
 				waiting.resolve(assignment);
@@ -116,10 +76,10 @@
 	};
 
 	const placeInTurn = ({queue}: lane.Lane) => {
-		const placement = createPlacement();
+		const pass = placement.createPlacement({clock, pool, assign});
 		for (;;) {
-			const waiting = queue.take(placement.canPlace);
-			const assignment = waiting && placement.place(waiting);
+			const waiting = queue.take(pass.canPlace);
+			const assignment = waiting && pass.place(waiting);
 			if (!assignment) {
 				return;
 			}
