--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -79,8 +79,14 @@
 		const pass = placement.createPlacement({clock, pool, assign});
 		for (;;) {
 			const waiting = queue.take(pass.canPlace);
-			const assignment = waiting && pass.place(waiting);
+			if (!waiting) {
+				return;
+			}
+
+			const assignment = pass.place(waiting);
 			if (!assignment) {
+				// An item that is neither queued nor assigned would wait until its deadline.
+				queue.push(waiting, true);
 				return;
 			}
 
--- a/packages/decisions/src/common/upstream-choice.ts
+++ b/packages/decisions/src/common/upstream-choice.ts
@@ -93,7 +93,8 @@
 		free.length <= settings.maxScannedUpstreams
 			? free
 			: [...free.filter((state) => state === owner), random.pick(free)!, random.pick(free)!];
-	let best: upstreamState.UpstreamState | undefined;
+	// An estimate that is not a number must not leave free slots unused.
+	let [best] = compared;
 	let bestMs = Number.POSITIVE_INFINITY;
 	for (const state of compared) {
 		const firstTokenMs = state.firstTokenMs[item.workClass].value(nowMs);
--- a/packages/decisions/src/test/scheduler-properties.test.ts
+++ b/packages/decisions/src/test/scheduler-properties.test.ts
@@ -96,7 +96,7 @@
 			}
 
 			case 'release': {
-				const live = [...running][next.index];
+				const live = [...running][next.index % Math.max(1, running.size)];
 				if (live) {
 					running.delete(live);
 					live.assignment!.release('answered');
@@ -107,7 +107,7 @@
 			}
 
 			case 'abort': {
-				[...waiting][next.index]?.controller.abort();
+				[...waiting][next.index % Math.max(1, waiting.size)]?.controller.abort();
 				break;
 			}
 
@@ -151,6 +151,15 @@
 			return 'slots in use differ from assignments';
 		}
 
+		const hasIdle = upstreams.some(
+			({name}) =>
+				!leaving.has(name) &&
+				[...running].every(({assignment}) => assignment!.upstream.name !== name),
+		);
+		if (hasIdle && waiting.size > 0 && !reported) {
+			return 'work waits beside an idle upstream';
+		}
+
 		const hasOldStream = [...running].some(
 			({item, assignment}) =>
 				item.workClass === 'long' &&
