--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -88,6 +88,10 @@
 			continue;
 		}
 
+		if (stoppable.length === 0) {
+			continue;
+		}
+
 		const usable = stoppable.filter(({state}) => !item.excluded.has(state.upstream.name));
 		const victim = usable.find(({running}) => running.startedAtMs + settings.minimumRunMs <= nowMs);
 		if (victim) {
@@ -167,7 +171,7 @@
 	const victims: upstreamState.Running[] = [];
 	let nextAtMs: number | undefined;
 	for (const state of options.upstreams) {
-		if (state.running.size === 0) {
+		if (!state.hasUnanswered()) {
 			continue;
 		}
 
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -3,6 +3,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as lane from './lane.js';
+import * as placement from './placement.js';
 import * as preemptorModule from './preemptor.js';
 import * as refusal from './refusal.js';
 import type * as schedulerSettings from './scheduler-settings.js';
@@ -51,8 +52,6 @@
 		}
 	};
 
-	const isStarved = (waiting: lane.Waiting) => clock.nowMs() >= waiting.starvedAtMs;
-
 	const assign = (item: types.WorkItem, starved: boolean) => {
 		const assignment = pool.assign(item, starved);
 		counters.assigned += assignment ? 1 : 0;
@@ -62,12 +61,13 @@
 	/** Overdue short items go first, so that no long item takes the slot of a stream that made room. */
 	const placeOverdue = (current: lane.Lane) => {
 		const overdueSinceMs = clock.nowMs() - settings.preemptAfterMs;
+		const pass = placement.createPlacement({clock, pool, assign});
 		for (const waiting of current.shortItems()) {
 			if (waiting.enqueuedAtMs > overdueSinceMs) {
 				return;
 			}
 
-			const assignment = assign(waiting.item, isStarved(waiting));
+			const assignment = pass.place(waiting);
 			if (assignment) {
 				current.queue.remove(waiting, true);
 				waiting.resolve(assignment);
@@ -76,12 +76,17 @@
 	};
 
 	const placeInTurn = ({queue}: lane.Lane) => {
+		const pass = placement.createPlacement({clock, pool, assign});
 		for (;;) {
-			const waiting = queue.take((candidate) =>
-				pool.canAssign(candidate.item, isStarved(candidate)),
-			);
-			const assignment = waiting && assign(waiting.item, isStarved(waiting));
+			const waiting = queue.take(pass.canPlace);
+			if (!waiting) {
+				return;
+			}
+
+			const assignment = pass.place(waiting);
 			if (!assignment) {
+				// An item that is neither queued nor assigned would wait until its deadline.
+				queue.push(waiting, true);
 				return;
 			}
 
