--- a/packages/entry/src/node/settings.ts
+++ b/packages/entry/src/node/settings.ts
@@ -1,11 +1,6 @@
 /** Settings of the entry daemon, read from INI. */
 import * as settings from '@hawthornfront/base/node/settings.js';
-import * as hedge from '@hawthornfront/decisions/common/hedge.js';
-import * as limits from '@hawthornfront/decisions/common/limits.js';
-import * as outputEstimator from '@hawthornfront/decisions/common/output-estimator.js';
-import * as regionChooser from '@hawthornfront/decisions/common/region-chooser.js';
-import * as retryBudget from '@hawthornfront/decisions/common/retry-budget.js';
-import * as schedulerSettings from '@hawthornfront/decisions/common/scheduler-settings.js';
+import * as decisionsSettings from '@hawthornfront/decisions/common/decisions-settings.js';
 import * as fleetSettings from '@hawthornfront/fleet/common/fleet-settings.js';
 import * as onceSettings from '@hawthornfront/once/node/settings.js';
 import * as zod from 'zod';
@@ -51,21 +46,7 @@
 			stallTimeoutMs: milliseconds(10_000),
 		})
 		.prefault({}),
-	steering: zod
-		.strictObject({
-			/** Entry VMs of each failure domain that one team uses. */
-			vmsPerDomain: settings.numberSetting(1, 100).default(2),
-			/** Part of each limit that is split evenly, so that a domain that is cut off can go on. */
-			floorShare: settings.numberSetting(0, 1).default(0.5),
-		})
-		.prefault({}),
-	scheduler: schedulerSettings.schedulerSettingsSchema.prefault({}),
-	limits: limits.limiterSettingsSchema.prefault({}),
-	hedge: hedge.hedgeSettingsSchema.prefault({}),
-	retries: retryBudget.retryBudgetSettingsSchema.prefault({}),
-	/** Links to other regions are sections `[regions.links.NAME]`. */
-	regions: regionChooser.regionChooserSettingsSchema.prefault({}),
-	outputs: outputEstimator.outputEstimatorSettingsSchema.prefault({}),
+	...decisionsSettings.decisionsSettingsSchema.shape,
 	once: onceSettings.onceSectionSchema.prefault({}),
 	fleet: fleetSection.prefault({}),
 });
