Bound the cost of pre-emption by a budget of recomputed tokens

Streams now make room after 1,500 ms instead of 150 ms and only once, the victim is the stream with the least to compute again, prompt included, and each stop is charged to a budget that earns 3% of the tokens of assigned work.

--- a/packages/decisions/src/common/preemption.ts
+++ b/packages/decisions/src/common/preemption.ts
@@ -38,6 +38,10 @@
 	!running.isPreempted &&
 	(running.item.preemptions ?? 0) < maxPreemptions;
 
+/** Tokens that are computed again when the stream resumes on an upstream without its cache. */
+export const recomputedTokens = ({item, tokens}: upstreamState.Running): number =>
+	(item.promptTokens ?? 0) + tokens;
+
 type Stoppable = {state: upstreamState.UpstreamState; running: upstreamState.Running};
 
 /** Streams of an upstream that may be stopped; none where even that would not make room. */
@@ -71,8 +75,7 @@
 	const {waiting, upstreams, nowMs, settings} = options;
 	let pending = countStopping(upstreams);
 	const stoppable = upstreams.flatMap((state) => stoppableOn(state, options));
-	// Generated tokens are computed again on resume, so the stream with the fewest is stopped first.
-	stoppable.sort((a, b) => a.running.tokens - b.running.tokens);
+	stoppable.sort((a, b) => recomputedTokens(a.running) - recomputedTokens(b.running));
 	const victims: upstreamState.Running[] = [];
 	let nextAtMs: number | undefined;
 	for (const {item, enqueuedAtMs} of waiting) {
@@ -132,7 +135,7 @@
 	const {nowMs, settings} = options;
 	const stoppable = [...state.running]
 		.filter((running) => canPreempt(running, state, settings.maxPreemptions))
-		.sort((a, b) => a.tokens - b.tokens);
+		.sort((a, b) => recomputedTokens(a) - recomputedTokens(b));
 	const stuck = unansweredShort(state, options);
 	const overdue = stuck.filter(({dueAtMs}) => dueAtMs <= nowMs);
 	for (const {running} of overdue) {
--- a/packages/decisions/src/common/preemptor.ts
+++ b/packages/decisions/src/common/preemptor.ts
@@ -3,6 +3,7 @@
 import type * as lane from './lane.js';
 import * as preemption from './preemption.js';
 import type * as schedulerSettings from './scheduler-settings.js';
+import type * as types from './types.js';
 import type * as upstreamPool from './upstream-pool.js';
 import type * as upstreamState from './upstream-state.js';
 
@@ -15,6 +16,8 @@
 export type Preemptor = {
 	/** Stops streams for overdue items and returns when to look again; Infinity when nothing is due. */
 	run(lanes: readonly lane.Lane[]): number;
+	/** Earns budget for work that was assigned. */
+	noteAssigned(item: types.WorkItem): void;
 	/** Streams stopped since the start. */
 	count(): number;
 };
@@ -22,8 +25,21 @@
 /** Creates a preemptor. */
 export const createPreemptor = ({clock, pool, settings}: PreemptorOptions): Preemptor => {
 	let count = 0;
+	let savedTokens = settings.maxSavedRecomputedTokens;
 
-	const carryOut = ({victims, nextAtMs}: preemption.PreemptionPlan): number => {
+	/** Without a budget, a rising load stops ever more streams and computes ever more again. */
+	const isAffordable = (victim: upstreamState.Running): boolean => {
+		const tokens = preemption.recomputedTokens(victim);
+		if (tokens > savedTokens) {
+			return false;
+		}
+
+		savedTokens -= tokens;
+		return true;
+	};
+
+	const carryOut = ({victims: planned, nextAtMs}: preemption.PreemptionPlan): number => {
+		const victims = planned.filter((victim) => isAffordable(victim));
 		// All are marked first, since a listener may release at once and start the next plan.
 		for (const victim of victims) {
 			victim.isPreempted = true;
@@ -52,6 +68,12 @@
 
 			return nextAtMs;
 		},
+		noteAssigned({estimatedTokens}) {
+			savedTokens = Math.min(
+				settings.maxSavedRecomputedTokens,
+				savedTokens + estimatedTokens * settings.maxRecomputedShare,
+			);
+		},
 		count: () => count,
 	};
 };
--- a/packages/decisions/src/common/scheduler-settings.ts
+++ b/packages/decisions/src/common/scheduler-settings.ts
@@ -30,11 +30,15 @@
 	starvedLongAfterMs: setting.number(20_000, 0, 600_000),
 
 	/** Wait of a short item after which a long stream makes room. */
-	preemptAfterMs: setting.number(150, 0, 60_000),
+	preemptAfterMs: setting.number(1500, 0, 60_000),
 	/** A long stream runs at least this long before it makes room. */
-	minimumRunMs: setting.number(1000, 0, 600_000),
+	minimumRunMs: setting.number(2000, 0, 600_000),
 	/** How often one request makes room. */
-	maxPreemptions: setting.number(3, 0, 100),
+	maxPreemptions: setting.number(1, 0, 100),
+	/** Tokens that may be computed again for stopped streams, per token of assigned work. */
+	maxRecomputedShare: setting.share(0.03),
+	/** Tokens of that budget that can be saved up; the budget starts full. */
+	maxSavedRecomputedTokens: setting.number(10_000, 0, 100_000_000),
 
 	/** Delay between the observation and the receipt of a load report. */
 	reportLagMs: setting.number(300, 0, 60_000),
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -55,7 +55,11 @@
 
 	const assign = (item: types.WorkItem, starved: boolean) => {
 		const assignment = pool.assign(item, starved);
-		counters.assigned += assignment ? 1 : 0;
+		if (assignment) {
+			counters.assigned++;
+			preemptor.noteAssigned(item);
+		}
+
 		return assignment;
 	};
 
--- a/packages/decisions/src/common/types.ts
+++ b/packages/decisions/src/common/types.ts
@@ -12,6 +12,8 @@
 	model: string;
 	/** Tokens of the prompt and of the expected output. */
 	estimatedTokens: number;
+	/** Tokens of the prompt alone, which a resumed stream computes again; 0 when absent. */
+	promptTokens?: number;
 	/** Hash of the start of the prompt, for cache affinity. */
 	prefixHash?: string;
 	/** On the monotonic clock of this process. */
--- a/packages/decisions/src/test/scheduler-preemption.test.ts
+++ b/packages/decisions/src/test/scheduler-preemption.test.ts
@@ -128,3 +128,45 @@
 		stuck.release('cancelled');
 	},
 );
+
+tap.t.test('the stream with the least to compute again is stopped, prompt included', async (t) => {
+	const {clock, subject} = createSubject(settings);
+	subject.setUpstreams([createUpstream('a', {slots: 3})]);
+	const fired: string[] = [];
+	for (const [team, promptTokens, tokens] of [
+		['x', 4000, 10],
+		['y', 100, 500],
+	] as const) {
+		const long = await subject.acquire(createLong({team, promptTokens}), never);
+		long.noteTokens(tokens);
+		long.onDidPreempt(() => fired.push(team));
+	}
+
+	subject.acquire(createItem(), never);
+	await clock.advance(2000);
+	subject.acquire(createItem(), never);
+	await clock.advance(2000);
+	t.equal(fired[0], 'y');
+});
+
+tap.t.test('streams are stopped only within the budget of recomputed tokens', async (t) => {
+	const {clock, subject} = createSubject({
+		...settings,
+		maxSavedRecomputedTokens: 1000,
+		maxRecomputedShare: 0.01,
+	});
+	subject.setUpstreams([createUpstream('a', {slots: 2}), createUpstream('b', {slots: 2})]);
+	const stopped: string[] = [];
+	for (const team of ['x', 'y']) {
+		const long = await subject.acquire(createLong({team, promptTokens: 600}), never);
+		long.onDidPreempt(() => stopped.push(team));
+	}
+
+	await clock.advance(2000);
+	for (let count = 0; count < 6; count++) {
+		subject.acquire(createItem(), never);
+	}
+
+	await clock.advance(5000);
+	t.equal(stopped.length, 1, 'the budget covers one of the two streams');
+});
--- a/packages/entry/src/common/model-request.ts
+++ b/packages/entry/src/common/model-request.ts
@@ -127,6 +127,7 @@
 			team: team.name,
 			model,
 			estimatedTokens: promptTokens + outputTokens,
+			promptTokens,
 			prefixHash: services.digests.sha256(openai.promptPrefix(prompt)),
 			deadlineAtMs: deadline.deadlineOf(
 				entry,
