Reserve two fifths of the slots for short work

Daemons that share a runner see each other's long starts only in lagged reports, so a quarter of the slots was taken by long streams before short work arrived, and short items waited for a stop.

--- a/packages/decisions/src/common/scheduler-settings.ts
+++ b/packages/decisions/src/common/scheduler-settings.ts
@@ -19,7 +19,7 @@
 	tickMs: setting.number(50, 1, 10_000),
 
 	/** Share of the slots of each upstream that long work leaves to short work. */
-	reservedShare: setting.share(0.25),
+	reservedShare: setting.share(0.4),
 	/** Without short work for this time, nothing is reserved. */
 	reserveForMs: setting.number(60_000, 0, 86_400_000),
 	/** Share of slots given on top, so that the queue of the engine is not empty. */
