--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -54,7 +54,11 @@
 
 	const assign = (item: types.WorkItem, starved: boolean) => {
 		const assignment = pool.assign(item, starved);
-		counters.assigned += assignment ? 1 : 0;
+		if (assignment) {
+			counters.assigned++;
+			preemptor.noteAssigned(item);
+		}
+
 		return assignment;
 	};
 
