--- a/packages/demo/src/test/world/world.ts
+++ b/packages/demo/src/test/world/world.ts
@@ -19,8 +19,12 @@
 import * as platformServices from '@hawthornfront/platform/common/platform-services.js';
 import * as catalogueRecords from './records.js';
 import * as memoryHttp from './memory-http.js';
+import * as observedClient from './observed-client.js';
 import * as stepUpstream from './step-upstream.js';
 
+/** Address of all callers. */
+export const callerAddress = '10.2.0.1:1';
+
 const localDelayMs = 0.5;
 const regionDelayMs = 50;
 /** Long enough for expected waits to reach the other region by the relays. */
@@ -61,6 +65,8 @@
 	callerClient: httpClient.HttpClient;
 	/** Called at each step of each request; a fault may happen in it. */
 	hook: stepUpstream.StepHook;
+	/** Told of each request between processes. */
+	observer: observedClient.Observer;
 	setCut(from: string, to: string, isCut: boolean): void;
 	/** One-way delay between regions. */
 	regionDelayMs: number;
@@ -153,6 +159,9 @@
 	const owned = disposable.createDisposableStore();
 	const endpoint = network.attach(place.address);
 	const client = http.createClient(place.address);
+	const observed = observedClient.createObservedClient(client, place.address, (...at) =>
+		world.observer(...at),
+	);
 	const [host, port] = place.address.split(':');
 	class HookedClient extends httpClient.HttpClient {
 		override async request(request: httpClient.HttpRequest) {
@@ -162,11 +171,11 @@
 				await world.hook('before-dispatch', request.peer, text);
 			}
 
-			return client.request(request);
+			return observed.request(request);
 		}
 
 		override async close() {
-			await client.close();
+			await observed.close();
 		}
 	}
 
@@ -257,8 +266,13 @@
 		vmList: new memoryStore.MemoryVmList(),
 		upstreams: new Map(),
 		entryVms: [],
-		callerClient: http.createClient('10.2.0.1:1'),
+		callerClient: observedClient.createObservedClient(
+			http.createClient(callerAddress),
+			callerAddress,
+			(...at) => world.observer(...at),
+		),
 		hook: async () => undefined,
+		observer: () => undefined,
 		regionDelayMs,
 		setCut(from, to, isCutNow) {
 			if (isCutNow) {
