Let slowed runners of the experiments give tokens every few iterations

A runner of an experiment combines up to 64 iterations into a step, which keeps its speed and gives its tokens at its end. A slowdown thus began late, lasted up to 14 s longer and showed no token meanwhile, for all policies. Scenarios with slowdowns now combine at most 4 iterations.

--- a/packages/load/src/common/prompts.ts
+++ b/packages/load/src/common/prompts.ts
@@ -6,7 +6,7 @@
 /** Model that all runners of the experiments serve. */
 export const modelName = 'model';
 
-/** Settings that keep virtual time fast; they do not change any time of the model. */
+/** Settings that keep virtual time fast; without a slowdown they do not change any time of the model. */
 export const runnerSettings: Partial<runnerTypes.RunnerSettings> = {
 	maxIterationsPerStep: 64,
 	maxBufferedTokens: 1_000_000,
--- a/packages/load/src/common/scenarios.ts
+++ b/packages/load/src/common/scenarios.ts
@@ -121,6 +121,11 @@
 	},
 ];
 
+// A step keeps the speed that it started with and gives its tokens at its end. With
+// steps of 64 iterations a slowdown began up to 1.4 s late, lasted up to 14 s longer
+// and showed no token meanwhile.
+const slowedIterationsPerStep = 4;
+
 const burstPeriodMs = 90_000;
 const firstBurstMs = 20_000;
 
@@ -166,7 +171,9 @@
 			regions: customer.regions.map((_region, index) =>
 				regionSetup(customer, situation, index, durationMs),
 			),
-			runner: customer.runner,
+			runner: situation.slowdown
+				? {...customer.runner, maxIterationsPerStep: slowedIterationsPerStep}
+				: customer.runner,
 			slowdown: situation.slowdown,
 		})),
 	);
