Move short streams off upstreams that slow down suddenly

Ejection kept new work away, but streams that ran on the upstream stayed, and in a group of two the cap let nothing be ejected. The newest token intervals, at 8 times those of the peers, now eject at once and also in a group of two, and the scheduler moves the streams with few tokens to compute again to free slots elsewhere, two per 100 ms and within the budget.

--- a/packages/decisions/src/common/ejection-settings.ts
+++ b/packages/decisions/src/common/ejection-settings.ts
@@ -9,6 +9,13 @@
 	minimumExcessMs: setting.number(250, 0, 600_000),
 	/** The same for the time between tokens. */
 	minimumTokenExcessMs: setting.number(20, 0, 600_000),
+	/**
+	 * Ratio of the newest token intervals to the median of the peers that ejects at once.
+	 * The prefill of long prompts beside a stream gave up to 6 in experiments.
+	 */
+	suddenRatio: setting.number(8, 1, 1000),
+	/** Age up to which token intervals are the newest. */
+	suddenWindowMs: setting.number(3000, 1, 600_000),
 	/** Samples that must be recent before a median counts. */
 	minimumSamples: setting.number(4, 1, 1000),
 	windowSamples: setting.number(16, 1, 1000),
--- a/packages/decisions/src/common/ejection.ts
+++ b/packages/decisions/src/common/ejection.ts
@@ -23,6 +23,8 @@
 	/** Judges all upstreams; `unansweredMs` is the age of the oldest request without its first token. */
 	evaluate(unansweredMs: (name: string, workClass: schema.WorkClass) => number): void;
 	stateOf(name: string): EjectionState;
+	/** Whether it is out of use because its streams became many times slower than those of its peers. */
+	isSuddenlySlow(name: string): boolean;
 	/** Share of slots that may be used: 0 when ejected, 1 in normal use. */
 	shareOf(name: string): number;
 	/** Ejections since the start. */
@@ -35,8 +37,11 @@
 	returnedAtMs: number;
 	ejectionsInRow: number;
 	consecutiveFailures: number;
+	isSuddenlySlow: boolean;
 	firstTokens: Record<schema.WorkClass, sampleWindow.SampleWindow>;
 	tokenIntervals: sampleWindow.SampleWindow;
+	/** The newest of them, which show a sudden slowdown before the median of all does. */
+	newestIntervals: sampleWindow.SampleWindow;
 };
 
 const classes: readonly schema.WorkClass[] = ['short', 'long', 'service'];
@@ -59,8 +64,13 @@
 		returnedAtMs: 0,
 		ejectionsInRow: 0,
 		consecutiveFailures: 0,
+		isSuddenlySlow: false,
 		firstTokens: {short: createWindow(), long: createWindow(), service: createWindow()},
 		tokenIntervals: createWindow(),
+		newestIntervals: sampleWindow.createSampleWindow(
+			settings.minimumSamples,
+			settings.suddenWindowMs,
+		),
 	});
 
 	/** Moves states that change with time alone. */
@@ -95,14 +105,17 @@
 	};
 
 	/** The cap holds in every group, and one upstream of every group stays in use. */
-	const mayEject = (name: string) => {
+	const mayEject = (name: string, isSudden: boolean) => {
 		for (const names of groups.values()) {
 			if (!names.has(name)) {
 				continue;
 			}
 
 			const out = [...names].filter((other) => other !== name && isOut(other)).length + 1;
-			if (out > names.size * settings.maxEjectedShare || out >= names.size) {
+			// A share of a small group is less than one, which only a sudden slowdown may exceed.
+			const share = names.size * settings.maxEjectedShare;
+			const limit = isSudden ? Math.max(1, share) : share;
+			if (out > limit || out >= names.size) {
 				return false;
 			}
 		}
@@ -110,18 +123,23 @@
 		return true;
 	};
 
-	const eject = (name: string) => {
+	const eject = (name: string, isSudden = false) => {
 		const item = judged.get(name)!;
-		if (item.state === 'ejected' || (!isOut(name) && !mayEject(name))) {
+		if (item.state === 'ejected' || (!isOut(name) && !mayEject(name, isSudden))) {
 			return;
 		}
 
 		const factor = 2 ** Math.min(item.ejectionsInRow, 16);
 		item.state = 'ejected';
 		item.untilMs = clock.nowMs() + Math.min(settings.maxBackOffMs, settings.backOffMs * factor);
+		item.isSuddenlySlow = isSudden;
 		item.ejectionsInRow++;
 		item.consecutiveFailures = 0;
-		for (const window of [...Object.values(item.firstTokens), item.tokenIntervals]) {
+		for (const window of [
+			...Object.values(item.firstTokens),
+			item.tokenIntervals,
+			item.newestIntervals,
+		]) {
 			window.clear();
 		}
 
@@ -182,13 +200,20 @@
 		}
 
 		const interval = item.tokenIntervals.median(nowMs, settings.minimumSamples);
+		if (interval === undefined) {
+			return false;
+		}
+
+		const peers = peerMedian(name, (other) => other.tokenIntervals);
+		return peers !== undefined && isAbove(interval, peers, settings.minimumTokenExcessMs);
+	};
+
+	/** A slowdown of many times shows in the newest tokens alone. */
+	const isFarOff = (name: string, item: Judged): boolean => {
+		const newest = item.newestIntervals.median(clock.nowMs(), settings.minimumSamples);
 		const peers =
-			interval === undefined ? undefined : peerMedian(name, (other) => other.tokenIntervals);
-		return (
-			interval !== undefined &&
-			peers !== undefined &&
-			isAbove(interval, peers, settings.minimumTokenExcessMs)
-		);
+			newest === undefined ? undefined : peerMedian(name, (other) => other.tokenIntervals);
+		return newest !== undefined && peers !== undefined && newest > peers * settings.suddenRatio;
 	};
 
 	const finishProbe = (item: Judged) => {
@@ -238,7 +263,9 @@
 		},
 		noteTokenInterval(name, intervalMs) {
 			if (!isOut(name)) {
-				judged.get(name)?.tokenIntervals.add(intervalMs, clock.nowMs());
+				const item = judged.get(name);
+				item?.tokenIntervals.add(intervalMs, clock.nowMs());
+				item?.newestIntervals.add(intervalMs, clock.nowMs());
 			}
 		},
 		noteFailure(name) {
@@ -269,12 +296,18 @@
 
 			evaluatedAtMs = nowMs;
 			for (const [name, item] of judged) {
-				if (update(item).state !== 'ejected' && isOutlier(name, item, unansweredMs)) {
-					eject(name);
+				if (update(item).state === 'ejected') {
+					continue;
+				}
+
+				const isSudden = isFarOff(name, item);
+				if (isSudden || isOutlier(name, item, unansweredMs)) {
+					eject(name, isSudden);
 				}
 			}
 		},
 		stateOf,
+		isSuddenlySlow: (name) => isOut(name) && judged.get(name)?.isSuddenlySlow === true,
 		shareOf(name) {
 			const state = stateOf(name);
 			if (state === 'returning') {
--- a/packages/decisions/src/common/preemptor.ts
+++ b/packages/decisions/src/common/preemptor.ts
@@ -2,44 +2,30 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as lane from './lane.js';
 import * as preemption from './preemption.js';
+import type * as recomputeBudget from './recompute-budget.js';
 import type * as schedulerSettings from './scheduler-settings.js';
-import type * as types from './types.js';
 import type * as upstreamPool from './upstream-pool.js';
-import type * as upstreamState from './upstream-state.js';
 
 export type PreemptorOptions = {
 	clock: clock.Clock;
 	pool: upstreamPool.UpstreamPool;
 	settings: schedulerSettings.SchedulerSettings;
+	budget: recomputeBudget.RecomputeBudget;
 };
 
 export type Preemptor = {
 	/** Stops streams for overdue items and returns when to look again; Infinity when nothing is due. */
 	run(lanes: readonly lane.Lane[]): number;
-	/** Earns budget for work that was assigned. */
-	noteAssigned(item: types.WorkItem): void;
 	/** Streams stopped since the start. */
 	count(): number;
 };
 
 /** Creates a preemptor. */
-export const createPreemptor = ({clock, pool, settings}: PreemptorOptions): Preemptor => {
+export const createPreemptor = ({clock, pool, settings, budget}: PreemptorOptions): Preemptor => {
 	let count = 0;
-	let savedTokens = settings.maxSavedRecomputedTokens;
-
-	/** Without a budget, a rising load stops ever more streams and computes ever more again. */
-	const isAffordable = (victim: upstreamState.Running): boolean => {
-		const tokens = preemption.recomputedTokens(victim);
-		if (tokens > savedTokens) {
-			return false;
-		}
-
-		savedTokens -= tokens;
-		return true;
-	};
 
 	const carryOut = ({victims: planned, nextAtMs}: preemption.PreemptionPlan): number => {
-		const victims = planned.filter((victim) => isAffordable(victim));
+		const victims = planned.filter((victim) => budget.tryTake(preemption.recomputedTokens(victim)));
 		// All are marked first, since a listener may release at once and start the next plan.
 		for (const victim of victims) {
 			victim.isPreempted = true;
@@ -68,12 +54,6 @@
 
 			return nextAtMs;
 		},
-		noteAssigned({estimatedTokens}) {
-			savedTokens = Math.min(
-				settings.maxSavedRecomputedTokens,
-				savedTokens + estimatedTokens * settings.maxRecomputedShare,
-			);
-		},
 		count: () => count,
 	};
 };
--- a/packages/decisions/src/common/scheduler-settings.ts
+++ b/packages/decisions/src/common/scheduler-settings.ts
@@ -40,6 +40,18 @@
 	/** Tokens of that budget that can be saved up; the budget starts full. */
 	maxSavedRecomputedTokens: setting.number(10_000, 0, 100_000_000),
 
+	/** How often the streams on ejected upstreams are looked at. */
+	moveEveryMs: setting.number(100, 1, 60_000),
+	/** Streams moved per look, so that they do not fill the other upstreams at once. */
+	maxMovesAtOnce: setting.number(2, 0, 1000),
+	/**
+	 * Streams with more tokens to compute again are not moved: in experiments their second
+	 * prefill delayed the short work of the other upstreams by more than it saved.
+	 */
+	maxMovedTokens: setting.number(1000, 0, 100_000_000),
+	/** Stops of any kind after which a request is not moved. */
+	maxMoves: setting.number(3, 0, 100),
+
 	/** Delay between the observation and the receipt of a load report. */
 	reportLagMs: setting.number(300, 0, 60_000),
 	/** Reports that are older than this are not used. */
--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -3,7 +3,9 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as lane from './lane.js';
+import * as moverModule from './mover.js';
 import * as preemptorModule from './preemptor.js';
+import * as recomputeBudget from './recompute-budget.js';
 import * as refusal from './refusal.js';
 import type * as schedulerSettings from './scheduler-settings.js';
 import type * as types from './types.js';
@@ -22,7 +24,9 @@
 	const pool = upstreamPool.createUpstreamPool(options);
 	const lanes = new Map<string, lane.Lane>();
 	const queuedByTeam = new Map<string, number>();
-	const preemptor = preemptorModule.createPreemptor({clock, pool, settings});
+	const budget = recomputeBudget.createRecomputeBudget(settings);
+	const preemptor = preemptorModule.createPreemptor({clock, pool, settings, budget});
+	const mover = moverModule.createMover({clock, pool, settings, budget});
 	const counters = {assigned: 0, overloaded: 0, expired: 0};
 	let queued = 0;
 	let timer: disposable.Disposable | undefined;
@@ -57,7 +61,10 @@
 		const assignment = pool.assign(item, starved);
 		if (assignment) {
 			counters.assigned++;
-			preemptor.noteAssigned(item);
+			budget.noteAssigned(item.estimatedTokens);
+			if (item.canBeMoved) {
+				mover.start();
+			}
 		}
 
 		return assignment;
@@ -278,6 +285,7 @@
 		dump: () => ({
 			...counters,
 			preempted: preemptor.count(),
+			moved: mover.count(),
 			queued,
 			inFlight: pool.inFlight(),
 			lanes: [...lanes.values()].map(({model, queue}) => ({
@@ -291,6 +299,7 @@
 		dispose() {
 			isDisposed = true;
 			timer?.dispose();
+			mover.dispose();
 			subscription.dispose();
 			for (const {queue} of lanes.values()) {
 				for (const waiting of queue.allItems()) {
--- a/packages/decisions/src/common/types.ts
+++ b/packages/decisions/src/common/types.ts
@@ -18,7 +18,10 @@
 	prefixHash?: string;
 	/** On the monotonic clock of this process. */
 	deadlineAtMs: number;
+	/** Whether it may be stopped for other work. */
 	canBePreempted: boolean;
+	/** Whether it may be resumed on another upstream when its own is slow; not when absent. */
+	canBeMoved?: boolean;
 	/** Names of upstreams that already failed this request. */
 	excluded: ReadonlySet<string>;
 	/** Weight of the team in its class; 1 when absent. */
--- a/packages/decisions/src/common/upstream-pool.ts
+++ b/packages/decisions/src/common/upstream-pool.ts
@@ -38,6 +38,10 @@
 	hasFreeSlot(model: string, workClass: schema.WorkClass): boolean;
 	/** Takes a slot of the best upstream; undefined when none is free. */
 	assign(item: types.WorkItem, isStarved: boolean): types.Assignment | undefined;
+	/** Whether the upstream is out of use because its streams became many times slower. */
+	isSuddenlySlow(state: upstreamState.UpstreamState): boolean;
+	/** Judges the upstreams by what was observed; {@link assign} does it as well. */
+	evaluate(): void;
 	/** Whether {@link assign} would succeed. */
 	canAssign(item: types.WorkItem, isStarved: boolean): boolean;
 	inFlight(): number;
@@ -139,15 +143,21 @@
 
 	const isFree = (
 		state: upstreamState.UpstreamState,
-		item: Pick<types.WorkItem, 'workClass' | 'model'>,
+		item: Pick<types.WorkItem, 'workClass' | 'model' | 'preemptions'>,
 		isStarved: boolean,
 	) => {
+		const isProbing = ejected.stateOf(state.upstream.name) === 'probing';
+		// A stream that was moved off a slow upstream must not be the probe of one.
+		if (isProbing && (item.preemptions ?? 0) > 0) {
+			return false;
+		}
+
 		const question: slots.SlotQuestion = {
 			state,
 			workClass: item.workClass,
 			nowMs: clock.nowMs(),
 			share: shareOf(state),
-			isProbing: ejected.stateOf(state.upstream.name) === 'probing',
+			isProbing,
 			isShortActive: isShortActive(item.model),
 			isStarved,
 		};
@@ -239,6 +249,8 @@
 		usableSlots: (state) => slots.usableSlots({state, nowMs: clock.nowMs(), share: shareOf(state)}),
 		hasFreeSlot: (model, workClass) =>
 			candidates(model).some((state) => isFree(state, {model, workClass}, false)),
+		isSuddenlySlow: (state) => ejected.isSuddenlySlow(state.upstream.name),
+		evaluate,
 		canAssign: (item, isStarved) => freeFor(item, isStarved).length > 0,
 		assign(item, isStarved) {
 			const free = freeFor(item, isStarved);
--- /dev/null
+++ b/packages/decisions/src/test/mover.test.ts
@@ -0,0 +1,63 @@
+// Guards against streams that stay on a slowed upstream, and against moves without a place or budget.
+import * as tap from 'tap';
+import type * as types from '../common/types.js';
+import * as fixtures from './fixtures.js';
+
+const {createItem, createSubject, createUpstream, never} = fixtures;
+
+type Options = {
+	item?: Partial<types.WorkItem>;
+	/** Streams that cannot be resumed, from the first on. */
+	immovable?: number;
+	slots?: number;
+	settings?: Record<string, unknown>;
+};
+
+/** Four streams on each of two upstreams; those of `a` are ten times slower. Returns who was moved. */
+const runSlowed = async ({
+	item,
+	immovable = 0,
+	slots = 8,
+	settings,
+}: Options): Promise<string[]> => {
+	const {clock, subject} = createSubject(settings);
+	subject.setUpstreams(['a', 'b'].map((name) => createUpstream(name, {slots})));
+	const running: types.Assignment[] = [];
+	const moved: string[] = [];
+	for (let count = 0; count < 8; count++) {
+		const fields = {promptTokens: 100, canBeMoved: count >= immovable, ...item};
+		const made = await subject.acquire(createItem(fields), never);
+		made.onDidPreempt(() => moved.push(made.upstream.name));
+		running.push(made);
+	}
+
+	for (let step = 0; step < 8; step++) {
+		await clock.advance(250);
+		for (const made of running) {
+			made.noteTokens(made.upstream.name === 'a' ? 1 : 10);
+		}
+	}
+
+	await clock.advance(300);
+	return moved;
+};
+
+tap.t.test('streams move off a slowed upstream, also in a group of two', async (t) => {
+	t.same(await runSlowed({}), ['a', 'a', 'a', 'a']);
+});
+
+for (const [name, options] of [
+	['that were stopped often enough', {item: {preemptions: 3}}],
+	['that are expensive to compute again', {item: {promptTokens: 1500}}],
+	['that the budget does not cover', {settings: {maxSavedRecomputedTokens: 50}}],
+	['that find no free slot elsewhere', {slots: 4}],
+] as const) {
+	tap.t.test(`streams ${name} stay`, async (t) => {
+		t.same(await runSlowed(options), []);
+	});
+}
+
+tap.t.test('streams that cannot be resumed stay beside one that moves', async (t) => {
+	const moved = await runSlowed({immovable: 7});
+	t.ok(moved.length <= 1);
+});
