--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -17,6 +17,7 @@
 import type * as summary from '../common/summary.js';
 import * as targets from '../common/targets.js';
 import * as textTable from '../common/text-table.js';
+import * as benchGateway from './bench-gateway.js';
 
 const fullPlan = {seeds: 5, durationMs: 360_000};
 const quickPlan = {seeds: 2, durationMs: 120_000};
@@ -138,6 +139,11 @@
 		return;
 	}
 
+	if (args[0] === 'gateway') {
+		await benchGateway.runGatewayBench({isQuick: options.quick === true, print});
+		return;
+	}
+
 	if (args.length > 0) {
 		process.stderr.write(`bench: unknown experiment "${args.join(' ')}"\n`);
 		process.exitCode = 1;
