Use one timer and no promise race for the tokens of a stream

Cause: every token of a stream made a timer and raced its read against one long-lived promise, which keeps a reaction for each race until the attempt ends. Change: one stall timer an attempt, armed again only when it fires, and a direct rejection.

--- a/packages/entry/src/common/attempt.ts
+++ b/packages/entry/src/common/attempt.ts
@@ -4,6 +4,7 @@
 import type * as event from '@hawthornfront/base/common/event.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as runnerClient from './runner-client.js';
+import * as stallWatch from './stall-watch.js';
 
 /** Where an attempt goes: an upstream of this region, or a daemon of another region. */
 export type AttemptSource = {
@@ -76,6 +77,9 @@
 	let hasEnded = false;
 	let hasFirstToken = false;
 	let mayHaveRun = false;
+	let endReason: Error | undefined;
+	let parts: AsyncIterator<runnerClient.StreamPart> | undefined;
+	let rejectPending: ((reason: Error) => void) | undefined;
 
 	const end: Attempt['end'] = (result, reason) => {
 		if (hasEnded) {
@@ -88,7 +92,9 @@
 		if (result === 'answered') {
 			void readToEnd();
 		} else {
-			controller.abort(reason ?? new AttemptInterrupted('lost-race', 'the attempt was ended'));
+			endReason = reason ?? new AttemptInterrupted('lost-race', 'the attempt was ended');
+			controller.abort(endReason);
+			rejectPending?.(endReason);
 		}
 	};
 
@@ -108,12 +114,12 @@
 			end('cancelled', reason);
 		}),
 	);
-	const aborted = new Promise<never>((_resolve, reject) => {
-		controller.signal.addEventListener('abort', () => {
-			reject(controller.signal.reason as Error);
-		});
-	});
-	aborted.catch(() => undefined);
+	const watch = resources.add(
+		stallWatch.createStallWatch(clock, (limitMs) => {
+			const detail = `${source.name} sent no token for ${limitMs} ms`;
+			end('failed', new AttemptInterrupted('stalled', detail));
+		}),
+	);
 
 	const opened = client.open({
 		...request,
@@ -143,10 +149,10 @@
 			controller.abort(new AttemptInterrupted('stalled', 'the stream has no end'));
 		}, endTimeoutMs);
 		try {
-			const parts = await iterator;
-			let result = await parts.next();
+			const rest = await iterator;
+			let result = await rest.next();
 			while (!result.done) {
-				result = await parts.next();
+				result = await rest.next();
 			}
 		} catch {
 			// The answer is whole already.
@@ -155,19 +161,23 @@
 		}
 	};
 
-	const withStallLimit = async <T>(pending: Promise<T>): Promise<T> => {
-		const limitMs = hasFirstToken ? limits.stallTimeoutMs : limits.firstTokenTimeoutMs;
-		const timer = clock.setTimer(() => {
-			const detail = `${source.name} sent no token for ${limitMs} ms`;
-			end('failed', new AttemptInterrupted('stalled', detail));
-		}, limitMs);
-		try {
-			return await Promise.race([pending, aborted]);
-		} finally {
-			timer.dispose();
-		}
+	const read = async (): Promise<IteratorResult<runnerClient.StreamPart>> => {
+		parts ??= await iterator;
+		return parts.next();
 	};
 
+	/** Reads one part; rejects at once when the attempt ends meanwhile. */
+	const readUnlessEnded = async (): Promise<IteratorResult<runnerClient.StreamPart>> =>
+		new Promise((resolve, reject) => {
+			if (endReason) {
+				reject(endReason);
+				return;
+			}
+
+			rejectPending = reject;
+			read().then(resolve, reject);
+		});
+
 	if (callerSignal.aborted) {
 		onCallerAbort();
 	}
@@ -178,9 +188,9 @@
 			return mayHaveRun;
 		},
 		async next() {
-			const pending = iterator.then(async (parts) => parts.next());
-			pending.catch(() => undefined);
-			const result = await withStallLimit(pending);
+			watch.begin(hasFirstToken ? limits.stallTimeoutMs : limits.firstTokenTimeoutMs);
+			const result = await readUnlessEnded();
+			watch.end();
 			if (result.done) {
 				return undefined;
 			}
--- /dev/null
+++ b/packages/entry/src/common/stall-watch.ts
@@ -0,0 +1,63 @@
+/**
+ * Notices when a reader waits too long. One timer serves many waits: it is only
+ * armed again when it fires, because a timer for each token of a stream costs
+ * more than the token.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+
+export type StallWatch = disposable.Disposable & {
+	/** A wait begins that may take up to `limitMs`. */
+	begin(limitMs: number): void;
+	/** The wait is over. */
+	end(): void;
+};
+
+/** Creates a watch; `onStall` is called once, with the limit that was exceeded. */
+export const createStallWatch = (
+	time: clock.Clock,
+	onStall: (limitMs: number) => void,
+): StallWatch => {
+	let timer: disposable.Disposable | undefined;
+	let timerDueMs = Number.POSITIVE_INFINITY;
+	let waitingSinceMs: number | undefined;
+	let currentLimitMs = 0;
+
+	const arm = (delayMs: number) => {
+		timer?.dispose();
+		timerDueMs = time.nowMs() + delayMs;
+		timer = time.setTimer(check, delayMs);
+	};
+
+	const check = () => {
+		timer = undefined;
+		timerDueMs = Number.POSITIVE_INFINITY;
+		if (waitingSinceMs === undefined) {
+			return;
+		}
+
+		const remainingMs = waitingSinceMs + currentLimitMs - time.nowMs();
+		if (remainingMs > 0) {
+			arm(remainingMs);
+		} else {
+			onStall(currentLimitMs);
+		}
+	};
+
+	return {
+		begin(limitMs) {
+			waitingSinceMs = time.nowMs();
+			currentLimitMs = limitMs;
+			if (timerDueMs > waitingSinceMs + limitMs) {
+				arm(limitMs);
+			}
+		},
+		end() {
+			waitingSinceMs = undefined;
+		},
+		dispose() {
+			timer?.dispose();
+			waitingSinceMs = undefined;
+		},
+	};
+};
