Move a stream only where another upstream can continue it

A free slot of an upstream that does not resume streams counted as a place, so a stream in a mixed group could be stopped and then wait.

--- a/packages/decisions/src/common/mover.ts
+++ b/packages/decisions/src/common/mover.ts
@@ -39,11 +39,13 @@
 		preemption.recomputedTokens(running) <= settings.maxMovedTokens &&
 		(running.item.preemptions ?? 0) < settings.maxMoves;
 
-	const hasOtherPlace = ({state, running: {item}}: Candidate) =>
-		pool.canAssign(
-			{...item, excluded: new Set([...item.excluded, state.upstream.name]), preemptions: 1},
-			false,
-		);
+	/** A stream resumes only on an upstream that continues at a token. */
+	const hasOtherPlace = ({state, running: {item}}: Candidate) => {
+		const others = [...pool.all()].filter(({upstream}) => !upstream.resumesStreams);
+		const names = [state, ...others].map(({upstream}) => upstream.name);
+		const excluded = new Set([...item.excluded, ...names]);
+		return pool.canAssign({...item, excluded, preemptions: 1}, false);
+	};
 
 	const findCandidates = (): Candidate[] =>
 		[...pool.all()]
--- a/packages/decisions/src/test/mover.test.ts
+++ b/packages/decisions/src/test/mover.test.ts
@@ -10,6 +10,8 @@
 	/** Streams that cannot be resumed, from the first on. */
 	immovable?: number;
 	slots?: number;
+	/** Whether the healthy upstream continues streams. */
+	resumesStreams?: boolean;
 	settings?: Record<string, unknown>;
 };
 
@@ -18,10 +20,14 @@
 	item,
 	immovable = 0,
 	slots = 8,
+	resumesStreams = true,
 	settings,
 }: Options): Promise<string[]> => {
 	const {clock, subject} = createSubject(settings);
-	subject.setUpstreams(['a', 'b'].map((name) => createUpstream(name, {slots})));
+	subject.setUpstreams([
+		createUpstream('a', {slots}),
+		createUpstream('b', {slots, resumesStreams}),
+	]);
 	const running: types.Assignment[] = [];
 	const moved: string[] = [];
 	for (let count = 0; count < 8; count++) {
@@ -51,6 +57,7 @@
 	['that are expensive to compute again', {item: {promptTokens: 1500}}],
 	['that the budget does not cover', {settings: {maxSavedRecomputedTokens: 50}}],
 	['that find no free slot elsewhere', {slots: 4}],
+	['that no other upstream can continue', {resumesStreams: false}],
 ] as const) {
 	tap.t.test(`streams ${name} stay`, async (t) => {
 		t.same(await runSlowed(options), []);
