Try orders again while their owner is paused

Cause: in the pair of a pause and a retry elsewhere, the retry was forwarded to the paused owner and waited there, so no cell reached the witness while the owner was paused. Change: a retry 10 s into the pause, when the fleet has given the owner up. The verdict of a copy that is sent after the first verdict is checked as well.

--- a/packages/demo/src/test/matrix/cell.ts
+++ b/packages/demo/src/test/matrix/cell.ts
@@ -213,10 +213,10 @@
 		laterVerdicts.push(last);
 	}
 
-	// The second fault may have sent the copy together with a later try.
-	const copyVerdict = await settleCopy();
 	const sinceActionMs = system.clock.nowMs() - lastActionMs;
 	await system.clock.advance(second ? Math.max(0, pairAftermathMs - sinceActionMs) : aftermathMs);
+	// The second fault may have sent the copy together with a later try, or after the verdict.
+	const copyVerdict = await settleCopy();
 	const alive = system.entryVms.filter((item) => item.isAlive);
 	const leftInFlight = alive.reduce((sum, item) => sum + inFlight(item), 0);
 	const result = {
--- a/packages/demo/src/test/matrix/faults.ts
+++ b/packages/demo/src/test/matrix/faults.ts
@@ -167,9 +167,22 @@
 	},
 ];
 
+const retryInPauseMs = 10_000;
+
+/** Only after a pause: the fleet has given the paused daemon up by then, so the witness resolves the key. */
+export const retryDuringPause: Fault = {
+	name: 'caller tries again elsewhere during the pause',
+	isHarmlessAtHome: false,
+	apply(context) {
+		later(context, retryInPauseMs, () => {
+			context.sendAgain();
+		});
+	},
+};
+
 /** @throws Error when there is no fault of this name. */
 export const faultNamed = (name: string): Fault => {
-	const found = faults.find((fault) => fault.name === name);
+	const found = [...faults, retryDuringPause].find((fault) => fault.name === name);
 	if (!found) {
 		throw new Error(`there is no fault "${name}"`);
 	}
--- a/packages/demo/src/test/pairs.test.ts
+++ b/packages/demo/src/test/pairs.test.ts
@@ -13,12 +13,20 @@
 	second: string;
 	/** The second fault strikes the upstream that took over. */
 	isAtOtherUpstream?: boolean;
+	/** The second fault strikes at the step of the first only. */
+	isAtSameStep?: boolean;
 	/** Neither fault may cost the caller its answer. */
 	isHarmless?: boolean;
 };
 
 const pairs: Pair[] = [
 	{kind: 'order', first: 'entry daemon pauses', second: 'caller tries again elsewhere'},
+	{
+		kind: 'order',
+		first: 'entry daemon pauses',
+		second: faults.retryDuringPause.name,
+		isAtSameStep: true,
+	},
 	{kind: 'order', first: 'entry daemon crashes', second: 'witness crashes'},
 	{kind: 'order', first: 'entry daemon pauses', second: 'witness crashes'},
 	{
@@ -92,7 +100,11 @@
 
 /** Why the second fault cannot strike at `at` after a first one at `step`. */
 const impossible = (pair: Pair, step: Step, at: cell.SecondFault['at']): string | undefined => {
-	const {first, isAtOtherUpstream} = pair;
+	const {first, isAtOtherUpstream, isAtSameStep} = pair;
+	if (isAtSameStep && at !== step) {
+		return 'later steps follow the pause';
+	}
+
 	const last = lastStepReached(first, step);
 	if (at === 'first-retry') {
 		return last === undefined || step === 'after-answer'
