--- a/packages/fleet/src/node/fleet.ts
+++ b/packages/fleet/src/node/fleet.ts
@@ -1,4 +1,5 @@
 /** Puts the parts of membership and distribution together behind one interface. */
+import * as events from 'node:events';
 import type * as clockService from '@hawthornfront/base/common/clock.js';
 import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -60,6 +61,8 @@
 	const {clock, random} = options;
 	const settings = fleetSettings.fleetSettingsSchema.parse(options.settings ?? {});
 	const stop = new AbortController();
+	// Each call in progress listens to it; reading a new configuration makes many at once.
+	events.EventEmitter.setMaxListeners(0, stop.signal);
 	const owned = disposable.createDisposableStore();
 	// The wall clock is read once: it makes incarnations grow across restarts without a disk.
 	const incarnation = options.self.incarnation ?? Math.max(1, Math.floor(clock.wallMs() / 1000));
--- a/packages/standins/src/node/service-standin.ts
+++ b/packages/standins/src/node/service-standin.ts
@@ -3,6 +3,7 @@
  * path. It records each execution, so that a test can prove at-most-once.
  */
 import * as crypto from 'node:crypto';
+import * as events from 'node:events';
 import type * as clockModule from '@hawthornfront/base/common/clock.js';
 import * as h3 from 'h3';
 import * as standinServer from './standin-server.js';
@@ -79,6 +80,8 @@
 	const counts = {received: 0, receivedWhileLeaving: 0, executed: 0, refused: 0};
 	const executions: Execution[] = [];
 	const closing = new AbortController();
+	// Every request in progress listens to it.
+	events.EventEmitter.setMaxListeners(0, closing.signal);
 
 	const execute = (exchange: standinServer.Exchange): Execution => {
 		const idempotencyKey = exchange.request.headers['idempotency-key'];
