Share the command line of the daemons, the load report and the pausable clock

Three programs had the same start-up code, two packages the same schema of a load report, and two the same clock for tests. Behaviour is the same, but a wrong command line of hawthornfront-entry and hawthornfront-standins now ends with code 2, as that of hawthornfront-placer did.

--- /dev/null
+++ b/packages/base/src/node/daemon-program.ts
@@ -0,0 +1,55 @@
+/** Command line shared by the programs that run until a signal: `--config`, `--help`, `--version`. */
+// A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
+import process from 'node:process';
+import * as cac from 'cac';
+
+/** Version of all programs of this repository. */
+export const version = '0.1.0';
+
+/** Exit code for a wrong command line or wrong settings. */
+export const usageExitCode = 2;
+
+export type DaemonProgram = {
+	name: string;
+	description: string;
+	/** Starts the program from its settings file and returns what stops it. @throws Error for wrong settings. */
+	start(file: string): Promise<() => Promise<void>>;
+};
+
+const stopOnSignal = (stop: () => Promise<void>): void => {
+	for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+		process.once(signal, () => {
+			void stop();
+		});
+	}
+};
+
+/** Writes one line to standard error and sets the exit code. */
+export const failWith = (name: string, error: unknown): void => {
+	const message = error instanceof Error ? error.message : String(error);
+	process.stderr.write(`${name}: ${message.replaceAll(/\s*\n\s*/gu, ' ')}\n`);
+	process.exitCode = usageExitCode;
+};
+
+/** Reads the command line, starts the program and stops it on SIGINT or SIGTERM. */
+export const runDaemonProgram = async (program: DaemonProgram): Promise<void> => {
+	const cli = cac.cac(program.name);
+	cli
+		.command('', program.description)
+		.option('--config <file>', 'Settings in INI format')
+		.action(async (options: {config?: unknown}) => {
+			if (typeof options.config !== 'string') {
+				throw new TypeError('expected --config FILE.ini');
+			}
+
+			stopOnSignal(await program.start(options.config));
+		});
+	cli.help();
+	cli.version(version);
+	try {
+		cli.parse(process.argv, {run: false});
+		await cli.runMatchedCommand();
+	} catch (error) {
+		failWith(program.name, error);
+	}
+};
--- a/packages/decisions/src/common/types.ts
+++ b/packages/decisions/src/common/types.ts
@@ -1,8 +1,8 @@
 /** Interface between the scheduler and the request engine of the entry daemon. */
-import * as zod from 'zod';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as event from '@hawthornfront/base/common/event.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
+import type * as loadReport from '@hawthornfront/protocol/common/load-report.js';
 
 /** A request as far as scheduling needs to know it; holds no content. */
 export type WorkItem = {
@@ -45,18 +45,8 @@
 	release(result: ReleaseResult): void;
 };
 
-/** Lagged report of a runner, as read from `GET /load`. */
-export const loadReportSchema = zod.object({
-	running: zod.number().int().nonnegative(),
-	waiting: zod.number().int().nonnegative(),
-	slots: zod.number().int().nonnegative(),
-	leaving: zod.boolean(),
-	model: zod.string(),
-	role: zod.string(),
-	/** On a clock of the reporter; only compared with other reports of the same upstream. */
-	observedAtMs: zod.number(),
-});
-export type LoadReport = zod.infer<typeof loadReportSchema>;
+/** Lagged report of a runner. Its time is only compared with other reports of the same upstream. */
+export type LoadReport = loadReport.LoadReport;
 
 /** Holds the queues and everything known about the upstreams of one region. */
 export type Scheduler = disposable.Disposable & {
--- a/packages/fleet/src/test/fleet-cluster.ts
+++ b/packages/fleet/src/test/fleet-cluster.ts
@@ -1,7 +1,6 @@
 /** A cluster of fleets on a manual clock and an in-memory network. */
-import * as clockService from '@hawthornfront/base/common/clock.js';
-import * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as pausableClock from '@hawthornfront/base/common/pausable-clock.js';
 import * as randomNumbers from '@hawthornfront/base/common/random.js';
 import * as catalogue from '@hawthornfront/catalogue/common/schema.js';
 import * as partition from '@hawthornfront/catalogue/node/partition.js';
@@ -12,61 +11,13 @@
 import * as memoryStore from '../common/memory-store.js';
 import * as fleets from '../node/fleet.js';
 
-/** Clock of one process: its timers wait while the process is paused. */
-class PausableClock extends clockService.Clock {
-	readonly #clock: clockService.Clock;
-	#waiting: Array<() => void> | undefined;
-
-	constructor(clock: clockService.Clock) {
-		super();
-		this.#clock = clock;
-	}
-
-	override nowMs() {
-		return this.#clock.nowMs();
-	}
-
-	override wallMs() {
-		return this.#clock.wallMs();
-	}
-
-	override setTimer(callback: () => void, delayMs: number) {
-		let isDisposed = false;
-		const run = () => {
-			if (!isDisposed) {
-				callback();
-			}
-		};
-
-		const timer = this.#clock.setTimer(() => {
-			if (this.#waiting) {
-				this.#waiting.push(run);
-			} else {
-				run();
-			}
-		}, delayMs);
-		return disposable.toDisposable(() => {
-			isDisposed = true;
-			timer.dispose();
-		});
-	}
-
-	setPaused(isPaused: boolean) {
-		const due = this.#waiting ?? [];
-		this.#waiting = isPaused ? due : undefined;
-		for (const run of isPaused ? [] : due) {
-			run();
-		}
-	}
-}
-
 export type Place = {name: string; region: string; failureDomain: string; address: string};
 
 export type Node = {
 	place: Place;
 	fleet: fleetInterface.Fleet;
 	endpoint: memoryNetwork.Endpoint;
-	clock: PausableClock;
+	clock: pausableClock.PausableClock;
 	/** Revisions in the order in which they came into force. */
 	revisions: number[];
 };
@@ -126,7 +77,7 @@
 		): Node {
 			const endpoint = network.attach(place.address);
 			const {name, region, failureDomain, address} = place;
-			const ownClock = new PausableClock(clock);
+			const ownClock = new pausableClock.PausableClock(clock);
 			const fleet = fleets.createFleet({
 				self: {
 					name,
