--- a/packages/demo/src/test/world/session.ts
+++ b/packages/demo/src/test/world/session.ts
@@ -22,6 +22,8 @@
 	headers?: Record<string, string>;
 	body?: string;
 	signal?: AbortSignal;
+	/** True for a caller in the other region. */
+	isFromAway?: boolean;
 };
 
 const parseStream = (text: string): Verdict => {
@@ -44,7 +46,8 @@
 /** Sends one request and reads its answer to the end. Never rejects. */
 export const send = async (system: world.World, request: Request): Promise<Verdict> => {
 	try {
-		const answer = await system.callerClient.request({
+		const client = request.isFromAway ? system.awayCallerClient : system.callerClient;
+		const answer = await client.request({
 			peer: request.address,
 			method: request.method ?? 'POST',
 			path: request.path,
@@ -122,8 +125,15 @@
 });
 
 /** Fresh idempotency key that an entry VM issues. */
-export const takeKey = async (system: world.World, address: string): Promise<string> => {
-	const verdict = await settle(system, send(system, {address, method: 'GET', path: '/v1/entries'}));
+export const takeKey = async (
+	system: world.World,
+	address: string,
+	isFromAway = false,
+): Promise<string> => {
+	const verdict = await settle(
+		system,
+		send(system, {address, method: 'GET', path: '/v1/entries', isFromAway}),
+	);
 	if (verdict.kind !== 'whole') {
 		throw new Error(`no entry list from ${address}`);
 	}
--- a/packages/demo/src/test/world/world.ts
+++ b/packages/demo/src/test/world/world.ts
@@ -24,6 +24,10 @@
 
 /** Address of all callers. */
 export const callerAddress = '10.2.0.1:1';
+/** The same for a caller in the other region. */
+const awayCallerAddress = '10.2.1.1:1';
+
+const awayAddresses = new Set(['10.0.0.3:80', '10.0.0.4:80', awayCallerAddress]);
 
 const localDelayMs = 0.5;
 const regionDelayMs = 50;
@@ -62,9 +66,14 @@
 	vmList: memoryStore.MemoryVmList;
 	upstreams: Map<string, stepUpstream.StepUpstream>;
 	entryVms: EntryVm[];
+	/** Client of the callers at home. */
 	callerClient: httpClient.HttpClient;
+	/** Client of the callers in the other region. */
+	awayCallerClient: httpClient.HttpClient;
 	/** Called at each step of each request; a fault may happen in it. */
 	hook: stepUpstream.StepHook;
+	/** Told of the address of each entry VM that reads the body of a request. */
+	onBodyRead: (address: string) => void;
 	/** Told of each request between processes. */
 	observer: observedClient.Observer;
 	setCut(from: string, to: string, isCut: boolean): void;
@@ -96,7 +105,12 @@
 }
 
 const createServerStarter =
-	(http: memoryHttp.MemoryHttp, numbers: random.Random, owned: disposable.DisposableStore) =>
+	(
+		http: memoryHttp.MemoryHttp,
+		numbers: random.Random,
+		owned: disposable.DisposableStore,
+		onBodyRead: (address: string) => void,
+	) =>
 	async (options: httpServer.HttpServerOptions): Promise<httpServer.HttpServer> => {
 		const {handlers, port} = options;
 		const forwardPrefix = '/internal/forward';
@@ -120,7 +134,10 @@
 					headers: request.headers ?? {},
 					isForwarded,
 					signal,
-					readBody: async () => bytes,
+					async readBody() {
+						onBodyRead(`${options.host}:${port}`);
+						return bytes;
+					},
 				}));
 			const iterable = answer.body;
 			if (typeof iterable !== 'string' && !(iterable instanceof Uint8Array)) {
@@ -206,7 +223,9 @@
 		socket: endpoint.socket,
 		datagramAddress: place.address,
 		platform: {store: world.store, vmList: world.vmList, directory},
-		startServer: createServerStarter(http, numbers.fork(), owned),
+		startServer: createServerStarter(http, numbers.fork(), owned, (address) => {
+			world.onBodyRead(address);
+		}),
 	});
 	let isAlive = true;
 	return {
@@ -246,9 +265,7 @@
 	const paused = new Set<string>();
 	const cuts = new Set<string>();
 	const regionOf = (address: string): string =>
-		address.startsWith('10.1.1.') || address === '10.0.0.3:80' || address === '10.0.0.4:80'
-			? 'away'
-			: 'home';
+		awayAddresses.has(address) || address.startsWith('10.1.1.') ? 'away' : 'home';
 	const delayMs = (from: string, to: string) =>
 		regionOf(from) === regionOf(to) ? localDelayMs : world.regionDelayMs;
 	const isCut = (from: string, to: string) => cuts.has(`${regionOf(from)}>${regionOf(to)}`);
@@ -268,12 +285,14 @@
 		vmList: new memoryStore.MemoryVmList(),
 		upstreams: new Map(),
 		entryVms: [],
+		awayCallerClient: http.createClient(awayCallerAddress),
 		callerClient: observedClient.createObservedClient(
 			http.createClient(callerAddress),
 			callerAddress,
 			(...at) => world.observer(...at),
 		),
 		hook: async () => undefined,
+		onBodyRead: () => undefined,
 		observer: () => undefined,
 		regionDelayMs,
 		setCut(from, to, isCutNow) {
