Wait for a slot before the intent of a non-idempotent request is recorded

Cause: the intent was recorded before the request waited in the queue, so a crash of the owner meanwhile left 'unknown' for good although nothing ran. Change: the owner prepares first and records the intent when the slot is held.

--- a/packages/demo/src/test/promises.test.ts
+++ b/packages/demo/src/test/promises.test.ts
@@ -92,7 +92,7 @@
 		const leaving = system.upstreams.get('10.1.0.1:1')!;
 		const run = async (count: number) => {
 			for (let number = 0; number < count; number++) {
-				const {address} = (system.entryVms[number % 2]!);
+				const {address} = system.entryVms[number % 2]!;
 				const verdict = await ask(system, session.chat(address, 'ask', `q ${number}`));
 				t.equal(verdict.kind, 'whole');
 			}
--- a/packages/entry/src/common/engine-services.ts
+++ b/packages/entry/src/common/engine-services.ts
@@ -88,6 +88,8 @@
 		key: string,
 		fingerprint: string,
 		execute: (markSent: () => () => void) => Promise<serviceAnswer.WholeAnswer>,
+		/** Waits for a slot before anything is recorded about the request. */
+		prepare: () => Promise<void>,
 	): Promise<serviceAnswer.WholeAnswer>;
 	/**
 	 * Refuses a key of this daemon for good; undefined when a request under it was
--- a/packages/entry/src/common/keyed-execution.ts
+++ b/packages/entry/src/common/keyed-execution.ts
@@ -40,8 +40,8 @@
 			? {kind: 'other', address: live.address}
 			: {kind: 'gone'};
 	},
-	async run(key, fingerprint, execute) {
-		const {answer} = await parts.owner.run(key, fingerprint, execute);
+	async run(key, fingerprint, execute, prepare) {
+		const {answer} = await parts.owner.run(key, fingerprint, execute, {prepare});
 		if (!answer.body) {
 			throw new gatewayError.GatewayException(ownerErrors.answerNotKept());
 		}
--- a/packages/entry/src/common/service-attempts.ts
+++ b/packages/entry/src/common/service-attempts.ts
@@ -28,6 +28,38 @@
 	signal: AbortSignal;
 };
 
+/** A slot for the first attempt of a call, acquired ahead of it. */
+export type Place = {
+	acquire(): Promise<void>;
+	/** The slot, once; undefined when there is none. */
+	take(): types.Assignment | undefined;
+	/** Gives back a slot that was not taken. */
+	release(): void;
+};
+
+/** Creates a place without a slot. A call that the old setup carries needs none. */
+export const createPlace = (call: ServiceCall): Place => {
+	const {services, context, item, signal} = call;
+	let assignment: types.Assignment | undefined;
+	const take = () => {
+		const taken = assignment;
+		assignment = undefined;
+		return taken;
+	};
+
+	return {
+		async acquire() {
+			if (!oldSetup.chooseOldSetup(services.digests, context)) {
+				assignment = await services.scheduler.acquire(item, signal);
+			}
+		},
+		take,
+		release() {
+			take()?.release('cancelled');
+		},
+	};
+};
+
 /** An error that follows an attempt which may have run cannot say `not-run`. */
 export const withOutcome = (error: unknown, mayHaveRun: boolean): unknown =>
 	mayHaveRun && error instanceof gatewayError.GatewayException && error.error.outcome === 'not-run'
@@ -151,8 +183,11 @@
 	call: ServiceCall,
 	excluded: Set<string>,
 	markSent?: MarkSent,
+	place?: Place,
 ): Promise<serviceAnswer.WholeAnswer> => {
-	const assignment = await call.services.scheduler.acquire({...call.item, excluded}, call.signal);
+	const {scheduler} = call.services;
+	const assignment =
+		place?.take() ?? (await scheduler.acquire({...call.item, excluded}, call.signal));
 	const first = start(call, assignment, excluded, markSent);
 	const second = markSent ? undefined : await startHedge(call, first, excluded);
 	if (!second) {
@@ -198,13 +233,14 @@
 export const runWithRetries = async (
 	call: ServiceCall,
 	markSent?: MarkSent,
+	place?: Place,
 ): Promise<serviceAnswer.WholeAnswer> => {
 	const excluded = new Set<string>();
 	let mayHaveRun = false;
 	for (let attempts = 1; ; attempts++) {
 		try {
 			const old = attempts === 1 ? await runAtOldSetup(call, markSent) : undefined;
-			return old ?? (await runOnce(call, excluded, markSent));
+			return old ?? (await runOnce(call, excluded, markSent, place));
 		} catch (error) {
 			const isKnown = error instanceof gatewayError.GatewayException;
 			mayHaveRun ||= !isKnown || error.error.outcome !== 'not-run';
--- a/packages/entry/src/common/service-request.ts
+++ b/packages/entry/src/common/service-request.ts
@@ -94,17 +94,20 @@
 ): Promise<serviceAnswer.WholeAnswer> => {
 	const {services, item} = call;
 	const admitted = admitKeyed(call, key, fingerprint);
+	// Other callers may share this execution, so it does not end with this one.
+	const limit = deadline.createDeadlineSignal(services.clock, item.deadlineAtMs);
+	const shared = {...call, signal: limit.signal};
+	const place = serviceAttempts.createPlace(shared);
 	try {
-		return await services.keyedExecution.run(key, fingerprint, async (markSent) => {
-			// Other callers may share this execution, so it does not end with this one.
-			const limit = deadline.createDeadlineSignal(services.clock, item.deadlineAtMs);
-			try {
-				return await serviceAttempts.runWithRetries({...call, signal: limit.signal}, markSent);
-			} finally {
-				limit.dispose();
-			}
-		});
+		return await services.keyedExecution.run(
+			key,
+			fingerprint,
+			async (markSent) => serviceAttempts.runWithRetries(shared, markSent, place),
+			async () => place.acquire(),
+		);
 	} finally {
+		limit.dispose();
+		place.release();
 		admitted?.release();
 	}
 };
--- a/packages/entry/src/node/keyed-service.ts
+++ b/packages/entry/src/node/keyed-service.ts
@@ -111,7 +111,8 @@
 		execution: {
 			issue: (count) => current.execution.issue(count),
 			ownerOf: (key) => current.execution.ownerOf(key),
-			run: async (key, fingerprint, execute) => current.execution.run(key, fingerprint, execute),
+			run: async (key, fingerprint, execute, prepare) =>
+				current.execution.run(key, fingerprint, execute, prepare),
 			refuse: (key, fingerprint) => current.execution.refuse(key, fingerprint),
 			resolve: async (key, fingerprint) => current.execution.resolve(key, fingerprint),
 			outcomes: () => current.execution.outcomes(),
--- a/packages/once/src/common/execution.ts
+++ b/packages/once/src/common/execution.ts
@@ -16,6 +16,18 @@
  */
 export type Execute = (markSent: MarkSent) => Promise<answer.Answer>;
 
+/** How a request is run under its key. */
+export type RunOptions = {
+	/** Attempts while none has called `markSent`; 1 by default. */
+	maxAttempts?: number;
+	/**
+	 * Waits for what the attempt needs, such as a slot, before the intent is
+	 * recorded. When the owner crashes during this wait, the witness can still
+	 * tell that the request was not run. A rejection refuses the key.
+	 */
+	prepare?: () => Promise<void>;
+};
+
 export type AttemptResult =
 	| {kind: 'answered'; answer: answer.Answer}
 	| {kind: 'failed'; isSent: boolean; error: gatewayError.GatewayError};
--- a/packages/once/src/common/owner-execution.ts
+++ b/packages/once/src/common/owner-execution.ts
@@ -33,7 +33,7 @@
 	perform(
 		record: ownerRecords.OwnerRecord,
 		execute: execution.Execute,
-		maxAttempts: number,
+		runOptions?: execution.RunOptions,
 	): Promise<answerModule.Answer>;
 	/** Refuses a record for good. */
 	refuse(
@@ -141,6 +141,20 @@
 		return error;
 	};
 
+	/** Returns an error when the preparation failed; no intent was recorded then. */
+	const prepare = async (
+		record: ownerRecords.OwnerRecord,
+		runOptions?: execution.RunOptions,
+	): Promise<gatewayError.GatewayException | undefined> => {
+		try {
+			await runOptions?.prepare?.();
+			return undefined;
+		} catch (error) {
+			const known = execution.toGatewayError(error);
+			return refuseRecord(record, 'failed-before-sending', known);
+		}
+	};
+
 	const checkSend = (record: ownerRecords.OwnerRecord): gatewayError.GatewayError | undefined => {
 		if (options.isStopped()) {
 			return ownerErrors.stopping();
@@ -198,16 +212,16 @@
 	const perform = async (
 		record: ownerRecords.OwnerRecord,
 		execute: execution.Execute,
-		maxAttempts: number,
+		runOptions?: execution.RunOptions,
 	): Promise<answerModule.Answer> => {
 		try {
-			const refusal = await recordIntent(record);
+			const refusal = (await prepare(record, runOptions)) ?? (await recordIntent(record));
 			if (refusal) {
 				throw refusal;
 			}
 
 			record.state = 'ready';
-			const result = await attempt(record, execute, maxAttempts);
+			const result = await attempt(record, execute, runOptions?.maxAttempts ?? 1);
 			if (result.kind === 'failed') {
 				throw await finishFailed(record, result);
 			}
--- a/packages/once/src/common/owner.ts
+++ b/packages/once/src/common/owner.ts
@@ -31,11 +31,6 @@
 /** Whose key a text is: `previous` is an earlier incarnation of this daemon. */
 export type KeyClass = 'own' | 'previous' | 'other' | 'invalid';
 
-export type RunOptions = {
-	/** Attempts while none has called `markSent`; 1 by default. */
-	maxAttempts?: number;
-};
-
 export type RunResult = {
 	answer: answerModule.Answer;
 	/** True for a repeat: the request was executed for an earlier call. */
@@ -55,7 +50,7 @@
 		keyText: string,
 		fingerprint: string,
 		execute: execution.Execute,
-		options?: RunOptions,
+		options?: execution.RunOptions,
 	): Promise<RunResult>;
 	/**
 	 * Refuses a key for good, for a request that is turned away before `run`.
@@ -216,7 +211,7 @@
 			}
 
 			const record = addRecord(parsed, fingerprint);
-			record.running = executor.perform(record, execute, runOptions?.maxAttempts ?? 1);
+			record.running = executor.perform(record, execute, runOptions);
 			return {answer: await record.running, isReplay: false};
 		},
 		refuse(keyText, fingerprint) {
