Pass long answers of plain services on as they arrive

Cause: an answer of more than 1 MiB was refused, also for calls without a key, where nothing has to be kept. Change: such an answer is passed on while it arrives; its slot is held until it ends, and a break is visible. An answer under a key is still refused as ran.

--- a/packages/entry/src/common/service-answer.ts
+++ b/packages/entry/src/common/service-answer.ts
@@ -12,6 +12,11 @@
 	body: Uint8Array;
 };
 
+/** An answer whose body may still be on its way, when it is long. */
+export type ServiceAnswer = Omit<WholeAnswer, 'body'> & {
+	body: Uint8Array | AsyncIterableIterator<Uint8Array>;
+};
+
 export type ServiceAttempt = {
 	address: string;
 	method: string;
@@ -20,6 +25,8 @@
 	body: Uint8Array;
 	timeoutMs: number;
 	signal: AbortSignal;
+	/** Passes an answer that is too long to be buffered on as it arrives; it is refused otherwise. */
+	mayStream?: boolean;
 	/**
 	 * Called before the first byte may leave. It throws when the request may no longer
 	 * run; the function that it returns takes the call back once it is known that no
@@ -41,15 +48,59 @@
 		detail,
 	});
 
-const readWhole = async (
+const concatenate = (chunks: readonly Uint8Array[], lengthBytes: number): Uint8Array => {
+	const whole = new Uint8Array(lengthBytes);
+	let offsetBytes = 0;
+	for (const chunk of chunks) {
+		whole.set(chunk, offsetBytes);
+		offsetBytes += chunk.byteLength;
+	}
+
+	return whole;
+};
+
+/** Puts chunks that were already read in front of the rest; closing it closes the rest. */
+const resumeBody = (
+	chunks: readonly Uint8Array[],
+	rest: AsyncIterator<Uint8Array>,
+): AsyncIterableIterator<Uint8Array> => {
+	const pending = [...chunks];
+	return {
+		[Symbol.asyncIterator]() {
+			return this;
+		},
+		async next() {
+			const chunk = pending.shift();
+			return chunk ? {done: false, value: chunk} : rest.next();
+		},
+		async return() {
+			await rest.return?.();
+			return {done: true, value: undefined};
+		},
+	};
+};
+
+const readBody = async (
 	attempt: ServiceAttempt,
 	response: httpClient.HttpResponse,
-): Promise<Uint8Array> => {
+): Promise<ServiceAnswer['body']> => {
 	const chunks: Uint8Array[] = [];
+	const iterator = response.body[Symbol.asyncIterator]();
 	let lengthBytes = 0;
-	for await (const chunk of response.body) {
-		lengthBytes += chunk.byteLength;
+	for (;;) {
+		const result = await iterator.next();
+		if (result.done) {
+			return concatenate(chunks, lengthBytes);
+		}
+
+		chunks.push(result.value);
+		lengthBytes += result.value.byteLength;
 		if (lengthBytes > maxBufferedAnswerBytes) {
+			if (attempt.mayStream) {
+				return resumeBody(chunks, iterator);
+			}
+
+			await iterator.return?.();
 			throw new gatewayError.GatewayException({
 				kind: 'upstream-failed',
 				step: 'last-token',
@@ -58,28 +109,17 @@
 				detail: `the answer is longer than ${maxBufferedAnswerBytes} bytes`,
 			});
 		}
-
-		chunks.push(chunk);
 	}
-
-	const whole = new Uint8Array(lengthBytes);
-	let offsetBytes = 0;
-	for (const chunk of chunks) {
-		whole.set(chunk, offsetBytes);
-		offsetBytes += chunk.byteLength;
-	}
-
-	return whole;
 };
 
 /**
- * Makes one attempt and reads the whole answer.
+ * Makes one attempt and reads its answer, as far as it is buffered.
  * @throws GatewayException with outcome `not-run` only when no byte left this process.
  */
-export const callService = async (
+export const openService = async (
 	client: httpClient.HttpClient,
 	attempt: ServiceAttempt,
-): Promise<WholeAnswer> => {
+): Promise<ServiceAnswer> => {
 	const takeBack = attempt.markSent?.();
 	try {
 		const response = await client.request({
@@ -91,7 +131,7 @@
 			timeoutMs: attempt.timeoutMs,
 			signal: attempt.signal,
 		});
-		const body = await readWhole(attempt, response);
+		const body = await readBody(attempt, response);
 		return {status: response.status, headers: response.headers, body};
 	} catch (error) {
 		if (error instanceof gatewayError.GatewayException) {
@@ -107,3 +147,18 @@
 		throw failure(attempt, mayHaveRun, detail);
 	}
 };
+
+/** Narrows an answer of an attempt that may not stream. @throws TypeError when it was streamed. */
+export const requireWhole = (answer: ServiceAnswer): WholeAnswer => {
+	if (!(answer.body instanceof Uint8Array)) {
+		throw new TypeError('an answer that must be whole was streamed');
+	}
+
+	return {...answer, body: answer.body};
+};
+
+/** {@link openService} for answers that must be whole. @throws GatewayException */
+export const callService = async (
+	client: httpClient.HttpClient,
+	attempt: Omit<ServiceAttempt, 'mayStream'>,
+): Promise<WholeAnswer> => requireWhole(await openService(client, attempt));
--- a/packages/entry/src/common/service-attempts.ts
+++ b/packages/entry/src/common/service-attempts.ts
@@ -1,5 +1,6 @@
 /** Attempts at plain services: old setup, upstream choice, hedges and retries. */
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
+import * as iteration from '@hawthornfront/base/common/iteration.js';
 import type * as types from '@hawthornfront/decisions/common/types.js';
 import * as deadline from './deadline.js';
 import type * as engineServices from './engine-services.js';
@@ -71,9 +72,9 @@
 	address: string,
 	signal: AbortSignal,
 	markSent?: MarkSent,
-): Promise<serviceAnswer.WholeAnswer> => {
+): Promise<serviceAnswer.ServiceAnswer> => {
 	const {services, context} = call;
-	const answer = await serviceAnswer.callService(services.httpClient, {
+	const answer = await serviceAnswer.openService(services.httpClient, {
 		address,
 		method: context.request.method,
 		path: call.path,
@@ -82,6 +83,8 @@
 		timeoutMs: Math.max(1, call.item.deadlineAtMs - services.clock.nowMs()),
 		signal,
 		markSent,
+		// An answer under a key is kept, so it must be whole.
+		mayStream: markSent === undefined,
 	});
 	if (context.entry.idempotent && repeatableStatuses.has(answer.status)) {
 		throw new gatewayError.GatewayException({
@@ -108,7 +111,7 @@
 };
 
 type Running = {
-	answer: Promise<serviceAnswer.WholeAnswer>;
+	answer: Promise<serviceAnswer.ServiceAnswer>;
 	upstream: string;
 	cancel(): void;
 };
@@ -133,8 +136,16 @@
 		try {
 			const answer = await attemptAt(call, address, signal, markSent);
 			assignment.noteFirstToken();
-			assignment.release('answered');
-			return answer;
+			if (answer.body instanceof Uint8Array) {
+				assignment.release('answered');
+				return answer;
+			}
+
+			// The slot is held until the long answer has passed.
+			const body = iteration.withCleanUp(answer.body, () => {
+				assignment.release('answered');
+			});
+			return {...answer, body};
 		} catch (error) {
 			const isCancelled = call.signal.aborted || controller.signal.aborted;
 			assignment.release(isCancelled ? 'cancelled' : 'failed');
@@ -184,7 +195,7 @@
 	excluded: Set<string>,
 	markSent?: MarkSent,
 	place?: Place,
-): Promise<serviceAnswer.WholeAnswer> => {
+): Promise<serviceAnswer.ServiceAnswer> => {
 	const {scheduler} = call.services;
 	const assignment =
 		place?.take() ?? (await scheduler.acquire({...call.item, excluded}, call.signal));
@@ -213,7 +224,7 @@
 const runAtOldSetup = async (
 	call: ServiceCall,
 	markSent?: MarkSent,
-): Promise<serviceAnswer.WholeAnswer | undefined> => {
+): Promise<serviceAnswer.ServiceAnswer | undefined> => {
 	const upstream = oldSetup.chooseOldSetup(call.services.digests, call.context);
 	return upstream && attemptAt(call, upstream.address, call.signal, markSent);
 };
@@ -234,7 +245,7 @@
 	call: ServiceCall,
 	markSent?: MarkSent,
 	place?: Place,
-): Promise<serviceAnswer.WholeAnswer> => {
+): Promise<serviceAnswer.ServiceAnswer> => {
 	const excluded = new Set<string>();
 	let mayHaveRun = false;
 	for (let attempts = 1; ; attempts++) {
--- a/packages/entry/src/common/service-request.ts
+++ b/packages/entry/src/common/service-request.ts
@@ -102,7 +102,8 @@
 		return await services.keyedExecution.run(
 			key,
 			fingerprint,
-			async (markSent) => serviceAttempts.runWithRetries(shared, markSent, place),
+			async (markSent) =>
+				serviceAnswer.requireWhole(await serviceAttempts.runWithRetries(shared, markSent, place)),
 			async () => place.acquire(),
 		);
 	} finally {
@@ -173,7 +174,7 @@
 
 const runWithoutKey = async (
 	call: serviceAttempts.ServiceCall,
-): Promise<serviceAnswer.WholeAnswer> => {
+): Promise<serviceAnswer.ServiceAnswer> => {
 	const {services, context} = call;
 	const admitted = services.limits.admit(context.team, context.entry, tokensPerCall);
 	const limit = deadline.createDeadlineSignal(
@@ -221,6 +222,7 @@
 			status: answer.status,
 			headers: requestHeaders.headersForCaller(answer.headers),
 			body: answer.body,
+			deadlineAtMs: call.item.deadlineAtMs,
 		};
 	} catch (error) {
 		result = error instanceof gatewayError.GatewayException ? error.error.outcome : 'unknown';
