Make one JSON call of the platform clients and use the decisions' own types

The key-value client and the clients of the other services had the same call twice, and the experiments described the decisions by their shape although they depend on them.

--- a/packages/load/src/common/scheduler-policy.ts
+++ b/packages/load/src/common/scheduler-policy.ts
@@ -1,55 +1,28 @@
 /**
  * The project's own decisions as a policy: scheduler, hedges and the choice of
- * another region. The parts are given by their shape, as on the design page.
+ * another region.
  */
 import type * as clockModule from '@hawthornfront/base/common/clock.js';
 import type * as randomModule from '@hawthornfront/base/common/random.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
+import type * as hedge from '@hawthornfront/decisions/common/hedge.js';
+import type * as regionChooser from '@hawthornfront/decisions/common/region-chooser.js';
+import type * as types from '@hawthornfront/decisions/common/types.js';
 import type * as runnerTypes from '@hawthornfront/standins/common/runner-types.js';
 import * as policyModule from './policy.js';
 
-/** The part of the scheduler that experiments use. */
-export type SchedulerPart = {
-	setUpstreams(upstreams: readonly schema.Upstream[]): void;
-	report(upstream: string, load: runnerTypes.RunnerLoad): void;
-	acquire(
-		item: policyModule.PolicyItem,
-		signal: AbortSignal,
-	): Promise<policyModule.PolicyAssignment>;
-	acquireNow(item: policyModule.PolicyItem): policyModule.PolicyAssignment | undefined;
-	expectedWaitMs(workClass: schema.WorkClass, model: string): number;
-	dispose(): void;
-};
-
-type HedgeCandidate = {workClass: schema.WorkClass; isIdempotent: boolean};
-
-export type HedgePart = {
-	noteRequest(candidate: HedgeCandidate): void;
-	noteLatency(workClass: schema.WorkClass, durationMs: number): void;
-	delayMs(candidate: HedgeCandidate): number | undefined;
-	tryHedge(workClass: schema.WorkClass): boolean;
-};
-
-export type RegionSummary = {
-	region: string;
-	workClass: schema.WorkClass;
-	model: string;
-	expectedWaitMs: number;
-	receivedAtMs: number;
-};
-
-export type RegionPart = {
-	choose(question: {
-		workClass: schema.WorkClass;
-		model: string;
-		isBound: boolean;
-		crossings: number;
-		localWaitMs: number;
-		promptTokens: number;
-		transferBytes: number;
-		summaries: readonly RegionSummary[];
-	}): {kind: 'local'} | {kind: 'remote'; region: string};
-};
+/** The decisions of one entry daemon, as far as experiments use them. */
+export type SchedulerPart = Pick<
+	types.Scheduler,
+	'setUpstreams' | 'report' | 'acquire' | 'acquireNow' | 'expectedWaitMs' | 'dispose'
+>;
+
+export type HedgePart = Pick<
+	hedge.HedgePolicy,
+	'noteRequest' | 'noteLatency' | 'delayMs' | 'tryHedge'
+>;
+
+export type RegionPart = Pick<regionChooser.RegionChooser, 'choose'>;
 
 export type Parts = {scheduler: SchedulerPart; hedges: HedgePart; regions: RegionPart};
 
@@ -67,7 +40,7 @@
 	readonly #clock: clockModule.Clock;
 	readonly #random: randomModule.Random;
 	readonly #model: string;
-	#summaries: RegionSummary[] = [];
+	#summaries: regionChooser.RegionSummary[] = [];
 
 	constructor(context: policyModule.PolicyContext, parts: Parts) {
 		super();
@@ -130,7 +103,7 @@
 		return this.#context.peers(region).filter((peer) => peer instanceof SchedulerPolicy);
 	}
 
-	#gatherSummaries(): RegionSummary[] {
+	#gatherSummaries(): regionChooser.RegionSummary[] {
 		const names = new Set(this.#context.upstreams.map((upstream) => upstream.region));
 		names.delete(this.#context.region);
 		return [...names].flatMap((region) => {
--- a/packages/platform/src/node/http-key-value-store.ts
+++ b/packages/platform/src/node/http-key-value-store.ts
@@ -2,11 +2,12 @@
  * Key-value service over HTTP/JSON: `POST /kv/{operation}` for every operation.
  */
 import * as zod from 'zod';
-import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as keyValueStore from '../common/key-value-store.js';
+import * as jsonCall from './json-call.js';
 
-const callTimeoutMs = 3000;
-const maxAnswerBytes = 2_097_152;
+/** Time for an answer after the wait of a watch. */
+const watchGraceMs = 3000;
 
 /** Client of one address of the key-value service. */
 export class HttpKeyValueStore extends keyValueStore.KeyValueStore {
@@ -53,7 +54,7 @@
 		const schema = zod.object({found: keyValueStore.keyValueSchema.optional()});
 		const answer = await this.#call('watch', {key, afterRevision, waitMs}, schema, {
 			signal,
-			timeoutMs: waitMs + callTimeoutMs,
+			timeoutMs: waitMs + watchGraceMs,
 		});
 		return answer.found;
 	}
@@ -77,32 +78,17 @@
 		schema: Schema,
 		options: {signal?: AbortSignal; timeoutMs?: number} = {},
 	): Promise<zod.infer<Schema>> {
-		const service = `key-value store at ${this.#address}, ${operation}`;
-		try {
-			const answer = await this.#client.request({
-				peer: this.#address,
+		return jsonCall.callJson(
+			this.#client,
+			{
+				service: `key-value store, ${operation}`,
+				address: this.#address,
 				method: 'POST',
 				path: `/kv/${operation}`,
-				headers: {'content-type': 'application/json'},
-				body: JSON.stringify(body),
-				timeoutMs: options.timeoutMs ?? callTimeoutMs,
-				signal: options.signal,
-			});
-			const text = await httpClient.readText(answer.body, maxAnswerBytes);
-			if (answer.status !== 200) {
-				throw new keyValueStore.PlatformError(service, `status ${answer.status}`, false);
-			}
-
-			return schema.parse(JSON.parse(text));
-		} catch (error) {
-			if (error instanceof keyValueStore.PlatformError) {
-				throw error;
-			}
-
-			const mayHaveTakenEffect =
-				!(error instanceof httpClient.HttpClientError) || error.mayHaveBeenSent;
-			const message = error instanceof Error ? error.message : String(error);
-			throw new keyValueStore.PlatformError(service, message, mayHaveTakenEffect, error);
-		}
+				body,
+				...options,
+			},
+			schema,
+		);
 	}
 }
--- a/packages/platform/src/node/http-platform-services.ts
+++ b/packages/platform/src/node/http-platform-services.ts
@@ -1,52 +1,8 @@
 /** VM list, directory and weight store over HTTP/JSON. */
 import * as zod from 'zod';
-import * as httpClient from '@hawthornfront/base/common/http-client.js';
-import * as keyValueStore from '../common/key-value-store.js';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as platformServices from '../common/platform-services.js';
-
-const callTimeoutMs = 3000;
-const maxAnswerBytes = 2_097_152;
-
-type Call = {
-	service: string;
-	address: string;
-	method: 'GET' | 'POST' | 'PUT';
-	path: string;
-	body?: unknown;
-	signal?: AbortSignal;
-};
-
-const call = async <Schema extends zod.ZodType>(
-	client: httpClient.HttpClient,
-	details: Call,
-	schema: Schema,
-): Promise<zod.infer<Schema>> => {
-	const service = `${details.service} at ${details.address}`;
-	try {
-		const answer = await client.request({
-			peer: details.address,
-			method: details.method,
-			path: details.path,
-			headers: {'content-type': 'application/json'},
-			body: details.body === undefined ? undefined : JSON.stringify(details.body),
-			timeoutMs: callTimeoutMs,
-			signal: details.signal,
-		});
-		const text = await httpClient.readText(answer.body, maxAnswerBytes);
-		if (answer.status !== 200) {
-			throw new keyValueStore.PlatformError(service, `status ${answer.status}`, false);
-		}
-
-		return schema.parse(JSON.parse(text));
-	} catch (error) {
-		if (error instanceof keyValueStore.PlatformError) {
-			throw error;
-		}
-
-		const message = error instanceof Error ? error.message : String(error);
-		throw new keyValueStore.PlatformError(service, message, true, error);
-	}
-};
+import * as jsonCall from './json-call.js';
 
 /** VM list: `GET /vms`. */
 export class HttpVmList extends platformServices.VmList {
@@ -61,7 +17,7 @@
 
 	override async list(signal?: AbortSignal) {
 		const schema = zod.object({vms: zod.array(platformServices.vmSchema)});
-		const answer = await call(
+		const answer = await jsonCall.callJson(
 			this.#client,
 			{service: 'VM list', address: this.#address, method: 'GET', path: '/vms', signal},
 			schema,
@@ -83,7 +39,7 @@
 
 	override async read(signal?: AbortSignal) {
 		const schema = zod.object({entries: zod.array(platformServices.directoryEntrySchema)});
-		const answer = await call(
+		const answer = await jsonCall.callJson(
 			this.#client,
 			{service: 'directory', address: this.#address, method: 'GET', path: '/directory', signal},
 			schema,
@@ -93,7 +49,7 @@
 
 	override async publish(failureDomain: string, entries: platformServices.DirectoryEntry[]) {
 		const path = `/directory/${encodeURIComponent(failureDomain)}`;
-		await call(
+		await jsonCall.callJson(
 			this.#client,
 			{service: 'directory', address: this.#address, method: 'PUT', path, body: {entries}},
 			zod.object({}),
@@ -113,7 +69,7 @@
 	}
 
 	override async requestTicket(model: string, runner: string) {
-		return call(
+		return jsonCall.callJson(
 			this.#client,
 			{
 				service: 'weight store',
