--- a/packages/entry/src/test/fake-runner.ts
+++ b/packages/entry/src/test/fake-runner.ts
@@ -25,6 +25,8 @@
 	/** Attempts that reached a runner, by address, with their first token. */
 	executions: Array<{address: string; from: number}>;
 	cancelled: string[];
+	/** Tokens that were taken from the runners. */
+	readonly tokensTaken: number;
 };
 
 const intervalMs = 10;
@@ -44,6 +46,7 @@
 ): FakeRunners => {
 	const executions: FakeRunners['executions'] = [];
 	const cancelled: string[] = [];
+	let tokensTaken = 0;
 
 	async function* stream(
 		request: runnerClient.RunnerRequest,
@@ -66,6 +69,7 @@
 					await time.sleep(1e9, signal);
 				}
 
+				tokensTaken++;
 				yield token(index);
 			}
 		} finally {
@@ -98,7 +102,14 @@
 		}
 	}
 
-	return {client: new FakeClient(), executions, cancelled};
+	return {
+		client: new FakeClient(),
+		executions,
+		cancelled,
+		get tokensTaken() {
+			return tokensTaken;
+		},
+	};
 };
 
 export type FakeSource = attempt.AttemptSource & {
--- a/packages/entry/src/test/model-answer.test.ts
+++ b/packages/entry/src/test/model-answer.test.ts
@@ -177,3 +177,43 @@
 	t.equal(result.error?.outcome, 'unknown');
 	t.equal(result.pendingTimers, 0);
 });
+
+tap.t.test('a reader that pauses stops the stream and still gets the whole answer', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const runners = fakeRunner.createFakeRunners(clock, length, {});
+	const source = fakeRunner.createFakeSource('a');
+	const parts = modelAnswer.streamAnswer(
+		{clock, client: runners.client, settings: {firstTokenTimeoutMs: 1000, stallTimeoutMs: 200}},
+		{
+			requestId: 'r',
+			body: {},
+			priority: 0,
+			firstToken: 0,
+			isIdempotent: true,
+			deadlineAtMs: 60_000,
+			signal: new AbortController().signal,
+			acquire: async () => source,
+			acquireHedge: () => undefined,
+			hedgeDelayMs: () => undefined,
+			mayRetry: () => true,
+			cannotResume: () => [],
+			noteHedge() {},
+			noteResume() {},
+		},
+	);
+	const first = parts.next();
+	await clock.advance(100);
+	t.match(await first, {value: {index: 0}});
+	await clock.advance(20_000);
+	t.ok(runners.tokensTaken <= 2, `${runners.tokensTaken} tokens were read ahead`);
+	const rest: number[] = [];
+	const reading = (async () => {
+		for await (const part of parts) {
+			rest.push(part.kind === 'token' ? part.index : -1);
+		}
+	})();
+	await clock.advance(1000);
+	await reading;
+	t.same(rest, [1, 2, 3, 4, 5, -1]);
+	t.same(source.releases, ['answered']);
+});
