Look only at the entries of a team's owner in each request

Cause: three places on the path of a request walked through all entries of the catalogue to find those of one owner, so the work of a request grew with the catalogue. Behaviour is the same; the gain was not measured. 4425 of 4425 assertions of entry, catalogue, ctl, placer, fleet and the tests of callers pass.

--- a/packages/catalogue/src/common/snapshot.ts
+++ b/packages/catalogue/src/common/snapshot.ts
@@ -6,10 +6,23 @@
 	/** Store revision of the root. */
 	readonly revision: number;
 	readonly entries: ReadonlyMap<string, schema.Entry>;
+	/** The same entries by their owner, since requests look only at those of their team's owner. */
+	readonly entriesByOwner: ReadonlyMap<string, readonly schema.Entry[]>;
 	readonly teams: ReadonlyMap<string, schema.Team>;
 	readonly upstreams: ReadonlyMap<string, schema.Upstream>;
 };
 
+const groupByOwner = (entries: Iterable<schema.Entry>): Map<string, schema.Entry[]> => {
+	const groups = new Map<string, schema.Entry[]>();
+	for (const entry of entries) {
+		const group = groups.get(entry.owner) ?? [];
+		group.push(entry);
+		groups.set(entry.owner, group);
+	}
+
+	return groups;
+};
+
 /** Builds a snapshot. Of two records with one kind and name, the later wins. */
 export const createSnapshot = (
 	revision: number,
@@ -37,12 +50,17 @@
 		}
 	}
 
-	return {revision, entries, teams, upstreams};
+	const entriesByOwner = groupByOwner(entries.values());
+	return {revision, entries, entriesByOwner, teams, upstreams};
 };
 
 /** Snapshot before the first configuration is known. */
 export const emptySnapshot: Snapshot = createSnapshot(0, []);
 
+/** Entries of one owner. */
+export const entriesOf = (snapshot: Snapshot, owner: string): readonly schema.Entry[] =>
+	snapshot.entriesByOwner.get(owner) ?? [];
+
 /** Region that a request of this team and entry is bound to; undefined when unbound. */
 export const homeRegionOf = (team: schema.Team, entry: schema.Entry): string | undefined =>
 	entry.homeRegion ?? team.homeRegion;
--- a/packages/entry/src/common/admission.ts
+++ b/packages/entry/src/common/admission.ts
@@ -80,10 +80,10 @@
 	entryVmsOf: EntryVmLookup,
 ): void => {
 	checkHomeRegion(team.homeRegion, ownRegion, entryVmsOf);
-	for (const entry of current.entries.values()) {
+	for (const entry of snapshot.entriesOf(current, team.owner)) {
 		const homeRegion = snapshot.homeRegionOf(team, entry);
 		const isBoundElsewhere = homeRegion !== undefined && homeRegion !== ownRegion;
-		if (entry.owner === team.owner && isBoundElsewhere) {
+		if (isBoundElsewhere) {
 			refuse({
 				...base,
 				kind: 'bad-request',
--- a/packages/entry/src/common/model-request.ts
+++ b/packages/entry/src/common/model-request.ts
@@ -22,8 +22,8 @@
 
 /** Largest body that any entry of the team allows; the entry may be named only in the body. */
 const maxBodyBytes = (context: requestContext.RequestContext): number => {
-	const limits = [...context.current.entries.values()]
-		.filter((entry) => entry.owner === context.team.owner)
+	const limits = snapshot
+		.entriesOf(context.current, context.team.owner)
 		.map((entry) => entry.limits.maxBodyBytes);
 	return Math.max(defaultMaxBodyBytes, ...limits);
 };
--- a/packages/entry/src/common/request-engine.ts
+++ b/packages/entry/src/common/request-engine.ts
@@ -1,6 +1,7 @@
 /** Routes requests of callers to their handlers and turns failures into problem details. */
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import * as iteration from '@hawthornfront/base/common/iteration.js';
+import * as snapshot from '@hawthornfront/catalogue/common/snapshot.js';
 import * as callerRequest from './caller-request.js';
 import * as deadline from './deadline.js';
 import type * as engineServices from './engine-services.js';
@@ -49,8 +50,9 @@
 	request: callerRequest.CallerRequest,
 ): callerRequest.CallerResponse => {
 	const {team, current} = requestContext.openContext(services, request);
-	const data = [...current.entries.values()]
-		.filter((entry) => entry.owner === team.owner && entry.target.kind === 'model')
+	const data = snapshot
+		.entriesOf(current, team.owner)
+		.filter((entry) => entry.target.kind === 'model')
 		.map((entry) => ({id: entry.name, object: 'model', created: 0, owned_by: entry.owner}));
 	return callerRequest.jsonResponse(200, {object: 'list', data});
 };
