--- a/packages/base/src/node/daemon-program.ts
+++ b/packages/base/src/node/daemon-program.ts
@@ -12,6 +12,8 @@
 export type DaemonProgram = {
 	name: string;
 	description: string;
+	/** Settings file when the command line names none. */
+	defaultFile?: string | undefined;
 	/** Starts the program from its settings file and returns what stops it. @throws Error for wrong settings. */
 	start(file: string): Promise<() => Promise<void>>;
 };
@@ -38,11 +40,12 @@
 		.command('', program.description)
 		.option('--config <file>', 'Settings in INI format')
 		.action(async (options: {config?: unknown}) => {
-			if (typeof options.config !== 'string') {
+			const file = options.config ?? program.defaultFile;
+			if (typeof file !== 'string') {
 				throw new TypeError('expected --config FILE.ini');
 			}
 
-			stopOnSignal(await program.start(options.config));
+			stopOnSignal(await program.start(file));
 		});
 	cli.help();
 	cli.version(version);
--- a/packages/decisions/src/common/hash.ts
+++ b/packages/decisions/src/common/hash.ts
@@ -11,7 +11,7 @@
 const twoTo32 = 2 ** 32;
 
 /** Uniform in (0, 1], the same for the same key and name on every daemon. */
-const uniform = (key: string, name: string): number =>
+export const uniform = (key: string, name: string): number =>
 	(xxhash.h32(`${key}\n${name}`) + 1) / twoTo32;
 
 /** Rank of a name for a key; the share of keys that a name wins is proportional to its weight. */
--- a/packages/demo/src/node/main.ts
+++ b/packages/demo/src/node/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** `npm run demo`: a whole deployment in one process, with checks of the required properties. */
-import * as process from 'node:process';
+// A namespace import lacks the methods of EventEmitter.
+import process from 'node:process';
 import * as random from '@hawthornfront/base/common/random.js';
 import * as log from '@hawthornfront/base/node/log.js';
 import * as systemClock from '@hawthornfront/base/node/system-clock.js';
--- /dev/null
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -0,0 +1,325 @@
+/**
+ * Chooses where a request goes: an upstream of this region, another region, or
+ * nowhere. Compares expected times to the first event.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as coldRamp from './cold-ramp.js';
+import * as failureRecord from './failure-record.js';
+import type * as fleetView from './fleet-view.js';
+import type * as loadSettings from './load-settings.js';
+import * as promptCacheView from './prompt-cache-view.js';
+import * as routeConfig from './route-config.js';
+import * as upstreamLoad from './upstream-load.js';
+import type * as upstreamRegistry from './upstream-registry.js';
+import type * as workEstimate from './work-estimate.js';
+
+export type DispatchRequest = {
+	route: routeConfig.Route;
+	service: routeConfig.Service;
+	work: workEstimate.WorkEstimate;
+	/** Time in which the first event must come to be of use. */
+	remainingMs: number;
+	/** Upstreams that were tried already. */
+	triedUpstreams: ReadonlySet<string>;
+	/** Regions that refused already. */
+	triedRegions: ReadonlySet<string>;
+	/** False for a request that came from another region. */
+	mayCross: boolean;
+};
+
+/** What the choice was based on, for the log. */
+export type ChoiceBasis = {
+	expectedMs: number;
+	candidates: number;
+	requestsThere?: number;
+	heldTokens?: number;
+	outlookAgeMs?: number;
+};
+
+export type Choice =
+	| {
+			kind: 'upstream';
+			upstream: upstreamRegistry.Upstream;
+			readTokens: number;
+			basis: ChoiceBasis;
+	  }
+	| {kind: 'region'; region: string; member: fleetView.Member; basis: ChoiceBasis}
+	| {
+			kind: 'refuse';
+			reason: 'no-upstream' | 'overloaded';
+			retryAfterMs: number;
+			basis: ChoiceBasis;
+	  };
+
+export type Dispatched = {
+	noteFirstEvent(): void;
+	noteSuccess(): void;
+	/** @param isHard the upstream was unreachable or broke the connection */
+	noteFailure(isHard: boolean): void;
+	end(): void;
+};
+
+export type Dispatcher = {
+	choose(request: DispatchRequest): Choice;
+	/** Counts a request that goes to an upstream, until its end. */
+	dispatch(choice: Choice & {kind: 'upstream'}, request: DispatchRequest): Dispatched;
+	/** Expected wait for work without a prompt of its own; undefined without a usable upstream. */
+	outlook(service: routeConfig.Service, isUrgent: boolean): number | undefined;
+	/** Own requests by upstream, for peers. */
+	ownLoads(): Array<{upstreamId: string} & upstreamLoad.LoadShare>;
+	/** Replaces what a peer reported of its own requests. */
+	notePeerLoads(
+		peer: string,
+		loads: ReadonlyArray<{upstreamId: string} & upstreamLoad.LoadShare>,
+	): void;
+	/** Drops what is known about an upstream that is gone or started again. */
+	forget(upstreamId: string): void;
+};
+
+export type DispatcherOptions = {
+	clock: clock.Clock;
+	settings: loadSettings.LoadSettings;
+	ownName: string;
+	ownRegion: string;
+	ownFailureDomain: string;
+	/** All regions of the deployment. */
+	regions: readonly string[];
+	registry: upstreamRegistry.UpstreamRegistry;
+	fleet: fleetView.FleetView;
+	/** Failure domains to which nothing may be sent. */
+	isEvacuated(failureDomain: string): boolean;
+	/** Uniform in [0, 1). */
+	random(): number;
+};
+
+/** Wait that is assumed of a region that has not told its own. */
+const unknownOutlookMs = 250;
+/** Time after which a caller is asked back when there is no upstream. */
+const noUpstreamRetryMs = 700;
+/** Added to the cost of tokens that were read before, since reading again delays everyone. */
+const rereadWeight = 0.6;
+
+type Scored = {upstream: upstreamRegistry.Upstream; expectedMs: number; readTokens: number};
+
+type Known = {load: upstreamLoad.UpstreamLoad; failures: failureRecord.FailureRecord};
+
+/** Creates a dispatcher without knowledge of any load. */
+export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
+	const {clock, settings, registry, fleet} = options;
+	const nowMs = () => clock.nowMs();
+	const known = new Map<string, Known>();
+	const reportedByPeer = new Map<string, ReadonlySet<string>>();
+	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
+	const ramp = coldRamp.createColdRamp(nowMs, options.ownName, () => [
+		options.ownName,
+		...fleet.aliveIn(options.ownRegion).map((member) => member.name),
+	]);
+
+	const knownOf = (id: string): Known => {
+		let item = known.get(id);
+		if (!item) {
+			item = {
+				load: upstreamLoad.createUpstreamLoad(nowMs, settings),
+				failures: failureRecord.createFailureRecord(),
+			};
+			known.set(id, item);
+		}
+
+		return item;
+	};
+
+	const slotsOf = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service) =>
+		service.engine?.slots ?? Math.max(1, upstream.entry.slots);
+
+	const isCold = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service) =>
+		service.coldRatePerS > 0 && nowMs() < upstream.coldUntilMs;
+
+	const isUsable = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service): boolean =>
+		!options.isEvacuated(upstream.entry.failureDomain) &&
+		!knownOf(upstream.entry.id).failures.isSuspended(nowMs()) &&
+		(!isCold(upstream, service) || ramp.mayUse(upstream.entry.id, service.coldRatePerS));
+
+	/** Cost of an upstream: expected time, corrected for failures and for bytes between domains. */
+	const costOf = (
+		upstream: upstreamRegistry.Upstream,
+		{work, service}: Pick<DispatchRequest, 'work' | 'service'>,
+		preferred: string | undefined,
+	): Scored & {costMs: number} => {
+		const {load, failures} = knownOf(upstream.entry.id);
+		const heldTokens = cache.heldTokens(upstream.entry.id, work.sharedParts, preferred);
+		const readTokens = Math.max(0, work.promptTokens - heldTokens);
+		const sharedTokens = work.sharedParts.reduce((sum, part) => sum + part.tokens, 0);
+		const rereadTokens = Math.max(0, sharedTokens - heldTokens);
+		const expectedMs = load.predictMs(work, readTokens, {
+			slots: slotsOf(upstream, service),
+			engine: service.engine,
+		});
+		const domainMs =
+			upstream.entry.failureDomain === options.ownFailureDomain ? 0 : settings.otherDomainMarginMs;
+		const costMs =
+			expectedMs +
+			failures.rate(nowMs()) * settings.failurePenaltyMs +
+			(rereadTokens * rereadWeight) / settings.prefillTokensPerMs +
+			domainMs;
+		return {upstream, expectedMs, readTokens, costMs};
+	};
+
+	const usableIn = (request: Pick<DispatchRequest, 'service'>, tried?: ReadonlySet<string>) =>
+		registry
+			.usable(request.service.name, options.ownRegion)
+			.filter((upstream) => !tried?.has(upstream.entry.id) && isUsable(upstream, request.service));
+
+	const bestLocal = (request: DispatchRequest): {best?: Scored; candidates: number} => {
+		const usable = usableIn(request, request.triedUpstreams);
+		const preferred = cache.preferredRunner(
+			request.work.sharedParts,
+			usable.map((upstream) => upstream.entry.id),
+		);
+		let best: (Scored & {costMs: number}) | undefined;
+		for (const upstream of usable) {
+			const scored = costOf(upstream, request, preferred);
+			// A little noise keeps daemons from all choosing the same of two equals.
+			scored.costMs *= 1 + options.random() * 0.05;
+			if (!best || scored.costMs < best.costMs) {
+				best = scored;
+			}
+		}
+
+		return {best, candidates: usable.length};
+	};
+
+	const bestRegion = (request: DispatchRequest) => {
+		let best: {region: string; member: fleetView.Member; basis: ChoiceBasis} | undefined;
+		for (const region of options.regions) {
+			const isAllowed =
+				region !== options.ownRegion &&
+				!request.triedRegions.has(region) &&
+				routeConfig.mayUseRegion(request.route, region);
+			const members = isAllowed ? fleet.aliveIn(region).filter((member) => member.isReady) : [];
+			const member = members[Math.floor(options.random() * members.length)];
+			if (!member) {
+				continue;
+			}
+
+			const outlook = fleet.outlook(region, request.service.name);
+			const waitMs = request.work.isUrgent ? outlook?.urgentMs : outlook?.otherMs;
+			const readMs = request.work.promptTokens / settings.prefillTokensPerMs;
+			const expectedMs = (waitMs ?? unknownOutlookMs) + readMs + settings.regionRoundTripMs;
+			if (!best || expectedMs < best.basis.expectedMs) {
+				best = {
+					region,
+					member,
+					basis: {expectedMs, candidates: members.length, outlookAgeMs: outlook?.ageMs},
+				};
+			}
+		}
+
+		return best;
+	};
+
+	const isWorthCrossing = (request: DispatchRequest, localMs: number, remoteMs: number) =>
+		localMs > request.route.goalMs * settings.localGoalShare &&
+		localMs > remoteMs + settings.otherRegionMarginMs;
+
+	const refuse = (
+		reason: 'no-upstream' | 'overloaded',
+		basis: ChoiceBasis,
+		waitMs: number,
+	): Choice => ({
+		kind: 'refuse',
+		reason,
+		// Spread, so that callers that were refused together do not return together.
+		retryAfterMs: waitMs * (0.6 + options.random() * 0.8),
+		basis,
+	});
+
+	return {
+		choose(request) {
+			const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.ownRegion);
+			const {best, candidates} = isLocalAllowed
+				? bestLocal(request)
+				: {best: undefined, candidates: 0};
+			const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
+			const remote = request.mayCross ? bestRegion(request) : undefined;
+			const limitMs = request.remainingMs * settings.admissionShare;
+			if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
+				return remote.basis.expectedMs > limitMs
+					? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + 200)
+					: {kind: 'region', ...remote};
+			}
+
+			if (!best) {
+				return refuse('no-upstream', {expectedMs: -1, candidates}, noUpstreamRetryMs);
+			}
+
+			const basis: ChoiceBasis = {
+				expectedMs: localMs,
+				candidates,
+				requestsThere: knownOf(best.upstream.entry.id).load.requests(),
+				heldTokens: Math.round(request.work.promptTokens - best.readTokens),
+			};
+			return localMs > limitMs
+				? refuse('overloaded', basis, localMs - limitMs + 200)
+				: {kind: 'upstream', upstream: best.upstream, readTokens: best.readTokens, basis};
+		},
+		dispatch(choice, request) {
+			const {upstream, readTokens, basis} = choice;
+			const {id} = upstream.entry;
+			const {load, failures} = knownOf(id);
+			if (isCold(upstream, request.service)) {
+				ramp.noteUse(id, request.service.coldRatePerS);
+			}
+
+			cache.noteSent(id, request.work.sharedParts);
+			const item = load.add(request.work, readTokens, basis.expectedMs);
+			return {
+				noteFirstEvent() {
+					item.noteFirstEvent();
+				},
+				noteSuccess() {
+					failures.noteSuccess(nowMs());
+				},
+				noteFailure(isHard) {
+					failures.noteFailure(nowMs(), isHard);
+				},
+				end() {
+					item.end();
+				},
+			};
+		},
+		outlook(service, isUrgent) {
+			const work = {promptTokens: 1, memoryTokens: 0, sharedParts: [], isUrgent};
+			let bestMs: number | undefined;
+			for (const upstream of usableIn({service})) {
+				const {costMs} = costOf(upstream, {work, service}, undefined);
+				bestMs = Math.min(bestMs ?? Number.POSITIVE_INFINITY, costMs);
+			}
+
+			return bestMs;
+		},
+		ownLoads: () =>
+			[...known]
+				.map(([upstreamId, {load}]) => ({upstreamId, ...load.own()}))
+				.filter(({requests}) => requests > 0),
+		notePeerLoads(peer, loads) {
+			const reported = new Set(loads.map(({upstreamId}) => upstreamId));
+			for (const id of reportedByPeer.get(peer) ?? []) {
+				if (!reported.has(id)) {
+					known.get(id)?.load.notePeer(peer, upstreamLoad.emptyShare());
+				}
+			}
+
+			reportedByPeer.set(peer, reported);
+			for (const {upstreamId, ...share} of loads) {
+				if (registry.get(upstreamId)) {
+					knownOf(upstreamId).load.notePeer(peer, share);
+				}
+			}
+		},
+		forget(upstreamId) {
+			known.delete(upstreamId);
+			cache.forget(upstreamId);
+			ramp.forget(upstreamId);
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -0,0 +1,143 @@
+/**
+ * What this daemon knows of the other daemons: who is alive, where to reach them,
+ * and how loaded their regions are. Fed by datagrams from peers and by the list of
+ * members in the store.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import type * as gossip from './gossip-message.js';
+
+/** A member that was not heard of for this long counts as lost. */
+export const memberLostAfterMs = 3500;
+/** A member from the store that was never heard by datagram is believed this long. */
+const storeMemberTrustMs = 4000;
+/** Expected waits of a region that are older say nothing. */
+const outlookMaxAgeMs = 4000;
+
+export type Member = gossip.MemberRecord & {
+	/** Monotonic time at which it was last known to be alive. */
+	readonly aliveAtMs: number;
+};
+
+export type MemberChange = {kind: 'joined' | 'restarted' | 'left' | 'lost'; member: Member};
+
+export type RegionOutlook = {urgentMs: number; otherMs: number; ageMs: number};
+
+export type FleetView = {
+	readonly onDidChange: event.Event<MemberChange>;
+	/** Takes over what a peer says of a member, unless something newer is known. */
+	noteMember(record: gossip.MemberRecord, ageMs: number): void;
+	/** Takes over a member from the store, which may be dead already. */
+	noteStoreMember(record: gossip.MemberRecord): void;
+	noteOutlook(region: string, service: string, outlook: RegionOutlook): void;
+	/** Members that are alive, without this daemon. */
+	alive(): readonly Member[];
+	aliveIn(region: string): readonly Member[];
+	member(name: string): Member | undefined;
+	/** Whether this daemon hears any other daemon at all. */
+	hearsPeers(): boolean;
+	outlook(region: string, service: string): RegionOutlook | undefined;
+	/** All outlooks that are fresh. */
+	outlooks(): Array<{region: string; service: string; outlook: RegionOutlook}>;
+	/** Drops members that were not heard of; call it at regular intervals. */
+	sweep(): void;
+};
+
+type Outlook = {urgentMs: number; otherMs: number; atMs: number};
+
+/** Creates a view in which nobody else is known. */
+export const createFleetView = (timeSource: clock.Clock, ownName: string): FleetView => {
+	const members = new Map<string, Member>();
+	const outlooks = new Map<string, Map<string, Outlook>>();
+	const didChange = event.createEmitter<MemberChange>();
+
+	const isAlive = (member: Member) =>
+		!member.isLeaving && timeSource.nowMs() - member.aliveAtMs < memberLostAfterMs;
+
+	const put = (record: gossip.MemberRecord, aliveAtMs: number) => {
+		const known = members.get(record.name);
+		const member: Member = {...record, aliveAtMs};
+		members.set(record.name, member);
+		if (!known || !isAlive(known)) {
+			if (isAlive(member)) {
+				didChange.fire({kind: known ? 'restarted' : 'joined', member});
+			}
+		} else if (record.isLeaving) {
+			didChange.fire({kind: 'left', member});
+		} else if (known.startedAtUnixMs !== record.startedAtUnixMs) {
+			didChange.fire({kind: 'restarted', member});
+		}
+	};
+
+	const outlookAge = (outlook: Outlook) => timeSource.nowMs() - outlook.atMs;
+
+	const view: FleetView = {
+		onDidChange: didChange.event,
+		noteMember(record, ageMs) {
+			const aliveAtMs = timeSource.nowMs() - ageMs;
+			const known = members.get(record.name);
+			if (record.name === ownName || (known && known.aliveAtMs >= aliveAtMs)) {
+				return;
+			}
+
+			// An older start may still be echoed by peers after a restart.
+			if (known && known.startedAtUnixMs > record.startedAtUnixMs) {
+				return;
+			}
+
+			put(record, aliveAtMs);
+		},
+		noteStoreMember(record) {
+			const known = members.get(record.name);
+			if (record.name === ownName || (known && known.startedAtUnixMs >= record.startedAtUnixMs)) {
+				return;
+			}
+
+			put(record, timeSource.nowMs() - memberLostAfterMs + storeMemberTrustMs);
+		},
+		noteOutlook(region, service, {urgentMs, otherMs, ageMs}) {
+			const atMs = timeSource.nowMs() - ageMs;
+			const ofRegion = outlooks.get(region) ?? new Map<string, Outlook>();
+			const known = ofRegion.get(service);
+			if (!known || known.atMs < atMs) {
+				ofRegion.set(service, {urgentMs, otherMs, atMs});
+				outlooks.set(region, ofRegion);
+			}
+		},
+		alive: () => [...members.values()].filter((member) => isAlive(member)),
+		aliveIn: (region) => view.alive().filter((member) => member.region === region),
+		member: (name) => members.get(name),
+		hearsPeers: () => view.alive().length > 0,
+		outlook(region, service) {
+			const outlook = outlooks.get(region)?.get(service);
+			if (!outlook || outlookAge(outlook) > outlookMaxAgeMs) {
+				return undefined;
+			}
+
+			return {...outlook, ageMs: outlookAge(outlook)};
+		},
+		outlooks: () =>
+			[...outlooks].flatMap(([region, services]) =>
+				[...services]
+					.filter(([, outlook]) => outlookAge(outlook) <= outlookMaxAgeMs)
+					.map(([service, outlook]) => ({
+						region,
+						service,
+						outlook: {...outlook, ageMs: outlookAge(outlook)},
+					})),
+			),
+		sweep() {
+			for (const [name, member] of members) {
+				if (isAlive(member)) {
+					continue;
+				}
+
+				members.delete(name);
+				if (!member.isLeaving) {
+					didChange.fire({kind: 'lost', member});
+				}
+			}
+		},
+	};
+	return view;
+};
--- /dev/null
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -0,0 +1,95 @@
+/**
+ * Everything that a daemon logs: decisions on requests and changes of what it
+ * believes. docs/OPERATIONS.md explains each kind.
+ */
+
+/** Events of one request; all carry its id. */
+export type RequestEvent = {request: string; route: string} & (
+	| {
+			kind: 'request-refused';
+			reason: string;
+			status: number;
+			retryAfterMs: number;
+			expectedMs: number;
+			candidates: number;
+			remainingMs: number;
+			configVersion: number;
+			upstreamRevision: number;
+	  }
+	| {
+			kind: 'request-sent';
+			upstream: string;
+			send: number;
+			expectedMs: number;
+			candidates: number;
+			requestsThere?: number;
+			heldTokens?: number;
+			remainingMs: number;
+			resumeAfter?: string;
+	  }
+	| {
+			kind: 'request-relayed';
+			region: string;
+			peer: string;
+			send: number;
+			expectedMs: number;
+			outlookAgeMs?: number;
+			remainingMs: number;
+	  }
+	| {
+			kind: 'request-attempt-failed';
+			peer: string;
+			step: string;
+			outcome: 'not-run' | 'unknown' | 'ran';
+			detail: string;
+			afterMs: number;
+			next: 'resend' | 'give-up';
+	  }
+	| {
+			kind: 'request-ended';
+			outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
+			status: number;
+			sends: number;
+			firstMs: number;
+			totalMs: number;
+			service: string;
+			goalMs: number;
+	  }
+);
+
+/** Changes of what the daemon believes, and its own starts and stops. */
+export type BeliefEvent =
+	| {kind: 'started'; name: string; region: string; startedAtUnixMs: number}
+	| {kind: 'settings-reloaded'; changed: boolean}
+	| {kind: 'settings-rejected'; detail: string}
+	| {kind: 'stopping'; inFlight: number; graceMs: number}
+	| {kind: 'stopped'; inFlight: number; reason: string}
+	| {kind: 'readiness'; isReady: boolean; reason: string}
+	| {kind: 'config-in-force'; version: number; previous: number; source: string; routes: number}
+	| {kind: 'config-ignored'; version: number; current: number; source: string}
+	| {kind: 'entry-rejected'; key: string; revision: number; detail: string}
+	| {kind: 'evacuation'; failureDomain: string; isEvacuated: boolean; revision: number}
+	| {
+			kind: 'upstream';
+			change: string;
+			upstream: string;
+			service: string;
+			address: string;
+			failureDomain: string;
+			coldMs: number;
+			revision: number;
+	  }
+	| {kind: 'store-lost'; feed: string; detail: string}
+	| {kind: 'store-regained'; feed: string; awayMs: number; revision: number}
+	| {kind: 'store-history-lost'; feed: string; revision: number}
+	| {kind: 'member'; change: string; member: string; region: string; ageMs: number}
+	| {kind: 'snapshot-pulled'; peer: string; configVersion: number; upstreamRevision: number}
+	| {kind: 'snapshot-pull-failed'; peer: string; detail: string}
+	| {kind: 'datagram-rejected'; peer: string; detail: string};
+
+export type GatewayEvent = RequestEvent | BeliefEvent;
+
+/** Takes events; it never blocks and never throws. */
+export type EventLog = {
+	note(event: GatewayEvent): void;
+};
--- /dev/null
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -0,0 +1,147 @@
+/**
+ * Datagrams between daemons: who is alive, load by upstream, expected waits by
+ * region. Packed as arrays, since a message is sent several times a second.
+ */
+import * as msgpackr from 'msgpackr';
+import * as zod from 'zod';
+
+export const memberRecordSchema = zod.object({
+	name: zod.string(),
+	region: zod.string(),
+	failureDomain: zod.string(),
+	/** `host:port` at which callers connect. */
+	callerAddress: zod.string(),
+	/** `host:port` for forwarded requests and datagrams of other daemons. */
+	peerAddress: zod.string(),
+	/** Unix time of its start; tells two starts apart. */
+	startedAtUnixMs: zod.number(),
+	/** It serves callers. */
+	isReady: zod.boolean(),
+	/** It is stopping and takes no new work. */
+	isLeaving: zod.boolean(),
+	/** Version of its route configuration; 0 without one. */
+	configVersion: zod.number(),
+	/** Store revision up to which it knows upstreams. */
+	upstreamRevision: zod.number(),
+	/** Processor share of its machine, for the directory's choice. */
+	capacity: zod.number(),
+});
+export type MemberRecord = zod.infer<typeof memberRecordSchema>;
+
+const memberTupleSchema = zod.tuple([
+	zod.string(),
+	zod.string(),
+	zod.string(),
+	zod.string(),
+	zod.string(),
+	zod.number(),
+	zod.boolean(),
+	zod.boolean(),
+	zod.number(),
+	zod.number(),
+	zod.number(),
+]);
+
+const messageSchema = zod.tuple([
+	zod.literal(1),
+	/** The sender. */
+	memberTupleSchema,
+	/** Other members with the milliseconds since they were last known to be alive. */
+	zod.array(zod.tuple([memberTupleSchema, zod.number()])),
+	/** The sender's own requests by upstream id. */
+	zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number(), zod.number()])),
+	/** Region, service, expected waits of urgent and other work, age. */
+	zod.array(zod.tuple([zod.string(), zod.string(), zod.number(), zod.number(), zod.number()])),
+]);
+
+export type GossipMessage = {
+	sender: MemberRecord;
+	others: Array<{record: MemberRecord; ageMs: number}>;
+	loads: Array<{
+		upstreamId: string;
+		requests: number;
+		urgentReadTokens: number;
+		otherReadTokens: number;
+		memoryTokens: number;
+	}>;
+	outlooks: Array<{
+		region: string;
+		service: string;
+		urgentMs: number;
+		otherMs: number;
+		ageMs: number;
+	}>;
+};
+
+const packMember = (record: MemberRecord): zod.infer<typeof memberTupleSchema> => [
+	record.name,
+	record.region,
+	record.failureDomain,
+	record.callerAddress,
+	record.peerAddress,
+	record.startedAtUnixMs,
+	record.isReady,
+	record.isLeaving,
+	record.configVersion,
+	record.upstreamRevision,
+	record.capacity,
+];
+
+const unpackMember = (tuple: zod.infer<typeof memberTupleSchema>): MemberRecord => ({
+	name: tuple[0],
+	region: tuple[1],
+	failureDomain: tuple[2],
+	callerAddress: tuple[3],
+	peerAddress: tuple[4],
+	startedAtUnixMs: tuple[5],
+	isReady: tuple[6],
+	isLeaving: tuple[7],
+	configVersion: tuple[8],
+	upstreamRevision: tuple[9],
+	capacity: tuple[10],
+});
+
+/** Packs a message into one datagram. */
+export const encodeGossip = (message: GossipMessage): Uint8Array =>
+	msgpackr.pack([
+		1,
+		packMember(message.sender),
+		message.others.map(({record, ageMs}) => [packMember(record), Math.round(ageMs)]),
+		message.loads.map((load) => [
+			load.upstreamId,
+			load.requests,
+			Math.round(load.urgentReadTokens),
+			Math.round(load.otherReadTokens),
+			Math.round(load.memoryTokens),
+		]),
+		message.outlooks.map((outlook) => [
+			outlook.region,
+			outlook.service,
+			Math.round(outlook.urgentMs),
+			Math.round(outlook.otherMs),
+			Math.round(outlook.ageMs),
+		]),
+	]);
+
+/** Unpacks a datagram. @throws Error for bytes that are no message of this version */
+export const decodeGossip = (bytes: Uint8Array): GossipMessage => {
+	const [, sender, others, loads, outlooks] = messageSchema.parse(msgpackr.unpack(bytes));
+	return {
+		sender: unpackMember(sender),
+		others: others.map(([record, ageMs]) => ({record: unpackMember(record), ageMs})),
+		loads: loads.map(([upstreamId, requests, urgentReadTokens, otherReadTokens, memoryTokens]) => ({
+			upstreamId,
+			requests,
+			urgentReadTokens,
+			otherReadTokens,
+			memoryTokens,
+		})),
+		outlooks: outlooks.map(([region, service, urgentMs, otherMs, ageMs]) => ({
+			region,
+			service,
+			urgentMs,
+			otherMs,
+			ageMs,
+		})),
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/load-settings.ts
@@ -0,0 +1,33 @@
+/** Settings of the decisions on model runners and plain services. */
+import * as setting from '@hawthornfront/decisions/common/setting.js';
+import * as zod from 'zod';
+
+export const loadSettingsSchema = zod.object({
+	/** Prompt tokens that a busy runner reads per millisecond, beside generating. From the engines' data sheet. */
+	prefillTokensPerMs: setting.number(90, 1, 100_000),
+	/** Time of a first event without any queue. From the engines' data sheet. */
+	baseFirstEventMs: setting.number(55, 0, 10_000),
+	/** Time of a plain request until the gateway has learned it. */
+	initialServiceMs: setting.number(40, 0, 10_000),
+	/** Share of a runner's memory that may be promised; the rest absorbs wrong estimates. */
+	usableMemoryShare: setting.share(0.9),
+	/** Expected wait when a runner has no slot or memory left. */
+	fullRunnerPenaltyMs: setting.number(700, 0, 60_000),
+	/** Added to the expected time for each unit of the recent failure rate. */
+	failurePenaltyMs: setting.number(3000, 0, 60_000),
+	/** Reports of peers that are older count for nothing. */
+	peerLoadMaxAgeMs: setting.number(1500, 100, 60_000),
+	/** Gain by which another failure domain must be better, since bytes between domains cost. */
+	otherDomainMarginMs: setting.number(15, 0, 10_000),
+	/** Gain by which another region must be better, since bytes between regions cost more. */
+	otherRegionMarginMs: setting.number(150, 0, 10_000),
+	/** Two way delay between regions and the relaying daemon's own time. */
+	regionRoundTripMs: setting.number(120, 0, 10_000),
+	/** Share of the goal within which local work is not sent to another region. */
+	localGoalShare: setting.share(0.5),
+	/** Requests are refused when their expected first event is later than this share of the time left. */
+	admissionShare: setting.share(0.9),
+	/** Time for which a prompt part that was read is expected to stay cached. */
+	cachedPartMs: setting.number(30_000, 0, 600_000),
+});
+export type LoadSettings = zod.infer<typeof loadSettingsSchema>;
--- /dev/null
+++ b/packages/gateway/src/common/relay-headers.ts
@@ -0,0 +1,12 @@
+/** Headers between two daemons on a relayed request, beside those of the caller. */
+import * as zod from 'zod';
+
+export const relayPrefix = 'hawthornfront-';
+/** Region from which the request came; its presence forbids a further crossing. */
+export const relayedFromHeader = 'hawthornfront-relayed-from';
+/** What is known of a request that the other daemon could not answer. */
+export const outcomeHeader = 'hawthornfront-outcome';
+/** Why it could not. */
+export const reasonHeader = 'hawthornfront-reason';
+
+export const outcomeSchema = zod.enum(['not-run', 'unknown', 'ran']);
--- /dev/null
+++ b/packages/gateway/src/common/request-engine.ts
@@ -0,0 +1,558 @@
+/**
+ * Carries one request from its arrival to its end: choice of upstream, sends,
+ * further sends where they are safe, resumption of streams, and a final answer
+ * that says truthfully whether the request ran.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as dispatcher from './dispatcher.js';
+import * as eventCutter from './event-cutter.js';
+import type * as gatewayEvent from './gateway-event.js';
+import * as relayHeaders from './relay-headers.js';
+import type * as resendBudget from './resend-budget.js';
+import * as routeConfig from './route-config.js';
+import type * as upstreamTransport from './upstream-transport.js';
+import type * as wireFormat from './wire-format.js';
+import * as workEstimate from './work-estimate.js';
+
+export type GatewayRequest = {
+	method: string;
+	path: string;
+	rawHeaders: readonly string[];
+	facts: wireFormat.RequestFacts;
+	body?: Uint8Array;
+	route: routeConfig.Route;
+	service: routeConfig.Service;
+	/** Monotonic time at which the head arrived. */
+	arrivedAtMs: number;
+	/** Region of the daemon that relayed it; undefined for a request of a caller. */
+	relayedFrom?: string;
+};
+
+export type EngineServices = {
+	clock: clock.Clock;
+	wire: wireFormat.WireFormat;
+	dispatcher: dispatcher.Dispatcher;
+	transport: upstreamTransport.UpstreamTransport;
+	budget: resendBudget.ResendBudget;
+	log: gatewayEvent.EventLog;
+	ownRegion: string;
+	/** Versions on which decisions are based, for the log. */
+	versions(): {configVersion: number; upstreamRevision: number};
+};
+
+export type RequestEngine = {
+	/** Starts a request. Disposing it means that the caller has left. */
+	handle(
+		request: GatewayRequest,
+		reply: upstreamTransport.CallerReply,
+		onEnd: () => void,
+	): disposable.Disposable;
+};
+
+/** Statuses that promise a caller that its request has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Answers of plain services up to this size are held back until they are complete. */
+const maxHeldAnswerBytes = 262_144;
+/** A request with less time left is not sent. */
+const minUsefulMs = 15;
+/** A refusal for want of an upstream waits this part of the goal for one. */
+const waitForUpstreamShare = 0.125;
+const waitStepMs = 30;
+/** An idempotent request without a first event is sent elsewhere after this multiple of the expected time. */
+const stallFactor = 3;
+const minStallMs = 450;
+const minGapStallMs = 900;
+/** Callers wait at most this part of their time when they are asked back. */
+const maxRetryAfterShare = 0.3;
+const minRetryAfterMs = 50;
+
+type Outcome = 'not-run' | 'unknown' | 'ran';
+
+/** Creates the engine of a daemon. */
+export const createRequestEngine = (services: EngineServices): RequestEngine => ({
+	handle: (request, reply, onEnd) => startCourse(services, request, reply, onEnd),
+});
+
+const startCourse = (
+	services: EngineServices,
+	request: GatewayRequest,
+	reply: upstreamTransport.CallerReply,
+	onEnd: () => void,
+): disposable.Disposable => {
+	const {clock, wire, log} = services;
+	const {route, facts, service} = request;
+	const requestId = facts.attemptId ?? '';
+	const work = workEstimate.estimateWork(facts, route);
+	const isIdempotent = routeConfig.isIdempotent(route);
+	const limitMs = Math.min(facts.patienceMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+	const deadlineMs = request.arrivedAtMs + limitMs;
+	const triedUpstreams = new Set<string>();
+	const triedRegions = new Set<string>();
+	const timers = new Set<disposable.Disposable>();
+
+	let sends = 0;
+	let arrivals = 0;
+	let upstreamsThatRan = 0;
+	let mayHaveRun = false;
+	let lastUpstreamStatus = 0;
+	let hasStarted = false;
+	let hasEnded = false;
+	let firstMs = -1;
+	let resumeAfter = facts.lastEventId;
+	let cancelAttempt: (() => void) | undefined;
+	let waitedMs = 0;
+
+	const remainingMs = () => deadlineMs - clock.nowMs();
+
+	const after = (delayMs: number, callback: () => void): disposable.Disposable => {
+		const timer = clock.setTimer(() => {
+			timers.delete(timer);
+			callback();
+		}, delayMs);
+		timers.add(timer);
+		return {
+			dispose() {
+				timers.delete(timer);
+				timer.dispose();
+			},
+		};
+	};
+
+	const finish = (
+		outcome: (gatewayEvent.RequestEvent & {kind: 'request-ended'})['outcome'],
+		status: number,
+	) => {
+		hasEnded = true;
+		for (const timer of timers) {
+			timer.dispose();
+		}
+
+		timers.clear();
+		log.note({
+			kind: 'request-ended',
+			request: requestId,
+			route: route.name,
+			service: service.name,
+			outcome,
+			status,
+			sends,
+			firstMs: Math.round(firstMs),
+			totalMs: Math.round(clock.nowMs() - request.arrivedAtMs),
+			goalMs: route.goalMs,
+		});
+		onEnd();
+	};
+
+	/** Ends a request that has no answer of an upstream. */
+	const failWith = (status: number, reason: string, retryAfterMs?: number) => {
+		const outcome: Outcome = mayHaveRun ? 'unknown' : 'not-run';
+		if (hasStarted) {
+			reply.abort();
+			finish('broken', status);
+			return;
+		}
+
+		const body = new TextEncoder().encode(JSON.stringify({outcome, reason}));
+		const headers: wireFormat.Headers = {
+			'content-type': 'application/problem+json',
+			'content-length': String(body.length),
+			[relayHeaders.outcomeHeader]: outcome,
+			[relayHeaders.reasonHeader]: reason,
+		};
+		if (retryAfterMs !== undefined) {
+			headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
+		}
+
+		reply.start(status, headers);
+		reply.write(body);
+		reply.end();
+		finish(outcome, status);
+	};
+
+	const refuse = (reason: string, retryAfterMs: number, basis?: dispatcher.ChoiceBasis) => {
+		const waitMs = Math.max(
+			minRetryAfterMs,
+			Math.min(retryAfterMs, remainingMs() * maxRetryAfterShare),
+		);
+		log.note({
+			kind: 'request-refused',
+			request: requestId,
+			route: route.name,
+			reason,
+			status: mayHaveRun ? 502 : 503,
+			retryAfterMs: Math.round(waitMs),
+			expectedMs: Math.round(basis?.expectedMs ?? -1),
+			candidates: basis?.candidates ?? 0,
+			remainingMs: Math.round(remainingMs()),
+			...services.versions(),
+		});
+		if (mayHaveRun) {
+			failWith(502, reason);
+		} else {
+			failWith(503, reason, waitMs);
+		}
+	};
+
+	const onDeadline = () => {
+		cancelAttempt?.();
+		if (sends > 0) {
+			// Nothing tells whether the upstream has begun.
+			mayHaveRun = true;
+			failWith(504, 'deadline');
+		} else {
+			refuse('deadline', minRetryAfterMs);
+		}
+	};
+
+	/** Decides what follows an attempt that did not answer the caller. */
+	const afterFailure = (failure: {
+		peer: string;
+		step: string;
+		outcome: Outcome;
+		detail: string;
+		startedAtMs: number;
+	}) => {
+		if (failure.outcome !== 'not-run') {
+			mayHaveRun = true;
+			upstreamsThatRan++;
+		}
+
+		const isSafeToResend = failure.outcome === 'not-run' || isIdempotent;
+		const mayResend =
+			isSafeToResend &&
+			remainingMs() > minUsefulMs &&
+			(failure.outcome === 'not-run' || upstreamsThatRan < route.maxUpstreams) &&
+			(arrivals === 0 || services.budget.tryResend(service.name));
+		log.note({
+			kind: 'request-attempt-failed',
+			request: requestId,
+			route: route.name,
+			peer: failure.peer,
+			step: failure.step,
+			outcome: failure.outcome,
+			detail: failure.detail,
+			afterMs: Math.round(clock.nowMs() - failure.startedAtMs),
+			next: mayResend ? 'resend' : 'give-up',
+		});
+		if (mayResend) {
+			next();
+		} else if (mayHaveRun) {
+			failWith(502, failure.detail);
+		} else {
+			refuse(failure.detail, minRetryAfterMs * 4);
+		}
+	};
+
+	const passOn = (bytes: Uint8Array, exchange: upstreamTransport.Exchange | undefined) => {
+		if (firstMs < 0) {
+			firstMs = clock.nowMs() - request.arrivedAtMs;
+		}
+
+		if (!reply.write(bytes) && exchange) {
+			exchange.pause();
+			const listener = reply.onDidDrain(() => {
+				listener.dispose();
+				exchange.resume();
+			});
+		}
+	};
+
+	/** Runs one exchange and tells its listener's owner how it went. */
+	const exchangeWith = (
+		target: {
+			peer: string;
+			address: string;
+			headers: string[];
+			isRelay: boolean;
+			expectedMs: number;
+		},
+		account: dispatcher.Dispatched | undefined,
+	) => {
+		const startedAtMs = clock.nowMs();
+		const isStream = route.work === 'stream';
+		const cutter = isStream && route.canResume ? eventCutter.createEventCutter() : undefined;
+		const held: Uint8Array[] = [];
+		let heldBytes = 0;
+		let step = 'sent-in-full';
+		let isPassing = false;
+		let isOver = false;
+		let head: {status: number; headers: wireFormat.Headers} | undefined;
+		let stallTimer: disposable.Disposable | undefined;
+		const running: {exchange?: upstreamTransport.Exchange} = {};
+
+		const close = () => {
+			isOver = true;
+			stallTimer?.dispose();
+			cancelAttempt = undefined;
+			account?.end();
+		};
+
+		const fail = (outcome: Outcome, detail: string, isHard: boolean) => {
+			if (isOver) {
+				return;
+			}
+
+			close();
+			running.exchange?.cancel();
+			if (outcome !== 'not-run' || isHard) {
+				account?.noteFailure(isHard);
+			}
+
+			if (cutter?.lastEventId !== undefined) {
+				resumeAfter = cutter.lastEventId;
+			}
+
+			afterFailure({peer: target.peer, step, outcome, detail, startedAtMs});
+		};
+
+		const watchStall = (delayMs: number) => {
+			stallTimer?.dispose();
+			stallTimer = after(delayMs, () => {
+				fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true);
+			});
+		};
+
+		const startReply = () => {
+			if (!hasStarted && head) {
+				hasStarted = true;
+				reply.start(head.status, wire.answerHeaders(head.headers));
+			}
+
+			isPassing = true;
+		};
+
+		const canResendLater = isIdempotent && upstreamsThatRan + 1 < route.maxUpstreams;
+
+		const onHead = (status: number, headers: wireFormat.Headers) => {
+			const answer = wire.readAnswer(status, headers);
+			const relayed = relayHeaders.outcomeSchema.safeParse(headers[relayHeaders.outcomeHeader]);
+			lastUpstreamStatus = status;
+			if (answer.attemptId !== undefined && answer.attemptId !== facts.attemptId) {
+				fail('unknown', 'answer-of-another-request', true);
+			} else if (relayed.success) {
+				fail(relayed.data, String(headers[relayHeaders.reasonHeader] ?? 'relay-failed'), false);
+			} else if (answer.isNotRun || answer.isWrongUpstream) {
+				fail('not-run', answer.isWrongUpstream ? 'wrong-upstream' : `refused-${status}`, false);
+			} else if (answer.isEncoded || (status < 300 && !answer.isSigned)) {
+				fail('ran', 'not-an-answer', true);
+			} else if (notRunStatuses.has(status)) {
+				fail('unknown', `unproven-${status}`, false);
+			} else if (status >= 500 && canResendLater && !hasStarted) {
+				fail('ran', `status-${status}`, false);
+			} else {
+				head = {status, headers};
+				step = 'first-token';
+				if (hasStarted && status !== 200) {
+					fail('unknown', `resume-${status}`, false);
+				}
+			}
+		};
+
+		const onData = (bytes: Uint8Array) => {
+			account?.noteFirstEvent();
+			if (cutter && head!.status < 300) {
+				const complete = cutter.push(bytes);
+				watchStall(Math.max(minGapStallMs, 2 * (route.maxEventGapMs ?? 0)));
+				if (complete) {
+					step = 'mid-stream';
+					startReply();
+					passOn(complete, running.exchange);
+				}
+			} else if (isPassing || isStream) {
+				step = 'mid-stream';
+				startReply();
+				passOn(bytes, running.exchange);
+			} else {
+				held.push(bytes);
+				heldBytes += bytes.length;
+				if (heldBytes > maxHeldAnswerBytes) {
+					flushHeld();
+				}
+			}
+		};
+
+		const flushHeld = () => {
+			startReply();
+			for (const bytes of held) {
+				passOn(bytes, running.exchange);
+			}
+
+			held.length = 0;
+		};
+
+		const onAnswerEnd = () => {
+			step = 'last-token';
+			account?.noteFirstEvent();
+			const {status} = head!;
+			close();
+			if (status >= 500) {
+				account?.noteFailure(false);
+			} else {
+				account?.noteSuccess();
+			}
+
+			flushHeld();
+			const rest = cutter?.rest();
+			if (rest && rest.length > 0) {
+				passOn(rest, undefined);
+			}
+
+			reply.end();
+			finish('answered', status);
+		};
+
+		cancelAttempt = () => {
+			close();
+			running.exchange?.cancel();
+		};
+
+		running.exchange = services.transport.send(
+			{
+				address: target.address,
+				method: request.method,
+				path: request.path,
+				headers: target.headers,
+				body: request.body,
+				needsRecentConnection: !isIdempotent,
+			},
+			{
+				onHead(status, headers) {
+					if (!isOver) {
+						onHead(status, headers);
+					}
+				},
+				onData(bytes) {
+					if (!isOver && head) {
+						onData(bytes);
+					}
+				},
+				onEnd() {
+					if (!isOver && head) {
+						onAnswerEnd();
+					}
+				},
+				onFailure(failure) {
+					const outcome = failure.mayHaveBeenSent ? 'unknown' : 'not-run';
+					fail(outcome, failure.detail, true);
+				},
+			},
+		);
+		if (isIdempotent && canResendLater) {
+			const patienceMs = Math.max(minStallMs, stallFactor * target.expectedMs);
+			watchStall(patienceMs);
+		}
+	};
+
+	const sendTo = (
+		choice: dispatcher.Choice & {kind: 'upstream'},
+		dispatchRequest: dispatcher.DispatchRequest,
+	) => {
+		const {upstream, basis} = choice;
+		const {id, address} = upstream.entry;
+		triedUpstreams.add(id);
+		sends++;
+		arrivals++;
+		log.note({
+			kind: 'request-sent',
+			request: requestId,
+			route: route.name,
+			upstream: id,
+			send: sends,
+			expectedMs: Math.round(basis.expectedMs),
+			candidates: basis.candidates,
+			requestsThere: basis.requestsThere,
+			heldTokens: basis.heldTokens,
+			remainingMs: Math.round(remainingMs()),
+			resumeAfter,
+		});
+		const headers = wire.dispatchHeaders(request.rawHeaders, {
+			remainingMs: remainingMs(),
+			upstreamId: id,
+			priority: service.engine ? Math.min(9, 2 + route.rank * 3) : undefined,
+			resumeAfterEventId: resumeAfter,
+		});
+		exchangeWith(
+			{peer: id, address, headers, isRelay: false, expectedMs: basis.expectedMs},
+			services.dispatcher.dispatch(choice, dispatchRequest),
+		);
+	};
+
+	const relayTo = (choice: dispatcher.Choice & {kind: 'region'}) => {
+		const {region, member, basis} = choice;
+		triedRegions.add(region);
+		sends++;
+		arrivals++;
+		log.note({
+			kind: 'request-relayed',
+			request: requestId,
+			route: route.name,
+			region,
+			peer: member.name,
+			send: sends,
+			expectedMs: Math.round(basis.expectedMs),
+			outlookAgeMs: basis.outlookAgeMs,
+			remainingMs: Math.round(remainingMs()),
+		});
+		const headers = wire.relayHeaders(request.rawHeaders, remainingMs(), resumeAfter);
+		headers.push(relayHeaders.relayedFromHeader, services.ownRegion);
+		exchangeWith(
+			{
+				peer: member.name,
+				address: member.peerAddress,
+				headers,
+				isRelay: true,
+				expectedMs: basis.expectedMs,
+			},
+			undefined,
+		);
+	};
+
+	const next = () => {
+		if (hasEnded) {
+			return;
+		}
+
+		if (remainingMs() < minUsefulMs) {
+			onDeadline();
+			return;
+		}
+
+		const dispatchRequest: dispatcher.DispatchRequest = {
+			route,
+			service,
+			work,
+			remainingMs: remainingMs(),
+			triedUpstreams,
+			triedRegions,
+			mayCross: request.relayedFrom === undefined,
+		};
+		const choice = services.dispatcher.choose(dispatchRequest);
+		if (choice.kind === 'upstream') {
+			sendTo(choice, dispatchRequest);
+		} else if (choice.kind === 'region') {
+			relayTo(choice);
+		} else if (choice.reason === 'no-upstream' && waitedMs < route.goalMs * waitForUpstreamShare) {
+			waitedMs += waitStepMs;
+			after(waitStepMs, next);
+		} else if (hasStarted || lastUpstreamStatus >= 500) {
+			failWith(502, choice.reason);
+		} else {
+			refuse(choice.reason, choice.retryAfterMs, choice.basis);
+		}
+	};
+
+	services.budget.noteRequest(service.name);
+	after(Math.max(0, remainingMs()), onDeadline);
+	next();
+	return {
+		dispose() {
+			if (hasEnded) {
+				return;
+			}
+
+			cancelAttempt?.();
+			finish('caller-gone', 0);
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/resend-budget.ts
@@ -0,0 +1,69 @@
+/**
+ * Pattern: a failing service is hit again by every request. All daemons share one
+ * budget a service for arrivals beyond the first of a request; each uses only what
+ * its own requests earn and its part of the fixed amount, so nothing is exchanged.
+ */
+
+export type ResendBudgetSettings = {
+	/** Arrivals beyond the first that a request earns. */
+	share: number;
+	/** Arrivals beyond the first in one window that need no requests, over all daemons. */
+	extraPerWindow: number;
+	windowMs: number;
+};
+
+export type ResendBudget = {
+	noteRequest(service: string): void;
+	/** Takes one further arrival; false when the budget is spent. */
+	tryResend(service: string): boolean;
+};
+
+/** Part of the budget that is used; the rest covers windows that overlap differently. */
+const usedShare = 0.8;
+
+type Use = {requestsAtMs: number[]; resendsAtMs: number[]};
+
+const dropOlder = (timesMs: number[], oldestMs: number): void => {
+	const keepFrom = timesMs.findIndex((atMs) => atMs >= oldestMs);
+	timesMs.splice(0, keepFrom === -1 ? timesMs.length : keepFrom);
+};
+
+/** @param daemonCount daemons that share the fixed amount */
+export const createResendBudget = (
+	nowMs: () => number,
+	settings: () => ResendBudgetSettings,
+	daemonCount: () => number,
+): ResendBudget => {
+	const uses = new Map<string, Use>();
+	const useOf = (service: string): Use => {
+		let use = uses.get(service);
+		if (!use) {
+			use = {requestsAtMs: [], resendsAtMs: []};
+			uses.set(service, use);
+		}
+
+		const oldestMs = nowMs() - settings().windowMs;
+		dropOlder(use.requestsAtMs, oldestMs);
+		dropOlder(use.resendsAtMs, oldestMs);
+		return use;
+	};
+
+	return {
+		noteRequest(service) {
+			useOf(service).requestsAtMs.push(nowMs());
+		},
+		tryResend(service) {
+			const use = useOf(service);
+			const allowed =
+				usedShare *
+				(settings().share * use.requestsAtMs.length +
+					settings().extraPerWindow / Math.max(1, daemonCount()));
+			if (use.resendsAtMs.length + 1 > allowed) {
+				return false;
+			}
+
+			use.resendsAtMs.push(nowMs());
+			return true;
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/route-config.ts
@@ -0,0 +1,120 @@
+/** Configuration of routes: which requests go to which service, and with what limits. */
+import * as zod from 'zod';
+
+export const routeSchema = zod.object({
+	name: zod.string(),
+	host: zod.string(),
+	/** Begins and ends with a slash. */
+	prefix: zod.string(),
+	/** `safe` may run repeatedly, `unsafe` at most once; `stream` is an event stream. */
+	work: zod.enum(['safe', 'unsafe', 'stream']),
+	/** Whether a broken stream may go on at another upstream after its last event. */
+	canResume: zod.boolean(),
+	/** Longest time that a caller is kept waiting. */
+	timeoutMs: zod.number(),
+	/** Time to the answer, or to the first event, in which the answer has its full value. */
+	goalMs: zod.number(),
+	/** Longest pause between events that is still on time; undefined without a bound. */
+	maxEventGapMs: zod.number().optional(),
+	/** Upstreams that may run one request. */
+	maxUpstreams: zod.number(),
+	/** 0 is the most urgent. */
+	rank: zod.number(),
+	/** Regions to which the request is bound; empty when it is not bound. */
+	homeRegions: zod.array(zod.string()),
+	/** Services that share the route, with the weights of their shares. */
+	targets: zod.array(zod.object({service: zod.string(), weight: zod.number()})),
+});
+export type Route = zod.infer<typeof routeSchema>;
+
+export const engineSchema = zod.object({
+	/** Requests that a runner batches. */
+	slots: zod.number(),
+	/** Tokens that a runner holds for running requests and cached prompt parts. */
+	memoryTokens: zod.number(),
+});
+
+export const serviceSchema = zod.object({
+	name: zod.string(),
+	/** Connections that one upstream accepts from all callers together. */
+	maxConnections: zod.number(),
+	/** Requests a second that a cold upstream bears; 0 when the service has no cold phase. */
+	coldRatePerS: zod.number(),
+	/** Present for services of model runners. */
+	engine: engineSchema.optional(),
+});
+export type Service = zod.infer<typeof serviceSchema>;
+
+export const callerLimitsSchema = zod.object({
+	headerBytes: zod.number(),
+	bodyBytes: zod.number(),
+	headerTimeoutMs: zod.number(),
+	idleMs: zod.number(),
+});
+export type CallerLimits = zod.infer<typeof callerLimitsSchema>;
+
+export const routeConfigSchema = zod.object({
+	version: zod.number(),
+	routes: zod.array(routeSchema),
+	services: zod.array(serviceSchema),
+	limits: callerLimitsSchema,
+});
+export type RouteConfig = zod.infer<typeof routeConfigSchema>;
+
+/** Whether a request of a route may run more than once. */
+export const isIdempotent = (route: Route): boolean =>
+	route.work === 'safe' || (route.work === 'stream' && route.canResume);
+
+/** Whether a route may send requests to a region. */
+export const mayUseRegion = (route: Route, region: string): boolean =>
+	route.homeRegions.length === 0 || route.homeRegions.includes(region);
+
+/** Lookups in one version of the configuration. */
+export type RouteTable = {
+	readonly config: RouteConfig;
+	/** Route of the host with the longest prefix that begins the path; undefined when there is none. */
+	select(host: string, path: string): Route | undefined;
+	service(name: string): Service | undefined;
+};
+
+const withoutPort = (host: string): string => host.replace(/:\d+$/u, '').toLowerCase();
+
+/** Creates the lookups of a configuration. */
+export const createRouteTable = (config: RouteConfig): RouteTable => {
+	const routesByHost = new Map<string, Route[]>();
+	for (const route of config.routes) {
+		const host = route.host.toLowerCase();
+		routesByHost.set(host, [...(routesByHost.get(host) ?? []), route]);
+	}
+
+	for (const routes of routesByHost.values()) {
+		routes.sort((a, b) => b.prefix.length - a.prefix.length);
+	}
+
+	const services = new Map(config.services.map((service) => [service.name, service]));
+	return {
+		config,
+		select: (host, path) =>
+			routesByHost.get(withoutPort(host))?.find((route) => path.startsWith(route.prefix)),
+		service: (name) => services.get(name),
+	};
+};
+
+/**
+ * Service of a route that is shared by weight. The same request always gets the
+ * same service, also when it is forwarded to another region.
+ *
+ * @param share uniform in [0, 1), derived from the request
+ */
+export const chooseService = (route: Route, share: number): string => {
+	const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+	let left = share * total;
+	for (const target of route.targets) {
+		left -= target.weight;
+		if (left < 0) {
+			return target.service;
+		}
+	}
+
+	return route.targets.at(-1)?.service ?? '';
+};
--- /dev/null
+++ b/packages/gateway/src/common/store-feed.ts
@@ -0,0 +1,105 @@
+/**
+ * Follows one prefix of the store: a listing, then changes. After a failure it
+ * lists again, since an answer to a listing shows that the store is back.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as prefixStore from './prefix-store.js';
+
+export type StoreFeedHandler = {
+	onListing(listing: prefixStore.StoreListing): void;
+	onEvents(events: prefixStore.StoreEvent[], revision: number): void;
+	/** The store did not answer, or refused. Called once an outage. */
+	onLost(error: Error): void;
+	/** The store answered again; called before the listing that it gave. */
+	onRegained(awayMs: number, revision: number): void;
+	onHistoryLost(revision: number): void;
+};
+
+export type StoreFeed = disposable.Disposable & {
+	readonly isReachable: boolean;
+};
+
+const firstRetryMs = 150;
+const maxRetryMs = 900;
+
+/** Starts to follow a prefix. */
+export const startStoreFeed = (options: {
+	clock: clock.Clock;
+	store: prefixStore.PrefixStore;
+	prefix: string;
+	watchWaitMs: number;
+	random(): number;
+	handler: StoreFeedHandler;
+}): StoreFeed => {
+	const {clock, store, prefix, handler} = options;
+	const abort = new AbortController();
+	let lostAtMs: number | undefined;
+	let hasEverAnswered = false;
+	let retries = 0;
+
+	const noteAnswer = (revision: number) => {
+		if (lostAtMs !== undefined) {
+			const awayMs = clock.nowMs() - lostAtMs;
+			lostAtMs = undefined;
+			handler.onRegained(awayMs, revision);
+		}
+
+		hasEverAnswered = true;
+		retries = 0;
+	};
+
+	const noteFailure = (error: Error) => {
+		if (lostAtMs === undefined) {
+			lostAtMs = clock.nowMs();
+			handler.onLost(error);
+		}
+
+		retries++;
+	};
+
+	const follow = async (): Promise<void> => {
+		const listing = await store.list(prefix, false, abort.signal);
+		noteAnswer(listing.revision);
+		handler.onListing(listing);
+		let {revision} = listing;
+		while (!abort.signal.aborted) {
+			const changes = await store.watch(prefix, revision, options.watchWaitMs, abort.signal);
+			if (changes.kind === 'history-lost') {
+				handler.onHistoryLost(revision);
+				return;
+			}
+
+			revision = Math.max(revision, changes.revision);
+			if (changes.events.length > 0) {
+				handler.onEvents(changes.events, revision);
+			}
+		}
+	};
+
+	const run = async () => {
+		while (!abort.signal.aborted) {
+			try {
+				await follow();
+			} catch (error) {
+				if (abort.signal.aborted) {
+					return;
+				}
+
+				noteFailure(error instanceof Error ? error : new Error(String(error)));
+				const delayMs = Math.min(maxRetryMs, firstRetryMs * 2 ** Math.min(retries, 6));
+				await clock.sleep(delayMs * (0.5 + options.random()));
+			}
+		}
+	};
+
+	void run();
+	return {
+		get isReachable() {
+			return hasEverAnswered && lostAtMs === undefined;
+		},
+		dispose() {
+			abort.abort(new Error('stopped'));
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/upstream-entry.ts
@@ -0,0 +1,21 @@
+/** What an upstream registers about itself. */
+import * as zod from 'zod';
+
+export const upstreamEntrySchema = zod.object({
+	/** New for most starts of an upstream. */
+	id: zod.string(),
+	service: zod.string(),
+	/** `host:port`. */
+	address: zod.string(),
+	failureDomain: zod.string(),
+	/** Requests that it processes at once. */
+	slots: zod.number(),
+	isDraining: zod.boolean(),
+	/** Time for which it stays cold after this entry was written. */
+	coldLeftMs: zod.number(),
+	/** Unix time of its start; tells two starts under one id apart. */
+	startedAtUnixMs: zod.number().optional(),
+	/** Time after which a draining upstream is gone whatever it runs; undefined without a notice. */
+	goneAfterMs: zod.number().optional(),
+});
+export type UpstreamEntry = zod.infer<typeof upstreamEntrySchema>;
--- /dev/null
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -0,0 +1,194 @@
+/**
+ * Load of one upstream: requests of this daemon, known at once, and those of its
+ * peers, known from their last report. Predicts when a further request would get
+ * its first event.
+ */
+import * as decayingEstimate from '@hawthornfront/decisions/common/decaying-estimate.js';
+import type * as loadSettings from './load-settings.js';
+import type * as routeConfig from './route-config.js';
+import type * as workEstimate from './work-estimate.js';
+
+/** What one daemon reports of its own requests at an upstream. */
+export type LoadShare = {
+	requests: number;
+	/** Prompt tokens that are still to be read for urgent requests and for the others. */
+	urgentReadTokens: number;
+	otherReadTokens: number;
+	memoryTokens: number;
+};
+
+/** A request at the upstream, from its dispatch to its end. */
+export type LoadItem = {
+	/** Call at the first event or answer. */
+	noteFirstEvent(): void;
+	/** Call once when the request has left the upstream. */
+	end(): void;
+};
+
+export type UpstreamLoad = {
+	add(work: workEstimate.WorkEstimate, readTokens: number, predictedMs: number): LoadItem;
+	notePeer(peer: string, share: LoadShare): void;
+	own(): LoadShare;
+	/** Requests of all daemons. */
+	requests(): number;
+	/** Expected time to the first event, or to the answer of a plain service. */
+	predictMs(
+		work: workEstimate.WorkEstimate,
+		readTokens: number,
+		limits: {slots: number; engine?: {memoryTokens: number}},
+	): number;
+	/** Observed against predicted time; 1 when they agree. */
+	slowness(): number;
+};
+
+/** How far one observation may move the learned slowness. */
+const maxSlowness = 12;
+const slownessLearningRate = 0.15;
+const slownessHalfLifeMs = 4000;
+const serviceLearningRate = 0.1;
+const serviceHalfLifeMs = 10_000;
+/** Urgent work waits for a part of the other work that is being read already. */
+const otherWorkWeight = 0.35;
+
+/** A share without requests. */
+export const emptyShare = (): LoadShare => ({
+	requests: 0,
+	urgentReadTokens: 0,
+	otherReadTokens: 0,
+	memoryTokens: 0,
+});
+
+const addShare = (sum: LoadShare, share: LoadShare): void => {
+	sum.requests += share.requests;
+	sum.urgentReadTokens += share.urgentReadTokens;
+	sum.otherReadTokens += share.otherReadTokens;
+	sum.memoryTokens += share.memoryTokens;
+};
+
+/** Creates the load of an upstream without requests. */
+export const createUpstreamLoad = (
+	nowMs: () => number,
+	settings: loadSettings.LoadSettings,
+): UpstreamLoad => {
+	const own = emptyShare();
+	const peers = new Map<string, {share: LoadShare; atMs: number}>();
+	const slowness = decayingEstimate.createDecayingEstimate({
+		initial: 1,
+		learningRate: slownessLearningRate,
+		halfLifeMs: slownessHalfLifeMs,
+	});
+	const serviceMs = decayingEstimate.createDecayingEstimate({
+		initial: settings.initialServiceMs,
+		learningRate: serviceLearningRate,
+		halfLifeMs: serviceHalfLifeMs,
+	});
+
+	const total = (): LoadShare => {
+		const sum = {...own};
+		const oldestMs = nowMs() - settings.peerLoadMaxAgeMs;
+		for (const [name, {share, atMs}] of peers) {
+			if (atMs < oldestMs) {
+				peers.delete(name);
+			} else {
+				addShare(sum, share);
+			}
+		}
+
+		return sum;
+	};
+
+	const predictRunner = (
+		work: workEstimate.WorkEstimate,
+		readTokens: number,
+		slots: number,
+		memoryTokens: number,
+	): number => {
+		const load = total();
+		const ahead = work.isUrgent
+			? load.urgentReadTokens + load.otherReadTokens * otherWorkWeight
+			: load.urgentReadTokens + load.otherReadTokens;
+		const readMs = (ahead + readTokens) / settings.prefillTokensPerMs;
+		const usableTokens = memoryTokens * settings.usableMemoryShare;
+		const excessTokens = load.memoryTokens + work.memoryTokens - usableTokens;
+		const excessRequests = load.requests + 1 - slots;
+		const fullness = Math.max(
+			0,
+			Math.min(1, excessTokens / (usableTokens * 0.25)),
+			Math.min(1, excessRequests / (slots * 0.25)),
+		);
+		return (
+			(settings.baseFirstEventMs + readMs) * slowness.value(nowMs()) +
+			fullness * settings.fullRunnerPenaltyMs
+		);
+	};
+
+	const predictService = (slots: number): number => {
+		const queued = Math.max(0, total().requests + 1 - slots);
+		return serviceMs.value(nowMs()) * (1 + queued / slots);
+	};
+
+	return {
+		add(work, readTokens, predictedMs) {
+			const startedAtMs = nowMs();
+			const isModelWork = work.promptTokens > 0;
+			let unreadTokens = readTokens;
+			let hasFirstEvent = false;
+			let hasEnded = false;
+			own.requests++;
+			own.memoryTokens += work.memoryTokens;
+			const countUnread = (sign: 1 | -1) => {
+				if (work.isUrgent) {
+					own.urgentReadTokens += sign * unreadTokens;
+				} else {
+					own.otherReadTokens += sign * unreadTokens;
+				}
+			};
+
+			const finishReading = () => {
+				countUnread(-1);
+				unreadTokens = 0;
+			};
+
+			countUnread(1);
+			return {
+				noteFirstEvent() {
+					if (hasFirstEvent || hasEnded) {
+						return;
+					}
+
+					hasFirstEvent = true;
+					finishReading();
+					const atMs = nowMs();
+					if (isModelWork) {
+						const ratio = (atMs - startedAtMs) / Math.max(predictedMs, 1);
+						const learned = slowness.value(atMs);
+						slowness.add(Math.min(maxSlowness, ratio * learned), atMs);
+					} else {
+						serviceMs.add(atMs - startedAtMs, atMs);
+					}
+				},
+				end() {
+					if (hasEnded) {
+						return;
+					}
+
+					hasEnded = true;
+					finishReading();
+					own.requests--;
+					own.memoryTokens -= work.memoryTokens;
+				},
+			};
+		},
+		notePeer(peer, share) {
+			peers.set(peer, {share, atMs: nowMs()});
+		},
+		own: () => ({...own}),
+		requests: () => total().requests,
+		predictMs(work, readTokens, {slots, engine}) {
+			return engine
+				? predictRunner(work, readTokens, slots, engine.memoryTokens)
+				: predictService(slots);
+		},
+		slowness: () => slowness.value(nowMs()),
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -0,0 +1,239 @@
+/**
+ * What this daemon believes about upstreams, from the entries that they register
+ * in the store. An entry that is missing right after an outage of the store is
+ * believed for a while, since upstreams may need that long to register again.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import type * as upstreamEntry from './upstream-entry.js';
+
+export type Upstream = {
+	readonly entry: upstreamEntry.UpstreamEntry;
+	readonly region: string;
+	/** Monotonic time until which it is cold. */
+	readonly coldUntilMs: number;
+	/** When its entry went missing while the store was not to be relied upon. */
+	readonly missingSinceMs?: number;
+	readonly firstSeenAtMs: number;
+};
+
+export type UpstreamChange = {
+	kind: 'seen' | 'restarted' | 'draining' | 'gone' | 'missing' | 'back';
+	upstream: Upstream;
+	/** Store revision that told of the change; 0 for a change by time alone. */
+	revision: number;
+};
+
+/**
+ * Time for which an entry that went missing during an outage of the store is
+ * still believed after the store is back. The platform restores entries within 2 s.
+ */
+export const missingEntryGraceMs = 2200;
+
+export type UpstreamRegistry = {
+	readonly onDidChange: event.Event<UpstreamChange>;
+	/** Replaces all entries by a listing. */
+	replaceAll(entries: readonly upstreamEntry.UpstreamEntry[], revision: number): void;
+	put(entry: upstreamEntry.UpstreamEntry, revision: number): void;
+	remove(id: string, revision: number): void;
+	/** Tells whether the store is reachable; entries are not dropped right after an outage. */
+	setStoreReachable(isReachable: boolean): void;
+	get(id: string): Upstream | undefined;
+	/** Upstreams of a service in a region that take new work. */
+	usable(service: string, region: string): readonly Upstream[];
+	/** All upstreams that are believed to exist, also draining ones. */
+	all(): readonly Upstream[];
+	/** Revision of the last change. */
+	readonly revision: number;
+	/** Whether a listing was ever taken over. */
+	readonly isLoaded: boolean;
+};
+
+/**
+ * @param regionOf region of a failure domain; undefined for an unknown one, whose upstreams are not used
+ */
+export const createUpstreamRegistry = (
+	timeSource: clock.Clock,
+	regionOf: (failureDomain: string) => string | undefined,
+): UpstreamRegistry => {
+	const upstreams = new Map<string, Upstream>();
+	const didChange = event.createEmitter<UpstreamChange>();
+	let groups: Map<string, Upstream[]> | undefined;
+	let revision = 0;
+	let isLoaded = false;
+	let isStoreReachable = true;
+	let reachableSinceMs = Number.NEGATIVE_INFINITY;
+
+	const note = (kind: UpstreamChange['kind'], upstream: Upstream, at: number) => {
+		groups = undefined;
+		didChange.fire({kind, upstream, revision: at});
+	};
+
+	const isStoreUnsettled = (nowMs: number) =>
+		!isStoreReachable || nowMs - reachableSinceMs < missingEntryGraceMs;
+
+	const drop = (upstream: Upstream, at: number) => {
+		upstreams.delete(upstream.entry.id);
+		note('gone', upstream, at);
+	};
+
+	const scheduleDrop = (id: string) => {
+		const delayMs = isStoreReachable
+			? missingEntryGraceMs - (timeSource.nowMs() - reachableSinceMs)
+			: missingEntryGraceMs;
+		timeSource.setTimer(
+			() => {
+				const upstream = upstreams.get(id);
+				if (upstream?.missingSinceMs === undefined) {
+					return;
+				}
+
+				if (isStoreUnsettled(timeSource.nowMs())) {
+					scheduleDrop(id);
+				} else {
+					drop(upstream, 0);
+				}
+			},
+			Math.max(1, delayMs),
+		);
+	};
+
+	const markMissing = (upstream: Upstream, at: number) => {
+		const missing = {...upstream, missingSinceMs: timeSource.nowMs()};
+		upstreams.set(upstream.entry.id, missing);
+		note('missing', missing, at);
+		scheduleDrop(upstream.entry.id);
+	};
+
+	const removeEntry = (id: string, at: number) => {
+		const upstream = upstreams.get(id);
+		if (!upstream) {
+			return;
+		}
+
+		// An upstream that announced its leaving is not expected to return.
+		const isExpectedBack = !upstream.entry.isDraining && isStoreUnsettled(timeSource.nowMs());
+		if (!isExpectedBack) {
+			drop(upstream, at);
+		} else if (upstream.missingSinceMs === undefined) {
+			markMissing(upstream, at);
+		}
+	};
+
+	const changeOf = (
+		known: Upstream | undefined,
+		entry: upstreamEntry.UpstreamEntry,
+		isRestart: boolean,
+	): UpstreamChange['kind'] | undefined => {
+		if (known === undefined) {
+			return 'seen';
+		}
+
+		if (isRestart) {
+			return 'restarted';
+		}
+
+		if (entry.isDraining && !known.entry.isDraining) {
+			return 'draining';
+		}
+
+		return known.missingSinceMs === undefined ? undefined : 'back';
+	};
+
+	const coldUntil = (entry: upstreamEntry.UpstreamEntry) =>
+		entry.coldLeftMs > 0 ? timeSource.nowMs() + entry.coldLeftMs : 0;
+
+	const put = (entry: upstreamEntry.UpstreamEntry, at: number, isListed: boolean) => {
+		const region = regionOf(entry.failureDomain);
+		if (region === undefined) {
+			return;
+		}
+
+		const nowMs = timeSource.nowMs();
+		const known = upstreams.get(entry.id);
+		const isRestart =
+			known !== undefined &&
+			(known.entry.startedAtUnixMs !== entry.startedAtUnixMs ||
+				known.entry.address !== entry.address);
+		// A listing repeats what may have been written long ago.
+		const isRepeated =
+			isListed && !isRestart && known?.entry.coldLeftMs === entry.coldLeftMs;
+		const upstream: Upstream = {
+			entry,
+			region,
+			coldUntilMs: isRepeated ? known.coldUntilMs : coldUntil(entry),
+			firstSeenAtMs: known && !isRestart ? known.firstSeenAtMs : nowMs,
+		};
+		upstreams.set(entry.id, upstream);
+		groups = undefined;
+		const kind = changeOf(known, entry, isRestart);
+		if (kind) {
+			note(kind, upstream, at);
+		}
+	};
+
+	const groupKey = (service: string, region: string) => `${service}\n${region}`;
+
+	const buildGroups = () => {
+		const next = new Map<string, Upstream[]>();
+		for (const upstream of upstreams.values()) {
+			if (!upstream.entry.isDraining) {
+				const key = groupKey(upstream.entry.service, upstream.region);
+				const group = next.get(key);
+				if (group) {
+					group.push(upstream);
+				} else {
+					next.set(key, [upstream]);
+				}
+			}
+		}
+
+		return next;
+	};
+
+	return {
+		onDidChange: didChange.event,
+		replaceAll(entries, at) {
+			const listed = new Set(entries.map((entry) => entry.id));
+			for (const id of upstreams.keys()) {
+				if (!listed.has(id)) {
+					removeEntry(id, at);
+				}
+			}
+
+			for (const entry of entries) {
+				put(entry, at, true);
+			}
+
+			revision = Math.max(revision, at);
+			isLoaded = true;
+		},
+		put(entry, at) {
+			put(entry, at, false);
+			revision = Math.max(revision, at);
+		},
+		remove(id, at) {
+			removeEntry(id, at);
+			revision = Math.max(revision, at);
+		},
+		setStoreReachable(isReachable) {
+			if (isReachable && !isStoreReachable) {
+				reachableSinceMs = timeSource.nowMs();
+			}
+
+			isStoreReachable = isReachable;
+		},
+		get: (id) => upstreams.get(id),
+		usable(service, region) {
+			groups ??= buildGroups();
+			return groups.get(groupKey(service, region)) ?? [];
+		},
+		all: () => [...upstreams.values()],
+		get revision() {
+			return revision;
+		},
+		get isLoaded() {
+			return isLoaded;
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -0,0 +1,52 @@
+/** Exchange of one request with an upstream or another daemon. */
+import type * as event from '@hawthornfront/base/common/event.js';
+import type * as wireFormat from './wire-format.js';
+
+export type TransportRequest = {
+	/** `host:port`. */
+	address: string;
+	method: string;
+	path: string;
+	/** Names and values in turn. */
+	headers: string[];
+	body?: Uint8Array;
+	/** A connection that was idle may be dead; a request that must not be lost takes a recent or new one. */
+	needsRecentConnection: boolean;
+};
+
+export type TransportFailure = {
+	/** False when no byte of the request can have left this daemon. */
+	mayHaveBeenSent: boolean;
+	detail: string;
+};
+
+/** Callbacks of one exchange. After `onEnd`, `onFailure` or a cancel, nothing more is called. */
+export type TransportListener = {
+	onHead(status: number, headers: wireFormat.Headers): void;
+	onData(bytes: Uint8Array): void;
+	/** The answer is complete. */
+	onEnd(): void;
+	onFailure(failure: TransportFailure): void;
+};
+
+export type Exchange = {
+	/** Ends the exchange and its connection, so that the upstream stops its work. */
+	cancel(): void;
+	pause(): void;
+	resume(): void;
+};
+
+export abstract class UpstreamTransport {
+	abstract send(request: TransportRequest, listener: TransportListener): Exchange;
+}
+
+/** The answer to a caller. */
+export abstract class CallerReply {
+	abstract get onDidDrain(): event.Event<void>;
+	abstract start(status: number, headers: wireFormat.Headers): void;
+	/** @returns false when the caller reads slowly; `onDidDrain` tells when to go on. */
+	abstract write(bytes: Uint8Array): boolean;
+	abstract end(): void;
+	/** Breaks the connection, so that the answer does not look complete. */
+	abstract abort(): void;
+}
--- /dev/null
+++ b/packages/gateway/src/common/work-estimate.ts
@@ -0,0 +1,33 @@
+/** How much work a request is for an upstream. */
+import type * as routeConfig from './route-config.js';
+import type * as wireFormat from './wire-format.js';
+
+export type WorkEstimate = {
+	/** Tokens of the whole prompt; 0 for plain services. */
+	promptTokens: number;
+	/** Tokens that the request holds in a runner's memory when it ends. */
+	memoryTokens: number;
+	/** Prompt parts that other requests may share, in order. */
+	sharedParts: readonly wireFormat.PromptPart[];
+	/** Whether it goes before work of higher rank. */
+	isUrgent: boolean;
+};
+
+/** Estimates a request from what its caller says. */
+export const estimateWork = (
+	facts: wireFormat.RequestFacts,
+	route: routeConfig.Route,
+): WorkEstimate => {
+	const partTokens = facts.promptParts.reduce((sum, part) => sum + part.tokens, 0);
+	const promptTokens = Math.max(facts.promptTokens, partTokens);
+	const outputTokens = Math.min(
+		facts.maxOutputTokens,
+		facts.expectedOutputTokens ?? facts.maxOutputTokens,
+	);
+	return {
+		promptTokens,
+		memoryTokens: promptTokens + outputTokens,
+		sharedParts: facts.promptParts.slice(0, -1),
+		isUrgent: route.rank === 0,
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/node/beliefs.ts
@@ -0,0 +1,254 @@
+/**
+ * The configuration, evacuations and upstreams that are in force here, fed by the
+ * store, or by a peer while the store is out of reach. Versions never go back.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import * as zod from 'zod';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as prefixStore from '../common/prefix-store.js';
+import * as routeConfig from '../common/route-config.js';
+import * as storeFeed from '../common/store-feed.js';
+import * as upstreamEntry from '../common/upstream-entry.js';
+import type * as upstreamRegistry from '../common/upstream-registry.js';
+
+/** All of it, for a peer. */
+export const snapshotSchema = zod.object({
+	config: routeConfig.routeConfigSchema.optional(),
+	evacuated: zod.array(zod.string()),
+	upstreams: zod.array(upstreamEntry.upstreamEntrySchema),
+	upstreamRevision: zod.number(),
+});
+export type Snapshot = zod.infer<typeof snapshotSchema>;
+
+export type Beliefs = disposable.Disposable & {
+	readonly onDidChangeConfig: event.Event<routeConfig.RouteTable>;
+	readonly table: routeConfig.RouteTable | undefined;
+	readonly configVersion: number;
+	readonly isComplete: boolean;
+	/** Whether the store answers to both feeds. */
+	readonly isStoreReachable: boolean;
+	isEvacuated(failureDomain: string): boolean;
+	evacuated(): readonly string[];
+	snapshot(): Snapshot;
+	/** Takes over what is newer in a peer's snapshot. */
+	merge(snapshot: Snapshot, peer: string): void;
+};
+
+export type BeliefsOptions = {
+	clock: clock.Clock;
+	store: prefixStore.PrefixStore;
+	layout: prefixStore.StoreLayout;
+	registry: upstreamRegistry.UpstreamRegistry;
+	log: gatewayEvent.EventLog;
+	watchWaitMs: number;
+	random(): number;
+};
+
+/** Starts both feeds. */
+export const startBeliefs = (options: BeliefsOptions): Beliefs => {
+	const {clock, store, layout, registry, log} = options;
+	const disposables = disposable.createDisposableStore();
+	const didChangeConfig = event.createEmitter<routeConfig.RouteTable>();
+	const evacuated = new Set<string>();
+	let table: routeConfig.RouteTable | undefined;
+
+	const applyConfig = (config: routeConfig.RouteConfig, source: string) => {
+		const current = table?.config.version ?? 0;
+		if (config.version <= current) {
+			if (config.version < current) {
+				log.note({kind: 'config-ignored', version: config.version, current, source});
+			}
+
+			return;
+		}
+
+		table = routeConfig.createRouteTable(config);
+		log.note({
+			kind: 'config-in-force',
+			version: config.version,
+			previous: current,
+			source,
+			routes: config.routes.length,
+		});
+		didChangeConfig.fire(table);
+	};
+
+	const setEvacuated = (failureDomain: string, isEvacuated: boolean, revision: number) => {
+		if (evacuated.has(failureDomain) === isEvacuated) {
+			return;
+		}
+
+		if (isEvacuated) {
+			evacuated.add(failureDomain);
+		} else {
+			evacuated.delete(failureDomain);
+		}
+
+		log.note({kind: 'evacuation', failureDomain, isEvacuated, revision});
+	};
+
+	const rejectEntry = (key: string, revision: number, error: unknown) => {
+		const detail = error instanceof Error ? error.message.slice(0, 300) : String(error);
+		log.note({kind: 'entry-rejected', key, revision, detail});
+	};
+
+	const applyOperatorItem = (key: string, value: Uint8Array, revision: number) => {
+		try {
+			const item = layout.decodeOperatorItem(key, value);
+			if (item?.kind === 'config') {
+				applyConfig(item.config, 'store');
+			} else if (item) {
+				setEvacuated(item.failureDomain, true, revision);
+			}
+		} catch (error) {
+			rejectEntry(key, revision, error);
+		}
+	};
+
+	const operatorFeed = storeFeed.startStoreFeed({
+		clock,
+		store,
+		prefix: layout.configPrefix,
+		watchWaitMs: options.watchWaitMs,
+		random: options.random,
+		handler: {
+			onListing({items, revision}) {
+				const listed = new Set<string>();
+				for (const item of items) {
+					applyOperatorItem(item.key, item.value, item.revision);
+					const failureDomain = layout.evacuatedDomainOf(item.key);
+					if (failureDomain !== undefined) {
+						listed.add(failureDomain);
+					}
+				}
+
+				for (const failureDomain of evacuated) {
+					if (!listed.has(failureDomain)) {
+						setEvacuated(failureDomain, false, revision);
+					}
+				}
+			},
+			onEvents(events) {
+				for (const {key, revision, value} of events) {
+					if (value) {
+						applyOperatorItem(key, value, revision);
+						continue;
+					}
+
+					const failureDomain = layout.evacuatedDomainOf(key);
+					if (failureDomain !== undefined) {
+						setEvacuated(failureDomain, false, revision);
+					}
+				}
+			},
+			...feedLog(log, 'operator'),
+		},
+	});
+
+	const decodeUpstream = (key: string, value: Uint8Array, revision: number) => {
+		try {
+			return layout.decodeUpstream(key, value);
+		} catch (error) {
+			rejectEntry(key, revision, error);
+			return undefined;
+		}
+	};
+
+	const upstreamLog = feedLog(log, 'upstreams');
+	const upstreamFeed = storeFeed.startStoreFeed({
+		clock,
+		store,
+		prefix: layout.upstreamPrefix,
+		watchWaitMs: options.watchWaitMs,
+		random: options.random,
+		handler: {
+			onListing({items, revision}) {
+				const entries = items
+					.map((item) => decodeUpstream(item.key, item.value, item.revision))
+					.filter((entry) => entry !== undefined);
+				registry.replaceAll(entries, revision);
+			},
+			onEvents(events) {
+				for (const {key, revision, value} of events) {
+					const entry = value && decodeUpstream(key, value, revision);
+					if (entry) {
+						registry.put(entry, revision);
+					} else if (!value) {
+						registry.remove(layout.upstreamIdOf(key), revision);
+					}
+				}
+			},
+			onLost(error) {
+				registry.setStoreReachable(false);
+				upstreamLog.onLost(error);
+			},
+			onRegained(awayMs, revision) {
+				registry.setStoreReachable(true);
+				upstreamLog.onRegained(awayMs, revision);
+			},
+			onHistoryLost: upstreamLog.onHistoryLost,
+		},
+	});
+
+	disposables.add(operatorFeed);
+	disposables.add(upstreamFeed);
+	return {
+		onDidChangeConfig: didChangeConfig.event,
+		get table() {
+			return table;
+		},
+		get configVersion() {
+			return table?.config.version ?? 0;
+		},
+		get isComplete() {
+			return table !== undefined && registry.isLoaded;
+		},
+		get isStoreReachable() {
+			return operatorFeed.isReachable && upstreamFeed.isReachable;
+		},
+		isEvacuated: (failureDomain) => evacuated.has(failureDomain),
+		evacuated: () => [...evacuated],
+		snapshot: () => ({
+			config: table?.config,
+			evacuated: [...evacuated],
+			upstreams: registry.all().map((upstream) => upstream.entry),
+			upstreamRevision: registry.revision,
+		}),
+		merge(snapshot, peer) {
+			if (snapshot.config) {
+				applyConfig(snapshot.config, peer);
+			}
+
+			// The store is the better source while it answers.
+			if (upstreamFeed.isReachable || snapshot.upstreamRevision <= registry.revision) {
+				return;
+			}
+
+			registry.replaceAll(snapshot.upstreams, snapshot.upstreamRevision);
+			for (const failureDomain of new Set([...snapshot.evacuated, ...evacuated])) {
+				setEvacuated(
+					failureDomain,
+					snapshot.evacuated.includes(failureDomain),
+					snapshot.upstreamRevision,
+				);
+			}
+		},
+		dispose() {
+			disposables.dispose();
+		},
+	};
+};
+
+const feedLog = (log: gatewayEvent.EventLog, feed: string) => ({
+	onLost(error: Error) {
+		log.note({kind: 'store-lost', feed, detail: error.message.slice(0, 200)});
+	},
+	onRegained(awayMs: number, revision: number) {
+		log.note({kind: 'store-regained', feed, awayMs: Math.round(awayMs), revision});
+	},
+	onHistoryLost(revision: number) {
+		log.note({kind: 'store-history-lost', feed, revision});
+	},
+});
--- /dev/null
+++ b/packages/gateway/src/node/caller-server.ts
@@ -0,0 +1,294 @@
+/** HTTP server for callers and, on another port, for requests that other daemons relay. */
+import * as buffer from 'node:buffer';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as event from '@hawthornfront/base/common/event.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as routeConfig from '../common/route-config.js';
+import * as upstreamTransport from '../common/upstream-transport.js';
+import type * as wireFormat from '../common/wire-format.js';
+
+/** A request whose head was read. */
+export type CallerHead = {
+	method: string;
+	path: string;
+	host: string;
+	rawHeaders: string[];
+	headers: wireFormat.Headers;
+	arrivedAtMs: number;
+};
+
+/** What the daemon wants done with a request after its head. */
+export type Verdict =
+	| {kind: 'reject'; status: number; reason: string; retryAfterMs?: number}
+	/** An answer of this daemon itself, to another daemon. */
+	| {kind: 'respond'; body: string}
+	| {
+			kind: 'accept';
+			/** Called once with the whole body. Disposing the result means that the caller left. */
+			run(
+				body: Uint8Array | undefined,
+				reply: upstreamTransport.CallerReply,
+				onEnd: () => void,
+			): disposable.Disposable;
+	  };
+
+export type CallerServer = {
+	listen(host: string, port: number): Promise<void>;
+	/** Limits of the configuration in force. */
+	applyLimits(limits: routeConfig.CallerLimits): void;
+	/** Asks callers to leave with their next answer. */
+	startDraining(): void;
+	closeIdle(): void;
+	/** Takes no new connections. */
+	stopListening(): void;
+	/** Requests between their head and the end of their answer. */
+	readonly inFlight: number;
+	destroy(): void;
+};
+
+const headerLimitBytes = 65_536;
+const connectionsCheckMs = 2000;
+/** Part of the idle limit that is kept beyond it, for a request that is on its way. */
+const idleSlackMs = 1000;
+
+class ServerReply extends upstreamTransport.CallerReply {
+	readonly #response: http.ServerResponse;
+	readonly #isDraining: () => boolean;
+	readonly #didDrain = event.createEmitter<void>();
+
+	constructor(response: http.ServerResponse, isDraining: () => boolean) {
+		super();
+		this.#response = response;
+		this.#isDraining = isDraining;
+		response.on('drain', () => {
+			this.#didDrain.fire();
+		});
+	}
+
+	override get onDidDrain() {
+		return this.#didDrain.event;
+	}
+
+	override start(status: number, headers: wireFormat.Headers): void {
+		this.#response.sendDate = false;
+		for (const [name, value] of Object.entries(headers)) {
+			if (value !== undefined) {
+				this.#response.setHeader(name, value);
+			}
+		}
+
+		if (this.#isDraining()) {
+			this.#response.setHeader('connection', 'close');
+		}
+
+		this.#response.writeHead(status);
+	}
+
+	override write(bytes: Uint8Array): boolean {
+		return this.#response.write(bytes);
+	}
+
+	override end(): void {
+		this.#response.end();
+	}
+
+	override abort(): void {
+		this.#response.destroy();
+	}
+}
+
+/** @param judge decides on a request from its head */
+export const createCallerServer = (
+	nowMs: () => number,
+	judge: (head: CallerHead) => Verdict,
+): CallerServer => {
+	const sockets = new Set<net.Socket>();
+	const busySockets = new Set<net.Socket>();
+	let isDraining = false;
+	let inFlight = 0;
+	let maxHeaderBytes = headerLimitBytes;
+	let maxBodyBytes = 4_194_304;
+
+	const reject = (
+		response: http.ServerResponse,
+		status: number,
+		reason: string,
+		retryAfterMs?: number,
+	) => {
+		const body = JSON.stringify({outcome: 'not-run', reason});
+		response.sendDate = false;
+		if (retryAfterMs !== undefined) {
+			response.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
+		}
+
+		if (isDraining) {
+			response.setHeader('connection', 'close');
+		}
+
+		response.writeHead(status, {
+			'content-type': 'application/problem+json',
+			'content-length': buffer.Buffer.byteLength(body),
+		});
+		response.end(body);
+	};
+
+	const headerBytes = (rawHeaders: readonly string[]) =>
+		rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+
+	const onRequest = (request: http.IncomingMessage, response: http.ServerResponse) => {
+		inFlight++;
+		busySockets.add(request.socket);
+		let course: disposable.Disposable | undefined;
+		let isOver = false;
+		const end = () => {
+			if (isOver) {
+				return;
+			}
+
+			isOver = true;
+			inFlight--;
+			busySockets.delete(request.socket);
+			course?.dispose();
+		};
+
+		response.on('close', end);
+		if (headerBytes(request.rawHeaders) > maxHeaderBytes) {
+			reject(response, 431, 'header-too-large');
+			return;
+		}
+
+		const verdict = judge({
+			method: request.method ?? 'GET',
+			path: request.url ?? '/',
+			host: request.headers.host ?? '',
+			rawHeaders: request.rawHeaders,
+			headers: request.headers,
+			arrivedAtMs: nowMs(),
+		});
+		if (verdict.kind === 'reject') {
+			request.resume();
+			reject(response, verdict.status, verdict.reason, verdict.retryAfterMs);
+			return;
+		}
+
+		if (verdict.kind === 'respond') {
+			request.resume();
+			response.writeHead(200, {
+				'content-type': 'application/json',
+				'content-length': buffer.Buffer.byteLength(verdict.body),
+			});
+			response.end(verdict.body);
+			return;
+		}
+
+		readBody(request, (body) => {
+			if (isOver) {
+				return;
+			}
+
+			if (body === 'too-large') {
+				response.setHeader('connection', 'close');
+				reject(response, 413, 'body-too-large');
+				return;
+			}
+
+			const reply = new ServerReply(response, () => isDraining);
+			course = verdict.run(body, reply, () => {
+				course = undefined;
+			});
+		});
+	};
+
+	const readBody = (
+		request: http.IncomingMessage,
+		onBody: (body: Uint8Array | undefined | 'too-large') => void,
+	) => {
+		const chunks: Uint8Array[] = [];
+		let bytes = 0;
+		request.on('data', (chunk: Uint8Array) => {
+			const wasTooLarge = bytes > maxBodyBytes;
+			bytes += chunk.length;
+			if (bytes <= maxBodyBytes) {
+				chunks.push(chunk);
+			} else if (!wasTooLarge) {
+				chunks.length = 0;
+				onBody('too-large');
+			}
+		});
+		request.on('end', () => {
+			if (bytes <= maxBodyBytes) {
+				onBody(
+					bytes === 0 ? undefined : chunks.length === 1 ? chunks[0] : buffer.Buffer.concat(chunks),
+				);
+			}
+		});
+		// A caller that leaves is noticed by the close of the response.
+		request.on('error', () => undefined);
+	};
+
+	const server = http.createServer(
+		{
+			maxHeaderSize: headerLimitBytes,
+			connectionsCheckingInterval: connectionsCheckMs,
+			requestTimeout: 0,
+			noDelay: true,
+		},
+		onRequest,
+	);
+	server.on('connection', (socket) => {
+		sockets.add(socket);
+		socket.on('close', () => {
+			sockets.delete(socket);
+		});
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		if (socket.writable && !busySockets.has(socket as net.Socket) && error.code !== 'ECONNRESET') {
+			const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
+			const text = status === 431 ? 'Request Header Fields Too Large' : 'Bad Request';
+			socket.end(`HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+		} else {
+			socket.destroy();
+		}
+	});
+
+	return {
+		async listen(host, port) {
+			return new Promise((resolve, _reject) => {
+				server.once('error', _reject);
+				server.listen({host, port, backlog: 1024}, () => {
+					server.off('error', _reject);
+					resolve();
+				});
+			});
+		},
+		applyLimits(limits) {
+			maxHeaderBytes = limits.headerBytes;
+			maxBodyBytes = limits.bodyBytes;
+			server.headersTimeout = limits.headerTimeoutMs;
+			server.keepAliveTimeout = limits.idleMs + idleSlackMs;
+		},
+		startDraining() {
+			isDraining = true;
+		},
+		closeIdle() {
+			for (const socket of sockets) {
+				if (!busySockets.has(socket)) {
+					socket.end();
+				}
+			}
+		},
+		stopListening() {
+			server.close();
+		},
+		get inFlight() {
+			return inFlight;
+		},
+		destroy() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -0,0 +1,308 @@
+/**
+ * Connections to upstreams and other daemons. Each undici client holds one
+ * connection with one request at a time, so that the pool knows how old a
+ * connection is and which request a failure belongs to.
+ */
+import * as net from 'node:net';
+import * as undici from 'undici';
+import * as upstreamTransport from '../common/upstream-transport.js';
+
+export type PoolSettings = {
+	/** Time for a new connection. */
+	connectTimeoutMs: number;
+	/** Idle connections are closed after this time, or earlier when the peer says so. */
+	idleMs: number;
+	/** A request that must not be lost only reuses connections that were idle for less. */
+	recentMs: number;
+	/** Idle connections kept for one peer. */
+	maxIdlePerPeer: number;
+};
+
+export const defaultPoolSettings: PoolSettings = {
+	connectTimeoutMs: 1000,
+	idleMs: 4000,
+	recentMs: 600,
+	maxIdlePerPeer: 64,
+};
+
+type Connection = {
+	client: undici.Client;
+	address: string;
+	lastUsedMs: number;
+	/** A connection was made and not lost since. */
+	isConnected: boolean;
+	/** The socket ended with an error, so an answer without a length is not complete. */
+	hasSocketError: boolean;
+	isClosed: boolean;
+};
+
+/** Margin before the peer's own time-out of an idle connection. */
+const keepAliveMarginMs = 1000;
+
+const neverSentCodes: ReadonlySet<string> = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'ETIMEDOUT_CONNECT',
+	'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const detailOf = (error: Error): string =>
+	'code' in error && typeof error.code === 'string' ? error.code : error.message;
+
+/** Transport on undici. */
+export class ConnectionPool extends upstreamTransport.UpstreamTransport {
+	readonly #settings: PoolSettings;
+	readonly #nowMs: () => number;
+	readonly #idle = new Map<string, Connection[]>();
+	#opened = 0;
+
+	constructor(nowMs: () => number, settings: PoolSettings = defaultPoolSettings) {
+		super();
+		this.#nowMs = nowMs;
+		this.#settings = settings;
+	}
+
+	/** Connections opened since the start. */
+	get opened(): number {
+		return this.#opened;
+	}
+
+	override send(
+		request: upstreamTransport.TransportRequest,
+		listener: upstreamTransport.TransportListener,
+	): upstreamTransport.Exchange {
+		const connection = this.#take(request);
+		let controller: undici.Dispatcher.DispatchController | undefined;
+		let isCancelled = false;
+		let isFramed = true;
+		let isOver = false;
+
+		const fail = (error: Error) => {
+			if (isOver) {
+				return;
+			}
+
+			isOver = true;
+			const mayHaveBeenSent = connection.isConnected || !neverSentCodes.has(detailOf(error));
+			this.#close(connection);
+			if (!isCancelled) {
+				listener.onFailure({mayHaveBeenSent, detail: detailOf(error)});
+			}
+		};
+
+		connection.client.dispatch(
+			{
+				method: request.method,
+				path: request.path,
+				headers: request.headers,
+				body: request.body,
+				idempotent: false,
+				blocking: false,
+			},
+			{
+				onRequestStart(started) {
+					controller = started;
+					if (isCancelled) {
+						started.abort(new Error('cancelled'));
+					}
+				},
+				onResponseStart(started, status, headers) {
+					controller = started;
+					isFramed =
+						headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+					if (status >= 200 && !isCancelled) {
+						listener.onHead(status, headers);
+					}
+				},
+				onResponseData(_controller, chunk) {
+					if (!isCancelled) {
+						listener.onData(chunk);
+					}
+				},
+				onResponseEnd: () => {
+					if (isOver) {
+						return;
+					}
+
+					if (!isFramed && connection.hasSocketError) {
+						fail(new Error('reset before the end of an answer without length'));
+						return;
+					}
+
+					isOver = true;
+					this.#release(connection);
+					if (!isCancelled) {
+						listener.onEnd();
+					}
+				},
+				onResponseError(_controller, error) {
+					fail(error);
+				},
+			},
+		);
+		return {
+			cancel: () => {
+				isCancelled = true;
+				if (!isOver) {
+					controller?.abort(new Error('cancelled'));
+					this.#close(connection);
+				}
+			},
+			pause() {
+				controller?.pause();
+			},
+			resume() {
+				controller?.resume();
+			},
+		};
+	}
+
+	/** Closes connections that were idle for too long; call it at regular intervals. */
+	sweep(): void {
+		const oldestMs = this.#nowMs() - this.#settings.idleMs;
+		for (const [address, connections] of this.#idle) {
+			const kept = connections.filter((connection) => {
+				if (connection.lastUsedMs < oldestMs || connection.isClosed) {
+					this.#close(connection);
+					return false;
+				}
+
+				return true;
+			});
+			if (kept.length === 0) {
+				this.#idle.delete(address);
+			} else {
+				this.#idle.set(address, kept);
+			}
+		}
+	}
+
+	/** Closes the idle connections to a peer that is gone. */
+	drop(address: string): void {
+		for (const connection of this.#idle.get(address) ?? []) {
+			this.#close(connection);
+		}
+
+		this.#idle.delete(address);
+	}
+
+	dispose(): void {
+		for (const address of this.#idle.keys()) {
+			this.drop(address);
+		}
+	}
+
+	#take(request: upstreamTransport.TransportRequest): Connection {
+		const idle = this.#idle.get(request.address) ?? [];
+		for (let connection = idle.at(-1); connection; connection = idle.at(-1)) {
+			if (connection.isClosed || !connection.isConnected) {
+				idle.pop();
+				this.#close(connection);
+				continue;
+			}
+
+			const idleMs = this.#nowMs() - connection.lastUsedMs;
+			if (request.needsRecentConnection && idleMs > this.#settings.recentMs) {
+				break;
+			}
+
+			idle.pop();
+			return connection;
+		}
+
+		return this.#open(request.address);
+	}
+
+	#open(address: string): Connection {
+		this.#opened++;
+		const connection: Connection = {
+			client: undefined as unknown as undici.Client,
+			address,
+			lastUsedMs: this.#nowMs(),
+			isConnected: false,
+			hasSocketError: false,
+			isClosed: false,
+		};
+		connection.client = new undici.Client(`http://${address}`, {
+			pipelining: 1,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: this.#settings.idleMs,
+			keepAliveTimeoutThreshold: keepAliveMarginMs,
+			connect: (options, callback) => {
+				this.#connect(connection, options, callback);
+			},
+		});
+		return connection;
+	}
+
+	#connect(
+		connection: Connection,
+		options: undici.buildConnector.Options,
+		callback: undici.buildConnector.Callback,
+	): void {
+		// A lost connection is not replaced behind the pool's back: the request may have been sent on it.
+		if (connection.isClosed || connection.isConnected) {
+			callback(new Error('connection lost'), null);
+			return;
+		}
+
+		const socket = net.connect({
+			host: options.hostname,
+			port: Number(options.port),
+			noDelay: true,
+		});
+		let isSettled = false;
+		const timer = setTimeout(() => {
+			settle(Object.assign(new Error('connect timeout'), {code: 'UND_ERR_CONNECT_TIMEOUT'}));
+			socket.destroy();
+		}, this.#settings.connectTimeoutMs);
+		const settle = (error?: Error) => {
+			clearTimeout(timer);
+			if (isSettled) {
+				return;
+			}
+
+			isSettled = true;
+			if (error) {
+				callback(error, null);
+			} else {
+				connection.isConnected = true;
+				callback(null, socket);
+			}
+		};
+
+		socket.once('connect', () => {
+			settle();
+		});
+		socket.on('error', (error) => {
+			connection.hasSocketError = true;
+			if (!isSettled) {
+				// No byte of a request is written before the connection stands.
+				settle(Object.assign(error, {code: 'ECONNREFUSED'}));
+			}
+		});
+		socket.once('close', () => {
+			connection.isClosed = true;
+		});
+	}
+
+	#release(connection: Connection): void {
+		connection.lastUsedMs = this.#nowMs();
+		const idle = this.#idle.get(connection.address) ?? [];
+		if (connection.isClosed || idle.length >= this.#settings.maxIdlePerPeer) {
+			this.#close(connection);
+			return;
+		}
+
+		idle.push(connection);
+		this.#idle.set(connection.address, idle);
+	}
+
+	#close(connection: Connection): void {
+		connection.isClosed = true;
+		// The client rejects what it still holds; that request has been told already.
+		void connection.client.destroy().catch(() => undefined);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -0,0 +1,144 @@
+/** Start and stop of a gateway process; a deployment supplies its names and formats. */
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+// A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
+import process from 'node:process';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
+import * as random from '@hawthornfront/base/common/random.js';
+import * as daemonProgram from '@hawthornfront/base/node/daemon-program.js';
+import * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as systemClock from '@hawthornfront/base/node/system-clock.js';
+import * as udpSocket from '@hawthornfront/base/node/udp-socket.js';
+import * as undiciHttpClient from '@hawthornfront/base/node/undici-http-client.js';
+import * as h3 from 'h3';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as prefixStore from '../common/prefix-store.js';
+import type * as wireFormat from '../common/wire-format.js';
+import * as eventWriter from './event-writer.js';
+import * as gatewayDaemon from './gateway-daemon.js';
+import * as settings from './settings.js';
+
+type DaemonReference = () => gatewayDaemon.GatewayDaemon | undefined;
+
+export type Deployment = {
+	/** Environment variable that names the settings file. */
+	settingsVariable: string;
+	wire: wireFormat.WireFormat;
+	layout: prefixStore.StoreLayout;
+	createStore(client: httpClient.HttpClient, address: string): prefixStore.PrefixStore;
+	createReadinessApp(daemon: DaemonReference): h3.H3;
+	createDirectoryApp(daemon: DaemonReference): h3.H3;
+};
+
+/** The settings file may change without a signal. */
+const settingsCheckMs = 2000;
+const programName = 'hawthornfront-gateway';
+
+const listen = async (app: h3.H3, address: string): Promise<http.Server> => {
+	const {host, port} = settings.splitAddress(address);
+	const server = http.createServer(h3.toNodeHandler(app));
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host, port}, () => {
+			server.off('error', reject);
+			resolve(server);
+		});
+	});
+};
+
+const createMetricsApp = (registry: metrics.Registry, daemon: DaemonReference): h3.H3 =>
+	new h3.H3()
+		.get('/metrics', async () => new Response(await registry.metrics()))
+		.get('/debug/state', () => Response.json(daemon()?.dump() ?? {}));
+
+/** Reads the file again at each call and applies it when it changed. */
+const createReload = (
+	file: string,
+	initial: settings.GatewaySettings,
+	daemon: gatewayDaemon.GatewayDaemon,
+	log: gatewayEvent.EventLog,
+) => {
+	let currentText = JSON.stringify(initial);
+	return (isSignal: boolean) => {
+		try {
+			const next = settings.readGatewaySettings(file);
+			const nextText = JSON.stringify(next);
+			const changed = nextText !== currentText;
+			currentText = nextText;
+			if (changed) {
+				daemon.applySettings(next);
+			}
+
+			if (changed || isSignal) {
+				log.note({kind: 'settings-reloaded', changed});
+			}
+		} catch (error) {
+			const detail = error instanceof Error ? error.message : String(error);
+			log.note({kind: 'settings-rejected', detail});
+		}
+	};
+};
+
+const start = async (deployment: Deployment, file: string): Promise<() => Promise<void>> => {
+	const current = settings.readGatewaySettings(file);
+	const clock = new systemClock.SystemClock();
+	const registry = metrics.createRegistry({vm: current.vm.name});
+	const log = eventWriter.createEventWriter(registry, () => clock.nowMs(), {vm: current.vm.name});
+	const peers = settings.splitAddress(current.listen.peers);
+	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
+	const daemonOf = () => started.daemon;
+	const servers = [
+		await listen(deployment.createReadinessApp(daemonOf), current.listen.readiness),
+		await listen(deployment.createDirectoryApp(daemonOf), current.listen.directory),
+		await listen(createMetricsApp(registry, daemonOf), current.listen.metrics),
+	];
+	const daemon = await gatewayDaemon.startGatewayDaemon({
+		settings: current,
+		clock,
+		random: random.createRandom(seedFrom(clock.wallMs(), current.vm.name)),
+		wire: deployment.wire,
+		store: deployment.createStore(new undiciHttpClient.UndiciHttpClient(), current.store.address),
+		layout: deployment.layout,
+		socket: await udpSocket.bindUdpSocket(peers.host, peers.port),
+		log,
+		registry,
+	});
+	started.daemon = daemon;
+	const reload = createReload(file, current, daemon, log);
+	process.on('SIGHUP', () => {
+		reload(true);
+	});
+	fs.watchFile(file, {interval: settingsCheckMs}, () => {
+		reload(false);
+	});
+	return async () => {
+		await daemon.stop();
+		fs.unwatchFile(file);
+		for (const server of servers) {
+			server.close();
+		}
+
+		// eslint-disable-next-line unicorn/no-process-exit -- idle connections of the pages may stay open
+		process.exit(0);
+	};
+};
+
+const maxSeed = 2_147_483_647;
+
+const seedFrom = (wallMs: number, name: string): number => {
+	let seed = Math.floor(wallMs) % maxSeed;
+	for (const character of name) {
+		seed = (seed * 31 + character.codePointAt(0)!) % maxSeed;
+	}
+
+	return seed;
+};
+
+/** Runs the program with the settings file of `--config` or of the environment. */
+export const runGatewayProgram = async (deployment: Deployment): Promise<void> =>
+	daemonProgram.runDaemonProgram({
+		name: programName,
+		description: 'Forwards requests of callers to upstreams',
+		defaultFile: process.env[deployment.settingsVariable],
+		start: async (file) => start(deployment, file),
+	});
--- /dev/null
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -0,0 +1,129 @@
+/** Exchanges datagrams with other daemons at regular intervals. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as random from '@hawthornfront/base/common/random.js';
+import type * as fleetView from '../common/fleet-view.js';
+import * as gossipMessage from '../common/gossip-message.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
+
+/** Peers of the own failure domain that get each message. */
+const maxDomainPeers = 16;
+/** Messages to other failure domains go out once in so many ticks. */
+const farEveryTicks = 2;
+/** Members told in one message, so that it fits into one packet. */
+const maxToldMembers = 8;
+
+export type GossipNode = disposable.Disposable & {
+	/** Tells all members at once, as on a stop. */
+	announce(): void;
+};
+
+export type GossipOptions = {
+	clock: clock.Clock;
+	random: random.Random;
+	socket: datagramSocket.DatagramSocket;
+	fleet: fleetView.FleetView;
+	log: gatewayEvent.EventLog;
+	everyMs: number;
+	seeds: readonly string[];
+	/** This daemon as it is now. */
+	self(): gossipMessage.MemberRecord;
+	ownLoads(): gossipMessage.GossipMessage['loads'];
+	/** Expected waits of the own region, and what is known of the others. */
+	outlooks(): gossipMessage.GossipMessage['outlooks'];
+	onMessage(message: gossipMessage.GossipMessage): void;
+};
+
+/** Starts to exchange datagrams. */
+export const startGossip = (options: GossipOptions): GossipNode => {
+	const {clock, random, socket, fleet} = options;
+	const store = disposable.createDisposableStore();
+	let tick = 0;
+
+	const pickSome = <Item>(items: readonly Item[], count: number): Item[] => {
+		const left = [...items];
+		const picked: Item[] = [];
+		while (picked.length < count && left.length > 0) {
+			picked.push(...left.splice(random.integer(0, left.length - 1), 1));
+		}
+
+		return picked;
+	};
+
+	const buildMessage = (withLoads: boolean): Uint8Array => {
+		const nowMs = clock.nowMs();
+		const told = pickSome(fleet.alive(), maxToldMembers);
+		return gossipMessage.encodeGossip({
+			sender: options.self(),
+			others: told.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
+			loads: withLoads ? options.ownLoads() : [],
+			outlooks: options.outlooks(),
+		});
+	};
+
+	const farPeers = (): fleetView.Member[] => {
+		const self = options.self();
+		const byDomain = new Map<string, fleetView.Member[]>();
+		for (const member of fleet.alive()) {
+			if (member.failureDomain !== self.failureDomain) {
+				const group = byDomain.get(member.failureDomain) ?? [];
+				group.push(member);
+				byDomain.set(member.failureDomain, group);
+			}
+		}
+
+		return [...byDomain.values()].flatMap((group) => pickSome(group, 1));
+	};
+
+	const sendAll = () => {
+		tick++;
+		fleet.sweep();
+		const self = options.self();
+		const near = fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
+		const nearBytes = buildMessage(true);
+		for (const member of pickSome(near, maxDomainPeers)) {
+			socket.send(member.peerAddress, nearBytes);
+		}
+
+		if (tick % farEveryTicks === 0) {
+			const farBytes = buildMessage(false);
+			for (const member of farPeers()) {
+				socket.send(member.peerAddress, farBytes);
+			}
+
+			// Seeds help to find the others, and heal a view that was split.
+			const seed = random.pick(options.seeds.filter((address) => address !== self.peerAddress));
+			if (seed && (!fleet.hearsPeers() || random.next() < 0.1)) {
+				socket.send(seed, farBytes);
+			}
+		}
+	};
+
+	store.add(
+		socket.onDidReceive(({peer, bytes}) => {
+			try {
+				options.onMessage(gossipMessage.decodeGossip(bytes));
+			} catch (error) {
+				options.log.note({
+					kind: 'datagram-rejected',
+					peer,
+					detail: error instanceof Error ? error.message.slice(0, 200) : String(error),
+				});
+			}
+		}),
+	);
+	store.add(clock.setPeriodicTimer(sendAll, options.everyMs));
+	sendAll();
+	return {
+		announce() {
+			const bytes = buildMessage(false);
+			for (const member of fleet.alive()) {
+				socket.send(member.peerAddress, bytes);
+			}
+		},
+		dispose() {
+			store.dispose();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/node/membership.ts
@@ -0,0 +1,119 @@
+/**
+ * Lets daemons find each other through the store: each registers itself under a
+ * lease and reads the list until it hears its peers by datagram.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as fleetView from '../common/fleet-view.js';
+import * as gossipMessage from '../common/gossip-message.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as prefixStore from '../common/prefix-store.js';
+
+export type Membership = {
+	/** Takes this daemon off the list. */
+	leave(): Promise<void>;
+	dispose(): void;
+};
+
+export type MembershipOptions = {
+	clock: clock.Clock;
+	random(): number;
+	store: prefixStore.PrefixStore;
+	prefix: string;
+	leaseMs: number;
+	fleet: fleetView.FleetView;
+	log: gatewayEvent.EventLog;
+	self(): gossipMessage.MemberRecord;
+};
+
+/** Reads soon after the start, when all daemons register, and rarely later. */
+const earlyReadsMs = [600, 1500, 3000];
+const laterReadMs = 15_000;
+const retryMs = 1000;
+const renewalsPerLease = 3;
+
+/** Starts to register and to read. */
+export const startMembership = (options: MembershipOptions): Membership => {
+	const {clock, store, fleet, log} = options;
+	const abort = new AbortController();
+	let lease: string | undefined;
+
+	const noteFailure = (error: unknown) => {
+		const detail = error instanceof Error ? error.message.slice(0, 200) : String(error);
+		log.note({kind: 'store-lost', feed: 'members', detail});
+	};
+
+	const register = async () => {
+		const granted = await store.grantLease(options.leaseMs);
+		const self = options.self();
+		const value = new TextEncoder().encode(JSON.stringify(self));
+		await store.putLeased(`${options.prefix}${self.name}`, value, granted);
+		lease = granted;
+	};
+
+	const keepRegistered = async () => {
+		while (!abort.signal.aborted) {
+			let delayMs = options.leaseMs / renewalsPerLease;
+			try {
+				if (lease === undefined || !(await store.renewLease(lease))) {
+					await register();
+				}
+			} catch (error) {
+				noteFailure(error);
+				delayMs = retryMs;
+			}
+
+			await clock.sleep(delayMs * (0.8 + options.random() * 0.4));
+		}
+	};
+
+	const readMembers = async () => {
+		const listing = await store.list(options.prefix, true, abort.signal);
+		for (const {key, value} of listing.items) {
+			try {
+				const text = new TextDecoder().decode(value);
+				const record = gossipMessage.memberRecordSchema.parse(JSON.parse(text));
+				fleet.noteStoreMember(record);
+			} catch (error) {
+				const detail = error instanceof Error ? error.message.slice(0, 200) : String(error);
+				log.note({kind: 'entry-rejected', key, revision: listing.revision, detail});
+			}
+		}
+	};
+
+	const keepReading = async () => {
+		for (let round = 0; !abort.signal.aborted; round++) {
+			const delayMs = earlyReadsMs[round] ?? laterReadMs;
+			await clock.sleep(delayMs * (0.8 + options.random() * 0.4));
+			try {
+				await readMembers();
+			} catch (error) {
+				if (!abort.signal.aborted) {
+					noteFailure(error);
+				}
+			}
+		}
+	};
+
+	void keepRegistered();
+	void keepReading();
+	const lifetime = disposable.toDisposable(() => {
+		abort.abort(new Error('stopped'));
+	});
+	return {
+		async leave() {
+			lifetime.dispose();
+			if (lease !== undefined) {
+				try {
+					await store.endLease(lease);
+				} catch (error) {
+					// The lease ends by itself.
+					noteFailure(error);
+				}
+			}
+		},
+		dispose() {
+			lifetime.dispose();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/node/settings.ts
@@ -0,0 +1,63 @@
+/** Settings of the gateway daemon, in INI. */
+import * as setting from '@hawthornfront/decisions/common/setting.js';
+import * as settings from '@hawthornfront/base/node/settings.js';
+import * as zod from 'zod';
+import * as loadSettings from '../common/load-settings.js';
+
+export const gatewaySettingsSchema = zod.strictObject({
+	vm: zod.strictObject({
+		name: zod.string().min(1, 'expected the name of the VM'),
+		region: zod.string().min(1, 'expected a region'),
+		failureDomain: zod.string().min(1, 'expected a failure domain'),
+		/** Part of a core, for the directory's choice between VMs. */
+		processorShare: setting.number(1, 0.01, 64),
+	}),
+	listen: zod.strictObject({
+		callers: settings.addressSetting,
+		readiness: settings.addressSetting,
+		directory: settings.addressSetting,
+		/** For other daemons, over TCP and UDP. */
+		peers: settings.addressSetting,
+		metrics: settings.addressSetting,
+	}),
+	/** Region of each failure domain. */
+	failureDomains: zod.record(zod.string(), zod.string()),
+	store: zod.strictObject({
+		address: settings.addressSetting,
+		/** Longest wait of one watch; a silent store is noticed after this and a grace. */
+		watchWaitMs: setting.number(6000, 100, 30_000),
+		memberLeaseMs: setting.number(9000, 1000, 600_000),
+	}),
+	peers: zod.strictObject({
+		/** Addresses of a few VMs that may be stale; their ports are not used. */
+		seedAddresses: settings.listSetting(settings.addressSetting),
+		gossipEveryMs: setting.number(250, 50, 10_000),
+	}),
+	stop: zod.strictObject({
+		/** Time between the signal to stop and the forced end. */
+		graceS: setting.number(8, 0.5, 600),
+	}),
+	resends: zod.strictObject({
+		/** Sends beyond the first that each request earns. */
+		share: setting.share(0.2),
+		/** Sends beyond the first in a window that need no requests, over all daemons. */
+		extraPerWindow: setting.number(54, 0, 1_000_000),
+		windowS: setting.number(10, 0.1, 600),
+	}),
+	directory: zod.strictObject({
+		/** Time for which callers keep an answer. */
+		timeToLiveS: setting.number(2, 0.1, 60),
+	}),
+	decisions: loadSettings.loadSettingsSchema.default(loadSettings.loadSettingsSchema.parse({})),
+});
+export type GatewaySettings = zod.infer<typeof gatewaySettingsSchema>;
+
+/** Reads and checks a settings file. @throws SettingsError */
+export const readGatewaySettings = (file: string): GatewaySettings =>
+	settings.readSettings(file, gatewaySettingsSchema);
+
+/** Splits `host:port`. */
+export const splitAddress = (address: string): {host: string; port: number} => {
+	const separator = address.lastIndexOf(':');
+	return {host: address.slice(0, separator), port: Number(address.slice(separator + 1))};
+};
--- a/packages/platform/src/common/key-value-store.ts
+++ b/packages/platform/src/common/key-value-store.ts
@@ -29,12 +29,20 @@
 export class PlatformError extends Error {
 	readonly service: string;
 	readonly mayHaveTakenEffect: boolean;
+	/** HTTP status of the answer; undefined when there was none. */
+	readonly status: number | undefined;
 
-	constructor(service: string, message: string, mayHaveTakenEffect: boolean, cause?: unknown) {
-		super(`${service}: ${message}`, {cause});
+	constructor(
+		service: string,
+		message: string,
+		mayHaveTakenEffect: boolean,
+		options: {cause?: unknown; status?: number} = {},
+	) {
+		super(`${service}: ${message}`, {cause: options.cause});
 		this.name = 'PlatformError';
 		this.service = service;
 		this.mayHaveTakenEffect = mayHaveTakenEffect;
+		this.status = options.status;
 	}
 }
 
--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -10,7 +10,7 @@
 	/** Name of the service and operation, for errors. */
 	service: string;
 	address: string;
-	method: 'GET' | 'POST' | 'PUT';
+	method: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	path: string;
 	body?: unknown;
 	signal?: AbortSignal;
@@ -36,7 +36,9 @@
 		});
 		const text = await httpClient.readText(answer.body, maxAnswerBytes);
 		if (answer.status !== 200) {
-			throw new keyValueStore.PlatformError(service, `status ${answer.status}`, false);
+			throw new keyValueStore.PlatformError(service, `status ${answer.status}`, false, {
+				status: answer.status,
+			});
 		}
 
 		return schema.parse(JSON.parse(text));
@@ -48,6 +50,8 @@
 		const mayHaveTakenEffect =
 			!(error instanceof httpClient.HttpClientError) || error.mayHaveBeenSent;
 		const message = error instanceof Error ? error.message : String(error);
-		throw new keyValueStore.PlatformError(service, message, mayHaveTakenEffect, error);
+		throw new keyValueStore.PlatformError(service, message, mayHaveTakenEffect, {
+			cause: error,
+		});
 	}
 };
