Count upstreams across a relay, copy prompt parts, and prove the end of answers

A third of the shared prompt parts was read again, mostly for the first time in a region: runners now copy them from a runner that holds them.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -21,6 +21,8 @@
 	remainingMs: number;
 	/** Upstreams that were tried already. */
 	triedUpstreams: ReadonlySet<string>;
+	/** Those of them that refused, were unreachable or broke the connection. */
+	failedUpstreams: ReadonlySet<string>;
 	/** Regions that refused already. */
 	triedRegions: ReadonlySet<string>;
 	/** False for a request that came from another region. */
@@ -40,6 +42,8 @@
 	| {
 			kind: 'upstream';
 			upstream: upstreamRegistry.Upstream;
+			/** Runner from which it may copy parts of the prompt. */
+			promptSource?: upstreamRegistry.Upstream;
 			readTokens: number;
 			basis: ChoiceBasis;
 	  }
@@ -98,8 +102,23 @@
 const noUpstreamRetryMs = 700;
 /** Added to the cost of tokens that were read before, since reading again delays everyone. */
 const rereadWeight = 0.6;
+/** Cost of copying a prompt part from another runner, against reading it. */
+const copyWeight = 0.25;
+/** Confidence that a runner that should hold a part still holds it. */
+const copyConfidence = 0.8;
+/** Shared tokens that are worth a copy. */
+const minCopyTokens = 150;
 
-type Scored = {upstream: upstreamRegistry.Upstream; expectedMs: number; readTokens: number};
+type Scored = {
+	upstream: upstreamRegistry.Upstream;
+	promptSource?: upstreamRegistry.Upstream;
+	expectedMs: number;
+	readTokens: number;
+	costMs: number;
+};
+
+/** A runner that holds parts of a prompt, for the others to copy. */
+type Holder = {upstream: upstreamRegistry.Upstream; tokens: number};
 
 type Known = {load: upstreamLoad.UpstreamLoad; failures: failureRecord.FailureRecord};
 
@@ -139,17 +158,58 @@
 		!knownOf(upstream.entry.id).failures.isSuspended(nowMs()) &&
 		(!isCold(upstream, service) || ramp.mayUse(upstream.entry.id, service.coldRatePerS));
 
+	const sharedTokensOf = (work: workEstimate.WorkEstimate) =>
+		work.sharedParts.reduce((sum, part) => sum + part.tokens, 0);
+
+	/**
+	 * Runner that holds most of the shared parts of a prompt. Where this daemon has
+	 * sent them to none, it is the runner that all daemons of all regions prefer.
+	 */
+	const findHolder = (
+		service: routeConfig.Service,
+		work: workEstimate.WorkEstimate,
+	): Holder | undefined => {
+		if (work.sharedParts.length === 0) {
+			return undefined;
+		}
+
+		const runners = options.regions.flatMap((region) => registry.usable(service.name, region));
+		let best: Holder | undefined;
+		for (const upstream of runners) {
+			const tokens = cache.heldTokens(upstream.entry.id, work.sharedParts);
+			if (tokens > (best?.tokens ?? 0)) {
+				best = {upstream, tokens};
+			}
+		}
+
+		if (best) {
+			return best;
+		}
+
+		const preferred = cache.preferredRunner(
+			work.sharedParts,
+			runners.map((upstream) => upstream.entry.id),
+		);
+		const upstream = preferred === undefined ? undefined : registry.get(preferred);
+		return upstream && {upstream, tokens: sharedTokensOf(work)};
+	};
+
 	/** Cost of an upstream: expected time, corrected for failures and for bytes between domains. */
 	const costOf = (
 		upstream: upstreamRegistry.Upstream,
 		{work, service}: Pick<DispatchRequest, 'work' | 'service'>,
 		preferred: string | undefined,
-	): Scored & {costMs: number} => {
+		holder: Holder | undefined,
+	): Scored => {
 		const {load, failures} = knownOf(upstream.entry.id);
 		const heldTokens = cache.heldTokens(upstream.entry.id, work.sharedParts, preferred);
-		const readTokens = Math.max(0, work.promptTokens - heldTokens);
-		const sharedTokens = work.sharedParts.reduce((sum, part) => sum + part.tokens, 0);
-		const rereadTokens = Math.max(0, sharedTokens - heldTokens);
+		const isHolder = holder?.upstream.entry.id === upstream.entry.id;
+		const copiedTokens = isHolder ? 0 : Math.max(0, (holder?.tokens ?? 0) - heldTokens);
+		const isCopyWorthwhile = copiedTokens >= minCopyTokens;
+		const savedTokens = heldTokens + (isCopyWorthwhile ? copiedTokens * copyConfidence : 0);
+		const readTokens = Math.max(0, work.promptTokens - savedTokens);
+		const rereadTokens =
+			Math.max(0, sharedTokensOf(work) - savedTokens) + copiedTokens * copyWeight;
 		const expectedMs = load.predictMs(work, readTokens, {
 			slots: slotsOf(upstream, service),
 			engine: service.engine,
@@ -161,7 +221,13 @@
 			failures.rate(nowMs()) * settings.failurePenaltyMs +
 			(rereadTokens * rereadWeight) / settings.prefillTokensPerMs +
 			domainMs;
-		return {upstream, expectedMs, readTokens, costMs};
+		return {
+			upstream,
+			promptSource: isCopyWorthwhile ? holder?.upstream : undefined,
+			expectedMs,
+			readTokens,
+			costMs,
+		};
 	};
 
 	const usableIn = (request: Pick<DispatchRequest, 'service'>, tried?: ReadonlySet<string>) =>
@@ -170,14 +236,17 @@
 			.filter((upstream) => !tried?.has(upstream.entry.id) && isUsable(upstream, request.service));
 
 	const bestLocal = (request: DispatchRequest): {best?: Scored; candidates: number} => {
-		const usable = usableIn(request, request.triedUpstreams);
+		const untried = usableIn(request, request.triedUpstreams);
+		// The only upstream of a region may be asked again: its failure may concern one run.
+		const usable = untried.length > 0 ? untried : usableIn(request, request.failedUpstreams);
 		const preferred = cache.preferredRunner(
 			request.work.sharedParts,
 			usable.map((upstream) => upstream.entry.id),
 		);
-		let best: (Scored & {costMs: number}) | undefined;
+		const holder = findHolder(request.service, request.work);
+		let best: Scored | undefined;
 		for (const upstream of usable) {
-			const scored = costOf(upstream, request, preferred);
+			const scored = costOf(upstream, request, preferred, holder);
 			// A little noise keeps daemons from all choosing the same of two equals.
 			scored.costMs *= 1 + options.random() * 0.05;
 			if (!best || scored.costMs < best.costMs) {
@@ -260,7 +329,13 @@
 			};
 			return localMs > limitMs
 				? refuse('overloaded', basis, localMs - limitMs + 200)
-				: {kind: 'upstream', upstream: best.upstream, readTokens: best.readTokens, basis};
+				: {
+						kind: 'upstream',
+						upstream: best.upstream,
+						promptSource: best.promptSource,
+						readTokens: best.readTokens,
+						basis,
+					};
 		},
 		dispatch(choice, request) {
 			const {upstream, readTokens, basis} = choice;
@@ -291,7 +366,7 @@
 			const work = {promptTokens: 1, memoryTokens: 0, sharedParts: [], isUrgent};
 			let bestMs: number | undefined;
 			for (const upstream of usableIn({service})) {
-				const {costMs} = costOf(upstream, {work, service}, undefined);
+				const {costMs} = costOf(upstream, {work, service}, undefined, undefined);
 				bestMs = Math.min(bestMs ?? Number.POSITIVE_INFINITY, costMs);
 			}
 
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -24,6 +24,7 @@
 			candidates: number;
 			requestsThere?: number;
 			heldTokens?: number;
+			promptSource?: string;
 			remainingMs: number;
 			resumeAfter?: string;
 	  }
--- a/packages/gateway/src/common/relay-headers.ts
+++ b/packages/gateway/src/common/relay-headers.ts
@@ -6,6 +6,10 @@
 export const relayedFromHeader = 'hawthornfront-relayed-from';
 /** What is known of a request that the other daemon could not answer. */
 export const outcomeHeader = 'hawthornfront-outcome';
+/** Upstreams that may still run the request, for the other daemon. */
+export const upstreamsLeftHeader = 'hawthornfront-upstreams-left';
+/** Upstreams that ran it there, on a failure. */
+export const upstreamsUsedHeader = 'hawthornfront-upstreams-used';
 /** Why it could not. */
 export const reasonHeader = 'hawthornfront-reason';
 
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -25,6 +25,8 @@
 	service: routeConfig.Service;
 	/** Monotonic time at which the head arrived. */
 	arrivedAtMs: number;
+	/** Upstreams that may run it; fewer than the route allows when another daemon tried before. */
+	maxUpstreams: number;
 	/** Region of the daemon that relayed it; undefined for a request of a caller. */
 	relayedFrom?: string;
 };
@@ -88,6 +90,7 @@
 	const limitMs = Math.min(facts.patienceMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
 	const deadlineMs = request.arrivedAtMs + limitMs;
 	const triedUpstreams = new Set<string>();
+	const failedUpstreams = new Set<string>();
 	const triedRegions = new Set<string>();
 	const timers = new Set<disposable.Disposable>();
 
@@ -159,6 +162,7 @@
 			'content-length': String(body.length),
 			[relayHeaders.outcomeHeader]: outcome,
 			[relayHeaders.reasonHeader]: reason,
+			[relayHeaders.upstreamsUsedHeader]: String(upstreamsThatRan),
 		};
 		if (retryAfterMs !== undefined) {
 			headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
@@ -212,17 +216,18 @@
 		outcome: Outcome;
 		detail: string;
 		startedAtMs: number;
+		upstreamsUsed: number;
 	}) => {
 		if (failure.outcome !== 'not-run') {
 			mayHaveRun = true;
-			upstreamsThatRan++;
+			upstreamsThatRan += failure.upstreamsUsed;
 		}
 
 		const isSafeToResend = failure.outcome === 'not-run' || isIdempotent;
 		const mayResend =
 			isSafeToResend &&
 			remainingMs() > minUsefulMs &&
-			(failure.outcome === 'not-run' || upstreamsThatRan < route.maxUpstreams) &&
+			(failure.outcome === 'not-run' || upstreamsThatRan < request.maxUpstreams) &&
 			(arrivals === 0 || services.budget.tryResend(service.name));
 		log.note({
 			kind: 'request-attempt-failed',
@@ -288,13 +293,22 @@
 			account?.end();
 		};
 
-		const fail = (outcome: Outcome, detail: string, isHard: boolean) => {
+		const fail = (
+			outcome: Outcome,
+			detail: string,
+			isHard: boolean,
+			upstreamsUsed = target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1,
+		) => {
 			if (isOver) {
 				return;
 			}
 
 			close();
 			running.exchange?.cancel();
+			if (outcome !== 'ran') {
+				failedUpstreams.add(target.peer);
+			}
+
 			if (outcome !== 'not-run' || isHard) {
 				account?.noteFailure(isHard);
 			}
@@ -303,7 +317,7 @@
 				resumeAfter = cutter.lastEventId;
 			}
 
-			afterFailure({peer: target.peer, step, outcome, detail, startedAtMs});
+			afterFailure({peer: target.peer, step, outcome, detail, startedAtMs, upstreamsUsed});
 		};
 
 		const watchStall = (delayMs: number) => {
@@ -322,7 +336,7 @@
 			isPassing = true;
 		};
 
-		const canResendLater = isIdempotent && upstreamsThatRan + 1 < route.maxUpstreams;
+		const canResendLater = isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams;
 
 		const onHead = (status: number, headers: wireFormat.Headers) => {
 			const answer = wire.readAnswer(status, headers);
@@ -331,14 +345,16 @@
 			if (answer.attemptId !== undefined && answer.attemptId !== facts.attemptId) {
 				fail('unknown', 'answer-of-another-request', true);
 			} else if (relayed.success) {
-				fail(relayed.data, String(headers[relayHeaders.reasonHeader] ?? 'relay-failed'), false);
+				const used = Number(headers[relayHeaders.upstreamsUsedHeader]);
+				const reason = String(headers[relayHeaders.reasonHeader] ?? 'relay-failed');
+				fail(relayed.data, reason, false, Number.isInteger(used) ? used : undefined);
 			} else if (answer.isNotRun || answer.isWrongUpstream) {
 				fail('not-run', answer.isWrongUpstream ? 'wrong-upstream' : `refused-${status}`, false);
 			} else if (answer.isEncoded || (status < 300 && !answer.isSigned)) {
 				fail('ran', 'not-an-answer', true);
 			} else if (notRunStatuses.has(status)) {
 				fail('unknown', `unproven-${status}`, false);
-			} else if (status >= 500 && canResendLater && !hasStarted) {
+			} else if (status >= 500 && canResendLater && !hasStarted && !target.isRelay) {
 				fail('ran', `status-${status}`, false);
 			} else {
 				head = {status, headers};
@@ -463,6 +479,7 @@
 			candidates: basis.candidates,
 			requestsThere: basis.requestsThere,
 			heldTokens: basis.heldTokens,
+			promptSource: choice.promptSource?.entry.id,
 			remainingMs: Math.round(remainingMs()),
 			resumeAfter,
 		});
@@ -471,6 +488,7 @@
 			upstreamId: id,
 			priority: service.engine ? Math.min(9, 2 + route.rank * 3) : undefined,
 			resumeAfterEventId: resumeAfter,
+			promptSource: choice.promptSource?.entry.address,
 		});
 		exchangeWith(
 			{peer: id, address, headers, isRelay: false, expectedMs: basis.expectedMs},
@@ -495,7 +513,12 @@
 			remainingMs: Math.round(remainingMs()),
 		});
 		const headers = wire.relayHeaders(request.rawHeaders, remainingMs(), resumeAfter);
-		headers.push(relayHeaders.relayedFromHeader, services.ownRegion);
+		headers.push(
+			relayHeaders.relayedFromHeader,
+			services.ownRegion,
+			relayHeaders.upstreamsLeftHeader,
+			String(request.maxUpstreams - upstreamsThatRan),
+		);
 		exchangeWith(
 			{
 				peer: member.name,
@@ -524,6 +547,7 @@
 			work,
 			remainingMs: remainingMs(),
 			triedUpstreams,
+			failedUpstreams,
 			triedRegions,
 			mayCross: request.relayedFrom === undefined,
 		};
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -156,8 +156,7 @@
 			(known.entry.startedAtUnixMs !== entry.startedAtUnixMs ||
 				known.entry.address !== entry.address);
 		// A listing repeats what may have been written long ago.
-		const isRepeated =
-			isListed && !isRestart && known?.entry.coldLeftMs === entry.coldLeftMs;
+		const isRepeated = isListed && !isRestart && known?.entry.coldLeftMs === entry.coldLeftMs;
 		const upstream: Upstream = {
 			entry,
 			region,
--- a/packages/gateway/src/common/wire-format.ts
+++ b/packages/gateway/src/common/wire-format.ts
@@ -29,6 +29,8 @@
 	upstreamId: string;
 	/** 0 (first) to 9; undefined for services without priorities. */
 	priority?: number;
+	/** `host:port` of a runner that holds more of the prompt, which the upstream may copy. */
+	promptSource?: string;
 	/** The upstream goes on after this event. */
 	resumeAfterEventId?: string;
 };
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -105,6 +105,7 @@
 ): CallerServer => {
 	const sockets = new Set<net.Socket>();
 	const busySockets = new Set<net.Socket>();
+	const closingSockets = new WeakSet<net.Socket>();
 	let isDraining = false;
 	let inFlight = 0;
 	let maxHeaderBytes = headerLimitBytes;
@@ -137,6 +138,12 @@
 		rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
 	const onRequest = (request: http.IncomingMessage, response: http.ServerResponse) => {
+		// It crossed the close of the connection, so its answer could not be sent.
+		if (closingSockets.has(request.socket)) {
+			request.socket.destroy();
+			return;
+		}
+
 		inFlight++;
 		busySockets.add(request.socket);
 		let course: disposable.Disposable | undefined;
@@ -273,7 +280,8 @@
 		},
 		closeIdle() {
 			for (const socket of sockets) {
-				if (!busySockets.has(socket)) {
+				if (!busySockets.has(socket) && !closingSockets.has(socket)) {
+					closingSockets.add(socket);
 					socket.end();
 				}
 			}
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -31,8 +31,10 @@
 	lastUsedMs: number;
 	/** A connection was made and not lost since. */
 	isConnected: boolean;
-	/** The socket ended with an error, so an answer without a length is not complete. */
+	/** The socket ended with an error, so an answer that only ends with it is not complete. */
 	hasSocketError: boolean;
+	/** The peer closed its side. */
+	hasSocketEnded: boolean;
 	isClosed: boolean;
 };
 
@@ -125,8 +127,9 @@
 						return;
 					}
 
-					if (!isFramed && connection.hasSocketError) {
-						fail(new Error('reset before the end of an answer without length'));
+					// The client also reports the end of the connection as the end of an answer.
+					if (connection.hasSocketError || (isFramed && connection.hasSocketEnded)) {
+						fail(new Error('connection ended before the answer'));
 						return;
 					}
 
@@ -222,6 +225,7 @@
 			lastUsedMs: this.#nowMs(),
 			isConnected: false,
 			hasSocketError: false,
+			hasSocketEnded: false,
 			isClosed: false,
 		};
 		connection.client = new undici.Client(`http://${address}`, {
@@ -283,6 +287,9 @@
 				settle(Object.assign(error, {code: 'ECONNREFUSED'}));
 			}
 		});
+		socket.once('end', () => {
+			connection.hasSocketEnded = true;
+		});
 		socket.once('close', () => {
 			connection.isClosed = true;
 		});
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -56,11 +56,13 @@
 /** Delay between two pulls from peers while the store is out of reach. */
 const pullEveryMs = 500;
 const notReadyRetryMs = 500;
+/** Another daemon can take the request at once. */
+const stoppingRetryMs = 20;
 /** Callers that learned of this daemon before the stop may still connect for this long. */
 const stopAcceptingMs = 2600;
 const closeIdleAfterMs = 1300;
 /** Part of the grace that is kept for the end of the process. */
-const stopMarginMs = 500;
+const stopMarginMs = 250;
 const stopStepMs = 100;
 
 /** Starts a daemon; returns when its servers listen. */
@@ -171,6 +173,11 @@
 				return {kind: 'reject', status: 404, reason: 'no-route'};
 			}
 
+			// A stream that may not move is better begun at a daemon that stays.
+			if (isLeaving && route.work === 'stream' && !route.canResume) {
+				return {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs};
+			}
+
 			const facts = wire.readRequest(head.headers);
 			const share = 1 - hash.uniform(facts.attemptId ?? '', route.name);
 			const service = table.service(routeConfig.chooseService(route, share));
@@ -183,6 +190,9 @@
 				};
 			}
 
+			const upstreamsLeft = isPeerPort
+				? Number(head.headers[relayHeaders.upstreamsLeftHeader])
+				: Number.NaN;
 			const relayedFrom = isPeerPort ? head.headers[relayHeaders.relayedFromHeader] : undefined;
 			return {
 				kind: 'accept',
@@ -197,6 +207,7 @@
 							route,
 							service,
 							arrivedAtMs: head.arrivedAtMs,
+							maxUpstreams: upstreamsLeft > 0 ? upstreamsLeft : route.maxUpstreams,
 							relayedFrom: typeof relayedFrom === 'string' ? relayedFrom : undefined,
 						},
 						reply,
