Test the gateway's decisions, engine, connections and the adapter without a bench

A test of the pool found that a connection on which bytes without a request arrived was taken for the next one; the pool now leaves it.

--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -28,6 +28,7 @@
 type Connection = {
 	client: undici.Client;
 	address: string;
+	socket?: net.Socket;
 	lastUsedMs: number;
 	/** A connection was made and not lost since. */
 	isConnected: boolean;
@@ -199,7 +200,8 @@
 	#take(request: upstreamTransport.TransportRequest): Connection {
 		const idle = this.#idle.get(request.address) ?? [];
 		for (let connection = idle.at(-1); connection; connection = idle.at(-1)) {
-			if (connection.isClosed || !connection.isConnected) {
+			// Bytes that belong to no request make the client destroy the socket.
+			if (connection.isClosed || !connection.isConnected || connection.socket?.destroyed) {
 				idle.pop();
 				this.#close(connection);
 				continue;
@@ -257,6 +259,7 @@
 			port: Number(options.port),
 			noDelay: true,
 		});
+		connection.socket = socket;
 		let isSettled = false;
 		const timer = setTimeout(() => {
 			settle(Object.assign(new Error('connect timeout'), {code: 'UND_ERR_CONNECT_TIMEOUT'}));
--- /dev/null
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -0,0 +1,176 @@
+// Upstreams that end, spoil or drop their answers, over loopback.
+import * as net from 'node:net';
+import * as tap from 'tap';
+import * as connectionPool from '../node/connection-pool.js';
+
+type Seen = {status: number; body: string; end: 'complete' | 'failed'; mayHaveBeenSent: boolean};
+
+const startServer = async (
+	t: tap.Test,
+	answer: (socket: net.Socket, requests: number) => void,
+): Promise<{address: string; connections: () => number}> => {
+	let connections = 0;
+	const sockets = new Set<net.Socket>();
+	const server = net.createServer((socket) => {
+		connections++;
+		sockets.add(socket);
+		let requests = 0;
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			requests++;
+			answer(socket, requests);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	const {port} = server.address() as net.AddressInfo;
+	return {address: `127.0.0.1:${port}`, connections: () => connections};
+};
+
+const ask = async (
+	pool: connectionPool.ConnectionPool,
+	address: string,
+	needsRecentConnection = false,
+): Promise<Seen> =>
+	new Promise((resolve) => {
+		const seen: Seen = {status: 0, body: '', end: 'failed', mayHaveBeenSent: false};
+		pool.send(
+			{address, method: 'GET', path: '/x', headers: ['Host', 'a'], needsRecentConnection},
+			{
+				onHead(status) {
+					seen.status = status;
+				},
+				onData(bytes) {
+					seen.body += new TextDecoder().decode(bytes);
+				},
+				onEnd() {
+					resolve({...seen, end: 'complete'});
+				},
+				onFailure({mayHaveBeenSent}) {
+					resolve({...seen, end: 'failed', mayHaveBeenSent});
+				},
+			},
+		);
+	});
+
+const createPool = (t: tap.Test, nowMs: () => number = () => 0) => {
+	const pool = new connectionPool.ConnectionPool(nowMs);
+	t.teardown(() => {
+		pool.dispose();
+	});
+	return pool;
+};
+
+const whole = 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody';
+
+tap.t.test('connections are reused', async (t) => {
+	const server = await startServer(t, (socket) => socket.write(whole));
+	const pool = createPool(t);
+	for (let count = 0; count < 3; count++) {
+		t.match(await ask(pool, server.address), {status: 200, body: 'body', end: 'complete'});
+	}
+
+	t.equal(server.connections(), 1);
+	t.equal(pool.opened, 1);
+});
+
+tap.t.test('a request that must not be lost takes no old connection', async (t) => {
+	let nowMs = 0;
+	const server = await startServer(t, (socket) => socket.write(whole));
+	const pool = createPool(t, () => nowMs);
+	await ask(pool, server.address, true);
+	nowMs += 300;
+	await ask(pool, server.address, true);
+	t.equal(server.connections(), 1);
+	nowMs += 3000;
+	await ask(pool, server.address, true);
+	t.equal(server.connections(), 2);
+});
+
+tap.t.test('an answer without length ends with its connection', async (t) => {
+	const server = await startServer(t, (socket) => {
+		socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbody');
+	});
+	t.match(await ask(createPool(t), server.address), {body: 'body', end: 'complete'});
+});
+
+tap.t.test('a reset is no end of an answer without length', async (t) => {
+	const server = await startServer(t, (socket) => {
+		socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbo', () => {
+			setTimeout(() => socket.resetAndDestroy(), 30);
+		});
+	});
+	t.match(await ask(createPool(t), server.address), {end: 'failed', mayHaveBeenSent: true});
+});
+
+for (const [name, finish] of [
+	['end', (socket: net.Socket) => socket.end()],
+	['reset', (socket: net.Socket) => socket.resetAndDestroy()],
+] as const) {
+	tap.t.test(`an ${name} of the connection does not complete chunks`, async (t) => {
+		const server = await startServer(t, (socket) => {
+			socket.write(
+				'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nbo\r\n',
+				() => {
+					setTimeout(() => finish(socket), 30);
+				},
+			);
+		});
+		t.match(await ask(createPool(t), server.address), {end: 'failed', mayHaveBeenSent: true});
+	});
+}
+
+tap.t.test('a short body is no answer', async (t) => {
+	const server = await startServer(t, (socket) => {
+		socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nbody');
+	});
+	t.match(await ask(createPool(t), server.address), {end: 'failed'});
+});
+
+tap.t.test('bytes after an answer end the connection, not the answer', async (t) => {
+	const server = await startServer(t, (socket) => {
+		socket.write(`${whole}HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra`);
+	});
+	const pool = createPool(t);
+	t.match(await ask(pool, server.address), {body: 'body', end: 'complete'});
+	t.match(await ask(pool, server.address), {body: 'body', end: 'complete'});
+	t.equal(server.connections(), 2);
+});
+
+tap.t.test('a refused connection has sent nothing', async (t) => {
+	const server = await startServer(t, () => undefined);
+	const port = Number(server.address.split(':')[1]);
+	const closed = net.createServer();
+	await new Promise<void>((resolve) => {
+		closed.listen(0, '127.0.0.1', resolve);
+	});
+	const closedPort = (closed.address() as net.AddressInfo).port;
+	await new Promise((resolve) => {
+		closed.close(resolve);
+	});
+	t.not(closedPort, port);
+	t.match(await ask(createPool(t), `127.0.0.1:${closedPort}`), {
+		end: 'failed',
+		mayHaveBeenSent: false,
+	});
+});
+
+tap.t.test('a dropped idle connection may have taken the request', async (t) => {
+	const server = await startServer(t, (socket, requests) => {
+		if (requests === 1) {
+			socket.write(whole);
+		} else {
+			socket.resetAndDestroy();
+		}
+	});
+	const pool = createPool(t);
+	await ask(pool, server.address);
+	t.match(await ask(pool, server.address), {end: 'failed', mayHaveBeenSent: true});
+});
--- /dev/null
+++ b/packages/gateway/src/test/dispatcher.test.ts
@@ -0,0 +1,200 @@
+// Where work goes under the load patterns of busy days.
+import * as tap from 'tap';
+import type * as dispatcher from '../common/dispatcher.js';
+import * as fixtures from './fixtures.js';
+
+const asUpstream = (choice: dispatcher.Choice) => {
+	if (choice.kind !== 'upstream') {
+		throw new Error(`expected an upstream, got ${choice.kind}`);
+	}
+
+	return choice;
+};
+
+tap.t.test('many long prompts spread over the runners', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	for (const id of ['u1', 'u2', 'u3']) {
+		registry.put(fixtures.upstream(id), 1);
+	}
+
+	const counts = new Map<string, number>();
+	for (let index = 0; index < 30; index++) {
+		const parts = [
+			{id: 'system', tokens: 300},
+			{id: `own-${index}`, tokens: 5000},
+		];
+		const request = fixtures.dispatchRequest(fixtures.longRoute, {
+			facts: fixtures.facts({promptTokens: 5300, promptParts: parts}),
+			mayCross: false,
+		});
+		const choice = asUpstream(subject.choose(request));
+		subject.dispatch(choice, request);
+		counts.set(choice.upstream.entry.id, (counts.get(choice.upstream.entry.id) ?? 0) + 1);
+	}
+
+	for (const id of ['u1', 'u2', 'u3']) {
+		t.ok((counts.get(id) ?? 0) >= 8, `${id} gets a third, more or less`);
+	}
+});
+
+tap.t.test('shared prompt parts stay at the runner that read them', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	for (const id of ['u1', 'u2', 'u3', 'u4']) {
+		registry.put(fixtures.upstream(id), 1);
+	}
+
+	const used = new Set<string>();
+	for (let index = 0; index < 10; index++) {
+		const request = fixtures.dispatchRequest(fixtures.longRoute);
+		const choice = asUpstream(subject.choose(request));
+		const dispatched = subject.dispatch(choice, request);
+		dispatched.noteFirstEvent();
+		dispatched.end();
+		used.add(choice.upstream.entry.id);
+	}
+
+	t.equal(used.size, 1);
+});
+
+tap.t.test('a busy holder of parts is copied from', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	registry.put(fixtures.upstream('u2'), 1);
+	const request = fixtures.dispatchRequest(fixtures.longRoute, {mayCross: false});
+	const holder = asUpstream(subject.choose(request)).upstream.entry.id;
+	let choice = asUpstream(subject.choose(request));
+	for (let index = 0; index < 40 && choice.upstream.entry.id === holder; index++) {
+		subject.dispatch(choice, request);
+		choice = asUpstream(subject.choose(request));
+	}
+
+	t.not(choice.upstream.entry.id, holder);
+	t.equal(choice.promptSource?.entry.id, holder);
+});
+
+tap.t.test('a region at its peak sends work to an idle one', async (t) => {
+	const {registry, fleet, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	fleet.noteOutlook('south', 'model', {urgentMs: 60, otherMs: 60, ageMs: 0});
+	const request = fixtures.dispatchRequest(fixtures.longRoute);
+	t.equal(subject.choose(request).kind, 'upstream', 'stays while the region is idle');
+	for (let index = 0; index < 60; index++) {
+		const choice = subject.choose({...request, mayCross: false});
+		if (choice.kind === 'upstream') {
+			subject.dispatch(choice, request);
+		}
+	}
+
+	const choice = subject.choose(request);
+	t.equal(choice.kind, 'region');
+	t.equal(choice.kind === 'region' && choice.region, 'south');
+	t.not(subject.choose({...request, mayCross: false}).kind, 'region', 'never crosses twice');
+});
+
+tap.t.test('bound work goes to a home region only', async (t) => {
+	const {registry, fleet, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	const route = {...fixtures.longRoute, homeRegions: ['south']};
+	const request = fixtures.dispatchRequest(route);
+	t.equal(subject.choose(request).kind, 'refuse', 'no daemon of the home is known');
+	fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	const choice = subject.choose(request);
+	t.equal(choice.kind === 'region' && choice.member.name, 's1');
+	const abroad = {...fixtures.longRoute, homeRegions: ['elsewhere']};
+	t.equal(subject.choose(fixtures.dispatchRequest(abroad)).kind, 'refuse');
+});
+
+tap.t.test('an evacuated failure domain gets nothing', async (t) => {
+	const {registry, evacuated, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	registry.put(fixtures.upstream('u2', {failureDomain: 'north-b'}), 1);
+	evacuated.add('north-a');
+	const request = fixtures.dispatchRequest(fixtures.longRoute);
+	for (let index = 0; index < 20; index++) {
+		const choice = asUpstream(subject.choose(request));
+		t.equal(choice.upstream.entry.id, 'u2');
+		subject.dispatch(choice, request);
+	}
+});
+
+tap.t.test('a runner that fails in part gets less', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	registry.put(fixtures.upstream('u2'), 1);
+	const request = fixtures.dispatchRequest(fixtures.longRoute, {
+		facts: fixtures.facts({promptParts: []}),
+	});
+	let failing = 0;
+	for (let index = 0; index < 200; index++) {
+		const choice = asUpstream(subject.choose(request));
+		const dispatched = subject.dispatch(choice, request);
+		dispatched.noteFirstEvent();
+		if (choice.upstream.entry.id === 'u1' && index % 2 === 0) {
+			dispatched.noteFailure(false);
+		} else {
+			dispatched.noteSuccess();
+		}
+
+		failing += choice.upstream.entry.id === 'u1' ? 1 : 0;
+		dispatched.end();
+	}
+
+	t.ok(failing < 60, `${failing} of 200 went to the failing one`);
+});
+
+tap.t.test('a draining upstream is left at once', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	const request = fixtures.dispatchRequest(fixtures.longRoute);
+	t.equal(subject.choose(request).kind, 'upstream');
+	registry.put(fixtures.upstream('u1', {isDraining: true}), 2);
+	t.equal(subject.choose(request).kind, 'refuse');
+});
+
+tap.t.test('work that cannot start in time is refused at once', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	const request = fixtures.dispatchRequest(fixtures.shortRoute, {
+		facts: fixtures.facts({promptTokens: 8000, promptParts: []}),
+	});
+	for (let index = 0; index < 40; index++) {
+		const choice = subject.choose(request);
+		if (choice.kind === 'upstream') {
+			subject.dispatch(choice, request);
+		}
+	}
+
+	const choice = subject.choose(request);
+	t.equal(choice.kind === 'refuse' && choice.reason, 'overloaded');
+	t.ok(choice.kind === 'refuse' && choice.retryAfterMs > 0);
+});
+
+tap.t.test('the only plain upstream is asked again after a failed run', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('d1', {service: 'desk', slots: 6}), 1);
+	const tried = new Set(['d1']);
+	const again = subject.choose(
+		fixtures.dispatchRequest(fixtures.lookupRoute, {triedUpstreams: tried}),
+	);
+	t.equal(again.kind, 'upstream');
+	const broken = subject.choose(
+		fixtures.dispatchRequest(fixtures.lookupRoute, {
+			triedUpstreams: tried,
+			failedUpstreams: tried,
+		}),
+	);
+	t.equal(broken.kind, 'refuse', 'not after it was unreachable');
+});
+
+tap.t.test('load that a peer no longer reports is gone', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	const request = fixtures.dispatchRequest(fixtures.shortRoute);
+	const share = {requests: 9, urgentReadTokens: 90_000, otherReadTokens: 0, memoryTokens: 9000};
+	subject.notePeerLoads('n2', [{upstreamId: 'u1', ...share}]);
+	const loaded = asUpstream(subject.choose(request)).basis.expectedMs;
+	subject.notePeerLoads('n2', []);
+	const idle = asUpstream(subject.choose(request)).basis.expectedMs;
+	t.ok(loaded > idle + 900, `${loaded} ms against ${idle} ms`);
+});
--- /dev/null
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -0,0 +1,102 @@
+/** Upstreams and a caller for the engine's tests; the test answers each exchange by hand. */
+import * as event from '@hawthornfront/base/common/event.js';
+import * as upstreamTransport from '../common/upstream-transport.js';
+import * as wireFormat from '../common/wire-format.js';
+
+export type Sent = {
+	request: upstreamTransport.TransportRequest;
+	listener: upstreamTransport.TransportListener;
+	isCancelled: boolean;
+};
+
+export class FakeTransport extends upstreamTransport.UpstreamTransport {
+	readonly sent: Sent[] = [];
+
+	get last(): Sent {
+		return this.sent.at(-1)!;
+	}
+
+	override send(
+		request: upstreamTransport.TransportRequest,
+		listener: upstreamTransport.TransportListener,
+	): upstreamTransport.Exchange {
+		const sent: Sent = {request, listener, isCancelled: false};
+		this.sent.push(sent);
+		return {
+			cancel() {
+				sent.isCancelled = true;
+			},
+			pause() {
+				// The fake has no flow to stop.
+			},
+			resume() {
+				// The fake has no flow to stop.
+			},
+		};
+	}
+}
+
+export class FakeReply extends upstreamTransport.CallerReply {
+	status = 0;
+	headers: wireFormat.Headers = {};
+	text = '';
+	ending: 'open' | 'complete' | 'broken' = 'open';
+
+	override get onDidDrain(): event.Event<void> {
+		return event.createEmitter<void>().event;
+	}
+
+	override start(status: number, headers: wireFormat.Headers): void {
+		this.status = status;
+		this.headers = headers;
+	}
+
+	override write(bytes: Uint8Array): boolean {
+		this.text += new TextDecoder().decode(bytes);
+		return true;
+	}
+
+	override end(): void {
+		this.ending = 'complete';
+	}
+
+	override abort(): void {
+		this.ending = 'broken';
+	}
+}
+
+/** Headers with names of its own, so that no platform stands in the engine's tests. */
+export class FakeWire extends wireFormat.WireFormat {
+	override readRequest(): wireFormat.RequestFacts {
+		throw new Error('the tests pass facts');
+	}
+
+	override dispatchHeaders(_raw: readonly string[], facts: wireFormat.DispatchFacts): string[] {
+		return [
+			'to',
+			facts.upstreamId,
+			'left',
+			String(facts.remainingMs),
+			'after',
+			facts.resumeAfterEventId ?? '',
+		];
+	}
+
+	override relayHeaders(_raw: readonly string[], remainingMs: number): string[] {
+		return ['left', String(remainingMs)];
+	}
+
+	override readAnswer(status: number, headers: wireFormat.Headers): wireFormat.AnswerFacts {
+		return {
+			isNotRun: headers.refused !== undefined,
+			isWrongUpstream: status === 421,
+			attemptId: headers.attempt as string | undefined,
+			isSigned: headers.signed !== undefined,
+			isEncoded: headers.encoded !== undefined,
+		};
+	}
+
+	override answerHeaders(headers: wireFormat.Headers): wireFormat.Headers {
+		return headers;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/test/patterns.test.ts
@@ -0,0 +1,189 @@
+// Load patterns one by one: each module without a network, on a manual clock.
+import * as tap from 'tap';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as coldRamp from '../common/cold-ramp.js';
+import * as failureRecord from '../common/failure-record.js';
+import * as promptCacheView from '../common/prompt-cache-view.js';
+import * as resendBudget from '../common/resend-budget.js';
+import * as upstreamLoad from '../common/upstream-load.js';
+import * as workEstimate from '../common/work-estimate.js';
+import * as fixtures from './fixtures.js';
+
+tap.t.test('cold: one daemon of a region owns a cold upstream', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const names = ['n1', 'n2', 'n3'];
+	const ramps = names.map((name) =>
+		coldRamp.createColdRamp(
+			() => clock.nowMs(),
+			name,
+			() => names,
+		),
+	);
+	for (const id of ['u1', 'u2', 'u3', 'u4']) {
+		t.equal(ramps.filter((ramp) => ramp.mayUse(id, 4.6)).length, 1);
+	}
+});
+
+tap.t.test('cold: two owners that disagree stay below what it bears', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const ramps = ['n1', 'n2'].map((name) =>
+		coldRamp.createColdRamp(
+			() => clock.nowMs(),
+			name,
+			() => [name],
+		),
+	);
+	const sentAtMs: number[] = [];
+	for (let step = 0; step < 500; step++) {
+		for (const ramp of ramps) {
+			if (ramp.mayUse('u1', 4.6)) {
+				ramp.noteUse('u1', 4.6);
+				sentAtMs.push(clock.nowMs());
+			}
+		}
+
+		await clock.advance(10);
+	}
+
+	// The rules allow 1.5 times the rate and 3 more within any second.
+	for (const fromMs of sentAtMs) {
+		const inSecond = sentAtMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + 1000).length;
+		t.ok(inSecond <= 4.6 * 1.5 + 3, `${inSecond} from ${fromMs} ms`);
+	}
+
+	t.ok(sentAtMs.length > 20, 'the upstream is used');
+});
+
+tap.t.test('failures: three broken connections suspend, longer each time', async (t) => {
+	const record = failureRecord.createFailureRecord();
+	const suspendedFor = (fromMs: number) => {
+		for (let count = 0; count < 3; count++) {
+			record.noteFailure(fromMs, true);
+		}
+
+		let untilMs = fromMs;
+		while (record.isSuspended(untilMs)) {
+			untilMs += 50;
+		}
+
+		return untilMs - fromMs;
+	};
+
+	const first = suspendedFor(0);
+	const second = suspendedFor(1000);
+	t.ok(first > 0 && second > first, `${first} ms, then ${second} ms`);
+	record.noteSuccess(5000);
+	t.equal(suspendedFor(5000), first, 'a success starts anew');
+});
+
+tap.t.test('failures: answers that failed do not suspend', async (t) => {
+	const record = failureRecord.createFailureRecord();
+	for (let count = 0; count < 20; count++) {
+		record.noteFailure(0, false);
+	}
+
+	t.notOk(record.isSuspended(0));
+	t.ok(record.rate(0) > 0.8);
+	t.ok(record.rate(30_000) < 0.1, 'it is forgotten');
+});
+
+tap.t.test('budget: a failing service is not hit again by every request', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const settings = {share: 0.2, extraPerWindow: 54, windowMs: 10_000};
+	const daemons = Array.from({length: 7}, () =>
+		resendBudget.createResendBudget(
+			() => clock.nowMs(),
+			() => settings,
+			() => 7,
+		),
+	);
+	let resends = 0;
+	for (let step = 0; step < 100; step++) {
+		for (const budget of daemons) {
+			budget.noteRequest('desk');
+			resends += budget.tryResend('desk') ? 1 : 0;
+			resends += budget.tryResend('desk') ? 1 : 0;
+		}
+
+		await clock.advance(100);
+	}
+
+	t.ok(resends <= 0.2 * 700 + 54, `${resends} of at most 194`);
+	t.ok(resends > 100, 'the budget is used');
+});
+
+tap.t.test('short: urgent work hardly waits for long prompts', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
+	const limits = {slots: 64, engine: {memoryTokens: 1_000_000}};
+	const long = workEstimate.estimateWork(
+		fixtures.facts({promptTokens: 20_000, promptParts: []}),
+		fixtures.longRoute,
+	);
+	const short = workEstimate.estimateWork(
+		fixtures.facts({promptTokens: 500, promptParts: []}),
+		fixtures.shortRoute,
+	);
+	for (let count = 0; count < 5; count++) {
+		load.add(long, 20_000, 300);
+	}
+
+	const shortMs = load.predictMs(short, 500, limits);
+	const longMs = load.predictMs(long, 500, limits);
+	t.ok(shortMs < longMs / 2, `${shortMs} ms against ${longMs} ms`);
+});
+
+tap.t.test('slow: a runner that answers late is expected to be late', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
+	const limits = {slots: 64, engine: {memoryTokens: 1_000_000}};
+	const work = workEstimate.estimateWork(fixtures.facts(), fixtures.shortRoute);
+	const before = load.predictMs(work, 1000, limits);
+	for (let count = 0; count < 20; count++) {
+		const item = load.add(work, 1000, load.predictMs(work, 1000, limits));
+		await clock.advance(before * 5);
+		item.noteFirstEvent();
+		item.end();
+	}
+
+	const after = load.predictMs(work, 1000, limits);
+	t.ok(after > before * 3, `${before} ms, then ${after} ms`);
+	await clock.advance(60_000);
+	t.ok(load.predictMs(work, 1000, limits) < before * 1.2, 'it is tried again');
+});
+
+tap.t.test('full: a runner without memory is expected to be late', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
+	const limits = {slots: 64, engine: {memoryTokens: 10_000}};
+	const work = workEstimate.estimateWork(fixtures.facts(), fixtures.longRoute);
+	for (let count = 0; count < 12; count++) {
+		load.add(work, 0, 100);
+	}
+
+	t.ok(load.predictMs(work, 0, limits) > 500);
+});
+
+tap.t.test('parts: all daemons prefer the same runner', async (t) => {
+	const views = [0, 1].map(() => promptCacheView.createPromptCacheView(() => 0, 1000));
+	const runners = ['u1', 'u2', 'u3'];
+	for (let index = 0; index < 50; index++) {
+		const parts = [{id: `part-${index}`, tokens: 100}];
+		const [first, second] = views.map((view) => view.preferredRunner(parts, runners));
+		t.equal(first, second);
+	}
+});
+
+tap.t.test('parts: a part counts only after all parts before it', async (t) => {
+	const view = promptCacheView.createPromptCacheView(() => 0, 1000);
+	const [system, topic] = [
+		{id: 'system', tokens: 300},
+		{id: 'topic', tokens: 400},
+	];
+	view.noteSent('u1', [topic]);
+	t.equal(view.heldTokens('u1', [system, topic]), 0);
+	view.noteSent('u1', [system]);
+	t.equal(view.heldTokens('u1', [system, topic]), 700);
+	view.forget('u1');
+	t.equal(view.heldTokens('u1', [system, topic]), 0);
+});
--- /dev/null
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -0,0 +1,277 @@
+// The promises to callers, request by request, against upstreams that fail in every way.
+import * as tap from 'tap';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import * as relayHeaders from '../common/relay-headers.js';
+import * as requestEngine from '../common/request-engine.js';
+import * as resendBudget from '../common/resend-budget.js';
+import type * as routeConfig from '../common/route-config.js';
+import * as fakeTransport from './fake-transport.js';
+import * as fixtures from './fixtures.js';
+
+const bytes = (text: string) => new TextEncoder().encode(text);
+const signed = {signed: '1', attempt: 'attempt-1'};
+
+const start = (
+	route: routeConfig.Route,
+	options: {relayedFrom?: string; maxUpstreams?: number; upstreams?: number} = {},
+) => {
+	const deployment = fixtures.createDeployment();
+	const {clock, registry, subject} = deployment;
+	const service =
+		route.targets[0]!.service === 'model' ? fixtures.modelService : fixtures.deskService;
+	for (let index = 1; index <= (options.upstreams ?? 3); index++) {
+		registry.put(fixtures.upstream(`u${index}`, {service: service.name}), 1);
+	}
+
+	const transport = new fakeTransport.FakeTransport();
+	const reply = new fakeTransport.FakeReply();
+	const events: gatewayEvent.GatewayEvent[] = [];
+	const budget = resendBudget.createResendBudget(
+		() => clock.nowMs(),
+		() => ({share: 0.2, extraPerWindow: 20, windowMs: 10_000}),
+		() => 1,
+	);
+	const engine = requestEngine.createRequestEngine({
+		clock,
+		wire: new fakeTransport.FakeWire(),
+		dispatcher: subject,
+		transport,
+		budget,
+		log: {
+			note(event) {
+				events.push(event);
+			},
+		},
+		ownRegion: 'north',
+		versions: () => ({configVersion: 3, upstreamRevision: 1}),
+	});
+	const isModel = service.name === 'model';
+	let ends = 0;
+	const course = engine.handle(
+		{
+			method: 'POST',
+			path: `${route.prefix}x`,
+			rawHeaders: [],
+			facts: fixtures.facts(
+				isModel ? {patienceMs: 3000} : {patienceMs: 3000, promptTokens: 0, promptParts: []},
+			),
+			route,
+			service,
+			arrivedAtMs: clock.nowMs(),
+			maxUpstreams: options.maxUpstreams ?? route.maxUpstreams,
+			relayedFrom: options.relayedFrom,
+		},
+		reply,
+		() => {
+			ends++;
+		},
+	);
+	const ended = () => events.find((event) => event.kind === 'request-ended');
+	return {...deployment, transport, reply, events, course, ended, ends: () => ends};
+};
+
+const headerOf = (sent: fakeTransport.Sent, name: string) =>
+	sent.request.headers[sent.request.headers.indexOf(name) + 1];
+
+tap.t.test('an answer is passed on whole', async (t) => {
+	const {transport, reply, ended, ends} = start(fixtures.bookingRoute);
+	const {listener} = transport.last;
+	listener.onHead(200, signed);
+	listener.onData(bytes('booked '));
+	listener.onData(bytes('heater 4'));
+	t.equal(reply.status, 0, 'held back until it is complete');
+	listener.onEnd();
+	t.match(reply, {status: 200, text: 'booked heater 4', ending: 'complete'});
+	t.match(ended(), {outcome: 'answered', sends: 1});
+	t.equal(ends(), 1);
+});
+
+tap.t.test('a non-idempotent request that may have run is not sent again', async (t) => {
+	const {transport, reply} = start(fixtures.bookingRoute);
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, 1);
+	t.equal(reply.status, 502);
+	t.match(reply.text, '"outcome":"unknown"');
+	t.notOk(reply.headers['retry-after']);
+});
+
+for (const [name, fail] of [
+	[
+		'a refused connection',
+		(sent: fakeTransport.Sent) => {
+			sent.listener.onFailure({mayHaveBeenSent: false, detail: 'ECONNREFUSED'});
+		},
+	],
+	[
+		'a refusal with proof',
+		(sent: fakeTransport.Sent) => {
+			sent.listener.onHead(503, {refused: '1'});
+		},
+	],
+	[
+		'another upstream at the address',
+		(sent: fakeTransport.Sent) => {
+			sent.listener.onHead(421, {});
+		},
+	],
+] as const) {
+	tap.t.test(`a non-idempotent request goes elsewhere after ${name}`, async (t) => {
+		const {transport, reply} = start(fixtures.bookingRoute);
+		fail(transport.last);
+		t.equal(transport.sent.length, 2);
+		t.not(headerOf(transport.sent[0]!, 'to'), headerOf(transport.sent[1]!, 'to'));
+		transport.last.listener.onHead(200, signed);
+		transport.last.listener.onEnd();
+		t.equal(reply.status, 200);
+	});
+}
+
+for (const status of [429, 503, 408]) {
+	tap.t.test(`an unproven ${status} of an upstream is no promise to the caller`, async (t) => {
+		const {transport, reply} = start(fixtures.bookingRoute);
+		transport.last.listener.onHead(status, {});
+		t.equal(reply.status, 502);
+		t.match(reply.text, 'unknown');
+	});
+}
+
+tap.t.test('refused by all, the caller learns that it has not run', async (t) => {
+	const {clock, transport, reply} = start(fixtures.bookingRoute, {upstreams: 2});
+	transport.last.listener.onHead(503, {refused: '1'});
+	transport.last.listener.onHead(503, {refused: '1'});
+	await clock.advance(200);
+	t.equal(reply.status, 503);
+	t.match(reply.text, 'not-run');
+	const retryAfterS = Number(reply.headers['retry-after']);
+	t.ok(retryAfterS > 0 && retryAfterS <= 1, `${retryAfterS} s`);
+});
+
+tap.t.test('bytes that are no answer are not passed on', async (t) => {
+	for (const headers of [{}, {...signed, encoded: 'gzip'}, {...signed, attempt: 'attempt-9'}]) {
+		const {transport, reply} = start(fixtures.bookingRoute);
+		const {last} = transport;
+		last.listener.onHead(200, headers);
+		last.listener.onData(bytes('not yours'));
+		t.equal(reply.status, 502);
+		t.notMatch(reply.text, 'not yours');
+		t.ok(last.isCancelled);
+	}
+});
+
+tap.t.test('a truncated answer of an idempotent request is asked for again', async (t) => {
+	const {transport, reply} = start(fixtures.lookupRoute);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('half'));
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'UND_ERR_SOCKET'});
+	t.equal(transport.sent.length, 2);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('whole'));
+	transport.last.listener.onEnd();
+	t.match(reply, {status: 200, text: 'whole', ending: 'complete'});
+});
+
+tap.t.test('no more upstreams run a request than its route allows', async (t) => {
+	const {transport, reply} = start(fixtures.lookupRoute);
+	for (let index = 0; index < 2; index++) {
+		transport.last.listener.onHead(500, {});
+	}
+
+	t.equal(transport.sent.length, 2, 'the second failure is passed on');
+	transport.last.listener.onEnd();
+	t.equal(reply.status, 500);
+});
+
+tap.t.test('a stream that may move goes on after its last whole event', async (t) => {
+	const {transport, reply} = start(fixtures.shortRoute);
+	const first = transport.last;
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'));
+	first.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(headerOf(transport.last, 'after'), '2');
+	transport.last.listener.onHead(200, {...signed, signed: 'second'});
+	transport.last.listener.onData(bytes('id: 3\ndata: c\n\n'));
+	transport.last.listener.onEnd();
+	t.equal(reply.text, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n');
+	t.equal(reply.headers.signed, '1', 'the headers of the first run stay');
+	t.equal(reply.ending, 'complete');
+});
+
+tap.t.test('a stream that may not move ends visibly broken', async (t) => {
+	const {transport, reply} = start(fixtures.longRoute);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, 1);
+	t.equal(reply.ending, 'broken');
+});
+
+tap.t.test('a stream that stalls moves', async (t) => {
+	const {clock, transport} = start(fixtures.shortRoute);
+	const first = transport.last;
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	await clock.advance(1300);
+	t.ok(first.isCancelled, 'the first run is stopped');
+	t.equal(headerOf(transport.last, 'after'), '1');
+});
+
+tap.t.test('the time of the route ends a request', async (t) => {
+	const {clock, transport, reply, ended} = start(fixtures.bookingRoute);
+	await clock.advance(2490);
+	t.equal(reply.status, 0);
+	await clock.advance(20);
+	t.equal(reply.status, 504);
+	t.ok(transport.last.isCancelled);
+	t.match(ended(), {outcome: 'unknown'});
+});
+
+tap.t.test('a caller that leaves stops its upstream', async (t) => {
+	const {clock, transport, course, ended} = start(fixtures.longRoute);
+	course.dispose();
+	t.ok(transport.last.isCancelled);
+	t.match(ended(), {outcome: 'caller-gone'});
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'late'});
+	await clock.advance(20_000);
+	t.equal(transport.sent.length, 1);
+});
+
+tap.t.test('each send tells only the time that is left', async (t) => {
+	const {clock, transport} = start(fixtures.lookupRoute);
+	await clock.advance(300);
+	transport.last.listener.onHead(500, {});
+	t.equal(Number(headerOf(transport.sent[0]!, 'left')), 2500);
+	t.equal(Number(headerOf(transport.sent[1]!, 'left')), 2200);
+});
+
+tap.t.test('without an upstream the refusal is quick and true', async (t) => {
+	const {clock, transport, reply} = start(fixtures.longRoute, {upstreams: 0});
+	await clock.advance(150);
+	t.equal(transport.sent.length, 0);
+	t.equal(reply.status, 503);
+	t.match(reply.text, 'not-run');
+});
+
+tap.t.test('another daemon reports how many upstreams it used', async (t) => {
+	const {fleet, transport, reply} = start(fixtures.lookupRoute, {upstreams: 1});
+	fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(headerOf(transport.last, relayHeaders.relayedFromHeader), 'north');
+	t.equal(headerOf(transport.last, relayHeaders.upstreamsLeftHeader), '1');
+	transport.last.listener.onHead(502, {
+		[relayHeaders.outcomeHeader]: 'unknown',
+		[relayHeaders.upstreamsUsedHeader]: '1',
+	});
+	t.equal(reply.status, 502);
+	t.equal(transport.sent.length, 2);
+});
+
+tap.t.test('a relayed request is not relayed again', async (t) => {
+	const {clock, fleet, transport, reply} = start(fixtures.longRoute, {
+		upstreams: 0,
+		relayedFrom: 'south',
+	});
+	fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	await clock.advance(200);
+	t.equal(transport.sent.length, 0);
+	t.equal(reply.headers[relayHeaders.outcomeHeader], 'not-run');
+});
