Tell a reset from an orderly end of an answer without length

Ruled out: content length and chunks, which are checked by their framing. The pool now writes an empty line after the end and takes the failure as the proof.

--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -36,6 +36,10 @@
 	hasSocketError: boolean;
 	/** The peer closed its side. */
 	hasSocketEnded: boolean;
+	/** The answer in progress has no length and ends with the connection. */
+	isReadingUntilEnd: boolean;
+	/** Whether the end of the connection was a reset; settles after the end of an answer without length. */
+	wasReset?: Promise<boolean>;
 	isClosed: boolean;
 };
 
@@ -50,6 +54,19 @@
 	'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/**
+ * Tells a reset from an orderly end. When a reset arrives together with the last
+ * bytes, the runtime reports an orderly end; only a further write fails then.
+ * An empty line after a request is ignored by HTTP servers.
+ */
+const testForReset = async (socket: net.Socket): Promise<boolean> =>
+	new Promise((resolve) => {
+		socket.write('\r\n', (error) => {
+			const code = error && 'code' in error ? error.code : undefined;
+			resolve(code === 'ECONNRESET' || code === 'EPIPE');
+		});
+	});
+
 const detailOf = (error: Error): string =>
 	'code' in error && typeof error.code === 'string' ? error.code : error.message;
 
@@ -94,6 +111,23 @@
 			}
 		};
 
+		const finish = (wasReset: boolean) => {
+			if (isOver) {
+				return;
+			}
+
+			if (wasReset) {
+				fail(new Error('connection reset before the end of the answer'));
+				return;
+			}
+
+			isOver = true;
+			this.#release(connection);
+			if (!isCancelled) {
+				listener.onEnd();
+			}
+		};
+
 		connection.client.dispatch(
 			{
 				method: request.method,
@@ -114,6 +148,7 @@
 					controller = started;
 					isFramed =
 						headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+					connection.isReadingUntilEnd = !isFramed;
 					if (status >= 200 && !isCancelled) {
 						listener.onHead(status, headers);
 					}
@@ -123,7 +158,7 @@
 						listener.onData(chunk);
 					}
 				},
-				onResponseEnd: () => {
+				onResponseEnd() {
 					if (isOver) {
 						return;
 					}
@@ -134,10 +169,12 @@
 						return;
 					}
 
-					isOver = true;
-					this.#release(connection);
-					if (!isCancelled) {
-						listener.onEnd();
+					if (connection.wasReset) {
+						void connection.wasReset.then((wasReset) => {
+							finish(wasReset);
+						});
+					} else {
+						finish(false);
 					}
 				},
 				onResponseError(_controller, error) {
@@ -228,6 +265,7 @@
 			isConnected: false,
 			hasSocketError: false,
 			hasSocketEnded: false,
+			isReadingUntilEnd: false,
 			isClosed: false,
 		};
 		connection.client = new undici.Client(`http://${address}`, {
@@ -258,6 +296,8 @@
 			host: options.hostname,
 			port: Number(options.port),
 			noDelay: true,
+			// The own side stays open for the test of a reset.
+			allowHalfOpen: true,
 		});
 		connection.socket = socket;
 		let isSettled = false;
@@ -292,6 +332,9 @@
 		});
 		socket.once('end', () => {
 			connection.hasSocketEnded = true;
+			if (connection.isReadingUntilEnd) {
+				connection.wasReset = testForReset(socket);
+			}
 		});
 		socket.once('close', () => {
 			connection.isClosed = true;
