--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -35,6 +35,7 @@
 	candidates: number;
 	requestsThere?: number;
 	heldTokens?: number;
+	streamingMs?: number;
 	outlookAgeMs?: number;
 };
 
@@ -60,6 +61,9 @@
 	noteSuccess(): void;
 	/** @param isHard the upstream was unreachable or broke the connection */
 	noteFailure(isHard: boolean): void;
+	/** Another upstream has the address. */
+	noteReplaced(): void;
+	noteEvent(): void;
 	end(): void;
 };
 
@@ -67,8 +71,8 @@
 	choose(request: DispatchRequest): Choice;
 	/** Counts a request that goes to an upstream, until its end. */
 	dispatch(choice: Choice & {kind: 'upstream'}, request: DispatchRequest): Dispatched;
-	/** Expected wait for work without a prompt of its own; undefined without a usable upstream. */
-	outlook(service: routeConfig.Service, isUrgent: boolean): number | undefined;
+	/** Expected wait for work without a prompt of its own; infinite without a usable upstream. */
+	outlook(service: routeConfig.Service, isUrgent: boolean): number;
 	/** Own requests by upstream, for peers. */
 	ownLoads(): Array<{upstreamId: string} & upstreamLoad.LoadShare>;
 	/** Replaces what a peer reported of its own requests. */
@@ -106,6 +110,10 @@
 const copyWeight = 0.25;
 /** Confidence that a runner that should hold a part still holds it. */
 const copyConfidence = 0.8;
+/** Part of the time to the last event that counts in a comparison, beside the time to the first. */
+const streamingWeight = 0.1;
+/** Output for which a region tells its expected wait of work that is not urgent. */
+const typicalOutputTokens = 300;
 /** Shared tokens that are worth a copy. */
 const minCopyTokens = 150;
 
@@ -113,6 +121,8 @@
 	upstream: upstreamRegistry.Upstream;
 	promptSource?: upstreamRegistry.Upstream;
 	expectedMs: number;
+	/** Expected time from the first event to the last. */
+	streamingMs: number;
 	readTokens: number;
 	costMs: number;
 };
@@ -214,10 +224,12 @@
 			slots: slotsOf(upstream, service),
 			engine: service.engine,
 		});
+		const streamingMs = load.predictStreamingMs(work, service.engine);
 		const domainMs =
 			upstream.entry.failureDomain === options.ownFailureDomain ? 0 : settings.otherDomainMarginMs;
 		const costMs =
 			expectedMs +
+			streamingMs * streamingWeight +
 			failures.rate(nowMs()) * settings.failurePenaltyMs +
 			(rereadTokens * rereadWeight) / settings.prefillTokensPerMs +
 			domainMs;
@@ -225,6 +237,7 @@
 			upstream,
 			promptSource: isCopyWorthwhile ? holder?.upstream : undefined,
 			expectedMs,
+			streamingMs,
 			readTokens,
 			costMs,
 		};
@@ -271,9 +284,14 @@
 			}
 
 			const outlook = fleet.outlook(region, request.service.name);
-			const waitMs = request.work.isUrgent ? outlook?.urgentMs : outlook?.otherMs;
+			const waitMs =
+				(request.work.isUrgent ? outlook?.urgentMs : outlook?.otherMs) ?? unknownOutlookMs;
 			const readMs = request.work.promptTokens / settings.prefillTokensPerMs;
-			const expectedMs = (waitMs ?? unknownOutlookMs) + readMs + settings.regionRoundTripMs;
+			const expectedMs = waitMs + readMs + settings.regionRoundTripMs;
+			if (!Number.isFinite(waitMs)) {
+				continue;
+			}
+
 			if (!best || expectedMs < best.basis.expectedMs) {
 				best = {
 					region,
@@ -309,8 +327,12 @@
 				? bestLocal(request)
 				: {best: undefined, candidates: 0};
 			const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
+			const streamingMs = best?.streamingMs ?? 0;
 			const remote = request.mayCross ? bestRegion(request) : undefined;
-			const limitMs = request.remainingMs * settings.admissionShare;
+			const limitMs = Math.min(
+				request.remainingMs * settings.admissionShare,
+				request.route.goalMs * settings.admissionGoalFactor,
+			);
 			if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
 				return remote.basis.expectedMs > limitMs
 					? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + 200)
@@ -326,9 +348,11 @@
 				candidates,
 				requestsThere: knownOf(best.upstream.entry.id).load.requests(),
 				heldTokens: Math.round(request.work.promptTokens - best.readTokens),
+				streamingMs: Math.round(streamingMs),
 			};
-			return localMs > limitMs
-				? refuse('overloaded', basis, localMs - limitMs + 200)
+			const lateMs = Math.max(localMs - limitMs, localMs + streamingMs - request.remainingMs);
+			return lateMs > 0
+				? refuse('overloaded', basis, lateMs + 200)
 				: {
 						kind: 'upstream',
 						upstream: best.upstream,
@@ -357,17 +381,29 @@
 				noteFailure(isHard) {
 					failures.noteFailure(nowMs(), isHard);
 				},
+				noteReplaced() {
+					failures.noteReplaced(nowMs());
+				},
+				noteEvent() {
+					item.noteEvent();
+				},
 				end() {
 					item.end();
 				},
 			};
 		},
 		outlook(service, isUrgent) {
-			const work = {promptTokens: 1, memoryTokens: 0, sharedParts: [], isUrgent};
-			let bestMs: number | undefined;
+			const work: workEstimate.WorkEstimate = {
+				promptTokens: 1,
+				memoryTokens: 0,
+				outputTokens: isUrgent ? 0 : typicalOutputTokens,
+				sharedParts: [],
+				isUrgent,
+			};
+			let bestMs = Number.POSITIVE_INFINITY;
 			for (const upstream of usableIn({service})) {
 				const {costMs} = costOf(upstream, {work, service}, undefined, undefined);
-				bestMs = Math.min(bestMs ?? Number.POSITIVE_INFINITY, costMs);
+				bestMs = Math.min(bestMs, costMs);
 			}
 
 			return bestMs;
--- a/packages/gateway/src/common/failure-record.ts
+++ b/packages/gateway/src/common/failure-record.ts
@@ -7,6 +7,8 @@
 	noteSuccess(nowMs: number): void;
 	/** @param isHard whether the upstream was unreachable or broke the connection */
 	noteFailure(nowMs: number, isHard: boolean): void;
+	/** The upstream is another one now; suspends it until its entry tells more. */
+	noteReplaced(nowMs: number): void;
 	/** Share of recent requests that failed; drawn towards 0 while there are few. */
 	rate(nowMs: number): number;
 	isSuspended(nowMs: number): boolean;
@@ -18,6 +20,8 @@
 const failuresToSuspend = 3;
 const firstSuspensionMs = 400;
 const maxSuspensionMs = 3200;
+/** Time in which a new start usually registers; a heartbeat and the delay of a watch. */
+const replacedSuspensionMs = 2000;
 
 /** Creates a record without failures. */
 export const createFailureRecord = (): FailureRecord => {
@@ -57,6 +61,9 @@
 				suspensions++;
 			}
 		},
+		noteReplaced(nowMs) {
+			suspendedUntilMs = Math.max(suspendedUntilMs, nowMs + replacedSuspensionMs);
+		},
 		rate(nowMs) {
 			decay(nowMs);
 			return failures / (total + assumedSuccesses);
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -25,6 +25,7 @@
 			requestsThere?: number;
 			heldTokens?: number;
 			promptSource?: string;
+			streamingMs?: number;
 			remainingMs: number;
 			resumeAfter?: string;
 	  }
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -50,8 +50,16 @@
 	zod.array(zod.tuple([memberTupleSchema, zod.number()])),
 	/** The sender's own requests by upstream id. */
 	zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number(), zod.number()])),
-	/** Region, service, expected waits of urgent and other work, age. */
-	zod.array(zod.tuple([zod.string(), zod.string(), zod.number(), zod.number(), zod.number()])),
+	/** Region, service, expected waits of urgent and other work (null: no upstream), age. */
+	zod.array(
+		zod.tuple([
+			zod.string(),
+			zod.string(),
+			zod.number().nullable(),
+			zod.number().nullable(),
+			zod.number(),
+		]),
+	),
 ]);
 
 export type GossipMessage = {
@@ -67,6 +75,7 @@
 	outlooks: Array<{
 		region: string;
 		service: string;
+		/** Infinite when the region has no usable upstream. */
 		urgentMs: number;
 		otherMs: number;
 		ageMs: number;
@@ -101,6 +110,8 @@
 	capacity: tuple[10],
 });
 
+const packWait = (waitMs: number) => (Number.isFinite(waitMs) ? Math.round(waitMs) : null);
+
 /** Packs a message into one datagram. */
 export const encodeGossip = (message: GossipMessage): Uint8Array =>
 	msgpackr.pack([
@@ -117,8 +128,8 @@
 		message.outlooks.map((outlook) => [
 			outlook.region,
 			outlook.service,
-			Math.round(outlook.urgentMs),
-			Math.round(outlook.otherMs),
+			packWait(outlook.urgentMs),
+			packWait(outlook.otherMs),
 			Math.round(outlook.ageMs),
 		]),
 	]);
@@ -139,8 +150,8 @@
 		outlooks: outlooks.map(([region, service, urgentMs, otherMs, ageMs]) => ({
 			region,
 			service,
-			urgentMs,
-			otherMs,
+			urgentMs: urgentMs ?? Number.POSITIVE_INFINITY,
+			otherMs: otherMs ?? Number.POSITIVE_INFINITY,
 			ageMs,
 		})),
 	};
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -5,6 +5,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as answerVerdict from './answer-verdict.js';
 import type * as dispatcher from './dispatcher.js';
 import * as eventCutter from './event-cutter.js';
 import type * as gatewayEvent from './gateway-event.js';
@@ -52,8 +53,6 @@
 	): disposable.Disposable;
 };
 
-/** Statuses that promise a caller that its request has not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Answers of plain services up to this size are held back until they are complete. */
 const maxHeldAnswerBytes = 262_144;
 /** A request with less time left is not sent. */
@@ -63,14 +62,12 @@
 const waitStepMs = 30;
 /** An idempotent request without a first event is sent elsewhere after this multiple of the expected time. */
 const stallFactor = 3;
-const minStallMs = 450;
+const minStallMs = 700;
 const minGapStallMs = 900;
 /** Callers wait at most this part of their time when they are asked back. */
 const maxRetryAfterShare = 0.3;
 const minRetryAfterMs = 50;
 
-type Outcome = 'not-run' | 'unknown' | 'ran';
-
 /** Creates the engine of a daemon. */
 export const createRequestEngine = (services: EngineServices): RequestEngine => ({
 	handle: (request, reply, onEnd) => startCourse(services, request, reply, onEnd),
@@ -98,7 +95,6 @@
 	let arrivals = 0;
 	let upstreamsThatRan = 0;
 	let mayHaveRun = false;
-	let lastUpstreamStatus = 0;
 	let hasStarted = false;
 	let hasEnded = false;
 	let firstMs = -1;
@@ -149,7 +145,7 @@
 
 	/** Ends a request that has no answer of an upstream. */
 	const failWith = (status: number, reason: string, retryAfterMs?: number) => {
-		const outcome: Outcome = mayHaveRun ? 'unknown' : 'not-run';
+		const outcome: answerVerdict.Outcome = mayHaveRun ? 'unknown' : 'not-run';
 		if (hasStarted) {
 			reply.abort();
 			finish('broken', status);
@@ -213,7 +209,7 @@
 	const afterFailure = (failure: {
 		peer: string;
 		step: string;
-		outcome: Outcome;
+		outcome: answerVerdict.Outcome;
 		detail: string;
 		startedAtMs: number;
 		upstreamsUsed: number;
@@ -294,7 +290,7 @@
 		};
 
 		const fail = (
-			outcome: Outcome,
+			outcome: answerVerdict.Outcome,
 			detail: string,
 			isHard: boolean,
 			upstreamsUsed = target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1,
@@ -323,7 +319,10 @@
 		const watchStall = (delayMs: number) => {
 			stallTimer?.dispose();
 			stallTimer = after(delayMs, () => {
-				fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true);
+				// Without the right to go elsewhere, a late answer is better than none.
+				if (canResendLater && services.budget.canResend(service.name)) {
+					fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true);
+				}
 			});
 		};
 
@@ -339,33 +338,29 @@
 		const canResendLater = isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams;
 
 		const onHead = (status: number, headers: wireFormat.Headers) => {
-			const answer = wire.readAnswer(status, headers);
-			const relayed = relayHeaders.outcomeSchema.safeParse(headers[relayHeaders.outcomeHeader]);
-			lastUpstreamStatus = status;
-			if (answer.attemptId !== undefined && answer.attemptId !== facts.attemptId) {
-				fail('unknown', 'answer-of-another-request', true);
-			} else if (relayed.success) {
-				const used = Number(headers[relayHeaders.upstreamsUsedHeader]);
-				const reason = String(headers[relayHeaders.reasonHeader] ?? 'relay-failed');
-				fail(relayed.data, reason, false, Number.isInteger(used) ? used : undefined);
-			} else if (answer.isNotRun || answer.isWrongUpstream) {
-				fail('not-run', answer.isWrongUpstream ? 'wrong-upstream' : `refused-${status}`, false);
-			} else if (answer.isEncoded || (status < 300 && !answer.isSigned)) {
-				fail('ran', 'not-an-answer', true);
-			} else if (notRunStatuses.has(status)) {
-				fail('unknown', `unproven-${status}`, false);
-			} else if (status >= 500 && canResendLater && !hasStarted && !target.isRelay) {
-				fail('ran', `status-${status}`, false);
+			const verdict = answerVerdict.judgeAnswer(
+				status,
+				headers,
+				wire.readAnswer(status, headers),
+				facts.attemptId,
+				canResendLater && !hasStarted && !target.isRelay,
+			);
+			if (verdict.kind === 'fail') {
+				if (verdict.isReplaced) {
+					account?.noteReplaced();
+				}
+
+				fail(verdict.outcome, verdict.detail, verdict.isHard, verdict.upstreamsUsed);
+			} else if (hasStarted && status !== 200) {
+				fail('unknown', `resume-${status}`, false);
 			} else {
 				head = {status, headers};
 				step = 'first-token';
-				if (hasStarted && status !== 200) {
-					fail('unknown', `resume-${status}`, false);
-				}
 			}
 		};
 
 		const onData = (bytes: Uint8Array) => {
+			account?.noteEvent();
 			account?.noteFirstEvent();
 			if (cutter && head!.status < 300) {
 				const complete = cutter.push(bytes);
@@ -479,6 +474,7 @@
 			candidates: basis.candidates,
 			requestsThere: basis.requestsThere,
 			heldTokens: basis.heldTokens,
+			streamingMs: basis.streamingMs,
 			promptSource: choice.promptSource?.entry.id,
 			remainingMs: Math.round(remainingMs()),
 			resumeAfter,
@@ -559,7 +555,7 @@
 		} else if (choice.reason === 'no-upstream' && waitedMs < route.goalMs * waitForUpstreamShare) {
 			waitedMs += waitStepMs;
 			after(waitStepMs, next);
-		} else if (hasStarted || lastUpstreamStatus >= 500) {
+		} else if (hasStarted) {
 			failWith(502, choice.reason);
 		} else {
 			refuse(choice.reason, choice.retryAfterMs, choice.basis);
--- a/packages/gateway/src/common/resend-budget.ts
+++ b/packages/gateway/src/common/resend-budget.ts
@@ -14,6 +14,8 @@
 
 export type ResendBudget = {
 	noteRequest(service: string): void;
+	/** Whether a further arrival could be taken now. */
+	canResend(service: string): boolean;
 	/** Takes one further arrival; false when the budget is spent. */
 	tryResend(service: string): boolean;
 };
@@ -48,17 +50,20 @@
 		return use;
 	};
 
+	const hasRoom = (use: Use): boolean => {
+		const {share, extraPerWindow} = settings();
+		const earned = share * use.requestsAtMs.length + extraPerWindow / Math.max(1, daemonCount());
+		return use.resendsAtMs.length + 1 <= usedShare * earned;
+	};
+
 	return {
 		noteRequest(service) {
 			useOf(service).requestsAtMs.push(nowMs());
 		},
+		canResend: (service) => hasRoom(useOf(service)),
 		tryResend(service) {
 			const use = useOf(service);
-			const allowed =
-				usedShare *
-				(settings().share * use.requestsAtMs.length +
-					settings().extraPerWindow / Math.max(1, daemonCount()));
-			if (use.resendsAtMs.length + 1 > allowed) {
+			if (!hasRoom(use)) {
 				return false;
 			}
 
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -30,10 +30,14 @@
 export const engineSchema = zod.object({
 	/** Requests that a runner batches. */
 	slots: zod.number(),
+	/** Tokens in one event of a stream. */
+	eventTokens: zod.number(),
 	/** Tokens that a runner holds for running requests and cached prompt parts. */
 	memoryTokens: zod.number(),
 });
 
+export type Engine = zod.infer<typeof engineSchema>;
+
 export const serviceSchema = zod.object({
 	name: zod.string(),
 	/** Connections that one upstream accepts from all callers together. */
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -21,6 +21,8 @@
 export type LoadItem = {
 	/** Call at the first event or answer. */
 	noteFirstEvent(): void;
+	/** Call at each further event of a stream. */
+	noteEvent(): void;
 	/** Call once when the request has left the upstream. */
 	end(): void;
 };
@@ -37,6 +39,11 @@
 		readTokens: number,
 		limits: {slots: number; engine?: {memoryTokens: number}},
 	): number;
+	/** Expected time from the first event of a stream to its last. */
+	predictStreamingMs(
+		work: workEstimate.WorkEstimate,
+		engine: routeConfig.Engine | undefined,
+	): number;
 	/** Observed against predicted time; 1 when they agree. */
 	slowness(): number;
 };
@@ -45,6 +52,8 @@
 const maxSlowness = 12;
 const slownessLearningRate = 0.15;
 const slownessHalfLifeMs = 4000;
+const eventLearningRate = 0.05;
+const eventHalfLifeMs = 2500;
 const serviceLearningRate = 0.1;
 const serviceHalfLifeMs = 10_000;
 /** Urgent work waits for a part of the other work that is being read already. */
@@ -83,6 +92,12 @@
 		halfLifeMs: serviceHalfLifeMs,
 	});
 
+	const eventMs = decayingEstimate.createDecayingEstimate({
+		initial: settings.initialEventMs,
+		learningRate: eventLearningRate,
+		halfLifeMs: eventHalfLifeMs,
+	});
+
 	const total = (): LoadShare => {
 		const sum = {...own};
 		const oldestMs = nowMs() - settings.peerLoadMaxAgeMs;
@@ -133,6 +148,7 @@
 			const isModelWork = work.promptTokens > 0;
 			let unreadTokens = readTokens;
 			let hasFirstEvent = false;
+			let lastEventAtMs = startedAtMs;
 			let hasEnded = false;
 			own.requests++;
 			own.memoryTokens += work.memoryTokens;
@@ -159,6 +175,7 @@
 					hasFirstEvent = true;
 					finishReading();
 					const atMs = nowMs();
+					lastEventAtMs = atMs;
 					if (isModelWork) {
 						const ratio = (atMs - startedAtMs) / Math.max(predictedMs, 1);
 						const learned = slowness.value(atMs);
@@ -167,6 +184,13 @@
 						serviceMs.add(atMs - startedAtMs, atMs);
 					}
 				},
+				noteEvent() {
+					if (hasFirstEvent && !hasEnded) {
+						const atMs = nowMs();
+						eventMs.add(atMs - lastEventAtMs, atMs);
+						lastEventAtMs = atMs;
+					}
+				},
 				end() {
 					if (hasEnded) {
 						return;
@@ -189,6 +213,8 @@
 				? predictRunner(work, readTokens, slots, engine.memoryTokens)
 				: predictService(slots);
 		},
+		predictStreamingMs: (work, engine) =>
+			engine ? (work.outputTokens / engine.eventTokens) * eventMs.value(nowMs()) : 0,
 		slowness: () => slowness.value(nowMs()),
 	};
 };
--- a/packages/gateway/src/common/work-estimate.ts
+++ b/packages/gateway/src/common/work-estimate.ts
@@ -7,6 +7,8 @@
 	promptTokens: number;
 	/** Tokens that the request holds in a runner's memory when it ends. */
 	memoryTokens: number;
+	/** Expected output; 0 for plain services. */
+	outputTokens: number;
 	/** Prompt parts that other requests may share, in order. */
 	sharedParts: readonly wireFormat.PromptPart[];
 	/** Whether it goes before work of higher rank. */
@@ -27,6 +29,7 @@
 	return {
 		promptTokens,
 		memoryTokens: promptTokens + outputTokens,
+		outputTokens,
 		sharedParts: facts.promptParts.slice(0, -1),
 		isUrgent: route.rank === 0,
 	};
--- a/packages/gateway/src/node/beliefs.ts
+++ b/packages/gateway/src/node/beliefs.ts
@@ -17,6 +17,8 @@
 export const snapshotSchema = zod.object({
 	config: routeConfig.routeConfigSchema.optional(),
 	evacuated: zod.array(zod.string()),
+	/** Store revision up to which the evacuations are known. */
+	operatorRevision: zod.number(),
 	upstreams: zod.array(upstreamEntry.upstreamEntrySchema),
 	upstreamRevision: zod.number(),
 });
@@ -53,6 +55,7 @@
 	const didChangeConfig = event.createEmitter<routeConfig.RouteTable>();
 	const evacuated = new Set<string>();
 	let table: routeConfig.RouteTable | undefined;
+	let operatorRevision = 0;
 
 	const applyConfig = (config: routeConfig.RouteConfig, source: string) => {
 		const current = table?.config.version ?? 0;
@@ -129,8 +132,11 @@
 						setEvacuated(failureDomain, false, revision);
 					}
 				}
+
+				operatorRevision = Math.max(operatorRevision, revision);
 			},
-			onEvents(events) {
+			onEvents(events, upTo) {
+				operatorRevision = Math.max(operatorRevision, upTo);
 				for (const {key, revision, value} of events) {
 					if (value) {
 						applyOperatorItem(key, value, revision);
@@ -213,6 +219,7 @@
 		snapshot: () => ({
 			config: table?.config,
 			evacuated: [...evacuated],
+			operatorRevision,
 			upstreams: registry.all().map((upstream) => upstream.entry),
 			upstreamRevision: registry.revision,
 		}),
@@ -222,17 +229,16 @@
 			}
 
 			// The store is the better source while it answers.
-			if (upstreamFeed.isReachable || snapshot.upstreamRevision <= registry.revision) {
-				return;
+			if (!upstreamFeed.isReachable && snapshot.upstreamRevision > registry.revision) {
+				registry.replaceAll(snapshot.upstreams, snapshot.upstreamRevision);
 			}
 
-			registry.replaceAll(snapshot.upstreams, snapshot.upstreamRevision);
-			for (const failureDomain of new Set([...snapshot.evacuated, ...evacuated])) {
-				setEvacuated(
-					failureDomain,
-					snapshot.evacuated.includes(failureDomain),
-					snapshot.upstreamRevision,
-				);
+			if (!operatorFeed.isReachable && snapshot.operatorRevision > operatorRevision) {
+				operatorRevision = snapshot.operatorRevision;
+				for (const failureDomain of new Set([...snapshot.evacuated, ...evacuated])) {
+					const isEvacuated = snapshot.evacuated.includes(failureDomain);
+					setEvacuated(failureDomain, isEvacuated, operatorRevision);
+				}
 			}
 		},
 		dispose() {
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -46,12 +46,14 @@
 /** Margin before the peer's own time-out of an idle connection. */
 const keepAliveMarginMs = 1000;
 
+/** An idle connection was lost before the client wrote a request to it. */
+const lostBeforeSendCode = 'CONNECTION_LOST_BEFORE_SEND';
+
+/** Errors of {@link ConnectionPool} itself while it connects; an established connection has others. */
 const neverSentCodes: ReadonlySet<string> = new Set([
 	'ECONNREFUSED',
-	'EHOSTUNREACH',
-	'ENETUNREACH',
-	'ETIMEDOUT_CONNECT',
 	'UND_ERR_CONNECT_TIMEOUT',
+	lostBeforeSendCode,
 ]);
 
 /**
@@ -104,7 +106,7 @@
 			}
 
 			isOver = true;
-			const mayHaveBeenSent = connection.isConnected || !neverSentCodes.has(detailOf(error));
+			const mayHaveBeenSent = !neverSentCodes.has(detailOf(error));
 			this.#close(connection);
 			if (!isCancelled) {
 				listener.onFailure({mayHaveBeenSent, detail: detailOf(error)});
@@ -288,7 +290,7 @@
 	): void {
 		// A lost connection is not replaced behind the pool's back: the request may have been sent on it.
 		if (connection.isClosed || connection.isConnected) {
-			callback(new Error('connection lost'), null);
+			callback(Object.assign(new Error('connection lost'), {code: lostBeforeSendCode}), null);
 			return;
 		}
 
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -220,13 +220,13 @@
 	const relays = callerServer.createCallerServer(nowMs, judge(true));
 
 	const ownOutlooks = (): gossipMessage.GossipMessage['outlooks'] =>
-		(belief.table?.config.services ?? []).flatMap((service) => {
-			const urgentMs = dispatch.outlook(service, true);
-			const otherMs = dispatch.outlook(service, false);
-			return urgentMs === undefined || otherMs === undefined
-				? []
-				: [{region: vm.region, service: service.name, urgentMs, otherMs, ageMs: 0}];
-		});
+		(belief.table?.config.services ?? []).map((service) => ({
+			region: vm.region,
+			service: service.name,
+			urgentMs: dispatch.outlook(service, true),
+			otherMs: dispatch.outlook(service, false),
+			ageMs: 0,
+		}));
 
 	const allOutlooks = () => [
 		...ownOutlooks(),
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -66,7 +66,7 @@
 	name: 'model',
 	maxConnections: 100,
 	coldRatePerS: 4.6,
-	engine: {slots: 16, memoryTokens: 100_000},
+	engine: {slots: 16, eventTokens: 7, memoryTokens: 100_000},
 };
 
 export const deskService: routeConfig.Service = {
--- a/packages/gateway/src/test/patterns.test.ts
+++ b/packages/gateway/src/test/patterns.test.ts
@@ -115,7 +115,7 @@
 tap.t.test('short: urgent work hardly waits for long prompts', async (t) => {
 	const clock = new manualClock.ManualClock();
 	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
-	const limits = {slots: 64, engine: {memoryTokens: 1_000_000}};
+	const limits = {slots: 64, engine: {slots: 64, eventTokens: 7, memoryTokens: 1_000_000}};
 	const long = workEstimate.estimateWork(
 		fixtures.facts({promptTokens: 20_000, promptParts: []}),
 		fixtures.longRoute,
@@ -136,7 +136,7 @@
 tap.t.test('slow: a runner that answers late is expected to be late', async (t) => {
 	const clock = new manualClock.ManualClock();
 	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
-	const limits = {slots: 64, engine: {memoryTokens: 1_000_000}};
+	const limits = {slots: 64, engine: {slots: 64, eventTokens: 7, memoryTokens: 1_000_000}};
 	const work = workEstimate.estimateWork(fixtures.facts(), fixtures.shortRoute);
 	const before = load.predictMs(work, 1000, limits);
 	for (let count = 0; count < 20; count++) {
@@ -155,7 +155,7 @@
 tap.t.test('full: a runner without memory is expected to be late', async (t) => {
 	const clock = new manualClock.ManualClock();
 	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
-	const limits = {slots: 64, engine: {memoryTokens: 10_000}};
+	const limits = {slots: 64, engine: {slots: 64, eventTokens: 7, memoryTokens: 10_000}};
 	const work = workEstimate.estimateWork(fixtures.facts(), fixtures.longRoute);
 	for (let count = 0; count < 12; count++) {
 		load.add(work, 0, 100);
