Explain a request from its log lines; load only the used parts of undici

hawthornfront-ctl explain puts the lines of a request in order over several daemons, whose clocks may differ, and adds what each believed of the things that the request met. Tests of beliefs: evacuations and versions while the store and peers disagree.

--- a/packages/base/src/node/undici-http-client.ts
+++ b/packages/base/src/node/undici-http-client.ts
@@ -1,6 +1,6 @@
 /** HTTP client on undici. Its automatic retries and redirects stay off. */
-import * as undici from 'undici';
 import * as httpClient from '../common/http-client.js';
+import * as undiciParts from './undici-parts.js';
 
 const defaultTimeoutMs = 30_000;
 const connectTimeoutMs = 2000;
@@ -32,7 +32,7 @@
 
 /** Client with one connection pool a peer. */
 export class UndiciHttpClient extends httpClient.HttpClient {
-	readonly #agent = new undici.Agent({
+	readonly #agent = new undiciParts.Agent({
 		connections: maxConnectionsPerPeer,
 		pipelining: 1,
 		connect: {timeout: connectTimeoutMs},
@@ -48,8 +48,9 @@
 		const signals = request.signal ? [timeout.signal, request.signal] : [timeout.signal];
 		try {
 			request.onSent?.();
-			const answer = await undici.request(`http://${request.peer}${request.path}`, {
-				dispatcher: this.#agent,
+			const answer = await undiciParts.request(this.#agent, {
+				origin: `http://${request.peer}`,
+				path: request.path,
 				method: request.method,
 				headers: request.headers,
 				body: request.body,
--- a/packages/ctl/src/node/run.ts
+++ b/packages/ctl/src/node/run.ts
@@ -7,6 +7,7 @@
 import * as ctlError from '../common/ctl-error.js';
 import * as applying from './commands/apply.js';
 import * as catalogueCommands from './commands/catalogue-commands.js';
+import * as explaining from './commands/explain.js';
 import * as otherCommands from './commands/other-commands.js';
 import type * as ctlContext from './context.js';
 
@@ -47,6 +48,11 @@
 	cli
 		.command('dump <address>', 'Print the state of a daemon')
 		.action(async (address: string) => otherCommands.dump(context, address));
+	cli
+		.command('explain <request> [...files]', 'Print the course of a request from log lines')
+		.action(async (request: string, files: string[]) =>
+			explaining.explain(context, request, files),
+		);
 	cli.command('team-key <team>', 'Make an API key and its digest').action((team: string) => {
 		otherCommands.teamKey(context, team);
 	});
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -4,7 +4,8 @@
  * connection is and which request a failure belongs to.
  */
 import * as net from 'node:net';
-import * as undici from 'undici';
+import * as undiciParts from '@hawthornfront/base/node/undici-parts.js';
+import type * as undici from 'undici';
 import * as upstreamTransport from '../common/upstream-transport.js';
 
 export type PoolSettings = {
@@ -270,7 +271,7 @@
 			isReadingUntilEnd: false,
 			isClosed: false,
 		};
-		connection.client = new undici.Client(`http://${address}`, {
+		connection.client = new undiciParts.Client(`http://${address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -2,10 +2,10 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
 import * as hash from '@hawthornfront/decisions/common/hash.js';
-import * as undici from 'undici';
 import * as directory from '../common/directory.js';
 import * as dispatcher from '../common/dispatcher.js';
 import * as fleetView from '../common/fleet-view.js';
@@ -41,6 +41,8 @@
 	clock: clock.Clock;
 	random: random.Random;
 	wire: wireFormat.WireFormat;
+	/** For calls of other daemons. */
+	client: httpClient.HttpClient;
 	store: prefixStore.PrefixStore;
 	layout: prefixStore.StoreLayout;
 	socket: datagramSocket.DatagramSocket;
@@ -52,6 +54,7 @@
 const maxTimeToLiveMs = 2000;
 const snapshotPath = '/hawthornfront/snapshot';
 const pullTimeoutMs = 1500;
+const maxSnapshotBytes = 16_777_216;
 const housekeepingMs = 1000;
 /** Delay between two pulls from peers while the store is out of reach. */
 const pullEveryMs = 500;
@@ -242,13 +245,15 @@
 		isPulling = true;
 		pulledAtMs = nowMs();
 		try {
-			const answer = await undici.request(`http://${peer.peerAddress}${snapshotPath}`, {
-				headersTimeout: pullTimeoutMs,
-				bodyTimeout: pullTimeoutMs,
-				signal: AbortSignal.timeout(pullTimeoutMs),
-				reset: true,
+			const answer = await options.client.request({
+				peer: peer.peerAddress,
+				method: 'GET',
+				path: snapshotPath,
+				headers: {},
+				timeoutMs: pullTimeoutMs,
 			});
-			const snapshot = beliefs.snapshotSchema.parse(await answer.body.json());
+			const text = await httpClient.readText(answer.body, maxSnapshotBytes);
+			const snapshot = beliefs.snapshotSchema.parse(JSON.parse(text));
 			belief.merge(snapshot, peer.name);
 			log.note({
 				kind: 'snapshot-pulled',
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -92,12 +92,14 @@
 		await listen(deployment.createDirectoryApp(daemonOf), current.listen.directory),
 		await listen(createMetricsApp(registry, daemonOf), current.listen.metrics),
 	];
+	const client = new undiciHttpClient.UndiciHttpClient();
 	const daemon = await gatewayDaemon.startGatewayDaemon({
 		settings: current,
 		clock,
 		random: random.createRandom(seedFrom(clock.wallMs(), current.vm.name)),
 		wire: deployment.wire,
-		store: deployment.createStore(new undiciHttpClient.UndiciHttpClient(), current.store.address),
+		client,
+		store: deployment.createStore(client, current.store.address),
 		layout: deployment.layout,
 		socket: await udpSocket.bindUdpSocket(peers.host, peers.port),
 		log,
--- /dev/null
+++ b/packages/gateway/src/test/beliefs.test.ts
@@ -0,0 +1,159 @@
+// Configuration and evacuations in force while the store and the peers disagree.
+import * as tap from 'tap';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as prefixStore from '../common/prefix-store.js';
+import type * as routeConfig from '../common/route-config.js';
+import * as upstreamRegistry from '../common/upstream-registry.js';
+import * as beliefs from '../node/beliefs.js';
+import * as fixtures from './fixtures.js';
+import * as memoryStore from './memory-store.js';
+
+const start = async (t: tap.Test) => {
+	const clock = new manualClock.ManualClock();
+	const store = new memoryStore.MemoryPrefixStore(clock);
+	const registry = upstreamRegistry.createUpstreamRegistry(
+		clock,
+		(name) => fixtures.regionByDomain[name],
+	);
+	const events: gatewayEvent.GatewayEvent[] = [];
+	const subject = beliefs.startBeliefs({
+		clock,
+		store,
+		layout: new memoryStore.MemoryLayout(),
+		registry,
+		log: {
+			note(event) {
+				events.push(event);
+			},
+		},
+		watchWaitMs: 1000,
+		random: () => 0.5,
+	});
+	t.teardown(() => {
+		subject.dispose();
+	});
+	await clock.advance(1);
+	return {clock, store, registry, events, subject};
+};
+
+const config = (version: number): routeConfig.RouteConfig => ({...fixtures.config, version});
+
+const snapshot = (options: Partial<beliefs.Snapshot>): beliefs.Snapshot => ({
+	evacuated: [],
+	operatorRevision: 0,
+	upstreams: [],
+	upstreamRevision: 0,
+	...options,
+});
+
+tap.t.test('a version in force never goes back', async (t) => {
+	const {clock, store, subject, events} = await start(t);
+	store.write('ops/routes', config(5));
+	await clock.advance(10);
+	store.write('ops/routes', config(4));
+	await clock.advance(10);
+	t.equal(subject.configVersion, 5);
+	t.match(
+		events.find(({kind}) => kind === 'config-ignored'),
+		{version: 4, current: 5},
+	);
+	subject.merge(snapshot({config: config(3)}), 'n2');
+	t.equal(subject.configVersion, 5);
+});
+
+tap.t.test('a value that cannot be used leaves what was in force', async (t) => {
+	const {clock, store, subject, events} = await start(t);
+	store.write('ops/routes', config(5));
+	await clock.advance(10);
+	store.write('ops/routes', {version: 'six'});
+	await clock.advance(10);
+	t.equal(subject.configVersion, 5);
+	t.ok(events.some(({kind}) => kind === 'entry-rejected'));
+});
+
+tap.t.test('a daemon that starts without the store learns from a peer', async (t) => {
+	const {clock, store, registry, subject} = await start(t);
+	store.isAway = true;
+	await clock.advance(2000);
+	t.notOk(subject.isComplete);
+	subject.merge(
+		snapshot({
+			config: config(5),
+			upstreams: [fixtures.upstream('u1')],
+			upstreamRevision: 9,
+			evacuated: ['north-b'],
+			operatorRevision: 9,
+		}),
+		'n2',
+	);
+	t.ok(subject.isComplete);
+	t.equal(registry.all().length, 1);
+	t.ok(subject.isEvacuated('north-b'));
+});
+
+tap.t.test('a peer with newer upstreams does not take back an evacuation', async (t) => {
+	const {clock, store, subject, registry} = await start(t);
+	store.write('ops/leave/north-a', {});
+	await clock.advance(10);
+	t.ok(subject.isEvacuated('north-a'));
+	store.isAway = true;
+	await clock.advance(2000);
+	subject.merge(
+		snapshot({
+			upstreams: [fixtures.upstream('u7')],
+			upstreamRevision: 50,
+			operatorRevision: 0,
+		}),
+		'n2',
+	);
+	t.equal(registry.all().length, 1, 'its upstreams are taken over');
+	t.ok(subject.isEvacuated('north-a'));
+});
+
+tap.t.test('an evacuation ends with its key', async (t) => {
+	const {clock, store, subject} = await start(t);
+	store.write('ops/leave/north-a', {});
+	await clock.advance(10);
+	store.remove('ops/leave/north-a');
+	await clock.advance(10);
+	t.notOk(subject.isEvacuated('north-a'));
+	store.write('ops/leave/north-a', {});
+	await clock.advance(10);
+	store.isAway = true;
+	await clock.advance(3000);
+	store.remove('ops/leave/north-a');
+	store.isAway = false;
+	await clock.advance(3000);
+	t.notOk(subject.isEvacuated('north-a'), 'also when the removal was not seen');
+});
+
+tap.t.test('what the history lost is read again', async (t) => {
+	const {clock, store, subject, registry} = await start(t);
+	store.write('servers/u1', fixtures.upstream('u1'));
+	await clock.advance(10);
+	t.equal(registry.all().length, 1);
+	store.dropHistory(() => {
+		store.remove('servers/u1');
+		store.write('ops/routes', config(8));
+	});
+	await clock.advance(3000);
+	t.equal(subject.configVersion, 8);
+	t.equal(registry.all().length, 0);
+});
+
+const asPrefixStore = (store: memoryStore.MemoryPrefixStore): prefixStore.PrefixStore => store;
+
+tap.t.test('the store that the tests use keeps leases', async (t) => {
+	const {clock, store} = await start(t);
+	const subject = asPrefixStore(store);
+	const lease = await subject.grantLease(500);
+	await subject.putLeased('hf/members/n1', new Uint8Array([1]), lease);
+	const before = await subject.list('hf/members/', true);
+	t.equal(before.items.length, 1);
+	t.equal(await subject.renewLease(lease), true);
+	await clock.advance(1000);
+	const after = await subject.list('hf/members/', true);
+	t.equal(after.items.length, 0);
+	t.equal(await subject.renewLease(lease), false);
+});
