Tell other daemons which runner was sent which prompt parts

Datagrams now carry the last part of each chain; one daemon of another failure domain tells it on within its own.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -80,6 +80,9 @@
 		peer: string,
 		loads: ReadonlyArray<{upstreamId: string} & upstreamLoad.LoadShare>,
 	): void;
+	/** Prompt parts that this daemon has sent since the last call. */
+	takeSentChains(): promptCacheView.SentChain[];
+	noteSentChains(chains: readonly promptCacheView.SentChain[]): void;
 	/** Drops what is known about an upstream that is gone or started again. */
 	forget(upstreamId: string): void;
 };
@@ -427,6 +430,14 @@
 				}
 			}
 		},
+		takeSentChains: () => cache.takeSent(),
+		noteSentChains(chains) {
+			for (const chain of chains) {
+				if (registry.get(chain.runner)) {
+					cache.noteTold(chain);
+				}
+			}
+		},
 		forget(upstreamId) {
 			known.delete(upstreamId);
 			cache.forget(upstreamId);
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -60,6 +60,8 @@
 			zod.number(),
 		]),
 	),
+	/** Last part of a prompt chain, the runner that was sent it, whether the daemon tells others again. */
+	zod.array(zod.tuple([zod.string(), zod.string(), zod.boolean()])),
 ]);
 
 export type GossipMessage = {
@@ -80,6 +82,14 @@
 		otherMs: number;
 		ageMs: number;
 	}>;
+	chains: GossipChain[];
+};
+
+export type GossipChain = {
+	partId: string;
+	runner: string;
+	/** Comes from another failure domain and is told on within this one. */
+	isFar: boolean;
 };
 
 const packMember = (record: MemberRecord): zod.infer<typeof memberTupleSchema> => [
@@ -132,11 +142,12 @@
 			packWait(outlook.otherMs),
 			Math.round(outlook.ageMs),
 		]),
+		message.chains.map(({partId, runner, isFar}) => [partId, runner, isFar]),
 	]);
 
 /** Unpacks a datagram. @throws Error for bytes that are no message of this version */
 export const decodeGossip = (bytes: Uint8Array): GossipMessage => {
-	const [, sender, others, loads, outlooks] = messageSchema.parse(msgpackr.unpack(bytes));
+	const [, sender, others, loads, outlooks, chains] = messageSchema.parse(msgpackr.unpack(bytes));
 	return {
 		sender: unpackMember(sender),
 		others: others.map(([record, ageMs]) => ({record: unpackMember(record), ageMs})),
@@ -154,5 +165,6 @@
 			otherMs: otherMs ?? Number.POSITIVE_INFINITY,
 			ageMs,
 		})),
+		chains: chains.map(([partId, runner, isFar]) => ({partId, runner, isFar})),
 	};
 };
--- a/packages/gateway/src/common/prompt-cache-view.ts
+++ b/packages/gateway/src/common/prompt-cache-view.ts
@@ -1,7 +1,8 @@
 /**
  * Pattern: many requests share long prompt parts, and each runner reads a part
- * again unless it holds it. Keeps which parts this daemon has sent to which
- * runner, and names a preferred runner a part that all daemons agree on.
+ * again unless it holds it. Keeps which parts were sent to which runner, by this
+ * daemon and by those that tell it, and names a preferred runner a part that all
+ * daemons agree on.
  */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as lruCache from 'lru-cache';
@@ -12,10 +13,18 @@
 /** Confidence that the preferred runner holds a part that other daemons sent. */
 const preferredConfidence = 0.7;
 
+/** A chain of parts that a runner was sent, by its last part. */
+export type SentChain = {partId: string; runner: string};
+
 export type PromptCacheView = {
 	/** Tokens of the shared parts that a runner is expected to hold. */
 	heldTokens(runner: string, parts: readonly wireFormat.PromptPart[], preferred?: string): number;
+	/** Notes a chain that this daemon sends, to be told to others. */
 	noteSent(runner: string, parts: readonly wireFormat.PromptPart[]): void;
+	/** Notes a chain that another daemon sent. */
+	noteTold(chain: SentChain): void;
+	/** Chains of this daemon since the last call, the newest ones when there are too many. */
+	takeSent(): SentChain[];
 	/** Runner that all daemons prefer for a chain of parts. */
 	preferredRunner(
 		parts: readonly wireFormat.PromptPart[],
@@ -24,39 +33,61 @@
 	forget(runner: string): void;
 };
 
+/** Chains that wait to be told; a datagram holds about as many. */
+const maxUntoldChains = 40;
+
 /** @param heldMs time for which a part is expected to stay after its last use */
 export const createPromptCacheView = (nowMs: () => number, heldMs: number): PromptCacheView => {
 	const runners = new Map<string, lruCache.LRUCache<string, number>>();
+	const untold = new Map<string, SentChain>();
+
+	const note = (runner: string, partId: string) => {
+		let sent = runners.get(runner);
+		if (!sent) {
+			sent = new lruCache.LRUCache({max: maxPartsPerRunner});
+			runners.set(runner, sent);
+		}
+
+		sent.set(partId, nowMs());
+	};
+
 	return {
 		heldTokens(runner, parts, preferred) {
 			const sent = runners.get(runner);
 			const oldestMs = nowMs() - heldMs;
 			const confidence = runner === preferred ? preferredConfidence : 0;
-			let tokens = 0;
-			let isChainSent = true;
-			for (const part of parts) {
-				// A part is held only where all parts before it are held too.
-				isChainSent &&= (sent?.get(part.id) ?? Number.NEGATIVE_INFINITY) > oldestMs;
-				if (!isChainSent && confidence === 0) {
-					break;
+			const total = parts.reduce((sum, part) => sum + part.tokens, 0);
+			// A runner that was sent a part was sent all parts before it.
+			let tokens = total;
+			for (const part of [...parts].reverse()) {
+				if ((sent?.get(part.id) ?? Number.NEGATIVE_INFINITY) > oldestMs) {
+					return tokens + (total - tokens) * confidence;
 				}
 
-				tokens += isChainSent ? part.tokens : part.tokens * confidence;
+				tokens -= part.tokens;
 			}
 
-			return tokens;
+			return total * confidence;
 		},
 		noteSent(runner, parts) {
-			let sent = runners.get(runner);
-			if (!sent) {
-				sent = new lruCache.LRUCache({max: maxPartsPerRunner});
-				runners.set(runner, sent);
+			for (const part of parts) {
+				note(runner, part.id);
 			}
 
-			for (const part of parts) {
-				sent.set(part.id, nowMs());
+			const partId = parts.at(-1)?.id;
+			if (partId !== undefined) {
+				untold.delete(partId);
+				untold.set(partId, {partId, runner});
 			}
 		},
+		noteTold({partId, runner}) {
+			note(runner, partId);
+		},
+		takeSent() {
+			const chains = [...untold.values()].slice(-maxUntoldChains);
+			untold.clear();
+			return chains;
+		},
 		preferredRunner(parts, names) {
 			const last = parts.at(-1);
 			if (!last) {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -291,7 +291,9 @@
 			self,
 			ownLoads: dispatch.ownLoads,
 			outlooks: allOutlooks,
+			takeChains: dispatch.takeSentChains,
 			onMessage(message) {
+				dispatch.noteSentChains(message.chains);
 				fleet.noteMember(message.sender, 0);
 				for (const {record, ageMs} of message.others) {
 					fleet.noteMember(record, ageMs);
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -11,6 +11,8 @@
 const maxDomainPeers = 16;
 /** Messages to other failure domains go out once in so many ticks. */
 const farEveryTicks = 2;
+/** Prompt chains told in one message to or from other failure domains. */
+const maxFarChains = 40;
 /** Members told in one message, so that it fits into one packet. */
 const maxToldMembers = 8;
 
@@ -32,6 +34,8 @@
 	ownLoads(): gossipMessage.GossipMessage['loads'];
 	/** Expected waits of the own region, and what is known of the others. */
 	outlooks(): gossipMessage.GossipMessage['outlooks'];
+	/** Prompt chains sent by this daemon since the last call. */
+	takeChains(): Array<{partId: string; runner: string}>;
 	onMessage(message: gossipMessage.GossipMessage): void;
 };
 
@@ -40,6 +44,10 @@
 	const {clock, random, socket, fleet} = options;
 	const store = disposable.createDisposableStore();
 	let tick = 0;
+	/** Own chains that other failure domains were not told. */
+	const ownSinceFar: gossipMessage.GossipChain[] = [];
+	/** Chains of other failure domains that the own one is told. */
+	const fromFar: gossipMessage.GossipChain[] = [];
 
 	const pickSome = <Item>(items: readonly Item[], count: number): Item[] => {
 		const left = [...items];
@@ -51,7 +59,10 @@
 		return picked;
 	};
 
-	const buildMessage = (withLoads: boolean): Uint8Array => {
+	const buildMessage = (
+		withLoads: boolean,
+		chains: gossipMessage.GossipChain[] = [],
+	): Uint8Array => {
 		const nowMs = clock.nowMs();
 		const told = pickSome(fleet.alive(), maxToldMembers);
 		return gossipMessage.encodeGossip({
@@ -59,6 +70,7 @@
 			others: told.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
 			loads: withLoads ? options.ownLoads() : [],
 			outlooks: options.outlooks(),
+			chains,
 		});
 	};
 
@@ -81,13 +93,16 @@
 		fleet.sweep();
 		const self = options.self();
 		const near = fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
-		const nearBytes = buildMessage(true);
+		const own = options.takeChains().map((chain) => ({...chain, isFar: false}));
+		ownSinceFar.push(...own);
+		const nearBytes = buildMessage(true, [...own, ...fromFar.splice(0, maxFarChains)]);
 		for (const member of pickSome(near, maxDomainPeers)) {
 			socket.send(member.peerAddress, nearBytes);
 		}
 
 		if (tick % farEveryTicks === 0) {
-			const farBytes = buildMessage(false);
+			const farBytes = buildMessage(false, ownSinceFar.splice(-maxFarChains));
+			ownSinceFar.length = 0;
 			for (const member of farPeers()) {
 				socket.send(member.peerAddress, farBytes);
 			}
@@ -103,7 +118,14 @@
 	store.add(
 		socket.onDidReceive(({peer, bytes}) => {
 			try {
-				options.onMessage(gossipMessage.decodeGossip(bytes));
+				const message = gossipMessage.decodeGossip(bytes);
+				if (message.sender.failureDomain !== options.self().failureDomain) {
+					const chains = message.chains.map((chain) => ({...chain, isFar: true}));
+					fromFar.push(...chains);
+					fromFar.splice(0, fromFar.length - maxFarChains);
+				}
+
+				options.onMessage(message);
 			} catch (error) {
 				options.log.note({
 					kind: 'datagram-rejected',
