Keep a daemon that left from being brought back by echoes of its peers

A test of gossip found it: a peer that heard a heartbeat after the announcement was sent told the older record on, and the directory named the daemon again for up to 3.5 s. Leaving is now final for one start, and is remembered for 15 s.

--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -11,6 +11,8 @@
 export const memberLostAfterMs = 3500;
 /** A member from the store that was never heard by datagram is believed this long. */
 const storeMemberTrustMs = 4000;
+/** A member that left is remembered while peers may still echo it. */
+const leftMemberMemoryMs = 15_000;
 /** Expected waits of a region that are older say nothing. */
 const outlookMaxAgeMs = 4000;
 
@@ -69,6 +71,15 @@
 		}
 	};
 
+	/** Peers may still echo an older start, or what they heard before a member began to leave. */
+	const isNews = (known: Member, record: gossip.MemberRecord, aliveAtMs: number): boolean => {
+		if (known.startedAtUnixMs !== record.startedAtUnixMs) {
+			return known.startedAtUnixMs < record.startedAtUnixMs;
+		}
+
+		return known.isLeaving ? false : record.isLeaving || known.aliveAtMs < aliveAtMs;
+	};
+
 	const outlookAge = (outlook: Outlook) => timeSource.nowMs() - outlook.atMs;
 
 	const view: FleetView = {
@@ -76,16 +87,9 @@
 		noteMember(record, ageMs) {
 			const aliveAtMs = timeSource.nowMs() - ageMs;
 			const known = members.get(record.name);
-			if (record.name === ownName || (known && known.aliveAtMs >= aliveAtMs)) {
-				return;
+			if (record.name !== ownName && (!known || isNews(known, record, aliveAtMs))) {
+				put(record, aliveAtMs);
 			}
-
-			// An older start may still be echoed by peers after a restart.
-			if (known && known.startedAtUnixMs > record.startedAtUnixMs) {
-				return;
-			}
-
-			put(record, aliveAtMs);
 		},
 		noteStoreMember(record) {
 			const known = members.get(record.name);
@@ -128,13 +132,12 @@
 			),
 		sweep() {
 			for (const [name, member] of members) {
-				if (isAlive(member)) {
-					continue;
-				}
-
-				members.delete(name);
-				if (!member.isLeaving) {
+				const silentMs = timeSource.nowMs() - member.aliveAtMs;
+				if (!member.isLeaving && !isAlive(member)) {
+					members.delete(name);
 					didChange.fire({kind: 'lost', member});
+				} else if (member.isLeaving && silentMs > leftMemberMemoryMs) {
+					members.delete(name);
 				}
 			}
 		},
--- /dev/null
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -0,0 +1,177 @@
+// Callers that misbehave, leave or cross a close, over loopback.
+import * as net from 'node:net';
+import * as tap from 'tap';
+import * as callerServer from '../node/caller-server.js';
+import * as settings from '../node/settings.js';
+import type * as upstreamTransport from '../common/upstream-transport.js';
+
+type Run = {body: string; path: string};
+
+const port = async (): Promise<number> =>
+	new Promise((resolve) => {
+		const probe = net.createServer();
+		probe.listen(0, '127.0.0.1', () => {
+			const address = probe.address() as net.AddressInfo;
+			probe.close(() => {
+				resolve(address.port);
+			});
+		});
+	});
+
+const start = async (t: tap.Test) => {
+	const runs: Run[] = [];
+	const replies: upstreamTransport.CallerReply[] = [];
+	let left = 0;
+	const server = callerServer.createCallerServer(
+		() => 0,
+		(head) =>
+			head.path === '/none/'
+				? {kind: 'reject', status: 404, reason: 'no-route'}
+				: {
+						kind: 'accept',
+						run(body, reply, onEnd) {
+							runs.push({body: new TextDecoder().decode(body), path: head.path});
+							replies.push(reply);
+							if (!head.path.startsWith('/wait/')) {
+								reply.start(200, {'content-length': '2'});
+								reply.write(new TextEncoder().encode('ok'));
+								reply.end();
+								onEnd();
+							}
+
+							return {
+								dispose() {
+									left++;
+								},
+							};
+						},
+					},
+	);
+	const listenPort = await port();
+	await server.listen('127.0.0.1', listenPort);
+	server.applyLimits({headerBytes: 500, bodyBytes: 100, headerTimeoutMs: 3000, idleMs: 15_000});
+	t.teardown(() => {
+		server.destroy();
+	});
+	const open = async () => {
+		const socket = net.connect(listenPort, '127.0.0.1');
+		const state = {text: '', isClosed: false};
+		socket.on('data', (bytes) => {
+			state.text += bytes.toString();
+		});
+		socket.on('close', () => {
+			state.isClosed = true;
+		});
+		socket.on('error', () => undefined);
+		await new Promise((resolve) => {
+			socket.once('connect', resolve);
+		});
+		t.teardown(() => {
+			socket.destroy();
+		});
+		return {socket, state};
+	};
+
+	return {server, runs, replies, open, left: () => left};
+};
+
+const until = async (condition: () => boolean): Promise<boolean> => {
+	for (let step = 0; step < 200 && !condition(); step++) {
+		await new Promise((resolve) => {
+			setTimeout(resolve, 10);
+		});
+	}
+
+	return condition();
+};
+
+tap.t.test('a connection carries many requests', async (t) => {
+	const {runs, open} = await start(t);
+	const {socket, state} = await open();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => state.text.endsWith('ok'));
+	socket.write(
+		'POST /b/ HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
+	);
+	t.ok(await until(() => runs.length === 2));
+	t.same(runs[1], {path: '/b/', body: 'abc'});
+});
+
+tap.t.test('a request inside another one is not run', async (t) => {
+	const {runs, open} = await start(t);
+	const {socket, state} = await open();
+	socket.write(
+		'POST /a/ HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n' +
+			'0\r\n\r\nGET /smuggled/ HTTP/1.1\r\nhost: a\r\n\r\n',
+	);
+	t.ok(await until(() => state.isClosed));
+	t.match(state.text, 'HTTP/1.1 400');
+	t.same(runs, []);
+});
+
+tap.t.test('limits of head and body get their status', async (t) => {
+	const {runs, open} = await start(t);
+	const large = await open();
+	large.socket.write(`GET /a/ HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(600)}\r\n\r\n`);
+	t.ok(await until(() => large.state.text.includes('431')));
+	const long = await open();
+	long.socket.write(
+		`POST /a/ HTTP/1.1\r\nhost: a\r\ncontent-length: 200\r\n\r\n${'z'.repeat(200)}`,
+	);
+	t.ok(await until(() => long.state.text.includes('413')));
+	const none = await open();
+	none.socket.write('GET /none/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => none.state.text.includes('404')));
+	t.same(runs, []);
+});
+
+tap.t.test('a caller that leaves is noticed', async (t) => {
+	const {server, runs, open, left} = await start(t);
+	const {socket} = await open();
+	socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => runs.length === 1);
+	t.equal(server.inFlight, 1);
+	socket.destroy();
+	t.ok(await until(() => left() === 1));
+	t.equal(server.inFlight, 0);
+});
+
+tap.t.test('an answer that breaks does not look complete', async (t) => {
+	const {replies, open} = await start(t);
+	const {socket, state} = await open();
+	socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => replies.length === 1);
+	replies[0]!.start(200, {});
+	replies[0]!.write(new TextEncoder().encode('half'));
+	await until(() => state.text.includes('half'));
+	replies[0]!.abort();
+	t.ok(await until(() => state.isClosed));
+	t.notMatch(state.text, '0\r\n\r\n');
+});
+
+tap.t.test('a stop asks callers to leave and runs nothing that crosses it', async (t) => {
+	const {server, runs, open} = await start(t);
+	const busy = await open();
+	server.startDraining();
+	busy.socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => busy.state.text.endsWith('ok')));
+	t.match(busy.state.text.toLowerCase(), 'connection: close');
+	const idle = await open();
+	// The server has seen the connection once another one is served.
+	await until(() => runs.length === 1);
+	idle.socket.write('GET /b/ HTTP/1.1\r\nhost: a\r\nx: ');
+	await new Promise((resolve) => {
+		setTimeout(resolve, 50);
+	});
+	server.closeIdle();
+	idle.socket.write('1\r\n\r\n');
+	t.ok(await until(() => idle.state.isClosed));
+	t.same(
+		runs.map(({path}) => path),
+		['/a/'],
+	);
+});
+
+tap.t.test('addresses are split at the port', async (t) => {
+	t.same(settings.splitAddress('10.1.0.35:8144'), {host: '10.1.0.35', port: 8144});
+});
