--- a/packages/demo/src/node/main.ts
+++ b/packages/demo/src/node/main.ts
@@ -51,7 +51,8 @@
 	const [first] = system.entryVms;
 	say(
 		`try: curl -N http://${first!.daemon.address}/v1/chat/completions ` +
-			`-H 'authorization: Bearer ${shape.apiKey(shape.team)}' -H 'content-type: application/json' ` +
+			`-H 'authorization: Bearer ${shape.apiKey(shape.team)}' -H 'hawthornfront-entry: fault-messages' ` +
+			"-H 'content-type: application/json' " +
 			`-d '{"model":"fault-messages","stream":true,"messages":[{"role":"user","content":"hello"}]}'`,
 	);
 	await new Promise<void>((resolve) => {
--- a/packages/demo/src/test/readme.test.ts
+++ b/packages/demo/src/test/readme.test.ts
@@ -47,9 +47,14 @@
 	const address = /http:\/\/(?<address>[\d.]+:\d+)\//u.exec(curl)?.groups?.address;
 	const key = /authorization: (?<key>Bearer \S+?)'/u.exec(curl)?.groups?.key;
 	t.ok(address, output);
+	const entry = /hawthornfront-entry: (?<entry>\S+?)'/u.exec(curl)?.groups?.entry;
 	const answer = await fetch(`http://${address}/v1/chat/completions`, {
 		method: 'POST',
-		headers: {authorization: key ?? '', 'content-type': 'application/json'},
+		headers: {
+			authorization: key ?? '',
+			'hawthornfront-entry': entry ?? '',
+			'content-type': 'application/json',
+		},
 		body: JSON.stringify({
 			model: 'fault-messages',
 			stream: true,
