--- a/packages/gateway/src/common/load-settings.ts
+++ b/packages/gateway/src/common/load-settings.ts
@@ -20,11 +20,11 @@
 	/** Gain by which another failure domain must be better, since bytes between domains cost. */
 	otherDomainMarginMs: setting.number(15, 0, 10_000),
 	/** Gain by which another region must be better, since bytes between regions cost more. */
-	otherRegionMarginMs: setting.number(150, 0, 10_000),
+	otherRegionMarginMs: setting.number(90, 0, 10_000),
 	/** Two way delay between regions and the relaying daemon's own time. */
 	regionRoundTripMs: setting.number(120, 0, 10_000),
 	/** Share of the goal within which local work is not sent to another region. */
-	localGoalShare: setting.share(0.5),
+	localGoalShare: setting.share(0.3),
 	/** Requests are refused when their expected first event is later than this share of the time left. */
 	admissionShare: setting.share(0.9),
 	/** Requests are refused when their first event is expected later than this multiple of the goal. */
