--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -332,10 +332,11 @@
 			const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
 			const streamingMs = best?.streamingMs ?? 0;
 			const remote = request.mayCross ? bestRegion(request) : undefined;
-			const limitMs = Math.min(
-				request.remainingMs * settings.admissionShare,
-				request.route.goalMs * settings.admissionGoalFactor,
-			);
+			// A queue of long work grows on what is late; a plain request is short.
+			const goalLimitMs = request.service.engine
+				? request.route.goalMs * settings.admissionGoalFactor
+				: Number.POSITIVE_INFINITY;
+			const limitMs = Math.min(request.remainingMs * settings.admissionShare, goalLimitMs);
 			if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
 				return remote.basis.expectedMs > limitMs
 					? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + 200)
@@ -403,13 +404,15 @@
 				sharedParts: [],
 				isUrgent,
 			};
-			let bestMs = Number.POSITIVE_INFINITY;
+			let best: Scored | undefined;
 			for (const upstream of usableIn({service})) {
-				const {costMs} = costOf(upstream, {work, service}, undefined, undefined);
-				bestMs = Math.min(bestMs, costMs);
+				const scored = costOf(upstream, {work, service}, undefined, undefined);
+				if (!best || scored.costMs < best.costMs) {
+					best = scored;
+				}
 			}
 
-			return bestMs;
+			return best ? best.expectedMs + best.streamingMs * streamingWeight : Number.POSITIVE_INFINITY;
 		},
 		ownLoads: () =>
 			[...known]
--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -18,10 +18,14 @@
 
 export type StoreFeed = disposable.Disposable & {
 	readonly isReachable: boolean;
+	/** Ends a waiting watch, because another call of the store failed; the feed lists again. */
+	suspect(): void;
 };
 
 const firstRetryMs = 150;
 const maxRetryMs = 900;
+/** Pause after changes, so that a burst of them takes few calls. */
+const pauseAfterEventsMs = 150;
 
 /** Starts to follow a prefix. */
 export const startStoreFeed = (options: {
@@ -34,6 +38,7 @@
 }): StoreFeed => {
 	const {clock, store, prefix, handler} = options;
 	const abort = new AbortController();
+	let watching = new AbortController();
 	let lostAtMs: number | undefined;
 	let hasEverAnswered = false;
 	let retries = 0;
@@ -64,7 +69,13 @@
 		handler.onListing(listing);
 		let {revision} = listing;
 		while (!abort.signal.aborted) {
-			const changes = await store.watch(prefix, revision, options.watchWaitMs, abort.signal);
+			watching = new AbortController();
+			const changes = await store.watch(
+				prefix,
+				revision,
+				options.watchWaitMs,
+				AbortSignal.any([abort.signal, watching.signal]),
+			);
 			if (changes.kind === 'history-lost') {
 				handler.onHistoryLost(revision);
 				return;
@@ -73,6 +84,7 @@
 			revision = Math.max(revision, changes.revision);
 			if (changes.events.length > 0) {
 				handler.onEvents(changes.events, revision);
+				await clock.sleep(pauseAfterEventsMs);
 			}
 		}
 	};
@@ -98,6 +110,9 @@
 		get isReachable() {
 			return hasEverAnswered && lostAtMs === undefined;
 		},
+		suspect() {
+			watching.abort(new Error('another call of the store failed'));
+		},
 		dispose() {
 			abort.abort(new Error('stopped'));
 		},
--- a/packages/gateway/src/node/beliefs.ts
+++ b/packages/gateway/src/node/beliefs.ts
@@ -31,6 +31,8 @@
 	readonly isComplete: boolean;
 	/** Whether the store answers to both feeds. */
 	readonly isStoreReachable: boolean;
+	/** Tells that another call of the store failed. */
+	suspectStore(): void;
 	isEvacuated(failureDomain: string): boolean;
 	evacuated(): readonly string[];
 	snapshot(): Snapshot;
@@ -214,6 +216,10 @@
 		get isStoreReachable() {
 			return operatorFeed.isReachable && upstreamFeed.isReachable;
 		},
+		suspectStore() {
+			operatorFeed.suspect();
+			upstreamFeed.suspect();
+		},
 		isEvacuated: (failureDomain) => evacuated.has(failureDomain),
 		evacuated: () => [...evacuated],
 		snapshot: () => ({
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -322,6 +322,11 @@
 		fleet,
 		log,
 		self,
+		onFailure() {
+			if (belief.isStoreReachable) {
+				belief.suspectStore();
+			}
+		},
 	});
 
 	const noteReadiness = () => {
--- a/packages/gateway/src/node/membership.ts
+++ b/packages/gateway/src/node/membership.ts
@@ -24,6 +24,8 @@
 	fleet: fleetView.FleetView;
 	log: gatewayEvent.EventLog;
 	self(): gossipMessage.MemberRecord;
+	/** A renewal failed, which may show an outage long before a waiting watch does. */
+	onFailure(): void;
 };
 
 /** Reads soon after the start, when all daemons register, and rarely later. */
@@ -60,6 +62,7 @@
 				}
 			} catch (error) {
 				noteFailure(error);
+				options.onFailure();
 				delayMs = retryMs;
 			}
 
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -24,8 +24,8 @@
 	failureDomains: zod.record(zod.string(), zod.string()),
 	store: zod.strictObject({
 		address: settings.addressSetting,
-		/** Longest wait of one watch; a silent store is noticed after this and a grace. */
-		watchWaitMs: setting.number(6000, 100, 30_000),
+		/** Longest wait of one watch. A silent store is noticed earlier, when a lease is renewed. */
+		watchWaitMs: setting.number(15_000, 100, 30_000),
 		memberLeaseMs: setting.number(9000, 1000, 600_000),
 	}),
 	peers: zod.strictObject({
--- a/packages/gateway/src/test/beliefs.test.ts
+++ b/packages/gateway/src/test/beliefs.test.ts
@@ -50,9 +50,9 @@
 tap.t.test('a version in force never goes back', async (t) => {
 	const {clock, store, subject, events} = await start(t);
 	store.write('ops/routes', config(5));
-	await clock.advance(10);
+	await clock.advance(200);
 	store.write('ops/routes', config(4));
-	await clock.advance(10);
+	await clock.advance(200);
 	t.equal(subject.configVersion, 5);
 	t.match(
 		events.find(({kind}) => kind === 'config-ignored'),
@@ -65,9 +65,9 @@
 tap.t.test('a value that cannot be used leaves what was in force', async (t) => {
 	const {clock, store, subject, events} = await start(t);
 	store.write('ops/routes', config(5));
-	await clock.advance(10);
+	await clock.advance(200);
 	store.write('ops/routes', {version: 'six'});
-	await clock.advance(10);
+	await clock.advance(200);
 	t.equal(subject.configVersion, 5);
 	t.ok(events.some(({kind}) => kind === 'entry-rejected'));
 });
@@ -95,7 +95,7 @@
 tap.t.test('a peer with newer upstreams does not take back an evacuation', async (t) => {
 	const {clock, store, subject, registry} = await start(t);
 	store.write('ops/leave/north-a', {});
-	await clock.advance(10);
+	await clock.advance(200);
 	t.ok(subject.isEvacuated('north-a'));
 	store.isAway = true;
 	await clock.advance(2000);
@@ -114,12 +114,12 @@
 tap.t.test('an evacuation ends with its key', async (t) => {
 	const {clock, store, subject} = await start(t);
 	store.write('ops/leave/north-a', {});
-	await clock.advance(10);
+	await clock.advance(200);
 	store.remove('ops/leave/north-a');
-	await clock.advance(10);
+	await clock.advance(200);
 	t.notOk(subject.isEvacuated('north-a'));
 	store.write('ops/leave/north-a', {});
-	await clock.advance(10);
+	await clock.advance(200);
 	store.isAway = true;
 	await clock.advance(3000);
 	store.remove('ops/leave/north-a');
@@ -131,7 +131,7 @@
 tap.t.test('what the history lost is read again', async (t) => {
 	const {clock, store, subject, registry} = await start(t);
 	store.write('servers/u1', fixtures.upstream('u1'));
-	await clock.advance(10);
+	await clock.advance(200);
 	t.equal(registry.all().length, 1);
 	store.dropHistory(() => {
 		store.remove('servers/u1');
--- a/packages/gateway/src/test/dispatcher.test.ts
+++ b/packages/gateway/src/test/dispatcher.test.ts
@@ -198,3 +198,31 @@
 	const idle = asUpstream(subject.choose(request)).basis.expectedMs;
 	t.ok(loaded > idle + 900, `${loaded} ms against ${idle} ms`);
 });
+
+tap.t.test('a plain service that fails in part still takes work of another region', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('d1', {service: 'desk', slots: 6}), 1);
+	const request = fixtures.dispatchRequest(fixtures.lookupRoute);
+	for (let index = 0; index < 50; index++) {
+		const dispatched = subject.dispatch(asUpstream(subject.choose(request)), request);
+		if (index % 5 === 0) {
+			dispatched.noteFailure(false);
+		} else {
+			dispatched.noteSuccess();
+		}
+
+		dispatched.end();
+	}
+
+	const waitMs = subject.outlook(fixtures.deskService, false);
+	t.ok(waitMs < 150, `${waitMs} ms are told to other regions`);
+	t.equal(subject.choose(request).kind, 'upstream');
+});
+
+tap.t.test('a region without a usable upstream says so', async (t) => {
+	const {registry, evacuated, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	t.ok(Number.isFinite(subject.outlook(fixtures.modelService, true)));
+	evacuated.add('north-a');
+	t.equal(subject.outlook(fixtures.modelService, true), Number.POSITIVE_INFINITY);
+});
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -22,9 +22,17 @@
 		return this.listing;
 	}
 
-	override async watch(): Promise<prefixStore.StoreChanges> {
+	override async watch(
+		_prefix: string,
+		_afterRevision: number,
+		_waitMs: number,
+		signal?: AbortSignal,
+	): Promise<prefixStore.StoreChanges> {
 		return new Promise((resolve, reject) => {
 			this.#waiting.push({resolve, reject});
+			signal?.addEventListener('abort', () => {
+				reject(new Error('aborted'));
+			});
 		});
 	}
 
@@ -91,7 +99,7 @@
 tap.t.test('changes follow the listing', async (t) => {
 	const {clock, store, calls, feed} = await start(t);
 	store.tell({kind: 'events', events: [{key: 'p/a', revision: 4}], revision: 4});
-	await clock.advance(1);
+	await clock.advance(200);
 	store.tell({kind: 'events', events: [], revision: 9});
 	await clock.advance(1);
 	t.same(calls, ['listing 1', 'events 1 up to 4']);
@@ -120,3 +128,14 @@
 	await clock.advance(1);
 	t.same(calls, ['listing 1', 'history lost', 'listing 50']);
 });
+
+tap.t.test('a waiting watch ends when another call of the store failed', async (t) => {
+	const {clock, store, calls, feed} = await start(t);
+	store.isAway = true;
+	feed.suspect();
+	await clock.advance(10);
+	t.same(calls, ['listing 1', 'lost']);
+	store.isAway = false;
+	await clock.advance(2000);
+	t.same(calls, ['listing 1', 'lost', 'regained', 'listing 1']);
+});
