--- /dev/null
+++ b/packages/gateway/src/common/gateway-request.ts
@@ -0,0 +1,19 @@
+/** One request of a caller, after its head and body were read. */
+import type * as routeConfig from './route-config.js';
+import type * as wireFormat from './wire-format.js';
+
+export type GatewayRequest = {
+	method: string;
+	path: string;
+	rawHeaders: readonly string[];
+	facts: wireFormat.RequestFacts;
+	body?: Uint8Array;
+	route: routeConfig.Route;
+	service: routeConfig.Service;
+	/** Monotonic time at which the head arrived. */
+	arrivedAtMs: number;
+	/** Upstreams that may run it; fewer than the route allows when another daemon tried before. */
+	maxUpstreams: number;
+	/** Region of the daemon that relayed it; undefined for a request of a caller. */
+	relayedFrom?: string;
+};
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -5,10 +5,11 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
-import * as answerVerdict from './answer-verdict.js';
+import type * as answerVerdict from './answer-verdict.js';
+import * as attempt from './attempt.js';
 import type * as dispatcher from './dispatcher.js';
-import * as eventCutter from './event-cutter.js';
 import type * as gatewayEvent from './gateway-event.js';
+import type * as gatewayRequest from './gateway-request.js';
 import * as relayHeaders from './relay-headers.js';
 import type * as resendBudget from './resend-budget.js';
 import * as routeConfig from './route-config.js';
@@ -16,22 +17,6 @@
 import type * as wireFormat from './wire-format.js';
 import * as workEstimate from './work-estimate.js';
 
-export type GatewayRequest = {
-	method: string;
-	path: string;
-	rawHeaders: readonly string[];
-	facts: wireFormat.RequestFacts;
-	body?: Uint8Array;
-	route: routeConfig.Route;
-	service: routeConfig.Service;
-	/** Monotonic time at which the head arrived. */
-	arrivedAtMs: number;
-	/** Upstreams that may run it; fewer than the route allows when another daemon tried before. */
-	maxUpstreams: number;
-	/** Region of the daemon that relayed it; undefined for a request of a caller. */
-	relayedFrom?: string;
-};
-
 export type EngineServices = {
 	clock: clock.Clock;
 	wire: wireFormat.WireFormat;
@@ -47,23 +32,17 @@
 export type RequestEngine = {
 	/** Starts a request. Disposing it means that the caller has left. */
 	handle(
-		request: GatewayRequest,
+		request: gatewayRequest.GatewayRequest,
 		reply: upstreamTransport.CallerReply,
 		onEnd: () => void,
 	): disposable.Disposable;
 };
 
-/** Answers of plain services up to this size are held back until they are complete. */
-const maxHeldAnswerBytes = 262_144;
 /** A request with less time left is not sent. */
 const minUsefulMs = 15;
 /** A refusal for want of an upstream waits this part of the goal for one. */
 const waitForUpstreamShare = 0.125;
 const waitStepMs = 30;
-/** An idempotent request without a first event is sent elsewhere after this multiple of the expected time. */
-const stallFactor = 3;
-const minStallMs = 700;
-const minGapStallMs = 900;
 /** Callers wait at most this part of their time when they are asked back. */
 const maxRetryAfterShare = 0.3;
 const minRetryAfterMs = 50;
@@ -75,7 +54,7 @@
 
 const startCourse = (
 	services: EngineServices,
-	request: GatewayRequest,
+	request: gatewayRequest.GatewayRequest,
 	reply: upstreamTransport.CallerReply,
 	onEnd: () => void,
 ): disposable.Disposable => {
@@ -206,17 +185,12 @@
 	};
 
 	/** Decides what follows an attempt that did not answer the caller. */
-	const afterFailure = (failure: {
-		peer: string;
-		step: string;
-		outcome: answerVerdict.Outcome;
-		detail: string;
-		startedAtMs: number;
-		upstreamsUsed: number;
-	}) => {
+	const afterFailure = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
 		if (failure.outcome !== 'not-run') {
 			mayHaveRun = true;
-			upstreamsThatRan += failure.upstreamsUsed;
+			// A daemon that does not say how many it used may have used all.
+			upstreamsThatRan +=
+				failure.upstreamsUsed ?? (target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1);
 		}
 
 		const isSafeToResend = failure.outcome === 'not-run' || isIdempotent;
@@ -229,7 +203,7 @@
 			kind: 'request-attempt-failed',
 			request: requestId,
 			route: route.name,
-			peer: failure.peer,
+			peer: target.peer,
 			step: failure.step,
 			outcome: failure.outcome,
 			detail: failure.detail,
@@ -259,199 +233,48 @@
 		}
 	};
 
-	/** Runs one exchange and tells its listener's owner how it went. */
-	const exchangeWith = (
-		target: {
-			peer: string;
-			address: string;
-			headers: string[];
-			isRelay: boolean;
-			expectedMs: number;
-		},
-		account: dispatcher.Dispatched | undefined,
-	) => {
-		const startedAtMs = clock.nowMs();
-		const isStream = route.work === 'stream';
-		const cutter = isStream && route.canResume ? eventCutter.createEventCutter() : undefined;
-		const held: Uint8Array[] = [];
-		let heldBytes = 0;
-		let step = 'sent-in-full';
-		let isPassing = false;
-		let isOver = false;
-		let head: {status: number; headers: wireFormat.Headers} | undefined;
-		let stallTimer: disposable.Disposable | undefined;
-		const running: {exchange?: upstreamTransport.Exchange} = {};
-
-		const close = () => {
-			isOver = true;
-			stallTimer?.dispose();
-			cancelAttempt = undefined;
-			account?.end();
-		};
-
-		const fail = (
-			outcome: answerVerdict.Outcome,
-			detail: string,
-			isHard: boolean,
-			upstreamsUsed = target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1,
-		) => {
-			if (isOver) {
-				return;
-			}
-
-			close();
-			running.exchange?.cancel();
-			if (outcome !== 'ran') {
-				failedUpstreams.add(target.peer);
-			}
-
-			if (outcome !== 'not-run' || isHard) {
-				account?.noteFailure(isHard);
-			}
-
-			if (cutter?.lastEventId !== undefined) {
-				resumeAfter = cutter.lastEventId;
-			}
-
-			afterFailure({peer: target.peer, step, outcome, detail, startedAtMs, upstreamsUsed});
-		};
-
-		const watchStall = (delayMs: number) => {
-			stallTimer?.dispose();
-			stallTimer = after(delayMs, () => {
-				// Without the right to go elsewhere, a late answer is better than none.
-				if (canResendLater && services.budget.canResend(service.name)) {
-					fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true);
-				}
-			});
-		};
-
-		const startReply = () => {
-			if (!hasStarted && head) {
-				hasStarted = true;
-				reply.start(head.status, wire.answerHeaders(head.headers));
-			}
-
-			isPassing = true;
-		};
-
-		const canResendLater = isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams;
-
-		const onHead = (status: number, headers: wireFormat.Headers) => {
-			const verdict = answerVerdict.judgeAnswer(
-				status,
-				headers,
-				wire.readAnswer(status, headers),
-				facts.attemptId,
-				canResendLater && !hasStarted && !target.isRelay,
-			);
-			if (verdict.kind === 'fail') {
-				if (verdict.isReplaced) {
-					account?.noteReplaced();
-				}
-
-				fail(verdict.outcome, verdict.detail, verdict.isHard, verdict.upstreamsUsed);
-			} else if (hasStarted && status !== 200) {
-				fail('unknown', `resume-${status}`, false);
-			} else {
-				head = {status, headers};
-				step = 'first-token';
-			}
-		};
-
-		const onData = (bytes: Uint8Array) => {
-			account?.noteEvent();
-			account?.noteFirstEvent();
-			if (cutter && head!.status < 300) {
-				const complete = cutter.push(bytes);
-				watchStall(Math.max(minGapStallMs, 2 * (route.maxEventGapMs ?? 0)));
-				if (complete) {
-					step = 'mid-stream';
-					startReply();
-					passOn(complete, running.exchange);
-				}
-			} else if (isPassing || isStream) {
-				step = 'mid-stream';
-				startReply();
-				passOn(bytes, running.exchange);
-			} else {
-				held.push(bytes);
-				heldBytes += bytes.length;
-				if (heldBytes > maxHeldAnswerBytes) {
-					flushHeld();
-				}
-			}
-		};
-
-		const flushHeld = () => {
-			startReply();
-			for (const bytes of held) {
-				passOn(bytes, running.exchange);
-			}
-
-			held.length = 0;
-		};
-
-		const onAnswerEnd = () => {
-			step = 'last-token';
-			account?.noteFirstEvent();
-			const {status} = head!;
-			close();
-			if (status >= 500) {
-				account?.noteFailure(false);
-			} else {
-				account?.noteSuccess();
-			}
-
-			flushHeld();
-			const rest = cutter?.rest();
-			if (rest && rest.length > 0) {
-				passOn(rest, undefined);
-			}
-
-			reply.end();
-			finish('answered', status);
-		};
-
-		cancelAttempt = () => {
-			close();
-			running.exchange?.cancel();
-		};
-
-		running.exchange = services.transport.send(
+	/** Starts one attempt; its end decides what follows. */
+	const attemptAt = (target: attempt.AttemptTarget, account: dispatcher.Dispatched | undefined) => {
+		const mayGoElsewhere = isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams;
+		const running = attempt.startAttempt(
 			{
-				address: target.address,
-				method: request.method,
-				path: request.path,
-				headers: target.headers,
-				body: request.body,
-				needsRecentConnection: !isIdempotent,
+				clock,
+				wire,
+				transport: services.transport,
+				request,
+				target,
+				account,
+				isIdempotent,
+				mayGoElsewhere,
+				mayResendNow: () => services.budget.canResend(service.name),
+				isResumption: hasStarted,
 			},
 			{
 				onHead(status, headers) {
-					if (!isOver) {
-						onHead(status, headers);
+					if (!hasStarted) {
+						hasStarted = true;
+						reply.start(status, wire.answerHeaders(headers));
 					}
 				},
-				onData(bytes) {
-					if (!isOver && head) {
-						onData(bytes);
-					}
+				onBytes: passOn,
+				onAnswered(status) {
+					cancelAttempt = undefined;
+					reply.end();
+					finish('answered', status);
 				},
-				onEnd() {
-					if (!isOver && head) {
-						onAnswerEnd();
+				onFailed(failure) {
+					cancelAttempt = undefined;
+					if (failure.outcome !== 'ran') {
+						failedUpstreams.add(target.peer);
 					}
-				},
-				onFailure(failure) {
-					const outcome = failure.mayHaveBeenSent ? 'unknown' : 'not-run';
-					fail(outcome, failure.detail, true);
+
+					resumeAfter = failure.lastEventId ?? resumeAfter;
+					afterFailure(target, failure);
 				},
 			},
 		);
-		if (isIdempotent && canResendLater) {
-			const patienceMs = Math.max(minStallMs, stallFactor * target.expectedMs);
-			watchStall(patienceMs);
+		if (!hasEnded && running.isRunning()) {
+			cancelAttempt = running.cancel;
 		}
 	};
 
@@ -486,7 +309,7 @@
 			resumeAfterEventId: resumeAfter,
 			promptSource: choice.promptSource?.entry.address,
 		});
-		exchangeWith(
+		attemptAt(
 			{peer: id, address, headers, isRelay: false, expectedMs: basis.expectedMs},
 			services.dispatcher.dispatch(choice, dispatchRequest),
 		);
@@ -515,7 +338,7 @@
 			relayHeaders.upstreamsLeftHeader,
 			String(request.maxUpstreams - upstreamsThatRan),
 		);
-		exchangeWith(
+		attemptAt(
 			{
 				peer: member.name,
 				address: member.peerAddress,
