--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -2,19 +2,16 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
-import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
-import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as directory from '../common/directory.js';
 import * as dispatcher from '../common/dispatcher.js';
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import type * as prefixStore from '../common/prefix-store.js';
-import * as relayHeaders from '../common/relay-headers.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as resendBudget from '../common/resend-budget.js';
-import * as routeConfig from '../common/route-config.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as beliefs from './beliefs.js';
@@ -23,6 +20,9 @@
 import type * as eventWriter from './event-writer.js';
 import * as gossipNode from './gossip-node.js';
 import * as membership from './membership.js';
+import * as peerCatchUp from './peer-catch-up.js';
+import * as plannedStop from './planned-stop.js';
+import * as requestJudge from './request-judge.js';
 import * as settings from './settings.js';
 
 export type GatewayDaemon = {
@@ -52,21 +52,7 @@
 
 /** Callers that keep an answer for longer still ask daemons that have stopped. */
 const maxTimeToLiveMs = 2000;
-const snapshotPath = '/hawthornfront/snapshot';
-const pullTimeoutMs = 1500;
-const maxSnapshotBytes = 16_777_216;
 const housekeepingMs = 1000;
-/** Delay between two pulls from peers while the store is out of reach. */
-const pullEveryMs = 500;
-const notReadyRetryMs = 500;
-/** Another daemon can take the request at once. */
-const stoppingRetryMs = 20;
-/** Callers that learned of this daemon before the stop may still connect for this long. */
-const stopAcceptingMs = 2200;
-const closeIdleAfterMs = 1300;
-/** Part of the grace that is kept for the end of the process. */
-const stopMarginMs = 250;
-const stopStepMs = 100;
 
 /** Starts a daemon; returns when its servers listen. */
 export const startGatewayDaemon = async (options: GatewayOptions): Promise<GatewayDaemon> => {
@@ -154,70 +140,15 @@
 		capacity: vm.processorShare,
 	});
 
-	const judge =
-		(isPeerPort: boolean) =>
-		(head: callerServer.CallerHead): callerServer.Verdict => {
-			if (isPeerPort && head.path === snapshotPath) {
-				return {kind: 'respond', body: JSON.stringify(belief.snapshot())};
-			}
-
-			const {table} = belief;
-			if (!table || !registry.isLoaded) {
-				return {
-					kind: 'reject',
-					status: 503,
-					reason: 'no-configuration',
-					retryAfterMs: notReadyRetryMs,
-				};
-			}
-
-			const route = table.select(head.host, head.path);
-			if (!route) {
-				return {kind: 'reject', status: 404, reason: 'no-route'};
-			}
-
-			// A stream that may not move is better begun at a daemon that stays.
-			if (isLeaving && route.work === 'stream' && !route.canResume) {
-				return {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs};
-			}
-
-			const facts = wire.readRequest(head.headers);
-			const share = 1 - hash.uniform(facts.attemptId ?? '', route.name);
-			const service = table.service(routeConfig.chooseService(route, share));
-			if (!service) {
-				return {
-					kind: 'reject',
-					status: 503,
-					reason: 'no-service',
-					retryAfterMs: notReadyRetryMs,
-				};
-			}
-
-			const upstreamsLeft = isPeerPort
-				? Number(head.headers[relayHeaders.upstreamsLeftHeader])
-				: Number.NaN;
-			const relayedFrom = isPeerPort ? head.headers[relayHeaders.relayedFromHeader] : undefined;
-			return {
-				kind: 'accept',
-				run: (body, reply, onEnd) =>
-					engine.handle(
-						{
-							method: head.method,
-							path: head.path,
-							rawHeaders: head.rawHeaders,
-							facts,
-							body,
-							route,
-							service,
-							arrivedAtMs: head.arrivedAtMs,
-							maxUpstreams: upstreamsLeft > 0 ? upstreamsLeft : route.maxUpstreams,
-							relayedFrom: typeof relayedFrom === 'string' ? relayedFrom : undefined,
-						},
-						reply,
-						onEnd,
-					),
-			};
-		};
+	const judge = (isPeerPort: boolean) =>
+		requestJudge.createJudge({
+			wire,
+			engine,
+			isPeerPort,
+			table: () => (registry.isLoaded ? belief.table : undefined),
+			snapshot: belief.snapshot,
+			isLeaving: () => isLeaving,
+		});
 
 	const callers = callerServer.createCallerServer(nowMs, judge(false));
 	const relays = callerServer.createCallerServer(nowMs, judge(true));
@@ -239,45 +170,13 @@
 			.map(({region, service, outlook}) => ({region, service, ...outlook})),
 	];
 
-	let isPulling = false;
-	let pulledAtMs = Number.NEGATIVE_INFINITY;
-	const pullFrom = async (peer: gossipMessage.MemberRecord) => {
-		isPulling = true;
-		pulledAtMs = nowMs();
-		try {
-			const answer = await options.client.request({
-				peer: peer.peerAddress,
-				method: 'GET',
-				path: snapshotPath,
-				headers: {},
-				timeoutMs: pullTimeoutMs,
-			});
-			const text = await httpClient.readText(answer.body, maxSnapshotBytes);
-			const snapshot = beliefs.snapshotSchema.parse(JSON.parse(text));
-			belief.merge(snapshot, peer.name);
-			log.note({
-				kind: 'snapshot-pulled',
-				peer: peer.name,
-				configVersion: snapshot.config?.version ?? 0,
-				upstreamRevision: snapshot.upstreamRevision,
-			});
-		} catch (error) {
-			const detail = error instanceof Error ? error.message.slice(0, 200) : String(error);
-			log.note({kind: 'snapshot-pull-failed', peer: peer.name, detail});
-		} finally {
-			isPulling = false;
-		}
-	};
-
-	/** Catches up with a peer that knows more while the store does not answer. */
-	const considerPull = (peer: gossipMessage.MemberRecord) => {
-		const knowsMore =
-			peer.configVersion > belief.configVersion ||
-			(!belief.isStoreReachable && peer.upstreamRevision > registry.revision);
-		if (knowsMore && !isPulling && nowMs() - pulledAtMs > pullEveryMs) {
-			void pullFrom(peer);
-		}
-	};
+	const catchUp = peerCatchUp.createCatchUp({
+		clock,
+		client: options.client,
+		belief,
+		upstreamRevision: () => registry.revision,
+		log,
+	});
 
 	const gossip = disposables.add(
 		gossipNode.startGossip({
@@ -309,7 +208,7 @@
 					dispatch.notePeerLoads(message.sender.name, message.loads);
 				}
 
-				considerPull(message.sender);
+				catchUp(message.sender);
 			},
 		}),
 	);
@@ -412,7 +311,6 @@
 			inFlight: inFlight(),
 		}),
 		async stop() {
-			const startedAtMs = nowMs();
 			const graceMs = current.stop.graceS * 1000;
 			isLeaving = true;
 			log.note({kind: 'stopping', inFlight: inFlight(), graceMs});
@@ -420,25 +318,7 @@
 			gossip.announce();
 			callers.startDraining();
 			void members.leave();
-			let hasStoppedListening = false;
-			for (;;) {
-				await clock.sleep(stopStepMs);
-				const elapsedMs = nowMs() - startedAtMs;
-				if (elapsedMs > closeIdleAfterMs) {
-					callers.closeIdle();
-				}
-
-				if (elapsedMs > stopAcceptingMs && !hasStoppedListening) {
-					hasStoppedListening = true;
-					callers.stopListening();
-				}
-
-				const isDone = hasStoppedListening && inFlight() === 0;
-				if (isDone || elapsedMs > graceMs - stopMarginMs) {
-					break;
-				}
-			}
-
+			await plannedStop.drainCallers({clock, callers, inFlight, graceMs});
 			log.note({
 				kind: 'stopped',
 				inFlight: inFlight(),
--- /dev/null
+++ b/packages/gateway/src/node/request-judge.ts
@@ -0,0 +1,101 @@
+/** Decides from the head of a request whether it is taken, and with what route and service. */
+import * as hash from '@hawthornfront/decisions/common/hash.js';
+import * as relayHeaders from '../common/relay-headers.js';
+import type * as requestEngine from '../common/request-engine.js';
+import * as routeConfig from '../common/route-config.js';
+import type * as wireFormat from '../common/wire-format.js';
+import type * as beliefs from './beliefs.js';
+import type * as callerServer from './caller-server.js';
+
+/** Path on the peer port at which a daemon tells what it believes. */
+export const snapshotPath = '/hawthornfront/snapshot';
+
+const notReadyRetryMs = 500;
+/** Another daemon can take the request at once. */
+const stoppingRetryMs = 20;
+
+export type JudgeOptions = {
+	wire: wireFormat.WireFormat;
+	engine: requestEngine.RequestEngine;
+	/** Requests come from other daemons instead of callers. */
+	isPeerPort: boolean;
+	/** Undefined until the daemon knows configuration and upstreams. */
+	table(): routeConfig.RouteTable | undefined;
+	snapshot(): beliefs.Snapshot;
+	isLeaving(): boolean;
+};
+
+const notReady = (reason: string): callerServer.Verdict => ({
+	kind: 'reject',
+	status: 503,
+	reason,
+	retryAfterMs: notReadyRetryMs,
+});
+
+/** Creates the judge of one port. */
+export const createJudge = (
+	options: JudgeOptions,
+): ((head: callerServer.CallerHead) => callerServer.Verdict) => {
+	const {wire, engine, isPeerPort} = options;
+
+	const accept = (
+		head: callerServer.CallerHead,
+		route: routeConfig.Route,
+		table: routeConfig.RouteTable,
+	): callerServer.Verdict => {
+		const facts = wire.readRequest(head.headers);
+		const share = 1 - hash.uniform(facts.attemptId ?? '', route.name);
+		const service = table.service(routeConfig.chooseService(route, share));
+		if (!service) {
+			return notReady('no-service');
+		}
+
+		// On the port of callers these names are theirs to use, and mean nothing.
+		const peerHeaders = isPeerPort ? head.headers : {};
+		const upstreamsLeft = Number(peerHeaders[relayHeaders.upstreamsLeftHeader]);
+		const relayedFrom = peerHeaders[relayHeaders.relayedFromHeader];
+		return {
+			kind: 'accept',
+			run: (body, reply, onEnd) =>
+				engine.handle(
+					{
+						method: head.method,
+						path: head.path,
+						rawHeaders: head.rawHeaders,
+						facts,
+						body,
+						route,
+						service,
+						arrivedAtMs: head.arrivedAtMs,
+						maxUpstreams: upstreamsLeft > 0 ? upstreamsLeft : route.maxUpstreams,
+						relayedFrom: typeof relayedFrom === 'string' ? relayedFrom : undefined,
+					},
+					reply,
+					onEnd,
+				),
+		};
+	};
+
+	return (head) => {
+		if (isPeerPort && head.path === snapshotPath) {
+			return {kind: 'respond', body: JSON.stringify(options.snapshot())};
+		}
+
+		const table = options.table();
+		if (!table) {
+			return notReady('no-configuration');
+		}
+
+		const route = table.select(head.host, head.path);
+		if (!route) {
+			return {kind: 'reject', status: 404, reason: 'no-route'};
+		}
+
+		// A stream that may not move is better begun at a daemon that stays.
+		if (options.isLeaving() && route.work === 'stream' && !route.canResume) {
+			return {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs};
+		}
+
+		return accept(head, route, table);
+	};
+};
