--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -62,7 +62,7 @@
  * bytes, the runtime reports an orderly end; only a further write fails then.
  * An empty line after a request is ignored by HTTP servers.
  */
-const testForReset = async (socket: net.Socket): Promise<boolean> =>
+export const testForReset = async (socket: net.Socket): Promise<boolean> =>
 	new Promise((resolve) => {
 		socket.write('\r\n', (error) => {
 			const code = error && 'code' in error ? error.code : undefined;
@@ -70,6 +70,14 @@
 		});
 	});
 
+/** Drops what was not delivered yet, so that it cannot reach the peer after the request has ended. */
+const resetSocket = (socket: net.Socket | undefined): void => {
+	// A reset of a socket that is connecting would wait for the connection.
+	if (socket && !socket.connecting) {
+		socket.resetAndDestroy();
+	}
+};
+
 const detailOf = (error: Error): string =>
 	'code' in error && typeof error.code === 'string' ? error.code : error.message;
 
@@ -189,6 +197,7 @@
 			cancel: () => {
 				isCancelled = true;
 				if (!isOver) {
+					resetSocket(connection.socket);
 					controller?.abort(new Error('cancelled'));
 					this.#close(connection);
 				}
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -174,3 +174,47 @@
 	await ask(pool, server.address);
 	t.match(await ask(pool, server.address), {end: 'failed', mayHaveBeenSent: true});
 });
+
+tap.t.test('a cancelled request is reset, not delivered later', async (t) => {
+	const ends: string[] = [];
+	const server = net.createServer((socket) => {
+		socket.on('data', () => undefined);
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			ends.push(error.code ?? '');
+		});
+		socket.on('end', () => {
+			ends.push('end');
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => server.close());
+	const {port} = server.address() as net.AddressInfo;
+	const pool = createPool(t);
+	const exchange = pool.send(
+		{
+			address: `127.0.0.1:${port}`,
+			method: 'GET',
+			path: '/x',
+			headers: ['Host', 'a'],
+			needsRecentConnection: false,
+		},
+		{
+			onHead: () => undefined,
+			onData: () => undefined,
+			onEnd: () => undefined,
+			onFailure() {
+				t.fail('nothing is called after a cancel');
+			},
+		},
+	);
+	const pause = async () =>
+		new Promise((resolve) => {
+			setTimeout(resolve, 100);
+		});
+	await pause();
+	exchange.cancel();
+	await pause();
+	t.same(ends, ['ECONNRESET']);
+});
