--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -200,9 +200,18 @@
 				return;
 			}
 
-			const reply = new ServerReply(response, () => isDraining);
-			course = verdict.run(body, reply, () => {
-				course = undefined;
+			const {run} = verdict;
+			// After a stall, the close of a caller that has left may wait right behind its request.
+			setImmediate(() => {
+				const {socket} = request;
+				if (isOver || socket.destroyed || socket.readableEnded) {
+					return;
+				}
+
+				const reply = new ServerReply(response, () => isDraining);
+				course = run(body, reply, () => {
+					course = undefined;
+				});
 			});
 		});
 	};
