Let a leaving daemon answer no directory request

Ruled out: an empty set of homes, and daemons of harju being away together. A leaving daemon now names nobody, and callers ask the next one. The test that let it name a peer is replaced by one that it names none, and one that a daemon that is not ready, but stays, still names its peers.

--- a/packages/gateway/src/common/directory.ts
+++ b/packages/gateway/src/common/directory.ts
@@ -17,7 +17,8 @@
 /**
  * Names the ready daemons of the caller's region. When it has none, it names those
  * of a region to which the host's bound routes may send, so that bound requests do
- * not enter a region that must pass them on.
+ * not enter a region that must pass them on. A daemon that is leaving names none:
+ * its peers have stopped telling it of themselves, and callers ask the next one.
  *
  * @param homeRegions regions that are homes of all bound routes of the host
  */
@@ -28,6 +29,10 @@
 	homeRegions: readonly string[],
 	timeToLiveMs: number,
 ): DirectoryAnswer => {
+	if (self.isLeaving) {
+		return {addresses: [], timeToLiveMs};
+	}
+
 	const ready = [self, ...fleet.alive()].filter((member) => member.isReady && !member.isLeaving);
 	const near = ready.filter((member) => member.region === query.region);
 	const home = ready.filter((member) => homeRegions.includes(member.region));
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -222,7 +222,8 @@
 	fleet.noteMember(fixtures.member('s1', {region: 'south'}), 0);
 	t.same(ask('north'), ['n1:80', 'n2:80']);
 	t.same(ask('south'), ['s1:80']);
-	t.same(ask('north', {...self, isReady: false, isLeaving: true}), ['n2:80']);
+	t.same(ask('north', {...self, isReady: false}), ['n2:80']);
+	t.same(ask('north', {...self, isReady: false, isLeaving: true}), [], 'its view grows old');
 	fleet.noteMember(fixtures.member('s1', {region: 'south', isLeaving: true}), 0);
 	fleet.noteMember(fixtures.member('w1', {region: 'west'}), 0);
 	t.same(ask('south'), ['n1:80', 'n2:80'], 'a home region before the others');
