--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -107,6 +107,12 @@
 const unknownOutlookMs = 250;
 /** Time after which a caller is asked back when there is no upstream. */
 const noUpstreamRetryMs = 700;
+/** Added to the time by which a request would have been late, before its caller is asked back. */
+const overloadRetryMs = 200;
+/** Width of the range over which callers are asked back, against the time itself. */
+const retrySpread = 0.8;
+/** Part of a cost by which equals are told apart at random. */
+const costNoise = 0.05;
 /** Added to the cost of tokens that were read before, since reading again delays everyone. */
 const rereadWeight = 0.6;
 /** Cost of copying a prompt part from another runner, against reading it. */
@@ -264,7 +270,7 @@
 		for (const upstream of usable) {
 			const scored = costOf(upstream, request, preferred, holder);
 			// A little noise keeps daemons from all choosing the same of two equals.
-			scored.costMs *= 1 + options.random() * 0.05;
+			scored.costMs *= 1 + options.random() * costNoise;
 			if (!best || scored.costMs < best.costMs) {
 				best = scored;
 			}
@@ -319,7 +325,7 @@
 		kind: 'refuse',
 		reason,
 		// Spread, so that callers that were refused together do not return together.
-		retryAfterMs: waitMs * (0.6 + options.random() * 0.8),
+		retryAfterMs: waitMs * (1 + (options.random() - 0.5) * retrySpread),
 		basis,
 	});
 
@@ -339,7 +345,7 @@
 			const limitMs = Math.min(request.remainingMs * settings.admissionShare, goalLimitMs);
 			if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
 				return remote.basis.expectedMs > limitMs
-					? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + 200)
+					? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + overloadRetryMs)
 					: {kind: 'region', ...remote};
 			}
 
@@ -356,7 +362,7 @@
 			};
 			const lateMs = Math.max(localMs - limitMs, localMs + streamingMs - request.remainingMs);
 			return lateMs > 0
-				? refuse('overloaded', basis, lateMs + 200)
+				? refuse('overloaded', basis, lateMs + overloadRetryMs)
 				: {
 						kind: 'upstream',
 						upstream: best.upstream,
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -46,6 +46,16 @@
 /** Callers wait at most this part of their time when they are asked back. */
 const maxRetryAfterShare = 0.3;
 const minRetryAfterMs = 50;
+/** Time after which a caller is asked back when an upstream refused and no other is left to try. */
+const refusedRetryMs = 200;
+
+/** Priority of the most urgent rank at a runner, and the distance to the next; 0 to 9 exist. */
+const firstPriority = 2;
+const priorityStep = 3;
+const lastPriority = 9;
+
+const priorityOf = (rank: number): number =>
+	Math.min(lastPriority, firstPriority + rank * priorityStep);
 
 /** Creates the engine of a daemon. */
 export const createRequestEngine = (services: EngineServices): RequestEngine => ({
@@ -71,7 +81,6 @@
 	const timers = new Set<disposable.Disposable>();
 
 	let sends = 0;
-	let arrivals = 0;
 	let upstreamsThatRan = 0;
 	let mayHaveRun = false;
 	let hasStarted = false;
@@ -83,18 +92,13 @@
 
 	const remainingMs = () => deadlineMs - clock.nowMs();
 
-	const after = (delayMs: number, callback: () => void): disposable.Disposable => {
+	/** Calls back unless the request ends before. */
+	const after = (delayMs: number, callback: () => void) => {
 		const timer = clock.setTimer(() => {
 			timers.delete(timer);
 			callback();
 		}, delayMs);
 		timers.add(timer);
-		return {
-			dispose() {
-				timers.delete(timer);
-				timer.dispose();
-			},
-		};
 	};
 
 	const finish = (
@@ -198,7 +202,7 @@
 			isSafeToResend &&
 			remainingMs() > minUsefulMs &&
 			(failure.outcome === 'not-run' || upstreamsThatRan < request.maxUpstreams) &&
-			(arrivals === 0 || services.budget.tryResend(service.name));
+			services.budget.tryResend(service.name);
 		log.note({
 			kind: 'request-attempt-failed',
 			request: requestId,
@@ -215,7 +219,7 @@
 		} else if (mayHaveRun) {
 			failWith(502, failure.detail);
 		} else {
-			refuse(failure.detail, minRetryAfterMs * 4);
+			refuse(failure.detail, refusedRetryMs);
 		}
 	};
 
@@ -286,7 +290,6 @@
 		const {id, address} = upstream.entry;
 		triedUpstreams.add(id);
 		sends++;
-		arrivals++;
 		log.note({
 			kind: 'request-sent',
 			request: requestId,
@@ -305,7 +308,7 @@
 		const headers = wire.dispatchHeaders(request.rawHeaders, {
 			remainingMs: remainingMs(),
 			upstreamId: id,
-			priority: service.engine ? Math.min(9, 2 + route.rank * 3) : undefined,
+			priority: service.engine ? priorityOf(route.rank) : undefined,
 			resumeAfterEventId: resumeAfter,
 			promptSource: choice.promptSource?.entry.address,
 		});
@@ -319,7 +322,6 @@
 		const {region, member, basis} = choice;
 		triedRegions.add(region);
 		sends++;
-		arrivals++;
 		log.note({
 			kind: 'request-relayed',
 			request: requestId,
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -56,6 +56,8 @@
 const eventHalfLifeMs = 2500;
 const serviceLearningRate = 0.1;
 const serviceHalfLifeMs = 10_000;
+/** Excess over memory or slots at which the whole penalty of a full runner applies. */
+const fullExcessShare = 0.25;
 /** Urgent work waits for a part of the other work that is being read already. */
 const otherWorkWeight = 0.35;
 
@@ -128,8 +130,8 @@
 		const excessRequests = load.requests + 1 - slots;
 		const fullness = Math.max(
 			0,
-			Math.min(1, excessTokens / (usableTokens * 0.25)),
-			Math.min(1, excessRequests / (slots * 0.25)),
+			Math.min(1, excessTokens / (usableTokens * fullExcessShare)),
+			Math.min(1, excessRequests / (slots * fullExcessShare)),
 		);
 		return (
 			(settings.baseFirstEventMs + readMs) * slowness.value(nowMs()) +
