--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -127,21 +127,20 @@
 		}, delayMs);
 	};
 
-	const pass = (bytes: Uint8Array) => {
+	const startPassing = () => {
 		if (!isPassing) {
 			isPassing = true;
 			listener.onHead(head!.status, head!.headers);
 		}
+	};
 
+	const pass = (bytes: Uint8Array) => {
+		startPassing();
 		listener.onBytes(bytes, isOver ? undefined : running.exchange);
 	};
 
 	const passHeld = () => {
-		if (!isPassing) {
-			isPassing = true;
-			listener.onHead(head!.status, head!.headers);
-		}
-
+		startPassing();
 		for (const bytes of held.splice(0)) {
 			pass(bytes);
 		}
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -44,8 +44,6 @@
 		work: workEstimate.WorkEstimate,
 		engine: routeConfig.Engine | undefined,
 	): number;
-	/** Observed against predicted time; 1 when they agree. */
-	slowness(): number;
 };
 
 /** How far one observation may move the learned slowness. */
@@ -217,6 +215,5 @@
 		},
 		predictStreamingMs: (work, engine) =>
 			engine ? (work.outputTokens / engine.eventTokens) * eventMs.value(nowMs()) : 0,
-		slowness: () => slowness.value(nowMs()),
 	};
 };
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -14,7 +14,6 @@
 	readonly coldUntilMs: number;
 	/** When its entry went missing while the store was not to be relied upon. */
 	readonly missingSinceMs?: number;
-	readonly firstSeenAtMs: number;
 };
 
 export type UpstreamChange = {
@@ -161,7 +160,6 @@
 			entry,
 			region,
 			coldUntilMs: isRepeated ? known.coldUntilMs : coldUntil(entry),
-			firstSeenAtMs: known && !isRestart ? known.firstSeenAtMs : nowMs,
 		};
 		upstreams.set(entry.id, upstream);
 		groups = undefined;
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -27,12 +27,11 @@
 	flush(): void;
 };
 
-/** @param isEnabled false for a process that only counts */
+/** Creates the writer of a process. */
 export const createEventWriter = (
 	registry: metrics.Registry,
 	nowMs: () => number,
 	fields: Record<string, string>,
-	isEnabled = true,
 ): EventWriter => {
 	const destination = pino.destination({
 		fd: 1,
@@ -45,7 +44,7 @@
 	destination.on('error', () => undefined);
 	const logger = pino.pino(
 		{
-			level: isEnabled ? 'info' : 'silent',
+			level: 'info',
 			base: fields,
 			timestamp: pino.stdTimeFunctions.epochTime,
 		},
@@ -121,7 +120,7 @@
 				}
 			}
 
-			if (isEnabled && mayWrite(event)) {
+			if (mayWrite(event)) {
 				logger.info(event);
 			}
 		},
