End a daemon whose log nobody reads

Cause: the log was written by descriptor on a thread; a write to a full pipe blocks that thread, and the flush at exit blocks the process. Ruled out: the stop itself (it returned within the grace). A pipe is now written through the event loop, files at once; what a slow reader leaves is dropped and counted, which the line log-lines-omitted and the counter say.

--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -1,20 +1,18 @@
 /**
- * Writes events as JSON lines and counts them. The stream buffers in memory and
- * drops lines when its reader is too slow; ordinary successes are sampled past a
- * rate, with a count of what was left out.
+ * Writes events as JSON lines and counts them. Ordinary successes are sampled past
+ * a rate, and lines are dropped when their reader is too slow, with a count of what
+ * was left out.
  */
 import * as metrics from '@hawthornfront/base/node/metrics.js';
 import * as pino from 'pino';
 import type * as gatewayEvent from '../common/gateway-event.js';
+import * as lineOutput from './line-output.js';
 
 /** Lines on ordinary requests per second; beyond it they are only counted. */
 const maxRequestLinesPerS = 200;
 /** Lines on refusals, failures and changes of belief per second. */
 const maxImportantLinesPerS = 400;
-const flushEveryMs = 500;
-const bufferBytes = 8192;
-/** Bytes held for a slow reader; what comes on top is dropped. */
-const maxBufferedBytes = 1_048_576;
+const standardOutput = 1;
 const latencyBucketsMs = [10, 25, 50, 100, 200, 300, 500, 800, 1000, 2000, 4000, 8000, 16_000];
 
 const isOrdinary = (event: gatewayEvent.GatewayEvent): boolean =>
@@ -23,7 +21,7 @@
 	(event.kind === 'request-ended' && event.outcome === 'answered' && event.status < 400);
 
 export type EventWriter = gatewayEvent.EventLog & {
-	/** Writes what is buffered; blocks, for use at the end only. */
+	/** Hands what is buffered to the reader, if it reads; for use at the end. */
 	flush(): void;
 };
 
@@ -33,22 +31,14 @@
 	nowMs: () => number,
 	fields: Record<string, string>,
 ): EventWriter => {
-	const destination = pino.destination({
-		fd: 1,
-		sync: false,
-		minLength: bufferBytes,
-		maxLength: maxBufferedBytes,
-		periodicFlush: flushEveryMs,
-	});
-	// A closed reader must not end the process.
-	destination.on('error', () => undefined);
+	const output = lineOutput.createLineOutput(standardOutput);
 	const logger = pino.pino(
 		{
 			level: 'info',
 			base: fields,
 			timestamp: pino.stdTimeFunctions.epochTime,
 		},
-		destination,
+		output,
 	);
 	const events = metrics.createCounter(registry, 'hawthornfront_events_total', 'Events', ['kind']);
 	const omitted = metrics.createCounter(
@@ -83,8 +73,13 @@
 	let omittedLines = 0;
 
 	const startWindow = () => {
-		if (omittedLines > 0) {
-			logger.warn({kind: 'log-lines-omitted', lines: omittedLines});
+		const unread = output.takeDropped();
+		if (unread > 0) {
+			omitted.inc({importance: 'unread'}, unread);
+		}
+
+		if (omittedLines + unread > 0) {
+			logger.warn({kind: 'log-lines-omitted', lines: omittedLines, unread});
 		}
 
 		windowStartMs = nowMs();
@@ -125,7 +120,7 @@
 			}
 		},
 		flush() {
-			destination.flushSync();
+			output.flush();
 		},
 	};
 };
