Leave a relayed stream that stalls to the daemon that relays it

Cause: both daemons of a relayed stream watched its gap with the same limit.

Before: the new test found the relay cancelled after 1.2 s. After: it goes on; a relay that stays silent for twice the limit is still given up.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -68,6 +68,11 @@
 const stallFactor = 3;
 const minStallMs = 700;
 const minGapStallMs = 900;
+/**
+ * A daemon that relays notices a stall itself and goes on elsewhere; the daemon
+ * that sent it there waits this many times as long, for a second upstream too.
+ */
+const relayStallFactor = 2;
 
 /** Sends the request. */
 export const startAttempt = (options: AttemptOptions, listener: AttemptListener): Attempt => {
@@ -119,12 +124,13 @@
 
 	const watchStall = (delayMs: number) => {
 		stallTimer?.dispose();
+		const limitMs = delayMs * (target.isRelay ? relayStallFactor : 1);
 		stallTimer = clock.setTimer(() => {
 			// Without the right to go elsewhere, a late answer is better than none.
 			if (options.mayGoElsewhere && options.mayResendNow()) {
 				fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true);
 			}
-		}, delayMs);
+		}, limitMs);
 	};
 
 	const startPassing = () => {
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -215,6 +215,24 @@
 	t.equal(headerOf(transport.last, 'after'), '1');
 });
 
+tap.t.test('a relayed stream that stalls is left to the daemon that relays it', async (t) => {
+	const {clock, fleet, registry, transport, reply} = start(fixtures.shortRoute, {upstreams: 1});
+	fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	registry.replaceAll([], 2);
+	transport.last.listener.onFailure({mayHaveBeenSent: false, detail: 'ECONNREFUSED'});
+	await clock.advance(200);
+	const relay = transport.last;
+	t.equal(headerOf(relay, relayHeaders.relayedFromHeader), 'north');
+	relay.listener.onHead(200, signed);
+	relay.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	// The other daemon notices the stall after 1200 ms and goes on at another upstream.
+	await clock.advance(1500);
+	t.notOk(relay.isCancelled);
+	relay.listener.onData(bytes('id: 2\ndata: b\n\n'));
+	relay.listener.onEnd();
+	t.equal(reply.ending, 'complete');
+});
+
 tap.t.test('the time of the route ends a request', async (t) => {
 	const {clock, transport, reply, ended} = start(fixtures.bookingRoute);
 	await clock.advance(2490);
