Let a few daemons of each failure domain watch the store; share loads in a region

Two daemons of each failure domain now watch; the others pull what changed from them by the revisions in datagrams, and watch themselves when no watcher is heard for 2 s or pulls fail for 1 s. Changes are told at once.

Loads: the two failure domains of a region share its runners, but daemons told their loads only within their own one, so that half of the work at a runner was not seen. Each domain now tells the other the sum of its loads.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -67,19 +67,22 @@
 	end(): void;
 };
 
+export type LoadByUpstream = {upstreamId: string} & upstreamLoad.LoadShare;
+
 export type Dispatcher = {
 	choose(request: DispatchRequest): Choice;
 	/** Counts a request that goes to an upstream, until its end. */
 	dispatch(choice: Choice & {kind: 'upstream'}, request: DispatchRequest): Dispatched;
 	/** Expected wait for work without a prompt of its own; infinite without a usable upstream. */
 	outlook(service: routeConfig.Service, isUrgent: boolean): number;
-	/** Own requests by upstream, for peers. */
-	ownLoads(): Array<{upstreamId: string} & upstreamLoad.LoadShare>;
-	/** Replaces what a peer reported of its own requests. */
-	notePeerLoads(
-		peer: string,
-		loads: ReadonlyArray<{upstreamId: string} & upstreamLoad.LoadShare>,
-	): void;
+	/** Own requests by upstream, for daemons of the own failure domain. */
+	ownLoads(): LoadByUpstream[];
+	/** Requests of the own failure domain by upstream, for the others of the region. */
+	domainLoads(): LoadByUpstream[];
+	/** Replaces what a daemon of the own failure domain reported of its own requests. */
+	notePeerLoads(peer: string, loads: readonly LoadByUpstream[]): void;
+	/** Replaces what was reported of another failure domain of the region. */
+	noteDomainLoads(failureDomain: string, loads: readonly LoadByUpstream[]): void;
 	/** Prompt parts that this daemon has sent since the last call. */
 	takeSentChains(): promptCacheView.SentChain[];
 	noteSentChains(chains: readonly promptCacheView.SentChain[]): void;
@@ -147,6 +150,7 @@
 	const nowMs = () => clock.nowMs();
 	const known = new Map<string, Known>();
 	const reportedByPeer = new Map<string, ReadonlySet<string>>();
+	const reportedByDomain = new Map<string, ReadonlySet<string>>();
 	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
 	const ramp = coldRamp.createColdRamp(nowMs, options.ownName, () => [
 		options.ownName,
@@ -329,6 +333,29 @@
 		basis,
 	});
 
+	/** Takes over a report; upstreams that the one before named and this one does not have no requests. */
+	const noteLoads = (
+		previous: Map<string, ReadonlySet<string>>,
+		reporter: string,
+		loads: readonly LoadByUpstream[],
+		note: (load: upstreamLoad.UpstreamLoad, share: upstreamLoad.LoadShare) => void,
+	) => {
+		const reported = new Set(loads.map(({upstreamId}) => upstreamId));
+		for (const id of previous.get(reporter) ?? []) {
+			const item = reported.has(id) ? undefined : known.get(id);
+			if (item) {
+				note(item.load, upstreamLoad.emptyShare());
+			}
+		}
+
+		previous.set(reporter, reported);
+		for (const {upstreamId, ...share} of loads) {
+			if (registry.get(upstreamId)) {
+				note(knownOf(upstreamId).load, share);
+			}
+		}
+	};
+
 	return {
 		choose(request) {
 			const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.ownRegion);
@@ -424,20 +451,19 @@
 			[...known]
 				.map(([upstreamId, {load}]) => ({upstreamId, ...load.own()}))
 				.filter(({requests}) => requests > 0),
+		domainLoads: () =>
+			[...known]
+				.map(([upstreamId, {load}]) => ({upstreamId, ...load.ofOwnDomain()}))
+				.filter(({requests}) => requests > 0),
 		notePeerLoads(peer, loads) {
-			const reported = new Set(loads.map(({upstreamId}) => upstreamId));
-			for (const id of reportedByPeer.get(peer) ?? []) {
-				if (!reported.has(id)) {
-					known.get(id)?.load.notePeer(peer, upstreamLoad.emptyShare());
-				}
-			}
-
-			reportedByPeer.set(peer, reported);
-			for (const {upstreamId, ...share} of loads) {
-				if (registry.get(upstreamId)) {
-					knownOf(upstreamId).load.notePeer(peer, share);
-				}
-			}
+			noteLoads(reportedByPeer, peer, loads, (load, share) => {
+				load.notePeer(peer, share);
+			});
+		},
+		noteDomainLoads(failureDomain, loads) {
+			noteLoads(reportedByDomain, failureDomain, loads, (load, share) => {
+				load.noteDomain(failureDomain, share);
+			});
 		},
 		takeSentChains: () => cache.takeSent(),
 		noteSentChains(chains) {
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -23,6 +23,10 @@
 	configVersion: zod.number(),
 	/** Store revision up to which it knows upstreams. */
 	upstreamRevision: zod.number(),
+	/** Store revision up to which it knows configuration and evacuations. */
+	operatorRevision: zod.number(),
+	/** Whether it watches the store and gets answers. */
+	storeContact: zod.enum(['reached', 'lost', 'none']),
 	/** Processor share of its machine, for the directory's choice. */
 	capacity: zod.number(),
 });
@@ -40,15 +44,20 @@
 	zod.number(),
 	zod.number(),
 	zod.number(),
+	zod.enum(['reached', 'lost', 'none']),
+	zod.number(),
 ]);
 
+/** Version of the layout of a message. */
+const messageVersion = 2;
+
 const messageSchema = zod.tuple([
-	zod.literal(1),
+	zod.literal(messageVersion),
 	/** The sender. */
 	memberTupleSchema,
 	/** Other members with the milliseconds since they were last known to be alive. */
 	zod.array(zod.tuple([memberTupleSchema, zod.number()])),
-	/** The sender's own requests by upstream id. */
+	/** Requests by upstream id. */
 	zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number(), zod.number()])),
 	/** Region, service, expected waits of urgent and other work (null: no upstream), age. */
 	zod.array(
@@ -67,6 +76,10 @@
 export type GossipMessage = {
 	sender: MemberRecord;
 	others: Array<{record: MemberRecord; ageMs: number}>;
+	/**
+	 * Requests by upstream: the sender's own to its failure domain, the sum of its
+	 * failure domain to the others of the region, none to other regions.
+	 */
 	loads: Array<{
 		upstreamId: string;
 		requests: number;
@@ -103,6 +116,8 @@
 	record.isLeaving,
 	record.configVersion,
 	record.upstreamRevision,
+	record.operatorRevision,
+	record.storeContact,
 	record.capacity,
 ];
 
@@ -117,7 +132,9 @@
 	isLeaving: tuple[7],
 	configVersion: tuple[8],
 	upstreamRevision: tuple[9],
-	capacity: tuple[10],
+	operatorRevision: tuple[10],
+	storeContact: tuple[11],
+	capacity: tuple[12],
 });
 
 const packWait = (waitMs: number) => (Number.isFinite(waitMs) ? Math.round(waitMs) : null);
@@ -125,7 +142,7 @@
 /** Packs a message into one datagram. */
 export const encodeGossip = (message: GossipMessage): Uint8Array =>
 	msgpackr.pack([
-		1,
+		messageVersion,
 		packMember(message.sender),
 		message.others.map(({record, ageMs}) => [packMember(record), Math.round(ageMs)]),
 		message.loads.map((load) => [
--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -1,6 +1,7 @@
 /**
  * Follows one prefix of the store: a listing, then changes. After a failure it
- * lists again, since an answer to a listing shows that the store is back.
+ * lists again, since an answer to a listing shows that the store is back. While
+ * another daemon follows the prefix in its place, it makes no calls.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -17,7 +18,12 @@
 };
 
 export type StoreFeed = disposable.Disposable & {
+	/** Whether it follows the prefix and the store answers. */
 	readonly isReachable: boolean;
+	/** Whether it follows the prefix and the store does not answer. */
+	readonly isLost: boolean;
+	/** Stops to follow, or lists and follows again. */
+	setFollowing(isFollowing: boolean): void;
 	/** Ends a waiting watch, because another call of the store failed; the feed lists again. */
 	suspect(): void;
 };
@@ -25,7 +31,7 @@
 const firstRetryMs = 150;
 const maxRetryMs = 900;
 /** Pause after changes, so that a burst of them takes few calls. */
-const pauseAfterEventsMs = 150;
+const pauseAfterEventsMs = 400;
 
 /** Starts to follow a prefix. */
 export const startStoreFeed = (options: {
@@ -39,6 +45,7 @@
 	const {clock, store, prefix, handler} = options;
 	const abort = new AbortController();
 	let watching = new AbortController();
+	const duty = {isFollowing: true, resume: (): void => undefined};
 	let lostAtMs: number | undefined;
 	let hasEverAnswered = false;
 	let retries = 0;
@@ -68,7 +75,7 @@
 		noteAnswer(listing.revision);
 		handler.onListing(listing);
 		let {revision} = listing;
-		while (!abort.signal.aborted) {
+		while (duty.isFollowing && !abort.signal.aborted) {
 			watching = new AbortController();
 			const changes = await store.watch(
 				prefix,
@@ -89,8 +96,18 @@
 		}
 	};
 
+	const untilFollowing = async (): Promise<void> =>
+		new Promise((resolve) => {
+			duty.resume = resolve;
+		});
+
 	const run = async () => {
 		while (!abort.signal.aborted) {
+			if (!duty.isFollowing) {
+				await untilFollowing();
+				continue;
+			}
+
 			try {
 				await follow();
 			} catch (error) {
@@ -98,6 +115,10 @@
 					return;
 				}
 
+				if (!duty.isFollowing) {
+					continue;
+				}
+
 				noteFailure(error instanceof Error ? error : new Error(String(error)));
 				const delayMs = Math.min(maxRetryMs, firstRetryMs * 2 ** Math.min(retries, 6));
 				await clock.sleep(delayMs * (0.5 + options.random()));
@@ -108,13 +129,31 @@
 	void run();
 	return {
 		get isReachable() {
-			return hasEverAnswered && lostAtMs === undefined;
+			return duty.isFollowing && hasEverAnswered && lostAtMs === undefined;
+		},
+		get isLost() {
+			return duty.isFollowing && lostAtMs !== undefined;
+		},
+		setFollowing(next) {
+			if (next === duty.isFollowing) {
+				return;
+			}
+
+			duty.isFollowing = next;
+			if (next) {
+				duty.resume();
+			} else {
+				// What happened before is no outage of the next time.
+				lostAtMs = undefined;
+				watching.abort(new Error('another daemon follows the store'));
+			}
 		},
 		suspect() {
 			watching.abort(new Error('another call of the store failed'));
 		},
 		dispose() {
 			abort.abort(new Error('stopped'));
+			duty.resume();
 		},
 	};
 };
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -1,7 +1,8 @@
 /**
- * Load of one upstream: requests of this daemon, known at once, and those of its
- * peers, known from their last report. Predicts when a further request would get
- * its first event.
+ * Load of one upstream: requests of this daemon, known at once, and those of other
+ * daemons, known from their last report: one by one in its own failure domain, and
+ * as a sum for each other one. Predicts when a further request would get its first
+ * event.
  */
 import * as decayingEstimate from '@hawthornfront/decisions/common/decaying-estimate.js';
 import type * as loadSettings from './load-settings.js';
@@ -29,8 +30,13 @@
 
 export type UpstreamLoad = {
 	add(work: workEstimate.WorkEstimate, readTokens: number, predictedMs: number): LoadItem;
+	/** Replaces what a daemon of the own failure domain reported. */
 	notePeer(peer: string, share: LoadShare): void;
+	/** Replaces the sum of another failure domain. */
+	noteDomain(failureDomain: string, share: LoadShare): void;
 	own(): LoadShare;
+	/** Sum of the own failure domain. */
+	ofOwnDomain(): LoadShare;
 	/** Requests of all daemons. */
 	requests(): number;
 	/** Expected time to the first event, or to the answer of a plain service. */
@@ -59,6 +65,8 @@
 /** Urgent work waits for a part of the other work that is being read already. */
 const otherWorkWeight = 0.35;
 
+type Report = {share: LoadShare; atMs: number};
+
 /** A share without requests. */
 export const emptyShare = (): LoadShare => ({
 	requests: 0,
@@ -80,7 +88,8 @@
 	settings: loadSettings.LoadSettings,
 ): UpstreamLoad => {
 	const own = emptyShare();
-	const peers = new Map<string, {share: LoadShare; atMs: number}>();
+	const peers = new Map<string, Report>();
+	const domains = new Map<string, Report>();
 	const slowness = decayingEstimate.createDecayingEstimate({
 		initial: 1,
 		learningRate: slownessLearningRate,
@@ -98,17 +107,26 @@
 		halfLifeMs: eventHalfLifeMs,
 	});
 
-	const total = (): LoadShare => {
-		const sum = {...own};
+	const addFresh = (sum: LoadShare, reports: Map<string, Report>) => {
 		const oldestMs = nowMs() - settings.peerLoadMaxAgeMs;
-		for (const [name, {share, atMs}] of peers) {
+		for (const [name, {share, atMs}] of reports) {
 			if (atMs < oldestMs) {
-				peers.delete(name);
+				reports.delete(name);
 			} else {
 				addShare(sum, share);
 			}
 		}
+	};
+
+	const ofOwnDomain = (): LoadShare => {
+		const sum = {...own};
+		addFresh(sum, peers);
+		return sum;
+	};
 
+	const total = (): LoadShare => {
+		const sum = ofOwnDomain();
+		addFresh(sum, domains);
 		return sum;
 	};
 
@@ -206,7 +224,11 @@
 		notePeer(peer, share) {
 			peers.set(peer, {share, atMs: nowMs()});
 		},
+		noteDomain(failureDomain, share) {
+			domains.set(failureDomain, {share, atMs: nowMs()});
+		},
 		own: () => ({...own}),
+		ofOwnDomain,
 		requests: () => total().requests,
 		predictMs(work, readTokens, {slots, engine}) {
 			return engine
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -29,10 +29,23 @@
  */
 export const missingEntryGraceMs = 2200;
 
+/** An upstream as a peer knows it. */
+export type KnownUpstream = {
+	entry: upstreamEntry.UpstreamEntry;
+	/** Time for which it is still cold. */
+	coldLeftMs: number;
+	/** Its entry went missing around an outage of the store. */
+	isMissing: boolean;
+};
+
 export type UpstreamRegistry = {
 	readonly onDidChange: event.Event<UpstreamChange>;
 	/** Replaces all entries by a listing. */
 	replaceAll(entries: readonly upstreamEntry.UpstreamEntry[], revision: number): void;
+	/** Replaces all entries by what a peer knows. */
+	adopt(known: readonly KnownUpstream[], revision: number): void;
+	/** All of it, for a peer. */
+	known(): KnownUpstream[];
 	put(entry: upstreamEntry.UpstreamEntry, revision: number): void;
 	remove(id: string, revision: number): void;
 	/** Tells whether the store is reachable; entries are not dropped right after an outage. */
@@ -139,10 +152,13 @@
 		return known.missingSinceMs === undefined ? undefined : 'back';
 	};
 
-	const coldUntil = (entry: upstreamEntry.UpstreamEntry) =>
-		entry.coldLeftMs > 0 ? timeSource.nowMs() + entry.coldLeftMs : 0;
+	const coldUntil = (coldLeftMs: number) => (coldLeftMs > 0 ? timeSource.nowMs() + coldLeftMs : 0);
 
-	const put = (entry: upstreamEntry.UpstreamEntry, at: number, isListed: boolean) => {
+	const put = (
+		entry: upstreamEntry.UpstreamEntry,
+		at: number,
+		source: {isListed: boolean; coldLeftMs?: number},
+	) => {
 		const region = regionOf(entry.failureDomain);
 		if (region === undefined) {
 			return;
@@ -155,11 +171,14 @@
 			(known.entry.startedAtUnixMs !== entry.startedAtUnixMs ||
 				known.entry.address !== entry.address);
 		// A listing repeats what may have been written long ago.
-		const isRepeated = isListed && !isRestart && known?.entry.coldLeftMs === entry.coldLeftMs;
+		const isRepeated =
+			source.isListed && !isRestart && known?.entry.coldLeftMs === entry.coldLeftMs;
 		const upstream: Upstream = {
 			entry,
 			region,
-			coldUntilMs: isRepeated ? known.coldUntilMs : coldUntil(entry),
+			coldUntilMs: isRepeated
+				? known.coldUntilMs
+				: coldUntil(source.coldLeftMs ?? entry.coldLeftMs),
 		};
 		upstreams.set(entry.id, upstream);
 		groups = undefined;
@@ -188,25 +207,51 @@
 		return next;
 	};
 
+	const removeOthers = (ids: ReadonlySet<string>, at: number) => {
+		for (const id of upstreams.keys()) {
+			if (!ids.has(id)) {
+				removeEntry(id, at);
+			}
+		}
+	};
+
 	return {
 		onDidChange: didChange.event,
 		replaceAll(entries, at) {
-			const listed = new Set(entries.map((entry) => entry.id));
-			for (const id of upstreams.keys()) {
-				if (!listed.has(id)) {
-					removeEntry(id, at);
-				}
+			removeOthers(new Set(entries.map((entry) => entry.id)), at);
+			for (const entry of entries) {
+				put(entry, at, {isListed: true});
 			}
 
-			for (const entry of entries) {
-				put(entry, at, true);
+			revision = Math.max(revision, at);
+			isLoaded = true;
+		},
+		adopt(known, at) {
+			removeOthers(new Set(known.map(({entry}) => entry.id)), at);
+			for (const {entry, coldLeftMs, isMissing} of known) {
+				const before = upstreams.get(entry.id);
+				if (isMissing && before?.missingSinceMs !== undefined) {
+					continue;
+				}
+
+				put(entry, at, {isListed: true, coldLeftMs});
+				const upstream = upstreams.get(entry.id);
+				if (isMissing && upstream) {
+					markMissing(upstream, at);
+				}
 			}
 
 			revision = Math.max(revision, at);
 			isLoaded = true;
 		},
+		known: () =>
+			[...upstreams.values()].map((upstream) => ({
+				entry: upstream.entry,
+				coldLeftMs: Math.max(0, Math.round(upstream.coldUntilMs - timeSource.nowMs())),
+				isMissing: upstream.missingSinceMs !== undefined,
+			})),
 		put(entry, at) {
-			put(entry, at, false);
+			put(entry, at, {isListed: false});
 			revision = Math.max(revision, at);
 		},
 		remove(id, at) {
--- a/packages/gateway/src/node/beliefs.ts
+++ b/packages/gateway/src/node/beliefs.ts
@@ -1,6 +1,6 @@
 /**
  * The configuration, evacuations and upstreams that are in force here, fed by the
- * store, or by a peer while the store is out of reach. Versions never go back.
+ * store while this daemon watches it, or else by peers. Versions never go back.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -12,6 +12,7 @@
 import * as storeFeed from '../common/store-feed.js';
 import * as upstreamEntry from '../common/upstream-entry.js';
 import type * as upstreamRegistry from '../common/upstream-registry.js';
+import type * as watchDuty from '../common/watch-duty.js';
 
 /** All of it, for a peer. */
 export const snapshotSchema = zod.object({
@@ -19,23 +20,37 @@
 	evacuated: zod.array(zod.string()),
 	/** Store revision up to which the evacuations are known. */
 	operatorRevision: zod.number(),
-	upstreams: zod.array(upstreamEntry.upstreamEntrySchema),
+	upstreams: zod.array(
+		zod.object({
+			entry: upstreamEntry.upstreamEntrySchema,
+			coldLeftMs: zod.number(),
+			isMissing: zod.boolean(),
+		}),
+	),
 	upstreamRevision: zod.number(),
 });
 export type Snapshot = zod.infer<typeof snapshotSchema>;
 
 export type Beliefs = disposable.Disposable & {
 	readonly onDidChangeConfig: event.Event<routeConfig.RouteTable>;
+	/** Fires after a listing or changes of the store were taken over. */
+	readonly onDidReadStore: event.Event<void>;
 	readonly table: routeConfig.RouteTable | undefined;
 	readonly configVersion: number;
 	readonly isComplete: boolean;
-	/** Whether the store answers to both feeds. */
-	readonly isStoreReachable: boolean;
+	/** Store revision up to which configuration and evacuations are known. */
+	readonly operatorRevision: number;
+	readonly storeContact: watchDuty.StoreContact;
+	/** Watches the store, or leaves that to peers whose snapshots are merged. */
+	setWatching(isWatching: boolean): void;
+	/** Tells whether any peer reaches the store, which counts while this daemon does not. */
+	notePeersReachStore(isReached: boolean): void;
 	/** Tells that another call of the store failed. */
 	suspectStore(): void;
 	isEvacuated(failureDomain: string): boolean;
 	evacuated(): readonly string[];
-	snapshot(): Snapshot;
+	/** @param knownConfig version that the asking peer has; the configuration is left out if it is no newer */
+	snapshot(knownConfig: number): Snapshot;
 	/** Takes over what is newer in a peer's snapshot. */
 	merge(snapshot: Snapshot, peer: string): void;
 };
@@ -55,9 +70,11 @@
 	const {clock, store, layout, registry, log} = options;
 	const disposables = disposable.createDisposableStore();
 	const didChangeConfig = event.createEmitter<routeConfig.RouteTable>();
+	const didReadStore = event.createEmitter<void>();
 	const evacuated = new Set<string>();
 	let table: routeConfig.RouteTable | undefined;
 	let operatorRevision = 0;
+	let isReachedByPeers = false;
 
 	const applyConfig = (config: routeConfig.RouteConfig, source: string) => {
 		const current = table?.config.version ?? 0;
@@ -136,6 +153,7 @@
 				}
 
 				operatorRevision = Math.max(operatorRevision, revision);
+				didReadStore.fire();
 			},
 			onEvents(events, upTo) {
 				operatorRevision = Math.max(operatorRevision, upTo);
@@ -150,6 +168,8 @@
 						setEvacuated(failureDomain, false, revision);
 					}
 				}
+
+				didReadStore.fire();
 			},
 			...feedLog(log, 'operator'),
 		},
@@ -177,6 +197,7 @@
 					.map((item) => decodeUpstream(item.key, item.value, item.revision))
 					.filter((entry) => entry !== undefined);
 				registry.replaceAll(entries, revision);
+				didReadStore.fire();
 			},
 			onEvents(events) {
 				for (const {key, revision, value} of events) {
@@ -187,9 +208,11 @@
 						registry.remove(layout.upstreamIdOf(key), revision);
 					}
 				}
+
+				didReadStore.fire();
 			},
 			onLost(error) {
-				registry.setStoreReachable(false);
+				registry.setStoreReachable(isReachedByPeers);
 				upstreamLog.onLost(error);
 			},
 			onRegained(awayMs, revision) {
@@ -199,11 +222,13 @@
 			onHistoryLost: upstreamLog.onHistoryLost,
 		},
 	});
+	const feeds = [operatorFeed, upstreamFeed];
 
 	disposables.add(operatorFeed);
 	disposables.add(upstreamFeed);
 	return {
 		onDidChangeConfig: didChangeConfig.event,
+		onDidReadStore: didReadStore.event,
 		get table() {
 			return table;
 		},
@@ -213,20 +238,39 @@
 		get isComplete() {
 			return table !== undefined && registry.isLoaded;
 		},
-		get isStoreReachable() {
-			return operatorFeed.isReachable && upstreamFeed.isReachable;
+		get operatorRevision() {
+			return operatorRevision;
+		},
+		get storeContact() {
+			if (feeds.some((feed) => feed.isLost)) {
+				return 'lost';
+			}
+
+			return feeds.every((feed) => feed.isReachable) ? 'reached' : 'none';
+		},
+		setWatching(isWatching) {
+			for (const feed of feeds) {
+				feed.setFollowing(isWatching);
+			}
+		},
+		notePeersReachStore(isReached) {
+			isReachedByPeers = isReached;
+			if (!upstreamFeed.isReachable) {
+				registry.setStoreReachable(isReached);
+			}
 		},
 		suspectStore() {
-			operatorFeed.suspect();
-			upstreamFeed.suspect();
+			for (const feed of feeds) {
+				feed.suspect();
+			}
 		},
 		isEvacuated: (failureDomain) => evacuated.has(failureDomain),
 		evacuated: () => [...evacuated],
-		snapshot: () => ({
-			config: table?.config,
+		snapshot: (knownConfig) => ({
+			config: table && table.config.version > knownConfig ? table.config : undefined,
 			evacuated: [...evacuated],
 			operatorRevision,
-			upstreams: registry.all().map((upstream) => upstream.entry),
+			upstreams: registry.known(),
 			upstreamRevision: registry.revision,
 		}),
 		merge(snapshot, peer) {
@@ -234,9 +278,9 @@
 				applyConfig(snapshot.config, peer);
 			}
 
-			// The store is the better source while it answers.
+			// The store is the better source while it is watched and answers.
 			if (!upstreamFeed.isReachable && snapshot.upstreamRevision > registry.revision) {
-				registry.replaceAll(snapshot.upstreams, snapshot.upstreamRevision);
+				registry.adopt(snapshot.upstreams, snapshot.upstreamRevision);
 			}
 
 			if (!operatorFeed.isReachable && snapshot.operatorRevision > operatorRevision) {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -13,6 +13,7 @@
 import * as requestEngine from '../common/request-engine.js';
 import * as resendBudget from '../common/resend-budget.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
+import * as watchDuty from '../common/watch-duty.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as beliefs from './beliefs.js';
 import * as callerServer from './caller-server.js';
@@ -53,6 +54,8 @@
 /** Callers that keep an answer for longer still ask daemons that have stopped. */
 const maxTimeToLiveMs = 2000;
 const housekeepingMs = 1000;
+/** How often it is decided whether this daemon watches the store. */
+const watchDutyEveryMs = 500;
 
 /** Starts a daemon; returns when its servers listen. */
 export const startGatewayDaemon = async (options: GatewayOptions): Promise<GatewayDaemon> => {
@@ -137,6 +140,8 @@
 		isLeaving,
 		configVersion: belief.configVersion,
 		upstreamRevision: registry.revision,
+		operatorRevision: belief.operatorRevision,
+		storeContact: belief.storeContact,
 		capacity: vm.processorShare,
 	});
 
@@ -174,6 +179,14 @@
 		clock,
 		client: options.client,
 		belief,
+		ownFailureDomain: vm.failureDomain,
+		hasNearWatcher: () =>
+			fleet
+				.alive()
+				.some(
+					({failureDomain, storeContact}) =>
+						failureDomain === vm.failureDomain && storeContact === 'reached',
+				),
 		upstreamRevision: () => registry.revision,
 		log,
 	});
@@ -189,6 +202,7 @@
 			seeds,
 			self,
 			ownLoads: dispatch.ownLoads,
+			domainLoads: dispatch.domainLoads,
 			outlooks: allOutlooks,
 			takeChains: dispatch.takeSentChains,
 			onMessage(message) {
@@ -206,12 +220,15 @@
 
 				if (message.sender.failureDomain === vm.failureDomain) {
 					dispatch.notePeerLoads(message.sender.name, message.loads);
+				} else if (message.sender.region === vm.region) {
+					dispatch.noteDomainLoads(message.sender.failureDomain, message.loads);
 				}
 
-				catchUp(message.sender);
+				catchUp.notePeer(message.sender);
 			},
 		}),
 	);
+	disposables.add(belief.onDidReadStore(gossip.tellDomain));
 	const members = membership.startMembership({
 		clock,
 		random: random.next,
@@ -222,12 +239,41 @@
 		log,
 		self,
 		onFailure() {
-			if (belief.isStoreReachable) {
+			if (belief.storeContact === 'reached') {
 				belief.suspectStore();
 			}
 		},
 	});
 
+	const duty = watchDuty.createWatchDuty({
+		nowMs,
+		ownName: vm.name,
+		failureDomain: vm.failureDomain,
+		watchers: current.store.watchersPerFailureDomain,
+	});
+	let isWatching = true;
+
+	const updateWatch = () => {
+		const alive = fleet.alive();
+		belief.notePeersReachStore(alive.some(({storeContact}) => storeContact === 'reached'));
+		const peersHere = alive
+			.filter(({failureDomain}) => failureDomain === vm.failureDomain)
+			.map(({name, aliveAtMs, storeContact}) => ({
+				name,
+				heardMsAgo: nowMs() - aliveAtMs,
+				storeContact,
+			}));
+		const behindMs = catchUp.behindMs();
+		const next = duty.update(peersHere, behindMs) || !belief.isComplete;
+		if (next !== isWatching) {
+			isWatching = next;
+			belief.setWatching(next);
+			log.note({kind: 'store-watch', isWatching, peers: peersHere.length, behindMs});
+		}
+	};
+
+	disposables.add(clock.setPeriodicTimer(updateWatch, watchDutyEveryMs));
+
 	const noteReadiness = () => {
 		if (isReady() !== wasReady) {
 			wasReady = isReady();
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -9,7 +9,7 @@
 
 /** Peers of the own failure domain that get each message. */
 const maxDomainPeers = 16;
-/** Messages to other failure domains go out once in so many ticks. */
+/** Messages to other regions go out once in so many ticks. */
 const farEveryTicks = 2;
 /** Prompt chains told in one message to or from other failure domains. */
 const maxFarChains = 40;
@@ -19,6 +19,8 @@
 export type GossipNode = disposable.Disposable & {
 	/** Tells all members at once, as on a stop. */
 	announce(): void;
+	/** Tells the own failure domain without waiting for the next tick. */
+	tellDomain(): void;
 };
 
 export type GossipOptions = {
@@ -32,6 +34,8 @@
 	/** This daemon as it is now. */
 	self(): gossipMessage.MemberRecord;
 	ownLoads(): gossipMessage.GossipMessage['loads'];
+	/** Requests of the own failure domain by upstream. */
+	domainLoads(): gossipMessage.GossipMessage['loads'];
 	/** Expected waits of the own region, and what is known of the others. */
 	outlooks(): gossipMessage.GossipMessage['outlooks'];
 	/** Prompt chains sent by this daemon since the last call. */
@@ -60,7 +64,7 @@
 	};
 
 	const buildMessage = (
-		withLoads: boolean,
+		loads: gossipMessage.GossipMessage['loads'],
 		chains: gossipMessage.GossipChain[] = [],
 	): Uint8Array => {
 		const nowMs = clock.nowMs();
@@ -68,14 +72,14 @@
 		return gossipMessage.encodeGossip({
 			sender: options.self(),
 			others: told.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
-			loads: withLoads ? options.ownLoads() : [],
+			loads,
 			outlooks: options.outlooks(),
 			chains,
 		});
 	};
 
-	const farPeers = (): fleetView.Member[] => {
-		const self = options.self();
+	/** One member of each other failure domain. */
+	const farPeers = (self: gossipMessage.MemberRecord): fleetView.Member[] => {
 		const byDomain = new Map<string, fleetView.Member[]>();
 		for (const member of fleet.alive()) {
 			if (member.failureDomain !== self.failureDomain) {
@@ -88,29 +92,48 @@
 		return [...byDomain.values()].flatMap((group) => pickSome(group, 1));
 	};
 
-	const sendAll = () => {
-		tick++;
-		fleet.sweep();
+	const sendNear = () => {
 		const self = options.self();
 		const near = fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
 		const own = options.takeChains().map((chain) => ({...chain, isFar: false}));
 		ownSinceFar.push(...own);
-		const nearBytes = buildMessage(true, [...own, ...fromFar.splice(0, maxFarChains)]);
+		const bytes = buildMessage(options.ownLoads(), [...own, ...fromFar.splice(0, maxFarChains)]);
 		for (const member of pickSome(near, maxDomainPeers)) {
-			socket.send(member.peerAddress, nearBytes);
+			socket.send(member.peerAddress, bytes);
+		}
+	};
+
+	const sendAll = () => {
+		tick++;
+		fleet.sweep();
+		sendNear();
+		const self = options.self();
+		const isFarTick = tick % farEveryTicks === 0;
+		const far = farPeers(self);
+		const inRegion = far.filter(({region}) => region === self.region);
+		if (!isFarTick && inRegion.length === 0) {
+			return;
+		}
+
+		const chains = isFarTick ? ownSinceFar.splice(-maxFarChains) : [];
+		if (inRegion.length > 0) {
+			const bytes = buildMessage(options.domainLoads(), chains);
+			for (const member of inRegion) {
+				socket.send(member.peerAddress, bytes);
+			}
 		}
 
-		if (tick % farEveryTicks === 0) {
-			const farBytes = buildMessage(false, ownSinceFar.splice(-maxFarChains));
+		if (isFarTick) {
 			ownSinceFar.length = 0;
-			for (const member of farPeers()) {
-				socket.send(member.peerAddress, farBytes);
+			const bytes = buildMessage([], chains);
+			for (const member of far.filter(({region}) => region !== self.region)) {
+				socket.send(member.peerAddress, bytes);
 			}
 
 			// Seeds help to find the others, and heal a view that was split.
 			const seed = random.pick(options.seeds.filter((address) => address !== self.peerAddress));
 			if (seed && (!fleet.hearsPeers() || random.next() < 0.1)) {
-				socket.send(seed, farBytes);
+				socket.send(seed, bytes);
 			}
 		}
 	};
@@ -138,8 +161,9 @@
 	store.add(clock.setPeriodicTimer(sendAll, options.everyMs));
 	sendAll();
 	return {
+		tellDomain: sendNear,
 		announce() {
-			const bytes = buildMessage(false);
+			const bytes = buildMessage([]);
 			for (const member of fleet.alive()) {
 				socket.send(member.peerAddress, bytes);
 			}
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -1,4 +1,4 @@
-/** Pulls what a peer knows when it knows more, as while the store is out of reach. */
+/** Pulls what a peer knows when it knows more and this daemon does not hear it from the store. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
@@ -8,24 +8,35 @@
 
 const pullTimeoutMs = 1500;
 const maxSnapshotBytes = 16_777_216;
-/** Delay between two pulls. */
-const pullEveryMs = 500;
+/** Delay between two pulls, about one round of datagrams. */
+const pullEveryMs = 250;
+/** Peers of other failure domains are asked after this time, when none of the own one has helped. */
+const askFarAfterMs = 700;
 
 export type CatchUpOptions = {
 	clock: clock.Clock;
 	client: httpClient.HttpClient;
 	belief: beliefs.Beliefs;
+	ownFailureDomain: string;
+	/** Whether a daemon of the own failure domain watches the store; its revisions count then. */
+	hasNearWatcher(): boolean;
 	upstreamRevision(): number;
 	log: gatewayEvent.EventLog;
 };
 
-/** Creates a function that takes each record that a peer tells of itself. */
-export const createCatchUp = (
-	options: CatchUpOptions,
-): ((peer: gossipMessage.MemberRecord) => void) => {
+export type CatchUp = {
+	/** Takes each record that a peer tells of itself. */
+	notePeer(peer: gossipMessage.MemberRecord): void;
+	/** Time for which a peer has known more; 0 when none does. */
+	behindMs(): number;
+};
+
+/** Creates the catch-up of a daemon. */
+export const createCatchUp = (options: CatchUpOptions): CatchUp => {
 	const {clock, client, belief, log} = options;
 	let isPulling = false;
 	let pulledAtMs = Number.NEGATIVE_INFINITY;
+	let behindSinceMs: number | undefined;
 
 	const pullFrom = async (peer: gossipMessage.MemberRecord) => {
 		isPulling = true;
@@ -34,17 +45,18 @@
 			const answer = await client.request({
 				peer: peer.peerAddress,
 				method: 'GET',
-				path: requestJudge.snapshotPath,
+				path: requestJudge.snapshotPathFor(belief.configVersion),
 				headers: {},
 				timeoutMs: pullTimeoutMs,
 			});
 			const text = await httpClient.readText(answer.body, maxSnapshotBytes);
 			const snapshot = beliefs.snapshotSchema.parse(JSON.parse(text));
 			belief.merge(snapshot, peer.name);
+			behindSinceMs = undefined;
 			log.note({
 				kind: 'snapshot-pulled',
 				peer: peer.name,
-				configVersion: snapshot.config?.version ?? 0,
+				configVersion: belief.configVersion,
 				upstreamRevision: snapshot.upstreamRevision,
 			});
 		} catch (error) {
@@ -55,12 +67,34 @@
 		}
 	};
 
-	return (peer) => {
-		const knowsMore =
-			peer.configVersion > belief.configVersion ||
-			(!belief.isStoreReachable && peer.upstreamRevision > options.upstreamRevision());
-		if (knowsMore && !isPulling && clock.nowMs() - pulledAtMs > pullEveryMs) {
-			void pullFrom(peer);
-		}
+	const isNear = (peer: gossipMessage.MemberRecord) =>
+		peer.failureDomain === options.ownFailureDomain;
+
+	const hasNewerRevision = (peer: gossipMessage.MemberRecord) =>
+		peer.upstreamRevision > options.upstreamRevision() ||
+		peer.operatorRevision > belief.operatorRevision;
+
+	/** Revisions of a listing rise without a change, so those of far watchers say little. */
+	const knowsMore = (peer: gossipMessage.MemberRecord): boolean =>
+		peer.configVersion > belief.configVersion ||
+		(belief.storeContact !== 'reached' &&
+			(isNear(peer) || !options.hasNearWatcher()) &&
+			hasNewerRevision(peer));
+
+	const behindMs = () => (behindSinceMs === undefined ? 0 : clock.nowMs() - behindSinceMs);
+
+	return {
+		notePeer(peer) {
+			if (!knowsMore(peer)) {
+				return;
+			}
+
+			behindSinceMs ??= clock.nowMs();
+			const mayAsk = isNear(peer) || !belief.isComplete || behindMs() > askFarAfterMs;
+			if (mayAsk && !isPulling && clock.nowMs() - pulledAtMs > pullEveryMs) {
+				void pullFrom(peer);
+			}
+		},
+		behindMs,
 	};
 };
--- a/packages/gateway/src/node/request-judge.ts
+++ b/packages/gateway/src/node/request-judge.ts
@@ -8,7 +8,10 @@
 import type * as callerServer from './caller-server.js';
 
 /** Path on the peer port at which a daemon tells what it believes. */
-export const snapshotPath = '/hawthornfront/snapshot';
+const snapshotPath = '/hawthornfront/snapshot?knownConfig=';
+
+/** Path of what a daemon believes, without the configuration if its version is no newer. */
+export const snapshotPathFor = (knownConfig: number): string => `${snapshotPath}${knownConfig}`;
 
 const notReadyRetryMs = 500;
 /** Another daemon can take the request at once. */
@@ -21,7 +24,7 @@
 	isPeerPort: boolean;
 	/** Undefined until the daemon knows configuration and upstreams. */
 	table(): routeConfig.RouteTable | undefined;
-	snapshot(): beliefs.Snapshot;
+	snapshot(knownConfig: number): beliefs.Snapshot;
 	isLeaving(): boolean;
 };
 
@@ -77,8 +80,9 @@
 	};
 
 	return (head) => {
-		if (isPeerPort && head.path === snapshotPath) {
-			return {kind: 'respond', body: JSON.stringify(options.snapshot())};
+		if (isPeerPort && head.path.startsWith(snapshotPath)) {
+			const knownConfig = Number(head.path.slice(snapshotPath.length));
+			return {kind: 'respond', body: JSON.stringify(options.snapshot(knownConfig))};
 		}
 
 		const table = options.table();
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -27,6 +27,8 @@
 		/** Longest wait of one watch. A silent store is noticed earlier, when a lease is renewed. */
 		watchWaitMs: setting.number(15_000, 100, 30_000),
 		memberLeaseMs: setting.number(9000, 1000, 600_000),
+		/** Daemons of a failure domain that watch the store; one more than may fail at once unnoticed. */
+		watchersPerFailureDomain: setting.number(2, 1, 100),
 	}),
 	peers: zod.strictObject({
 		/** Addresses of a few VMs that may be stale; their ports are not used. */
--- a/packages/gateway/src/test/beliefs.test.ts
+++ b/packages/gateway/src/test/beliefs.test.ts
@@ -80,7 +80,7 @@
 	subject.merge(
 		snapshot({
 			config: config(5),
-			upstreams: [fixtures.upstream('u1')],
+			upstreams: [{entry: fixtures.upstream('u1'), coldLeftMs: 0, isMissing: false}],
 			upstreamRevision: 9,
 			evacuated: ['north-b'],
 			operatorRevision: 9,
@@ -101,7 +101,7 @@
 	await clock.advance(2000);
 	subject.merge(
 		snapshot({
-			upstreams: [fixtures.upstream('u7')],
+			upstreams: [{entry: fixtures.upstream('u7'), coldLeftMs: 0, isMissing: false}],
 			upstreamRevision: 50,
 			operatorRevision: 0,
 		}),
@@ -142,6 +142,76 @@
 	t.equal(registry.all().length, 0);
 });
 
+tap.t.test('while others watch the store, it is not called and peers are believed', async (t) => {
+	const {clock, store, subject, registry} = await start(t);
+	store.write('ops/routes', config(5));
+	await clock.advance(200);
+	t.equal(subject.storeContact, 'reached');
+	subject.setWatching(false);
+	await clock.advance(200);
+	const {calls} = store;
+	store.write('ops/routes', config(6));
+	store.write('servers/u1', fixtures.upstream('u1'));
+	await clock.advance(30_000);
+	t.equal(store.calls, calls);
+	t.equal(subject.storeContact, 'none');
+	t.equal(subject.configVersion, 5);
+	subject.merge(
+		snapshot({
+			config: config(6),
+			upstreams: [{entry: fixtures.upstream('u1'), coldLeftMs: 700, isMissing: false}],
+			upstreamRevision: 50,
+			evacuated: ['north-b'],
+			operatorRevision: 50,
+		}),
+		'n2',
+	);
+	t.equal(subject.configVersion, 6);
+	t.ok(subject.isEvacuated('north-b'));
+	t.match(registry.known(), [{entry: {id: 'u1'}, coldLeftMs: 700}]);
+	subject.setWatching(true);
+	await clock.advance(200);
+	t.equal(subject.storeContact, 'reached');
+	t.notOk(subject.isEvacuated('north-b'), 'the store is the better source');
+});
+
+tap.t.test('a snapshot leaves out a configuration that the peer has', async (t) => {
+	const {clock, store, subject} = await start(t);
+	store.write('ops/routes', config(5));
+	await clock.advance(200);
+	t.equal(subject.snapshot(4).config?.version, 5);
+	t.equal(subject.snapshot(5).config, undefined);
+});
+
+tap.t.test('an entry that lapsed in an outage ends at a follower as at the watcher', async (t) => {
+	const {clock, subject, registry} = await start(t);
+	subject.setWatching(false);
+	const known = (id: string, isMissing: boolean) => ({
+		entry: fixtures.upstream(id),
+		coldLeftMs: 0,
+		isMissing,
+	});
+	subject.notePeersReachStore(true);
+	await clock.advance(10_000);
+	subject.merge(
+		snapshot({upstreams: [known('u1', false), known('u2', false)], upstreamRevision: 10}),
+		'n2',
+	);
+	subject.notePeersReachStore(false);
+	await clock.advance(4000);
+	subject.notePeersReachStore(true);
+	subject.merge(
+		snapshot({upstreams: [known('u1', true), known('u2', false)], upstreamRevision: 20}),
+		'n2',
+	);
+	t.equal(registry.all().length, 2, 'it may come back');
+	await clock.advance(upstreamRegistry.missingEntryGraceMs + 100);
+	t.same(
+		registry.all().map(({entry}) => entry.id),
+		['u2'],
+	);
+});
+
 const asPrefixStore = (store: memoryStore.MemoryPrefixStore): prefixStore.PrefixStore => store;
 
 tap.t.test('the store that the tests use keeps leases', async (t) => {
--- a/packages/gateway/src/test/dispatcher.test.ts
+++ b/packages/gateway/src/test/dispatcher.test.ts
@@ -11,6 +11,23 @@
 	return choice;
 };
 
+tap.t.test('load of the other failure domain of the region counts as a sum', async (t) => {
+	const {registry, subject, clock} = fixtures.createDeployment();
+	registry.replaceAll([fixtures.upstream('u1'), fixtures.upstream('u2')], 1);
+	const share = {requests: 9, urgentReadTokens: 0, otherReadTokens: 40_000, memoryTokens: 50_000};
+	subject.noteDomainLoads('north-b', [{upstreamId: 'u1', ...share}]);
+	subject.notePeerLoads('n2', [{upstreamId: 'u2', ...share, otherReadTokens: 1000}]);
+	const choice = subject.choose(fixtures.dispatchRequest(fixtures.longRoute));
+	t.match(choice, {kind: 'upstream', upstream: {entry: {id: 'u2'}}});
+	t.match(
+		subject.domainLoads(),
+		[{upstreamId: 'u2', requests: 9}],
+		'the sum that is told on holds the own failure domain only',
+	);
+	await clock.advance(fixtures.settings.peerLoadMaxAgeMs + 1);
+	t.same(subject.domainLoads(), [], 'old reports count for nothing');
+});
+
 tap.t.test('many long prompts spread over the runners', async (t) => {
 	const {registry, subject} = fixtures.createDeployment();
 	for (const id of ['u1', 'u2', 'u3']) {
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -110,6 +110,8 @@
 	isLeaving: false,
 	configVersion: 1,
 	upstreamRevision: 1,
+	operatorRevision: 1,
+	storeContact: 'reached',
 	capacity: 1,
 	...options,
 });
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -71,6 +71,7 @@
 		seeds,
 		self: () => state.record,
 		ownLoads: () => [],
+		domainLoads: () => [],
 		outlooks: () => [],
 		takeChains: () => chains.splice(0),
 		onMessage(message) {
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -61,10 +61,12 @@
 		prefix: string,
 		afterRevision: number,
 		waitMs: number,
+		signal?: AbortSignal,
 	): Promise<prefixStore.StoreChanges> {
 		this.#enter();
 		const untilMs = this.#clock.nowMs() + waitMs;
 		for (;;) {
+			signal?.throwIfAborted();
 			if (this.isAway) {
 				throw new Error('away');
 			}
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -129,6 +129,35 @@
 	t.same(calls, ['listing 1', 'history lost', 'listing 50']);
 });
 
+tap.t.test('a prefix that another daemon follows takes no calls', async (t) => {
+	const {clock, store, calls, feed} = await start(t);
+	feed.setFollowing(false);
+	await clock.advance(20_000);
+	t.equal(store.lists, 1);
+	t.notOk(feed.isReachable);
+	t.notOk(feed.isLost, 'nothing is known of the store');
+	store.listing = {items: [], revision: 70};
+	feed.setFollowing(true);
+	await clock.advance(10);
+	t.same(calls, ['listing 1', 'listing 70']);
+	t.ok(feed.isReachable);
+});
+
+tap.t.test('a lost feed that is handed over does not count as lost', async (t) => {
+	const {clock, store, calls, feed} = await start(t);
+	store.isAway = true;
+	store.cut();
+	await clock.advance(3000);
+	t.ok(feed.isLost);
+	feed.setFollowing(false);
+	await clock.advance(3000);
+	t.notOk(feed.isLost);
+	store.isAway = false;
+	feed.setFollowing(true);
+	await clock.advance(2000);
+	t.same(calls, ['listing 1', 'lost', 'listing 1']);
+});
+
 tap.t.test('a waiting watch ends when another call of the store failed', async (t) => {
 	const {clock, store, calls, feed} = await start(t);
 	store.isAway = true;
--- /dev/null
+++ b/packages/gateway/src/test/watch-duty.test.ts
@@ -0,0 +1,104 @@
+// Which daemons of a failure domain watch the store.
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as tap from 'tap';
+import * as watchDuty from '../common/watch-duty.js';
+
+const names = Array.from({length: 15}, (_, index) => `n${index}`);
+
+/** A failure domain whose daemons all hear each other. */
+const startDomain = () => {
+	const clock = new manualClock.ManualClock();
+	const contacts = new Map<string, watchDuty.StoreContact>();
+	const silent = new Set<string>();
+	const watching = new Set<string>(names);
+	const duties = new Map(
+		names.map((name) => [
+			name,
+			watchDuty.createWatchDuty({
+				nowMs: () => clock.nowMs(),
+				ownName: name,
+				failureDomain: 'north-a',
+				watchers: 2,
+			}),
+		]),
+	);
+	const silentSinceMs = new Map<string, number>();
+	const run = async (forMs: number, behindMs = 0) => {
+		for (let passedMs = 0; passedMs < forMs; passedMs += 250) {
+			for (const name of silent) {
+				silentSinceMs.set(name, silentSinceMs.get(name) ?? clock.nowMs());
+			}
+
+			for (const [name, duty] of duties) {
+				const peers = names
+					.filter((other) => other !== name)
+					.map((other) => ({
+						name: other,
+						heardMsAgo: silent.has(other) ? clock.nowMs() - silentSinceMs.get(other)! : 100,
+						storeContact: contacts.get(other) ?? (watching.has(other) ? 'reached' : 'none'),
+					}));
+				if (!silent.has(name) && duty.update(peers, behindMs)) {
+					watching.add(name);
+				} else {
+					watching.delete(name);
+				}
+			}
+
+			await clock.advance(250);
+		}
+
+		return [...watching].sort();
+	};
+
+	return {contacts, silent, run};
+};
+
+tap.t.test('all watch at first, two in the end', async (t) => {
+	const {run} = startDomain();
+	const first = await run(1000);
+	t.equal(first.length, 15);
+	const settled = await run(6000);
+	t.equal(settled.length, 2);
+	t.same(await run(20_000), settled, 'the same two');
+});
+
+tap.t.test('both watchers lost at once are replaced within 2.5 s', async (t) => {
+	const {run, silent} = startDomain();
+	for (const name of await run(8000)) {
+		silent.add(name);
+	}
+
+	const replaced = await run(2500);
+	t.equal(replaced.length, 2);
+});
+
+tap.t.test('a watcher that the store turns away is replaced, and takes over again', async (t) => {
+	const {run, contacts} = startDomain();
+	const settled = await run(8000);
+	contacts.set(settled[0]!, 'lost');
+	const during = await run(8000);
+	t.equal(during.length, 3);
+	t.ok(during.includes(settled[0]!), 'it keeps trying');
+	contacts.delete(settled[0]!);
+	t.same(await run(8000), settled);
+});
+
+tap.t.test('all try while the store is away, and two stay after it', async (t) => {
+	const {run, contacts} = startDomain();
+	const settled = await run(8000);
+	for (const name of names) {
+		contacts.set(name, 'lost');
+	}
+
+	const during = await run(1000);
+	t.equal(during.length, 15);
+	contacts.clear();
+	t.same(await run(8000), settled);
+});
+
+tap.t.test('a daemon that cannot pull watches itself', async (t) => {
+	const {run} = startDomain();
+	await run(8000);
+	const behind = await run(500, 1200);
+	t.equal(behind.length, 15);
+});
