Look up holders of a prompt part by the part, and sum peers' loads once a change

Cause: each choice walked over all runners of all regions for the holder of a part, added up 14 peers for each upstream twice, and each round of datagrams computed the expected waits three times. The nearest holder is now preferred, so that copies cross regions only when no nearer runner has the part.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -147,7 +147,8 @@
 /** Creates a dispatcher without knowledge of any load. */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
 	const {clock, settings, registry, fleet} = options;
-	const nowMs = () => clock.nowMs();
+	let decisionMs: number | undefined;
+	const nowMs = () => decisionMs ?? clock.nowMs();
 	const known = new Map<string, Known>();
 	const reportedByPeer = new Map<string, ReadonlySet<string>>();
 	const reportedByDomain = new Map<string, ReadonlySet<string>>();
@@ -157,6 +158,16 @@
 		...fleet.aliveIn(options.ownRegion).map((member) => member.name),
 	]);
 
+	/** Decides with the time of its start, since one choice asks for it hundreds of times. */
+	const decideNow = <Result>(decide: () => Result): Result => {
+		decisionMs = clock.nowMs();
+		try {
+			return decide();
+		} finally {
+			decisionMs = undefined;
+		}
+	};
+
 	const knownOf = (id: string): Known => {
 		let item = known.get(id);
 		if (!item) {
@@ -184,9 +195,19 @@
 	const sharedTokensOf = (work: workEstimate.WorkEstimate) =>
 		work.sharedParts.reduce((sum, part) => sum + part.tokens, 0);
 
+	/** Copies come cheapest from the own failure domain, then from the own region. */
+	const distanceTo = (upstream: upstreamRegistry.Upstream): number => {
+		if (upstream.entry.failureDomain === options.ownFailureDomain) {
+			return 0;
+		}
+
+		return upstream.region === options.ownRegion ? 1 : 2;
+	};
+
 	/**
-	 * Runner that holds most of the shared parts of a prompt. Where this daemon has
-	 * sent them to none, it is the runner that all daemons of all regions prefer.
+	 * Nearest runner that holds most of the shared parts of a prompt. Where they are
+	 * known to have been sent to none, it is the runner that all daemons of all
+	 * regions prefer.
 	 */
 	const findHolder = (
 		service: routeConfig.Service,
@@ -196,12 +217,14 @@
 			return undefined;
 		}
 
-		const runners = options.regions.flatMap((region) => registry.usable(service.name, region));
+		const held = cache.holders(work.sharedParts);
 		let best: Holder | undefined;
-		for (const upstream of runners) {
-			const tokens = cache.heldTokens(upstream.entry.id, work.sharedParts);
-			if (tokens > (best?.tokens ?? 0)) {
-				best = {upstream, tokens};
+		for (const id of held.runners) {
+			const upstream = registry.get(id);
+			const isCandidate =
+				upstream && !upstream.entry.isDraining && upstream.entry.service === service.name;
+			if (isCandidate && (!best || distanceTo(upstream) < distanceTo(best.upstream))) {
+				best = {upstream, tokens: held.tokens};
 			}
 		}
 
@@ -211,7 +234,9 @@
 
 		const preferred = cache.preferredRunner(
 			work.sharedParts,
-			runners.map((upstream) => upstream.entry.id),
+			options.regions
+				.flatMap((region) => registry.usable(service.name, region))
+				.map((upstream) => upstream.entry.id),
 		);
 		const upstream = preferred === undefined ? undefined : registry.get(preferred);
 		return upstream && {upstream, tokens: sharedTokensOf(work)};
@@ -356,48 +381,69 @@
 		}
 	};
 
-	return {
-		choose(request) {
-			const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.ownRegion);
-			const {best, candidates} = isLocalAllowed
-				? bestLocal(request)
-				: {best: undefined, candidates: 0};
-			const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
-			const streamingMs = best?.streamingMs ?? 0;
-			const remote = request.mayCross ? bestRegion(request) : undefined;
-			// A queue of long work grows on what is late; a plain request is short.
-			const goalLimitMs = request.service.engine
-				? request.route.goalMs * settings.admissionGoalFactor
-				: Number.POSITIVE_INFINITY;
-			const limitMs = Math.min(request.remainingMs * settings.admissionShare, goalLimitMs);
-			if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
-				return remote.basis.expectedMs > limitMs
-					? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + overloadRetryMs)
-					: {kind: 'region', ...remote};
-			}
+	const choose = (request: DispatchRequest): Choice => {
+		const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.ownRegion);
+		const {best, candidates} = isLocalAllowed
+			? bestLocal(request)
+			: {best: undefined, candidates: 0};
+		const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
+		const streamingMs = best?.streamingMs ?? 0;
+		const remote = request.mayCross ? bestRegion(request) : undefined;
+		// A queue of long work grows on what is late; a plain request is short.
+		const goalLimitMs = request.service.engine
+			? request.route.goalMs * settings.admissionGoalFactor
+			: Number.POSITIVE_INFINITY;
+		const limitMs = Math.min(request.remainingMs * settings.admissionShare, goalLimitMs);
+		if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
+			return remote.basis.expectedMs > limitMs
+				? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + overloadRetryMs)
+				: {kind: 'region', ...remote};
+		}
+
+		if (!best) {
+			return refuse('no-upstream', {expectedMs: -1, candidates}, noUpstreamRetryMs);
+		}
+
+		const basis: ChoiceBasis = {
+			expectedMs: localMs,
+			candidates,
+			requestsThere: knownOf(best.upstream.entry.id).load.requests(),
+			heldTokens: Math.round(request.work.promptTokens - best.readTokens),
+			streamingMs: Math.round(streamingMs),
+		};
+		const lateMs = Math.max(localMs - limitMs, localMs + streamingMs - request.remainingMs);
+		return lateMs > 0
+			? refuse('overloaded', basis, lateMs + overloadRetryMs)
+			: {
+					kind: 'upstream',
+					upstream: best.upstream,
+					promptSource: best.promptSource,
+					readTokens: best.readTokens,
+					basis,
+				};
+	};
 
-			if (!best) {
-				return refuse('no-upstream', {expectedMs: -1, candidates}, noUpstreamRetryMs);
+	const outlook = (service: routeConfig.Service, isUrgent: boolean): number => {
+		const work: workEstimate.WorkEstimate = {
+			promptTokens: 1,
+			memoryTokens: 0,
+			outputTokens: isUrgent ? 0 : typicalOutputTokens,
+			sharedParts: [],
+			isUrgent,
+		};
+		let best: Scored | undefined;
+		for (const upstream of usableIn({service})) {
+			const scored = costOf(upstream, {work, service}, undefined, undefined);
+			if (!best || scored.costMs < best.costMs) {
+				best = scored;
 			}
+		}
 
-			const basis: ChoiceBasis = {
-				expectedMs: localMs,
-				candidates,
-				requestsThere: knownOf(best.upstream.entry.id).load.requests(),
-				heldTokens: Math.round(request.work.promptTokens - best.readTokens),
-				streamingMs: Math.round(streamingMs),
-			};
-			const lateMs = Math.max(localMs - limitMs, localMs + streamingMs - request.remainingMs);
-			return lateMs > 0
-				? refuse('overloaded', basis, lateMs + overloadRetryMs)
-				: {
-						kind: 'upstream',
-						upstream: best.upstream,
-						promptSource: best.promptSource,
-						readTokens: best.readTokens,
-						basis,
-					};
-		},
+		return best ? best.expectedMs + best.streamingMs * streamingWeight : Number.POSITIVE_INFINITY;
+	};
+
+	return {
+		choose: (request) => decideNow(() => choose(request)),
 		dispatch(choice, request) {
 			const {upstream, readTokens, basis} = choice;
 			const {id} = upstream.entry;
@@ -429,24 +475,7 @@
 				},
 			};
 		},
-		outlook(service, isUrgent) {
-			const work: workEstimate.WorkEstimate = {
-				promptTokens: 1,
-				memoryTokens: 0,
-				outputTokens: isUrgent ? 0 : typicalOutputTokens,
-				sharedParts: [],
-				isUrgent,
-			};
-			let best: Scored | undefined;
-			for (const upstream of usableIn({service})) {
-				const scored = costOf(upstream, {work, service}, undefined, undefined);
-				if (!best || scored.costMs < best.costMs) {
-					best = scored;
-				}
-			}
-
-			return best ? best.expectedMs + best.streamingMs * streamingWeight : Number.POSITIVE_INFINITY;
-		},
+		outlook: (service, isUrgent) => decideNow(() => outlook(service, isUrgent)),
 		ownLoads: () =>
 			[...known]
 				.map(([upstreamId, {load}]) => ({upstreamId, ...load.own()}))
--- a/packages/gateway/src/common/prompt-cache-view.ts
+++ b/packages/gateway/src/common/prompt-cache-view.ts
@@ -8,8 +8,8 @@
 import * as lruCache from 'lru-cache';
 import type * as wireFormat from './wire-format.js';
 
-/** Parts remembered a runner; a runner's memory holds fewer long ones. */
-const maxPartsPerRunner = 1000;
+/** Parts remembered; the runners of a large deployment hold about as many. */
+const maxParts = 20_000;
 /** Confidence that the preferred runner holds a part that other daemons sent. */
 const preferredConfidence = 0.7;
 
@@ -19,6 +19,8 @@
 export type PromptCacheView = {
 	/** Tokens of the shared parts that a runner is expected to hold. */
 	heldTokens(runner: string, parts: readonly wireFormat.PromptPart[], preferred?: string): number;
+	/** Runners that are expected to hold most of the shared parts, and how many tokens they hold. */
+	holders(parts: readonly wireFormat.PromptPart[]): {runners: string[]; tokens: number};
 	/** Notes a chain that this daemon sends, to be told to others. */
 	noteSent(runner: string, parts: readonly wireFormat.PromptPart[]): void;
 	/** Notes a chain that another daemon sent. */
@@ -38,37 +40,54 @@
 
 /** @param heldMs time for which a part is expected to stay after its last use */
 export const createPromptCacheView = (nowMs: () => number, heldMs: number): PromptCacheView => {
-	const runners = new Map<string, lruCache.LRUCache<string, number>>();
+	/** Runners that were sent a part, with the time of the last send. */
+	const runnersByPart = new lruCache.LRUCache<string, Map<string, number>>({max: maxParts});
 	const untold = new Map<string, SentChain>();
 
 	const note = (runner: string, partId: string) => {
-		let sent = runners.get(runner);
-		if (!sent) {
-			sent = new lruCache.LRUCache({max: maxPartsPerRunner});
-			runners.set(runner, sent);
+		let runners = runnersByPart.get(partId);
+		if (!runners) {
+			runners = new Map();
+			runnersByPart.set(partId, runners);
 		}
 
-		sent.set(partId, nowMs());
+		runners.set(runner, nowMs());
 	};
 
 	return {
 		heldTokens(runner, parts, preferred) {
-			const sent = runners.get(runner);
 			const oldestMs = nowMs() - heldMs;
 			const confidence = runner === preferred ? preferredConfidence : 0;
 			const total = parts.reduce((sum, part) => sum + part.tokens, 0);
 			// A runner that was sent a part was sent all parts before it.
 			let tokens = total;
-			for (const part of [...parts].reverse()) {
-				if ((sent?.get(part.id) ?? Number.NEGATIVE_INFINITY) > oldestMs) {
+			for (let index = parts.length - 1; index >= 0; index--) {
+				const {id, tokens: partTokens} = parts[index]!;
+				if ((runnersByPart.get(id)?.get(runner) ?? Number.NEGATIVE_INFINITY) > oldestMs) {
 					return tokens + (total - tokens) * confidence;
 				}
 
-				tokens -= part.tokens;
+				tokens -= partTokens;
 			}
 
 			return total * confidence;
 		},
+		holders(parts) {
+			const oldestMs = nowMs() - heldMs;
+			let tokens = parts.reduce((sum, part) => sum + part.tokens, 0);
+			for (let index = parts.length - 1; index >= 0; index--) {
+				const {id, tokens: partTokens} = parts[index]!;
+				const sentAt = runnersByPart.get(id) ?? new Map<string, number>();
+				const runners = [...sentAt].filter(([, atMs]) => atMs > oldestMs).map(([name]) => name);
+				if (runners.length > 0) {
+					return {runners, tokens};
+				}
+
+				tokens -= partTokens;
+			}
+
+			return {runners: [], tokens: 0};
+		},
 		noteSent(runner, parts) {
 			for (const part of parts) {
 				note(runner, part.id);
@@ -97,7 +116,7 @@
 			let best: string | undefined;
 			let bestRank = Number.NEGATIVE_INFINITY;
 			for (const name of names) {
-				const rank = hash.rank(last.id, name);
+				const rank = hash.uniform(last.id, name);
 				if (rank > bestRank) {
 					best = name;
 					bestRank = rank;
@@ -107,7 +126,9 @@
 			return best;
 		},
 		forget(runner) {
-			runners.delete(runner);
+			for (const runners of runnersByPart.values()) {
+				runners.delete(runner);
+			}
 		},
 	};
 };
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -107,26 +107,55 @@
 		halfLifeMs: eventHalfLifeMs,
 	});
 
-	const addFresh = (sum: LoadShare, reports: Map<string, Report>) => {
-		const oldestMs = nowMs() - settings.peerLoadMaxAgeMs;
+	let sums = {peers: emptyShare(), domains: emptyShare(), untilMs: Number.NEGATIVE_INFINITY};
+
+	/** Adds up reports that are not too old. */
+	const sumOf = (reports: Map<string, Report>): {sum: LoadShare; oldestMs: number} => {
+		const sum = emptyShare();
+		const limitMs = nowMs() - settings.peerLoadMaxAgeMs;
+		let oldestMs = Number.POSITIVE_INFINITY;
 		for (const [name, {share, atMs}] of reports) {
-			if (atMs < oldestMs) {
+			if (atMs < limitMs) {
 				reports.delete(name);
 			} else {
 				addShare(sum, share);
+				oldestMs = Math.min(oldestMs, atMs);
 			}
 		}
+
+		return {sum, oldestMs};
+	};
+
+	/** Sums of the reports; kept until one changes or expires, since each choice reads them of all upstreams. */
+	const reported = () => {
+		if (nowMs() > sums.untilMs) {
+			const ofPeers = sumOf(peers);
+			const ofDomains = sumOf(domains);
+			const oldestMs = Math.min(ofPeers.oldestMs, ofDomains.oldestMs);
+			sums = {
+				peers: ofPeers.sum,
+				domains: ofDomains.sum,
+				untilMs: oldestMs + settings.peerLoadMaxAgeMs,
+			};
+		}
+
+		return sums;
+	};
+
+	const noteReport = (reports: Map<string, Report>, name: string, share: LoadShare) => {
+		reports.set(name, {share, atMs: nowMs()});
+		sums.untilMs = Number.NEGATIVE_INFINITY;
 	};
 
 	const ofOwnDomain = (): LoadShare => {
 		const sum = {...own};
-		addFresh(sum, peers);
+		addShare(sum, reported().peers);
 		return sum;
 	};
 
 	const total = (): LoadShare => {
 		const sum = ofOwnDomain();
-		addFresh(sum, domains);
+		addShare(sum, reported().domains);
 		return sum;
 	};
 
@@ -222,10 +251,10 @@
 			};
 		},
 		notePeer(peer, share) {
-			peers.set(peer, {share, atMs: nowMs()});
+			noteReport(peers, peer, share);
 		},
 		noteDomain(failureDomain, share) {
-			domains.set(failureDomain, {share, atMs: nowMs()});
+			noteReport(domains, failureDomain, share);
 		},
 		own: () => ({...own}),
 		ofOwnDomain,
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -167,13 +167,11 @@
 			ageMs: 0,
 		}));
 
-	const allOutlooks = () => [
-		...ownOutlooks(),
-		...fleet
+	const farOutlooks = (): gossipMessage.GossipMessage['outlooks'] =>
+		fleet
 			.outlooks()
 			.filter(({region}) => region !== vm.region)
-			.map(({region, service, outlook}) => ({region, service, ...outlook})),
-	];
+			.map(({region, service, outlook}) => ({region, service, ...outlook}));
 
 	const catchUp = peerCatchUp.createCatchUp({
 		clock,
@@ -203,7 +201,8 @@
 			self,
 			ownLoads: dispatch.ownLoads,
 			domainLoads: dispatch.domainLoads,
-			outlooks: allOutlooks,
+			ownOutlooks,
+			farOutlooks,
 			takeChains: dispatch.takeSentChains,
 			onMessage(message) {
 				dispatch.noteSentChains(message.chains);
@@ -352,7 +351,7 @@
 			evacuated: belief.evacuated(),
 			upstreams: registry.all(),
 			members: fleet.alive(),
-			outlooks: allOutlooks(),
+			outlooks: [...ownOutlooks(), ...farOutlooks()],
 			loads: dispatch.ownLoads(),
 			inFlight: inFlight(),
 		}),
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -15,6 +15,8 @@
 const maxFarChains = 40;
 /** Members told in one message, so that it fits into one packet. */
 const maxToldMembers = 8;
+/** Messages to the own failure domain tell of other members once in so many ticks. */
+const tellMembersEveryTicks = 2;
 
 export type GossipNode = disposable.Disposable & {
 	/** Tells all members at once, as on a stop. */
@@ -36,8 +38,10 @@
 	ownLoads(): gossipMessage.GossipMessage['loads'];
 	/** Requests of the own failure domain by upstream. */
 	domainLoads(): gossipMessage.GossipMessage['loads'];
-	/** Expected waits of the own region, and what is known of the others. */
-	outlooks(): gossipMessage.GossipMessage['outlooks'];
+	/** Expected waits of the own region; daemons of the region know them by themselves. */
+	ownOutlooks(): gossipMessage.GossipMessage['outlooks'];
+	/** What is known of the expected waits of other regions. */
+	farOutlooks(): gossipMessage.GossipMessage['outlooks'];
 	/** Prompt chains sent by this daemon since the last call. */
 	takeChains(): Array<{partId: string; runner: string}>;
 	onMessage(message: gossipMessage.GossipMessage): void;
@@ -64,17 +68,18 @@
 	};
 
 	const buildMessage = (
-		loads: gossipMessage.GossipMessage['loads'],
-		chains: gossipMessage.GossipChain[] = [],
+		content: Partial<Omit<gossipMessage.GossipMessage, 'sender' | 'others'>>,
+		tellsMembers = true,
 	): Uint8Array => {
 		const nowMs = clock.nowMs();
-		const told = pickSome(fleet.alive(), maxToldMembers);
+		const told = tellsMembers ? pickSome(fleet.alive(), maxToldMembers) : [];
 		return gossipMessage.encodeGossip({
 			sender: options.self(),
 			others: told.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
-			loads,
-			outlooks: options.outlooks(),
-			chains,
+			loads: [],
+			outlooks: [],
+			chains: [],
+			...content,
 		});
 	};
 
@@ -97,7 +102,14 @@
 		const near = fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
 		const own = options.takeChains().map((chain) => ({...chain, isFar: false}));
 		ownSinceFar.push(...own);
-		const bytes = buildMessage(options.ownLoads(), [...own, ...fromFar.splice(0, maxFarChains)]);
+		const bytes = buildMessage(
+			{
+				loads: options.ownLoads(),
+				outlooks: options.farOutlooks(),
+				chains: [...own, ...fromFar.splice(0, maxFarChains)],
+			},
+			tick % tellMembersEveryTicks === 0,
+		);
 		for (const member of pickSome(near, maxDomainPeers)) {
 			socket.send(member.peerAddress, bytes);
 		}
@@ -117,7 +129,11 @@
 
 		const chains = isFarTick ? ownSinceFar.splice(-maxFarChains) : [];
 		if (inRegion.length > 0) {
-			const bytes = buildMessage(options.domainLoads(), chains);
+			const bytes = buildMessage({
+				loads: options.domainLoads(),
+				outlooks: options.farOutlooks(),
+				chains,
+			});
 			for (const member of inRegion) {
 				socket.send(member.peerAddress, bytes);
 			}
@@ -125,7 +141,8 @@
 
 		if (isFarTick) {
 			ownSinceFar.length = 0;
-			const bytes = buildMessage([], chains);
+			const outlooks = [...options.ownOutlooks(), ...options.farOutlooks()];
+			const bytes = buildMessage({outlooks, chains});
 			for (const member of far.filter(({region}) => region !== self.region)) {
 				socket.send(member.peerAddress, bytes);
 			}
@@ -163,7 +180,7 @@
 	return {
 		tellDomain: sendNear,
 		announce() {
-			const bytes = buildMessage([]);
+			const bytes = buildMessage({});
 			for (const member of fleet.alive()) {
 				socket.send(member.peerAddress, bytes);
 			}
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -72,7 +72,8 @@
 		self: () => state.record,
 		ownLoads: () => [],
 		domainLoads: () => [],
-		outlooks: () => [],
+		ownOutlooks: () => [],
+		farOutlooks: () => [],
 		takeChains: () => chains.splice(0),
 		onMessage(message) {
 			heard.push(message);
