Log a change of the daemons that the directory names

Cause: a caller that connected to the wrong daemon could not be explained from logs, since answers of the directory left no line. Answers are too many for a line each; a change for a region is one.

--- a/packages/gateway/src/common/directory.ts
+++ b/packages/gateway/src/common/directory.ts
@@ -1,4 +1,5 @@
 /** Answers callers that ask which daemons to connect to. */
+import * as lruCache from 'lru-cache';
 import type * as fleetView from './fleet-view.js';
 import type * as gossipMessage from './gossip-message.js';
 
@@ -10,9 +11,16 @@
 	host?: string;
 };
 
-export type DirectoryAnswer = {addresses: string[]; timeToLiveMs: number};
+export type DirectoryAnswer = {
+	addresses: string[];
+	/** Why these daemons are named; `leaving`: none is. */
+	basis: 'near' | 'home' | 'any' | 'leaving';
+	timeToLiveMs: number;
+};
 
 const maxAddresses = 64;
+/** Regions and hosts for which changes are noticed; callers may send any names. */
+const maxWatchedCallers = 500;
 
 /**
  * Names the ready daemons of the caller's region. When it has none, it names those
@@ -30,15 +38,39 @@
 	timeToLiveMs: number,
 ): DirectoryAnswer => {
 	if (self.isLeaving) {
-		return {addresses: [], timeToLiveMs};
+		return {addresses: [], basis: 'leaving', timeToLiveMs};
 	}
 
 	const ready = [self, ...fleet.alive()].filter((member) => member.isReady && !member.isLeaving);
 	const near = ready.filter((member) => member.region === query.region);
 	const home = ready.filter((member) => homeRegions.includes(member.region));
-	const chosen = [near, home, ready].find((members) => members.length > 0) ?? [];
+	const choices = [
+		{basis: 'near', members: near},
+		{basis: 'home', members: home},
+	] as const;
+	const {basis, members} = choices.find((choice) => choice.members.length > 0) ?? {
+		basis: 'any',
+		members: ready,
+	};
 	return {
-		addresses: chosen.slice(0, maxAddresses).map((member) => member.callerAddress),
+		addresses: members.slice(0, maxAddresses).map((member) => member.callerAddress),
+		basis,
 		timeToLiveMs,
 	};
 };
+
+/** Tells when the daemons that are named to a region change, for the log. */
+export const createAnswerWatch = (
+	onChange: (region: string, answer: DirectoryAnswer) => void,
+): ((query: DirectoryQuery, answer: DirectoryAnswer) => void) => {
+	const told = new lruCache.LRUCache<string, string>({max: maxWatchedCallers});
+	return ({region = '', host = ''}, answer) => {
+		// A host matters only where its home regions decided.
+		const key = answer.basis === 'home' ? `${region} ${host}` : region;
+		const named = [answer.basis, ...[...answer.addresses].sort()].join(' ');
+		if (told.get(key) !== named) {
+			told.set(key, named);
+			onChange(region, answer);
+		}
+	};
+};
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -81,6 +81,7 @@
 			coldMs: number;
 			revision: number;
 	  }
+	| {kind: 'directory'; region: string; basis: string; named: number; addresses: string[]}
 	| {kind: 'store-watch'; isWatching: boolean; peers: number; behindMs: number}
 	| {kind: 'store-lost'; feed: string; detail: string}
 	| {kind: 'store-regained'; feed: string; awayMs: number; revision: number}
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -328,6 +328,10 @@
 	await callers.listen(callersAt.host, callersAt.port);
 	await relays.listen(peersAt.host, peersAt.port);
 
+	const watchAnswers = directory.createAnswerWatch((region, {basis, addresses}) => {
+		log.note({kind: 'directory', region, basis, named: addresses.length, addresses});
+	});
+
 	const inFlight = () => callers.inFlight + relays.inFlight;
 
 	return {
@@ -337,14 +341,17 @@
 		applySettings(next) {
 			current = {...current, resends: next.resends, stop: next.stop, directory: next.directory};
 		},
-		answerDirectory: (query) =>
-			directory.answerDirectory(
+		answerDirectory(query) {
+			const answer = directory.answerDirectory(
 				query,
 				self(),
 				fleet,
 				belief.table?.commonHomes(query.host ?? '') ?? [],
 				Math.min(maxTimeToLiveMs, current.directory.timeToLiveS * 1000),
-			),
+			);
+			watchAnswers(query, answer);
+			return answer;
+		},
 		dump: () => ({
 			self: self(),
 			versions: versions(),
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -233,6 +233,23 @@
 	t.same(ask('south'), ['n1:80'], 'a daemon that was not heard of is not named');
 });
 
+tap.t.test('a change of the daemons that are named is told once', async (t) => {
+	const told: string[] = [];
+	const watch = directory.createAnswerWatch((region, {basis, addresses}) => {
+		told.push(`${region} ${basis} ${addresses.length}`);
+	});
+	const answer = (addresses: string[]): directory.DirectoryAnswer => ({
+		addresses,
+		basis: 'near',
+		timeToLiveMs: 2000,
+	});
+	watch({region: 'north'}, answer(['n1:80', 'n2:80']));
+	watch({region: 'north', host: 'a.example'}, answer(['n2:80', 'n1:80']));
+	watch({region: 'south'}, answer(['s1:80']));
+	watch({region: 'north'}, answer(['n1:80']));
+	t.same(told, ['north near 2', 'south near 1', 'north near 1']);
+});
+
 tap.t.test('the homes of a host are those of all its bound routes', async (t) => {
 	const tableOf = (...homes: string[][]) =>
 		routeConfig.createRouteTable({
