Learn the pace of streams over a service, and count unread prompts in their time

A daemon of 90 has about one stream at a runner, so its estimate of the pace fell back to that of an idle runner, and prompts that wait to be read delay each token of a stream but were not in its time. Requests are now refused beyond 1.2 times the goal instead of 1.4.

--- a/packages/decisions/src/common/decaying-estimate.ts
+++ b/packages/decisions/src/common/decaying-estimate.ts
@@ -9,6 +9,8 @@
 
 export type DecayingEstimateOptions = {
 	initial: number;
+	/** Value to which it returns; the initial one by default. */
+	restingValue?: (nowMs: number) => number;
 	/** Weight of the newest sample, 0 to 1. */
 	learningRate: number;
 	halfLifeMs: number;
@@ -17,13 +19,17 @@
 /** Creates an estimate without samples. */
 export const createDecayingEstimate = ({
 	initial,
+	restingValue = () => initial,
 	learningRate,
 	halfLifeMs,
 }: DecayingEstimateOptions): DecayingEstimate => {
 	let learned = initial;
-	let learnedAtMs = 0;
-	const value = (nowMs: number) =>
-		initial + (learned - initial) * 0.5 ** ((nowMs - learnedAtMs) / halfLifeMs);
+	let learnedAtMs = Number.NEGATIVE_INFINITY;
+	const value = (nowMs: number) => {
+		const resting = restingValue(nowMs);
+		return resting + (learned - resting) * 0.5 ** ((nowMs - learnedAtMs) / halfLifeMs);
+	};
+
 	return {
 		add(sample, nowMs) {
 			const current = value(nowMs);
--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -3,6 +3,7 @@
  * nowhere. Compares expected times to the first event.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as decayingEstimate from '@hawthornfront/decisions/common/decaying-estimate.js';
 import * as coldRamp from './cold-ramp.js';
 import * as failureRecord from './failure-record.js';
 import type * as fleetView from './fleet-view.js';
@@ -150,6 +151,7 @@
 	let decisionMs: number | undefined;
 	const nowMs = () => decisionMs ?? clock.nowMs();
 	const known = new Map<string, Known>();
+	const paces = new Map<string, decayingEstimate.DecayingEstimate>();
 	const reportedByPeer = new Map<string, ReadonlySet<string>>();
 	const reportedByDomain = new Map<string, ReadonlySet<string>>();
 	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
@@ -168,11 +170,22 @@
 		}
 	};
 
+	const paceOf = (service: string): decayingEstimate.DecayingEstimate => {
+		let pace = paces.get(service);
+		if (!pace) {
+			pace = upstreamLoad.createServicePace(settings);
+			paces.set(service, pace);
+		}
+
+		return pace;
+	};
+
 	const knownOf = (id: string): Known => {
 		let item = known.get(id);
 		if (!item) {
+			const pace = paceOf(registry.get(id)?.entry.service ?? '');
 			item = {
-				load: upstreamLoad.createUpstreamLoad(nowMs, settings),
+				load: upstreamLoad.createUpstreamLoad(nowMs, settings, pace),
 				failures: failureRecord.createFailureRecord(),
 			};
 			known.set(id, item);
--- a/packages/gateway/src/common/load-settings.ts
+++ b/packages/gateway/src/common/load-settings.ts
@@ -28,7 +28,7 @@
 	/** Requests are refused when their expected first event is later than this share of the time left. */
 	admissionShare: setting.share(0.9),
 	/** Requests are refused when their first event is expected later than this multiple of the goal. */
-	admissionGoalFactor: setting.number(1.4, 0.1, 100),
+	admissionGoalFactor: setting.number(1.2, 0.1, 100),
 	/** Time between two events of a stream until the gateway has learned it. */
 	initialEventMs: setting.number(45, 0, 10_000),
 	/** Time for which a prompt part that was read is expected to stay cached. */
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -58,6 +58,9 @@
 const slownessHalfLifeMs = 4000;
 const eventLearningRate = 0.05;
 const eventHalfLifeMs = 2500;
+/** Slower than one runner's, since it takes the events of all of them. */
+const paceLearningRate = 0.02;
+const paceHalfLifeMs = 5000;
 const serviceLearningRate = 0.1;
 const serviceHalfLifeMs = 10_000;
 /** Excess over memory or slots at which the whole penalty of a full runner applies. */
@@ -82,10 +85,28 @@
 	sum.memoryTokens += share.memoryTokens;
 };
 
-/** Creates the load of an upstream without requests. */
+/**
+ * Pace of streams over all runners of a service. A daemon of a large deployment
+ * has too few streams at one runner to learn that runner's pace alone.
+ */
+export const createServicePace = (
+	settings: loadSettings.LoadSettings,
+): decayingEstimate.DecayingEstimate =>
+	decayingEstimate.createDecayingEstimate({
+		initial: settings.initialEventMs,
+		learningRate: paceLearningRate,
+		halfLifeMs: paceHalfLifeMs,
+	});
+
+/**
+ * Creates the load of an upstream without requests.
+ *
+ * @param pace time between events at all runners of the service
+ */
 export const createUpstreamLoad = (
 	nowMs: () => number,
 	settings: loadSettings.LoadSettings,
+	pace: decayingEstimate.DecayingEstimate,
 ): UpstreamLoad => {
 	const own = emptyShare();
 	const peers = new Map<string, Report>();
@@ -103,6 +124,7 @@
 
 	const eventMs = decayingEstimate.createDecayingEstimate({
 		initial: settings.initialEventMs,
+		restingValue: pace.value,
 		learningRate: eventLearningRate,
 		halfLifeMs: eventHalfLifeMs,
 	});
@@ -235,6 +257,7 @@
 					if (hasFirstEvent && !hasEnded) {
 						const atMs = nowMs();
 						eventMs.add(atMs - lastEventAtMs, atMs);
+						pace.add(atMs - lastEventAtMs, atMs);
 						lastEventAtMs = atMs;
 					}
 				},
@@ -264,7 +287,17 @@
 				? predictRunner(work, readTokens, slots, engine.memoryTokens)
 				: predictService(slots);
 		},
-		predictStreamingMs: (work, engine) =>
-			engine ? (work.outputTokens / engine.eventTokens) * eventMs.value(nowMs()) : 0,
+		predictStreamingMs(work, engine) {
+			if (!engine) {
+				return 0;
+			}
+
+			const load = total();
+			const unreadTokens = load.urgentReadTokens + load.otherReadTokens;
+			return (
+				(work.outputTokens / engine.eventTokens) * eventMs.value(nowMs()) +
+				unreadTokens / settings.prefillTokensPerMs
+			);
+		},
 	};
 };
--- a/packages/gateway/src/test/dispatcher.test.ts
+++ b/packages/gateway/src/test/dispatcher.test.ts
@@ -210,12 +210,39 @@
 	const request = fixtures.dispatchRequest(fixtures.shortRoute);
 	const share = {requests: 9, urgentReadTokens: 90_000, otherReadTokens: 0, memoryTokens: 9000};
 	subject.notePeerLoads('n2', [{upstreamId: 'u1', ...share}]);
-	const loaded = asUpstream(subject.choose(request)).basis.expectedMs;
+	const loaded = subject.choose(request).basis.expectedMs;
 	subject.notePeerLoads('n2', []);
-	const idle = asUpstream(subject.choose(request)).basis.expectedMs;
+	const idle = subject.choose(request).basis.expectedMs;
 	t.ok(loaded > idle + 900, `${loaded} ms against ${idle} ms`);
 });
 
+tap.t.test('a burst of long prompts is refused where it would be late', async (t) => {
+	const {registry, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1', {slots: 128}), 1);
+	const request = fixtures.dispatchRequest(fixtures.longRoute, {
+		facts: fixtures.facts({
+			promptTokens: 12_000,
+			promptParts: [{id: 'own', tokens: 12_000}],
+		}),
+	});
+	let expectedMs = 0;
+	let refusals = 0;
+	for (let count = 0; count < 30; count++) {
+		const choice = subject.choose(request);
+		if (choice.kind === 'upstream') {
+			expectedMs = choice.basis.expectedMs;
+			subject.dispatch(choice, request);
+		} else {
+			refusals++;
+			t.match(choice, {kind: 'refuse', reason: 'overloaded'});
+		}
+	}
+
+	t.ok(refusals > 0);
+	const limitMs = request.route.goalMs * fixtures.settings.admissionGoalFactor;
+	t.ok(expectedMs <= limitMs, `${expectedMs} ms to the last one that was taken`);
+});
+
 tap.t.test('a plain service that fails in part still takes work of another region', async (t) => {
 	const {registry, subject} = fixtures.createDeployment();
 	registry.put(fixtures.upstream('d1', {service: 'desk', slots: 6}), 1);
--- a/packages/gateway/src/test/patterns.test.ts
+++ b/packages/gateway/src/test/patterns.test.ts
@@ -9,6 +9,11 @@
 import * as workEstimate from '../common/work-estimate.js';
 import * as fixtures from './fixtures.js';
 
+const createLoad = (
+	clock: manualClock.ManualClock,
+	pace = upstreamLoad.createServicePace(fixtures.settings),
+) => upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings, pace);
+
 tap.t.test('cold: one daemon of a region owns a cold upstream', async (t) => {
 	const clock = new manualClock.ManualClock();
 	const names = ['n1', 'n2', 'n3'];
@@ -114,7 +119,7 @@
 
 tap.t.test('short: urgent work hardly waits for long prompts', async (t) => {
 	const clock = new manualClock.ManualClock();
-	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
+	const load = createLoad(clock);
 	const limits = {slots: 64, engine: {slots: 64, eventTokens: 7, memoryTokens: 1_000_000}};
 	const long = workEstimate.estimateWork(
 		fixtures.facts({promptTokens: 20_000, promptParts: []}),
@@ -135,7 +140,7 @@
 
 tap.t.test('slow: a runner that answers late is expected to be late', async (t) => {
 	const clock = new manualClock.ManualClock();
-	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
+	const load = createLoad(clock);
 	const limits = {slots: 64, engine: {slots: 64, eventTokens: 7, memoryTokens: 1_000_000}};
 	const work = workEstimate.estimateWork(fixtures.facts(), fixtures.shortRoute);
 	const before = load.predictMs(work, 1000, limits);
@@ -152,9 +157,59 @@
 	t.ok(load.predictMs(work, 1000, limits) < before * 1.2, 'it is tried again');
 });
 
+tap.t.test(
+	'pace: few streams at each of many slow runners show that streams are slow',
+	async (t) => {
+		const clock = new manualClock.ManualClock();
+		const pace = upstreamLoad.createServicePace(fixtures.settings);
+		const loads = Array.from({length: 20}, () => createLoad(clock, pace));
+		const work = workEstimate.estimateWork(fixtures.facts(), fixtures.longRoute);
+		const {engine} = fixtures.modelService;
+		const slowEventMs = 200;
+		const items = loads.map((load) => load.add(work, 0, 100));
+		for (const item of items) {
+			item.noteFirstEvent();
+		}
+
+		for (let count = 0; count < 20; count++) {
+			await clock.advance(slowEventMs);
+			for (const item of items) {
+				item.noteEvent();
+			}
+		}
+
+		const streamMs = (work.outputTokens / engine!.eventTokens) * slowEventMs;
+		const elsewhere = createLoad(clock, pace).predictStreamingMs(work, engine);
+		t.ok(elsewhere > streamMs * 0.8, `${elsewhere} of ${streamMs} ms at a runner without streams`);
+		t.ok(loads[0]!.predictStreamingMs(work, engine) > streamMs * 0.8);
+		await clock.advance(60_000);
+		t.ok(loads[0]!.predictStreamingMs(work, engine) < streamMs / 2, 'it is tried again');
+	},
+);
+
+tap.t.test('pace: prompts that are still to be read delay streams', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const load = createLoad(clock);
+	const {engine} = fixtures.modelService;
+	const question = workEstimate.estimateWork(fixtures.facts(), fixtures.shortRoute);
+	const draft = workEstimate.estimateWork(
+		fixtures.facts({promptTokens: 12_000, promptParts: []}),
+		fixtures.longRoute,
+	);
+	const idleMs = load.predictStreamingMs(question, engine);
+	const items = Array.from({length: 8}, () => load.add(draft, 12_000, 100));
+	const readMs = (8 * 12_000) / fixtures.settings.prefillTokensPerMs;
+	t.equal(load.predictStreamingMs(question, engine), idleMs + readMs);
+	for (const item of items) {
+		item.noteFirstEvent();
+	}
+
+	t.equal(load.predictStreamingMs(question, engine), idleMs);
+});
+
 tap.t.test('full: a runner without memory is expected to be late', async (t) => {
 	const clock = new manualClock.ManualClock();
-	const load = upstreamLoad.createUpstreamLoad(() => clock.nowMs(), fixtures.settings);
+	const load = createLoad(clock);
 	const limits = {slots: 64, engine: {slots: 64, eventTokens: 7, memoryTokens: 10_000}};
 	const work = workEstimate.estimateWork(fixtures.facts(), fixtures.longRoute);
 	for (let count = 0; count < 12; count++) {
