Compare what daemons know by the last change, also with far watchers

Cause, found while reading: followers compared revisions with watchers of their own failure domain only, since a listing made later has a higher revision without news. Two near watchers whose store connections hang (a store that turns machines away) claim contact for up to 4.5 s, and the followers would miss an evacuation that far watchers tell. Revisions are now those of the last change, or of the listing where it shows a removal, and compare everywhere.

Before: the new tests found an unpulled evacuation and a revision that rose by a listing without news. After: both pass.

--- a/packages/gateway/src/node/beliefs.ts
+++ b/packages/gateway/src/node/beliefs.ts
@@ -138,6 +138,7 @@
 		handler: {
 			onListing({items, revision}) {
 				const listed = new Set<string>();
+				let hasRemovals = false;
 				for (const item of items) {
 					applyOperatorItem(item.key, item.value, item.revision);
 					const failureDomain = layout.evacuatedDomainOf(item.key);
@@ -148,15 +149,17 @@
 
 				for (const failureDomain of evacuated) {
 					if (!listed.has(failureDomain)) {
+						hasRemovals = true;
 						setEvacuated(failureDomain, false, revision);
 					}
 				}
 
-				operatorRevision = Math.max(operatorRevision, revision);
+				const changedAt = hasRemovals ? revision : lastChangeOf(items);
+				operatorRevision = Math.max(operatorRevision, changedAt);
 				didReadStore.fire();
 			},
-			onEvents(events, upTo) {
-				operatorRevision = Math.max(operatorRevision, upTo);
+			onEvents(events) {
+				operatorRevision = Math.max(operatorRevision, lastChangeOf(events));
 				for (const {key, revision, value} of events) {
 					if (value) {
 						applyOperatorItem(key, value, revision);
@@ -196,7 +199,9 @@
 				const entries = items
 					.map((item) => decodeUpstream(item.key, item.value, item.revision))
 					.filter((entry) => entry !== undefined);
-				registry.replaceAll(entries, revision);
+				const listed = new Set(entries.map((entry) => entry.id));
+				const hasRemovals = registry.all().some(({entry}) => !listed.has(entry.id));
+				registry.replaceAll(entries, hasRemovals ? revision : lastChangeOf(items));
 				didReadStore.fire();
 			},
 			onEvents(events) {
@@ -297,6 +302,13 @@
 	};
 };
 
+/**
+ * Revision of the last change, by which daemons compare what they know. That of a
+ * listing itself is higher wherever it was made later, without anything new in it.
+ */
+const lastChangeOf = (changes: ReadonlyArray<{revision: number}>): number =>
+	Math.max(0, ...changes.map(({revision}) => revision));
+
 const feedLog = (log: gatewayEvent.EventLog, feed: string) => ({
 	onLost(error: Error) {
 		log.note({kind: 'store-lost', feed, detail: error.message.slice(0, 200)});
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -178,13 +178,6 @@
 		client: options.client,
 		belief,
 		ownFailureDomain: vm.failureDomain,
-		hasNearWatcher: () =>
-			fleet
-				.alive()
-				.some(
-					({failureDomain, storeContact}) =>
-						failureDomain === vm.failureDomain && storeContact === 'reached',
-				),
 		upstreamRevision: () => registry.revision,
 		log,
 	});
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -18,8 +18,6 @@
 	client: httpClient.HttpClient;
 	belief: beliefs.Beliefs;
 	ownFailureDomain: string;
-	/** Whether a daemon of the own failure domain watches the store; its revisions count then. */
-	hasNearWatcher(): boolean;
 	upstreamRevision(): number;
 	log: gatewayEvent.EventLog;
 };
@@ -74,12 +72,9 @@
 		peer.upstreamRevision > options.upstreamRevision() ||
 		peer.operatorRevision > belief.operatorRevision;
 
-	/** Revisions of a listing rise without a change, so those of far watchers say little. */
 	const knowsMore = (peer: gossipMessage.MemberRecord): boolean =>
 		peer.configVersion > belief.configVersion ||
-		(belief.storeContact !== 'reached' &&
-			(isNear(peer) || !options.hasNearWatcher()) &&
-			hasNewerRevision(peer));
+		(belief.storeContact !== 'reached' && hasNewerRevision(peer));
 
 	const behindMs = () => (behindSinceMs === undefined ? 0 : clock.nowMs() - behindSinceMs);
 
--- a/packages/gateway/src/test/beliefs.test.ts
+++ b/packages/gateway/src/test/beliefs.test.ts
@@ -175,6 +175,32 @@
 	t.notOk(subject.isEvacuated('north-b'), 'the store is the better source');
 });
 
+tap.t.test('watchers that listed at different times agree on the revision', async (t) => {
+	const {clock, store, subject, registry} = await start(t);
+	store.write('ops/routes', config(5));
+	store.write('ops/leave/north-a', {});
+	store.write('servers/u1', fixtures.upstream('u1'));
+	await clock.advance(2000);
+	const [operatorRevision, upstreamRevision] = [subject.operatorRevision, registry.revision];
+	t.ok(operatorRevision > 0 && upstreamRevision > operatorRevision);
+	subject.setWatching(false);
+	store.write('elsewhere/x', {});
+	await clock.advance(2000);
+	subject.setWatching(true);
+	await clock.advance(2000);
+	t.equal(subject.operatorRevision, operatorRevision, 'a listing without news');
+	t.equal(registry.revision, upstreamRevision);
+	subject.setWatching(false);
+	await clock.advance(2000);
+	store.remove('ops/leave/north-a');
+	store.remove('servers/u1');
+	await clock.advance(2000);
+	subject.setWatching(true);
+	await clock.advance(2000);
+	t.ok(subject.operatorRevision > operatorRevision, 'a listing that shows a removal');
+	t.ok(registry.revision > upstreamRevision);
+});
+
 tap.t.test('a snapshot leaves out a configuration that the peer has', async (t) => {
 	const {clock, store, subject} = await start(t);
 	store.write('ops/routes', config(5));
--- a/packages/gateway/src/test/peer-catch-up.test.ts
+++ b/packages/gateway/src/test/peer-catch-up.test.ts
@@ -33,7 +33,7 @@
 	belief.setWatching(false);
 	await clock.advance(1000);
 	const asked: string[] = [];
-	const state = {hasNearWatcher: true, isPeerSilent: false};
+	const state = {isPeerSilent: false};
 	const snapshot: beliefs.Snapshot = {
 		config: {...fixtures.config, version: 6},
 		evacuated: ['north-b'],
@@ -69,7 +69,6 @@
 		client: new PeerClient(),
 		belief,
 		ownFailureDomain: 'north-a',
-		hasNearWatcher: () => state.hasNearWatcher,
 		upstreamRevision: () => registry.revision,
 		log: {note: () => undefined},
 	});
@@ -94,25 +93,23 @@
 	t.equal(subject.behindMs(), 0);
 });
 
-tap.t.test('revisions of far watchers do not count beside a near one', async (t) => {
-	const {subject, tell, asked, state, clock} = await start(t);
-	const far = {failureDomain: 'south-a', upstreamRevision: 90, operatorRevision: 90};
-	await tell(far);
-	await clock.advance(2000);
-	await tell(far);
-	t.same(asked, []);
-	t.equal(subject.behindMs(), 0);
-	state.hasNearWatcher = false;
+tap.t.test('far watchers help when the near ones miss a change', async (t) => {
+	const {belief, tell, asked, clock} = await start(t);
+	const near = {upstreamRevision: 0, operatorRevision: 1, storeContact: 'reached'} as const;
+	const far = {failureDomain: 'south-a', upstreamRevision: 0, operatorRevision: 90};
 	await tell(far);
-	t.same(asked, [], 'a near watcher may appear');
-	await clock.advance(1000);
+	await tell(near);
+	t.same(asked, [], 'a near watcher may be about to tell it');
+	await clock.advance(800);
+	await tell(near);
 	await tell(far);
 	t.equal(asked.length, 1);
+	t.ok(belief.isEvacuated('north-b'));
 });
 
 tap.t.test('a newer configuration is pulled from far when nobody near has it', async (t) => {
 	const {belief, tell, asked, clock} = await start(t);
-	const far = {failureDomain: 'south-a', configVersion: 6};
+	const far = {failureDomain: 'south-a', upstreamRevision: 0, configVersion: 6};
 	await tell(far);
 	t.same(asked, []);
 	await clock.advance(1000);
