--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -18,6 +18,7 @@
 import * as targets from '../common/targets.js';
 import * as textTable from '../common/text-table.js';
 import * as benchGateway from './bench-gateway.js';
+import * as benchLogging from './bench-logging.js';
 
 const fullPlan = {seeds: 5, durationMs: 360_000};
 const quickPlan = {seeds: 2, durationMs: 120_000};
@@ -144,6 +145,11 @@
 		return;
 	}
 
+	if (args[0] === 'logging') {
+		await benchLogging.runLoggingBench({isQuick: options.quick === true, print});
+		return;
+	}
+
 	if (args.length > 0) {
 		process.stderr.write(`bench: unknown experiment "${args.join(' ')}"\n`);
 		process.exitCode = 1;
