Model runners' engines and compare choices of a runner on them

The dispatcher of the gateway runs unchanged on virtual time against round robin and least in flight.

--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -17,6 +17,7 @@
 import type * as summary from '../common/summary.js';
 import * as targets from '../common/targets.js';
 import * as textTable from '../common/text-table.js';
+import * as benchEngines from './bench-engines.js';
 import * as benchGateway from './bench-gateway.js';
 import * as benchLogging from './bench-logging.js';
 
@@ -145,6 +146,11 @@
 		return;
 	}
 
+	if (args[0] === 'engines') {
+		benchEngines.runEngineBench({isQuick: options.quick === true, print});
+		return;
+	}
+
 	if (args[0] === 'logging') {
 		await benchLogging.runLoggingBench({isQuick: options.quick === true, print});
 		return;
