Name the home of most routes where a host has no common home

Before: the new test found daemons of three regions. After: those of the region that is a home of most bound routes. Datagrams to seeds no longer clear the loads that were told before, since they tell none.

--- a/packages/gateway/src/common/directory.ts
+++ b/packages/gateway/src/common/directory.ts
@@ -24,17 +24,17 @@
 
 /**
  * Names the ready daemons of the caller's region. When it has none, it names those
- * of a region to which the host's bound routes may send, so that bound requests do
- * not enter a region that must pass them on. A daemon that is leaving names none:
+ * of the region that is a home of most of the host's bound routes, so that few bound
+ * requests enter a region that must pass them on. A daemon that is leaving names none:
  * its peers have stopped telling it of themselves, and callers ask the next one.
  *
- * @param homeRegions regions that are homes of all bound routes of the host
+ * @param homeCoverage number of bound routes of the host by region that is a home of them
  */
 export const answerDirectory = (
 	query: DirectoryQuery,
 	self: gossipMessage.MemberRecord,
 	fleet: fleetView.FleetView,
-	homeRegions: readonly string[],
+	homeCoverage: ReadonlyMap<string, number>,
 	timeToLiveMs: number,
 ): DirectoryAnswer => {
 	if (self.isLeaving) {
@@ -43,7 +43,10 @@
 
 	const ready = [self, ...fleet.alive()].filter((member) => member.isReady && !member.isLeaving);
 	const near = ready.filter((member) => member.region === query.region);
-	const home = ready.filter((member) => homeRegions.includes(member.region));
+	const coverageOf = (member: gossipMessage.MemberRecord) => homeCoverage.get(member.region) ?? 0;
+	const bestCoverage = Math.max(0, ...ready.map((member) => coverageOf(member)));
+	const home =
+		bestCoverage > 0 ? ready.filter((member) => coverageOf(member) === bestCoverage) : [];
 	const choices = [
 		{basis: 'near', members: near},
 		{basis: 'home', members: home},
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -57,8 +57,10 @@
 	memberTupleSchema,
 	/** Other members with the milliseconds since they were last known to be alive. */
 	zod.array(zod.tuple([memberTupleSchema, zod.number()])),
-	/** Requests by upstream id. */
-	zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number(), zod.number()])),
+	/** Requests by upstream id; null: not told. */
+	zod
+		.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number(), zod.number()]))
+		.nullable(),
 	/** Region, service, expected waits of urgent and other work (null: no upstream), age. */
 	zod.array(
 		zod.tuple([
@@ -78,15 +80,9 @@
 	others: Array<{record: MemberRecord; ageMs: number}>;
 	/**
 	 * Requests by upstream: the sender's own to its failure domain, the sum of its
-	 * failure domain to the others of the region, none to other regions.
+	 * failure domain to the others of the region. Undefined: what was told before holds.
 	 */
-	loads: Array<{
-		upstreamId: string;
-		requests: number;
-		urgentReadTokens: number;
-		otherReadTokens: number;
-		memoryTokens: number;
-	}>;
+	loads?: ToldLoad[];
 	outlooks: Array<{
 		region: string;
 		service: string;
@@ -98,6 +94,15 @@
 	chains: GossipChain[];
 };
 
+/** Requests at one upstream. */
+export type ToldLoad = {
+	upstreamId: string;
+	requests: number;
+	urgentReadTokens: number;
+	otherReadTokens: number;
+	memoryTokens: number;
+};
+
 export type GossipChain = {
 	partId: string;
 	runner: string;
@@ -145,13 +150,13 @@
 		messageVersion,
 		packMember(message.sender),
 		message.others.map(({record, ageMs}) => [packMember(record), Math.round(ageMs)]),
-		message.loads.map((load) => [
+		message.loads?.map((load) => [
 			load.upstreamId,
 			load.requests,
 			Math.round(load.urgentReadTokens),
 			Math.round(load.otherReadTokens),
 			Math.round(load.memoryTokens),
-		]),
+		]) ?? null,
 		message.outlooks.map((outlook) => [
 			outlook.region,
 			outlook.service,
@@ -168,13 +173,15 @@
 	return {
 		sender: unpackMember(sender),
 		others: others.map(([record, ageMs]) => ({record: unpackMember(record), ageMs})),
-		loads: loads.map(([upstreamId, requests, urgentReadTokens, otherReadTokens, memoryTokens]) => ({
-			upstreamId,
-			requests,
-			urgentReadTokens,
-			otherReadTokens,
-			memoryTokens,
-		})),
+		loads: loads?.map(
+			([upstreamId, requests, urgentReadTokens, otherReadTokens, memoryTokens]) => ({
+				upstreamId,
+				requests,
+				urgentReadTokens,
+				otherReadTokens,
+				memoryTokens,
+			}),
+		),
 		outlooks: outlooks.map(([region, service, urgentMs, otherMs, ageMs]) => ({
 			region,
 			service,
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -79,8 +79,8 @@
 	/** Route of the host with the longest prefix that begins the path; undefined when there is none. */
 	select(host: string, path: string): Route | undefined;
 	service(name: string): Service | undefined;
-	/** Regions that are homes of all bound routes of a host; empty when nothing is bound. */
-	commonHomes(host: string): readonly string[];
+	/** Number of bound routes of a host of which a region is a home; empty when nothing is bound. */
+	homeCoverage(host: string): ReadonlyMap<string, number>;
 };
 
 const withoutPort = (host: string): string => host.replace(/:\d+$/u, '').toLowerCase();
@@ -103,12 +103,15 @@
 		select: (host, path) =>
 			routesByHost.get(withoutPort(host))?.find((route) => path.startsWith(route.prefix)),
 		service: (name) => services.get(name),
-		commonHomes(host) {
-			const bound = (routesByHost.get(withoutPort(host)) ?? []).filter(
-				({homeRegions}) => homeRegions.length > 0,
-			);
-			const [first, ...others] = bound.map(({homeRegions}) => homeRegions);
-			return first?.filter((region) => others.every((homes) => homes.includes(region))) ?? [];
+		homeCoverage(host) {
+			const coverage = new Map<string, number>();
+			for (const {homeRegions} of routesByHost.get(withoutPort(host)) ?? []) {
+				for (const region of homeRegions) {
+					coverage.set(region, (coverage.get(region) ?? 0) + 1);
+				}
+			}
+
+			return coverage;
 		},
 	};
 };
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -210,9 +210,9 @@
 					}
 				}
 
-				if (message.sender.failureDomain === vm.failureDomain) {
+				if (message.loads && message.sender.failureDomain === vm.failureDomain) {
 					dispatch.notePeerLoads(message.sender.name, message.loads);
-				} else if (message.sender.region === vm.region) {
+				} else if (message.loads && message.sender.region === vm.region) {
 					dispatch.noteDomainLoads(message.sender.failureDomain, message.loads);
 				}
 
@@ -339,7 +339,7 @@
 				query,
 				self(),
 				fleet,
-				belief.table?.commonHomes(query.host ?? '') ?? [],
+				belief.table?.homeCoverage(query.host ?? '') ?? new Map(),
 				Math.min(maxTimeToLiveMs, current.directory.timeToLiveS * 1000),
 			);
 			watchAnswers(query, answer);
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -35,9 +35,9 @@
 	seeds: readonly string[];
 	/** This daemon as it is now. */
 	self(): gossipMessage.MemberRecord;
-	ownLoads(): gossipMessage.GossipMessage['loads'];
+	ownLoads(): gossipMessage.ToldLoad[];
 	/** Requests of the own failure domain by upstream. */
-	domainLoads(): gossipMessage.GossipMessage['loads'];
+	domainLoads(): gossipMessage.ToldLoad[];
 	/** Expected waits of the own region; daemons of the region know them by themselves. */
 	ownOutlooks(): gossipMessage.GossipMessage['outlooks'];
 	/** What is known of the expected waits of other regions. */
@@ -76,7 +76,6 @@
 		return gossipMessage.encodeGossip({
 			sender: options.self(),
 			others: told.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
-			loads: [],
 			outlooks: [],
 			chains: [],
 			...content,
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -208,6 +208,8 @@
 		chains: [{partId: 'p', runner: 'u1', isFar: true}],
 	};
 	t.same(gossipMessage.decodeGossip(gossipMessage.encodeGossip(message)), message);
+	const withoutLoads = {...message, loads: undefined};
+	t.same(gossipMessage.decodeGossip(gossipMessage.encodeGossip(withoutLoads)), withoutLoads);
 	t.throws(() => gossipMessage.decodeGossip(new Uint8Array([1, 2, 3])));
 });
 
@@ -215,7 +217,7 @@
 	const clock = new manualClock.ManualClock();
 	const fleet = fleetView.createFleetView(clock, 'n1');
 	const self = fixtures.member('n1');
-	const homes = ['north'];
+	const homes = new Map([['north', 2]]);
 	const ask = (region: string, own = self) =>
 		directory.answerDirectory({region}, own, fleet, homes, 2000).addresses;
 	t.same(ask('south'), ['n1:80'], 'itself when it knows nobody else');
@@ -233,6 +235,25 @@
 	t.same(ask('south'), ['n1:80'], 'a daemon that was not heard of is not named');
 });
 
+tap.t.test('without a common home, the directory names the home of most routes', async (t) => {
+	const fleet = fleetView.createFleetView(new manualClock.ManualClock(), 'n1');
+	fleet.noteMember(fixtures.member('s1', {region: 'south'}), 0);
+	fleet.noteMember(fixtures.member('s2', {region: 'south'}), 0);
+	const coverage = new Map([
+		['west', 5],
+		['south', 3],
+		['north', 1],
+	]);
+	const answer = directory.answerDirectory(
+		{region: 'west'},
+		fixtures.member('n1'),
+		fleet,
+		coverage,
+		2000,
+	);
+	t.match(answer, {addresses: ['s1:80', 's2:80'], basis: 'home'});
+});
+
 tap.t.test('a change of the daemons that are named is told once', async (t) => {
 	const told: string[] = [];
 	const watch = directory.createAnswerWatch((region, {basis, addresses}) => {
@@ -250,13 +271,19 @@
 	t.same(told, ['north near 2', 'south near 1', 'north near 1']);
 });
 
-tap.t.test('the homes of a host are those of all its bound routes', async (t) => {
+tap.t.test('the homes of a host are counted over its bound routes', async (t) => {
 	const tableOf = (...homes: string[][]) =>
 		routeConfig.createRouteTable({
 			...fixtures.config,
 			routes: homes.map((homeRegions) => ({...fixtures.longRoute, homeRegions})),
 		});
-	t.same(tableOf([], ['north', 'south'], ['south']).commonHomes('a.example'), ['south']);
-	t.same(tableOf([]).commonHomes('a.example'), []);
-	t.same(tableOf(['north']).commonHomes('b.example'), []);
+	t.same(
+		[...tableOf([], ['north', 'south'], ['south']).homeCoverage('a.example')],
+		[
+			['north', 1],
+			['south', 2],
+		],
+	);
+	t.equal(tableOf([]).homeCoverage('a.example').size, 0);
+	t.equal(tableOf(['north']).homeCoverage('b.example').size, 0);
 });
