--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -180,7 +180,7 @@
 		});
 	}
 
-	override place({kind, parts, daemon, arrivedAtMs}: Request): Placement {
+	override place({kind, parts, daemon}: Request): Placement {
 		const subject = this.#dispatchers[daemon]!;
 		const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
 		const facts = {
@@ -200,9 +200,12 @@
 			mayCross: false,
 		};
 		const choice = subject.choose(request);
-		if (choice.kind !== 'upstream') {
-			const retryAfterMs = choice.kind === 'refuse' ? choice.retryAfterMs : arrivedAtMs;
-			return {kind: 'refuse', retryAfterMs};
+		if (choice.kind === 'refuse') {
+			return {kind: 'refuse', retryAfterMs: choice.retryAfterMs};
+		}
+
+		if (choice.kind === 'region') {
+			throw new Error('the model has one region');
 		}
 
 		return {
