--- a/packages/base/src/node/daemon-program.ts
+++ b/packages/base/src/node/daemon-program.ts
@@ -2,6 +2,7 @@
 // A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
 import process from 'node:process';
 import * as cac from 'cac';
+import * as errorText from '../common/error-text.js';
 
 /** Version of all programs of this repository. */
 export const version = '0.1.0';
@@ -28,7 +29,7 @@
 
 /** Writes one line to standard error and sets the exit code. */
 export const failWith = (name: string, error: unknown): void => {
-	const message = error instanceof Error ? error.message : String(error);
+	const message = errorText.errorText(error);
 	process.stderr.write(`${name}: ${message.replaceAll(/\s*\n\s*/gu, ' ')}\n`);
 	process.exitCode = usageExitCode;
 };
--- a/packages/base/src/node/undici-http-client.ts
+++ b/packages/base/src/node/undici-http-client.ts
@@ -1,4 +1,5 @@
 /** HTTP client on undici. Its automatic retries and redirects stay off. */
+import * as errorText from '../common/error-text.js';
 import * as httpClient from '../common/http-client.js';
 import * as undiciParts from './undici-parts.js';
 
@@ -64,7 +65,7 @@
 		} catch (error) {
 			const wasNeverSent = neverSentCodes.has(codeOf(error));
 			throw new httpClient.HttpClientError(
-				error instanceof Error ? error.message : String(error),
+				errorText.errorText(error),
 				request.peer,
 				!wasNeverSent,
 				error,
--- a/packages/ctl/src/node/commands/explain.ts
+++ b/packages/ctl/src/node/commands/explain.ts
@@ -2,6 +2,7 @@
 import * as fs from 'node:fs';
 import process from 'node:process';
 import * as readline from 'node:readline';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import * as ctlError from '../../common/ctl-error.js';
 import * as explaining from '../../common/explain.js';
 import type * as ctlContext from '../context.js';
@@ -19,7 +20,7 @@
 	try {
 		return await readLines(fs.createReadStream(file, 'utf8'));
 	} catch (error) {
-		const detail = error instanceof Error ? error.message : String(error);
+		const detail = errorText.errorText(error);
 		throw new ctlError.CtlError(ctlError.exitCodes.usage, `cannot read ${file}: ${detail}`);
 	}
 };
--- a/packages/demo/src/node/report.ts
+++ b/packages/demo/src/node/report.ts
@@ -1,4 +1,5 @@
 /** Collects what callers saw and prints the closing table. */
+import * as percentiles from '@hawthornfront/base/common/percentile.js';
 import type * as caller from './caller.js';
 
 /** One finished request. */
@@ -11,11 +12,6 @@
 	body: string;
 };
 
-const percentile = (values: number[], share: number): number => {
-	const sorted = [...values].sort((left, right) => left - right);
-	return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
-};
-
 const columns = [
 	'class',
 	'asked',
@@ -42,8 +38,8 @@
 		String(answered.length),
 		count('not-run'),
 		count('unknown'),
-		...[0.5, 0.95, 0.99].map((share) => percentile(latencies, share).toFixed(0)),
-		firstTokens.length > 0 ? percentile(firstTokens, 0.95).toFixed(0) : '-',
+		...[0.5, 0.95, 0.99].map((share) => percentiles.percentile(latencies, share).toFixed(0)),
+		firstTokens.length > 0 ? percentiles.percentile(firstTokens, 0.95).toFixed(0) : '-',
 	];
 };
 
--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -3,14 +3,13 @@
  * nowhere. Compares expected times to the first event.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
-import type * as decayingEstimate from '@hawthornfront/decisions/common/decaying-estimate.js';
 import * as coldRamp from './cold-ramp.js';
 import * as failureRecord from './failure-record.js';
 import type * as fleetView from './fleet-view.js';
+import * as loadBook from './load-book.js';
 import type * as loadSettings from './load-settings.js';
 import * as promptCacheView from './prompt-cache-view.js';
 import * as routeConfig from './route-config.js';
-import * as upstreamLoad from './upstream-load.js';
 import type * as upstreamRegistry from './upstream-registry.js';
 import type * as workEstimate from './work-estimate.js';
 
@@ -68,22 +67,15 @@
 	end(): void;
 };
 
-export type LoadByUpstream = {upstreamId: string} & upstreamLoad.LoadShare;
-
-export type Dispatcher = {
+export type Dispatcher = Pick<
+	loadBook.LoadBook,
+	'ownLoads' | 'domainLoads' | 'notePeerLoads' | 'noteDomainLoads'
+> & {
 	choose(request: DispatchRequest): Choice;
 	/** Counts a request that goes to an upstream, until its end. */
 	dispatch(choice: Choice & {kind: 'upstream'}, request: DispatchRequest): Dispatched;
 	/** Expected wait for work without a prompt of its own; infinite without a usable upstream. */
 	outlook(service: routeConfig.Service, isUrgent: boolean): number;
-	/** Own requests by upstream, for daemons of the own failure domain. */
-	ownLoads(): LoadByUpstream[];
-	/** Requests of the own failure domain by upstream, for the others of the region. */
-	domainLoads(): LoadByUpstream[];
-	/** Replaces what a daemon of the own failure domain reported of its own requests. */
-	notePeerLoads(peer: string, loads: readonly LoadByUpstream[]): void;
-	/** Replaces what was reported of another failure domain of the region. */
-	noteDomainLoads(failureDomain: string, loads: readonly LoadByUpstream[]): void;
 	/** Prompt parts that this daemon has sent since the last call. */
 	takeSentChains(): promptCacheView.SentChain[];
 	noteSentChains(chains: readonly promptCacheView.SentChain[]): void;
@@ -143,17 +135,13 @@
 /** A runner that holds parts of a prompt, for the others to copy. */
 type Holder = {upstream: upstreamRegistry.Upstream; tokens: number};
 
-type Known = {load: upstreamLoad.UpstreamLoad; failures: failureRecord.FailureRecord};
-
 /** Creates a dispatcher without knowledge of any load. */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
 	const {clock, settings, registry, fleet} = options;
 	let decisionMs: number | undefined;
 	const nowMs = () => decisionMs ?? clock.nowMs();
-	const known = new Map<string, Known>();
-	const paces = new Map<string, decayingEstimate.DecayingEstimate>();
-	const reportedByPeer = new Map<string, ReadonlySet<string>>();
-	const reportedByDomain = new Map<string, ReadonlySet<string>>();
+	const loads = loadBook.createLoadBook(nowMs, settings, registry);
+	const failureRecords = new Map<string, failureRecord.FailureRecord>();
 	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
 	const ramp = coldRamp.createColdRamp(nowMs, options.ownName, () => [
 		options.ownName,
@@ -170,28 +158,14 @@
 		}
 	};
 
-	const paceOf = (service: string): decayingEstimate.DecayingEstimate => {
-		let pace = paces.get(service);
-		if (!pace) {
-			pace = upstreamLoad.createServicePace(settings);
-			paces.set(service, pace);
-		}
-
-		return pace;
-	};
-
-	const knownOf = (id: string): Known => {
-		let item = known.get(id);
-		if (!item) {
-			const pace = paceOf(registry.get(id)?.entry.service ?? '');
-			item = {
-				load: upstreamLoad.createUpstreamLoad(nowMs, settings, pace),
-				failures: failureRecord.createFailureRecord(),
-			};
-			known.set(id, item);
+	const failuresOf = (id: string): failureRecord.FailureRecord => {
+		let record = failureRecords.get(id);
+		if (!record) {
+			record = failureRecord.createFailureRecord();
+			failureRecords.set(id, record);
 		}
 
-		return item;
+		return record;
 	};
 
 	const slotsOf = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service) =>
@@ -202,7 +176,7 @@
 
 	const isUsable = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service): boolean =>
 		!options.isEvacuated(upstream.entry.failureDomain) &&
-		!knownOf(upstream.entry.id).failures.isSuspended(nowMs()) &&
+		!failuresOf(upstream.entry.id).isSuspended(nowMs()) &&
 		(!isCold(upstream, service) || ramp.mayUse(upstream.entry.id, service.coldRatePerS));
 
 	const sharedTokensOf = (work: workEstimate.WorkEstimate) =>
@@ -262,7 +236,7 @@
 		preferred: string | undefined,
 		holder: Holder | undefined,
 	): Scored => {
-		const {load, failures} = knownOf(upstream.entry.id);
+		const load = loads.of(upstream.entry.id);
 		const heldTokens = cache.heldTokens(upstream.entry.id, work.sharedParts, preferred);
 		const isHolder = holder?.upstream.entry.id === upstream.entry.id;
 		const copiedTokens = isHolder ? 0 : Math.max(0, (holder?.tokens ?? 0) - heldTokens);
@@ -281,7 +255,7 @@
 		const costMs =
 			expectedMs +
 			streamingMs * streamingWeight +
-			failures.rate(nowMs()) * settings.failurePenaltyMs +
+			failuresOf(upstream.entry.id).rate(nowMs()) * settings.failurePenaltyMs +
 			(rereadTokens * rereadWeight) / settings.prefillTokensPerMs +
 			domainMs;
 		return {
@@ -371,29 +345,6 @@
 		basis,
 	});
 
-	/** Takes over a report; upstreams that the one before named and this one does not have no requests. */
-	const noteLoads = (
-		previous: Map<string, ReadonlySet<string>>,
-		reporter: string,
-		loads: readonly LoadByUpstream[],
-		note: (load: upstreamLoad.UpstreamLoad, share: upstreamLoad.LoadShare) => void,
-	) => {
-		const reported = new Set(loads.map(({upstreamId}) => upstreamId));
-		for (const id of previous.get(reporter) ?? []) {
-			const item = reported.has(id) ? undefined : known.get(id);
-			if (item) {
-				note(item.load, upstreamLoad.emptyShare());
-			}
-		}
-
-		previous.set(reporter, reported);
-		for (const {upstreamId, ...share} of loads) {
-			if (registry.get(upstreamId)) {
-				note(knownOf(upstreamId).load, share);
-			}
-		}
-	};
-
 	const choose = (request: DispatchRequest): Choice => {
 		const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.ownRegion);
 		const {best, candidates} = isLocalAllowed
@@ -420,7 +371,7 @@
 		const basis: ChoiceBasis = {
 			expectedMs: localMs,
 			candidates,
-			requestsThere: knownOf(best.upstream.entry.id).load.requests(),
+			requestsThere: loads.of(best.upstream.entry.id).requests(),
 			heldTokens: Math.round(request.work.promptTokens - best.readTokens),
 			streamingMs: Math.round(streamingMs),
 		};
@@ -460,13 +411,13 @@
 		dispatch(choice, request) {
 			const {upstream, readTokens, basis} = choice;
 			const {id} = upstream.entry;
-			const {load, failures} = knownOf(id);
+			const failures = failuresOf(id);
 			if (isCold(upstream, request.service)) {
 				ramp.noteUse(id, request.service.coldRatePerS);
 			}
 
 			cache.noteSent(id, request.work.sharedParts);
-			const item = load.add(request.work, readTokens, basis.expectedMs);
+			const item = loads.of(id).add(request.work, readTokens, basis.expectedMs);
 			return {
 				noteFirstEvent() {
 					item.noteFirstEvent();
@@ -489,24 +440,10 @@
 			};
 		},
 		outlook: (service, isUrgent) => decideNow(() => outlook(service, isUrgent)),
-		ownLoads: () =>
-			[...known]
-				.map(([upstreamId, {load}]) => ({upstreamId, ...load.own()}))
-				.filter(({requests}) => requests > 0),
-		domainLoads: () =>
-			[...known]
-				.map(([upstreamId, {load}]) => ({upstreamId, ...load.ofOwnDomain()}))
-				.filter(({requests}) => requests > 0),
-		notePeerLoads(peer, loads) {
-			noteLoads(reportedByPeer, peer, loads, (load, share) => {
-				load.notePeer(peer, share);
-			});
-		},
-		noteDomainLoads(failureDomain, loads) {
-			noteLoads(reportedByDomain, failureDomain, loads, (load, share) => {
-				load.noteDomain(failureDomain, share);
-			});
-		},
+		ownLoads: loads.ownLoads,
+		domainLoads: loads.domainLoads,
+		notePeerLoads: loads.notePeerLoads,
+		noteDomainLoads: loads.noteDomainLoads,
 		takeSentChains: () => cache.takeSent(),
 		noteSentChains(chains) {
 			for (const chain of chains) {
@@ -516,7 +453,8 @@
 			}
 		},
 		forget(upstreamId) {
-			known.delete(upstreamId);
+			loads.forget(upstreamId);
+			failureRecords.delete(upstreamId);
 			cache.forget(upstreamId);
 			ramp.forget(upstreamId);
 		},
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -4,6 +4,9 @@
  */
 import * as msgpackr from 'msgpackr';
 import * as zod from 'zod';
+import type * as promptCacheView from './prompt-cache-view.js';
+import type * as upstreamLoad from './upstream-load.js';
+import * as watchDuty from './watch-duty.js';
 
 export const memberRecordSchema = zod.object({
 	name: zod.string(),
@@ -26,7 +29,7 @@
 	/** Store revision up to which it knows configuration and evacuations. */
 	operatorRevision: zod.number(),
 	/** Whether it watches the store and gets answers. */
-	storeContact: zod.enum(['reached', 'lost', 'none']),
+	storeContact: watchDuty.storeContactSchema,
 	/** Processor share of its machine, for the directory's choice. */
 	capacity: zod.number(),
 });
@@ -44,7 +47,7 @@
 	zod.number(),
 	zod.number(),
 	zod.number(),
-	zod.enum(['reached', 'lost', 'none']),
+	watchDuty.storeContactSchema,
 	zod.number(),
 ]);
 
@@ -82,7 +85,7 @@
 	 * Requests by upstream: the sender's own to its failure domain, the sum of its
 	 * failure domain to the others of the region. Undefined: what was told before holds.
 	 */
-	loads?: ToldLoad[];
+	loads?: upstreamLoad.LoadByUpstream[];
 	outlooks: Array<{
 		region: string;
 		service: string;
@@ -94,18 +97,7 @@
 	chains: GossipChain[];
 };
 
-/** Requests at one upstream. */
-export type ToldLoad = {
-	upstreamId: string;
-	requests: number;
-	urgentReadTokens: number;
-	otherReadTokens: number;
-	memoryTokens: number;
-};
-
-export type GossipChain = {
-	partId: string;
-	runner: string;
+export type GossipChain = promptCacheView.SentChain & {
 	/** Comes from another failure domain and is told on within this one. */
 	isFar: boolean;
 };
--- a/packages/gateway/src/common/upstream-entry.ts
+++ b/packages/gateway/src/common/upstream-entry.ts
@@ -19,3 +19,13 @@
 	goneAfterMs: zod.number().optional(),
 });
 export type UpstreamEntry = zod.infer<typeof upstreamEntrySchema>;
+
+/** An upstream as a daemon tells it to another one. */
+export const knownUpstreamSchema = zod.object({
+	entry: upstreamEntrySchema,
+	/** Time for which it is still cold. */
+	coldLeftMs: zod.number(),
+	/** Its entry went missing around an outage of the store. */
+	isMissing: zod.boolean(),
+});
+export type KnownUpstream = zod.infer<typeof knownUpstreamSchema>;
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -18,6 +18,8 @@
 	memoryTokens: number;
 };
 
+export type LoadByUpstream = {upstreamId: string} & LoadShare;
+
 /** A request at the upstream, from its dispatch to its end. */
 export type LoadItem = {
 	/** Call at the first event or answer. */
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -29,23 +29,23 @@
  */
 export const missingEntryGraceMs = 2200;
 
-/** An upstream as a peer knows it. */
-export type KnownUpstream = {
-	entry: upstreamEntry.UpstreamEntry;
-	/** Time for which it is still cold. */
-	coldLeftMs: number;
-	/** Its entry went missing around an outage of the store. */
-	isMissing: boolean;
-};
-
 export type UpstreamRegistry = {
 	readonly onDidChange: event.Event<UpstreamChange>;
-	/** Replaces all entries by a listing. */
-	replaceAll(entries: readonly upstreamEntry.UpstreamEntry[], revision: number): void;
+	/**
+	 * Replaces all entries by a listing.
+	 *
+	 * @param revision of the listing, which counts when it shows a removal
+	 * @param lastChange revision of the last change that the listing shows otherwise
+	 */
+	replaceAll(
+		entries: readonly upstreamEntry.UpstreamEntry[],
+		revision: number,
+		lastChange?: number,
+	): void;
 	/** Replaces all entries by what a peer knows. */
-	adopt(known: readonly KnownUpstream[], revision: number): void;
+	adopt(known: readonly upstreamEntry.KnownUpstream[], revision: number): void;
 	/** All of it, for a peer. */
-	known(): KnownUpstream[];
+	known(): upstreamEntry.KnownUpstream[];
 	put(entry: upstreamEntry.UpstreamEntry, revision: number): void;
 	remove(id: string, revision: number): void;
 	/** Tells whether the store is reachable; entries are not dropped right after an outage. */
@@ -207,24 +207,31 @@
 		return next;
 	};
 
-	const removeOthers = (ids: ReadonlySet<string>, at: number) => {
-		for (const id of upstreams.keys()) {
-			if (!ids.has(id)) {
-				removeEntry(id, at);
-			}
+	/** Returns whether there were any. */
+	const removeOthers = (ids: ReadonlySet<string>, at: number): boolean => {
+		const others = [...upstreams.keys()].filter((id) => !ids.has(id));
+		for (const id of others) {
+			removeEntry(id, at);
 		}
+
+		return others.length > 0;
+	};
+
+	const finishTakeOver = (at: number) => {
+		revision = Math.max(revision, at);
+		isLoaded = true;
 	};
 
 	return {
 		onDidChange: didChange.event,
-		replaceAll(entries, at) {
-			removeOthers(new Set(entries.map((entry) => entry.id)), at);
+		replaceAll(entries, listedAt, lastChange = listedAt) {
+			const hasRemovals = removeOthers(new Set(entries.map((entry) => entry.id)), listedAt);
+			const at = hasRemovals ? listedAt : lastChange;
 			for (const entry of entries) {
 				put(entry, at, {isListed: true});
 			}
 
-			revision = Math.max(revision, at);
-			isLoaded = true;
+			finishTakeOver(at);
 		},
 		adopt(known, at) {
 			removeOthers(new Set(known.map(({entry}) => entry.id)), at);
@@ -241,8 +248,7 @@
 				}
 			}
 
-			revision = Math.max(revision, at);
-			isLoaded = true;
+			finishTakeOver(at);
 		},
 		known: () =>
 			[...upstreams.values()].map((upstream) => ({
--- a/packages/gateway/src/common/watch-duty.ts
+++ b/packages/gateway/src/common/watch-duty.ts
@@ -4,9 +4,11 @@
  * of the store grow with the failure domains and not with the daemons.
  */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
+import * as zod from 'zod';
 
 /** Whether a daemon that watches the store gets answers; `none`: it does not watch. */
-export type StoreContact = 'reached' | 'lost' | 'none';
+export const storeContactSchema = zod.enum(['reached', 'lost', 'none']);
+export type StoreContact = zod.infer<typeof storeContactSchema>;
 
 export type DutyPeer = {name: string; heardMsAgo: number; storeContact: StoreContact};
 
--- a/packages/gateway/src/node/beliefs.ts
+++ b/packages/gateway/src/node/beliefs.ts
@@ -4,6 +4,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import * as event from '@hawthornfront/base/common/event.js';
 import * as zod from 'zod';
 import type * as gatewayEvent from '../common/gateway-event.js';
@@ -14,19 +15,16 @@
 import type * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as watchDuty from '../common/watch-duty.js';
 
+/** Characters of an error on an entry that a line keeps; the errors of a schema are long. */
+const maxEntryDetailLength = 300;
+
 /** All of it, for a peer. */
 export const snapshotSchema = zod.object({
 	config: routeConfig.routeConfigSchema.optional(),
 	evacuated: zod.array(zod.string()),
 	/** Store revision up to which the evacuations are known. */
 	operatorRevision: zod.number(),
-	upstreams: zod.array(
-		zod.object({
-			entry: upstreamEntry.upstreamEntrySchema,
-			coldLeftMs: zod.number(),
-			isMissing: zod.boolean(),
-		}),
-	),
+	upstreams: zod.array(upstreamEntry.knownUpstreamSchema),
 	upstreamRevision: zod.number(),
 });
 export type Snapshot = zod.infer<typeof snapshotSchema>;
@@ -112,7 +110,7 @@
 	};
 
 	const rejectEntry = (key: string, revision: number, error: unknown) => {
-		const detail = error instanceof Error ? error.message.slice(0, 300) : String(error);
+		const detail = errorText.errorText(error, maxEntryDetailLength);
 		log.note({kind: 'entry-rejected', key, revision, detail});
 	};
 
@@ -199,9 +197,7 @@
 				const entries = items
 					.map((item) => decodeUpstream(item.key, item.value, item.revision))
 					.filter((entry) => entry !== undefined);
-				const listed = new Set(entries.map((entry) => entry.id));
-				const hasRemovals = registry.all().some(({entry}) => !listed.has(entry.id));
-				registry.replaceAll(entries, hasRemovals ? revision : lastChangeOf(items));
+				registry.replaceAll(entries, revision, lastChangeOf(items));
 				didReadStore.fire();
 			},
 			onEvents(events) {
@@ -311,7 +307,11 @@
 
 const feedLog = (log: gatewayEvent.EventLog, feed: string) => ({
 	onLost(error: Error) {
-		log.note({kind: 'store-lost', feed, detail: error.message.slice(0, 200)});
+		log.note({
+			kind: 'store-lost',
+			feed,
+			detail: errorText.errorText(error, errorText.maxLoggedLength),
+		});
 	},
 	onRegained(awayMs: number, revision: number) {
 		log.note({kind: 'store-regained', feed, awayMs: Math.round(awayMs), revision});
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -3,6 +3,7 @@
 import * as http from 'node:http';
 // A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
 import process from 'node:process';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as random from '@hawthornfront/base/common/random.js';
 import * as daemonProgram from '@hawthornfront/base/node/daemon-program.js';
@@ -73,7 +74,7 @@
 				log.note({kind: 'settings-reloaded', changed});
 			}
 		} catch (error) {
-			const detail = error instanceof Error ? error.message : String(error);
+			const detail = errorText.errorText(error);
 			log.note({kind: 'settings-rejected', detail});
 		}
 	};
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -2,10 +2,13 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import type * as fleetView from '../common/fleet-view.js';
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as promptCacheView from '../common/prompt-cache-view.js';
+import type * as upstreamLoad from '../common/upstream-load.js';
 
 /** Peers of the own failure domain that get each message. */
 const maxDomainPeers = 16;
@@ -35,15 +38,15 @@
 	seeds: readonly string[];
 	/** This daemon as it is now. */
 	self(): gossipMessage.MemberRecord;
-	ownLoads(): gossipMessage.ToldLoad[];
+	ownLoads(): upstreamLoad.LoadByUpstream[];
 	/** Requests of the own failure domain by upstream. */
-	domainLoads(): gossipMessage.ToldLoad[];
+	domainLoads(): upstreamLoad.LoadByUpstream[];
 	/** Expected waits of the own region; daemons of the region know them by themselves. */
 	ownOutlooks(): gossipMessage.GossipMessage['outlooks'];
 	/** What is known of the expected waits of other regions. */
 	farOutlooks(): gossipMessage.GossipMessage['outlooks'];
 	/** Prompt chains sent by this daemon since the last call. */
-	takeChains(): Array<{partId: string; runner: string}>;
+	takeChains(): promptCacheView.SentChain[];
 	onMessage(message: gossipMessage.GossipMessage): void;
 };
 
@@ -169,7 +172,7 @@
 				options.log.note({
 					kind: 'datagram-rejected',
 					peer,
-					detail: error instanceof Error ? error.message.slice(0, 200) : String(error),
+					detail: errorText.errorText(error, errorText.maxLoggedLength),
 				});
 			}
 		}),
--- a/packages/gateway/src/node/membership.ts
+++ b/packages/gateway/src/node/membership.ts
@@ -4,6 +4,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import type * as fleetView from '../common/fleet-view.js';
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
@@ -41,7 +42,7 @@
 	let lease: string | undefined;
 
 	const noteFailure = (error: unknown) => {
-		const detail = error instanceof Error ? error.message.slice(0, 200) : String(error);
+		const detail = errorText.errorText(error, errorText.maxLoggedLength);
 		log.note({kind: 'store-lost', feed: 'members', detail});
 	};
 
@@ -78,7 +79,7 @@
 				const record = gossipMessage.memberRecordSchema.parse(JSON.parse(text));
 				fleet.noteStoreMember(record);
 			} catch (error) {
-				const detail = error instanceof Error ? error.message.slice(0, 200) : String(error);
+				const detail = errorText.errorText(error, errorText.maxLoggedLength);
 				log.note({kind: 'entry-rejected', key, revision: listing.revision, detail});
 			}
 		}
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -1,5 +1,6 @@
 /** Pulls what a peer knows when it knows more and this daemon does not hear it from the store. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as gossipMessage from '../common/gossip-message.js';
@@ -58,7 +59,7 @@
 				upstreamRevision: snapshot.upstreamRevision,
 			});
 		} catch (error) {
-			const detail = error instanceof Error ? error.message.slice(0, 200) : String(error);
+			const detail = errorText.errorText(error, errorText.maxLoggedLength);
 			log.note({kind: 'snapshot-pull-failed', peer: peer.name, detail});
 		} finally {
 			isPulling = false;
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -5,6 +5,7 @@
  * datagrams bring them.
  */
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as percentiles from '@hawthornfront/base/common/percentile.js';
 import * as random from '@hawthornfront/base/common/random.js';
 import * as dispatcher from '@hawthornfront/gateway/common/dispatcher.js';
 import * as fleetView from '@hawthornfront/gateway/common/fleet-view.js';
@@ -246,11 +247,6 @@
 const exchangeEveryMs = 250;
 const tickMs = 1;
 
-const quantile = (values: number[], share: number): number => {
-	const sorted = [...values].sort((a, b) => a - b);
-	return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
-};
-
 type Tally = KindResult & {firsts: number[]};
 
 export type CreatePolicy = (clock: manualClock.ManualClock, numbers: random.Random) => Policy;
@@ -410,8 +406,8 @@
 		readTokens: engines.reduce((sum, engine) => sum + engine.readTokens, 0),
 		kinds: [...tallies.values()].map(({firsts, ...tally}) => ({
 			...tally,
-			firstP50Ms: quantile(firsts, 0.5),
-			firstP99Ms: quantile(firsts, 0.99),
+			firstP50Ms: Math.round(percentiles.percentile(firsts, 0.5)),
+			firstP99Ms: Math.round(percentiles.percentile(firsts, 0.99)),
 		})),
 	};
 };
--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -1,4 +1,5 @@
 /** One JSON call of a platform service, with its failures as {@link keyValueStore.PlatformError}. */
+import * as errorText from '@hawthornfront/base/common/error-text.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as zod from 'zod';
 import * as keyValueStore from '../common/key-value-store.js';
@@ -49,7 +50,7 @@
 
 		const mayHaveTakenEffect =
 			!(error instanceof httpClient.HttpClientError) || error.mayHaveBeenSent;
-		const message = error instanceof Error ? error.message : String(error);
+		const message = errorText.errorText(error);
 		throw new keyValueStore.PlatformError(service, message, mayHaveTakenEffect, {
 			cause: error,
 		});
