Log who ended a broken answer, why, and what counted as a stall

request-attempt-failed now has isRelay, events, silentMs, the stall limit and the delay of its timer, and the obstacle to a further send; request-refused is also written when an answer that has begun finds no upstream; request-ended has the reason. hawthornfront_failed_attempts_total counts attempts by step and silence. No decision changes.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -35,6 +35,13 @@
 	isResumption: boolean;
 };
 
+/** Why a peer's silence counted as a stall. */
+export type Stall = {
+	limitMs: number;
+	/** Delay of this daemon's own timer; a long one means that the daemon itself was held up. */
+	timerLateMs: number;
+};
+
 export type AttemptFailure = {
 	/** Step of the request at which it failed. */
 	step: string;
@@ -43,6 +50,12 @@
 	startedAtMs: number;
 	/** Upstreams that may have run the request; undefined when it is not known. */
 	upstreamsUsed?: number;
+	/** Complete events that the peer sent. */
+	events: number;
+	/** Time since the last bytes of the peer, or since the send. */
+	silentMs: number;
+	/** Set when the attempt was given up for its peer's silence. */
+	stall?: Stall;
 	/** Last whole event that the caller was given. */
 	lastEventId?: string;
 };
@@ -88,6 +101,7 @@
 	let isOver = false;
 	let head: {status: number; headers: wireFormat.Headers} | undefined;
 	let stallTimer: disposable.Disposable | undefined;
+	let heardAtMs = startedAtMs;
 	const running: {exchange?: upstreamTransport.Exchange} = {};
 
 	const close = () => {
@@ -100,7 +114,7 @@
 		outcome: answerVerdict.Outcome,
 		detail: string,
 		isHard: boolean,
-		upstreamsUsed?: number,
+		more: {upstreamsUsed?: number; stall?: Stall} = {},
 	) => {
 		if (isOver) {
 			return;
@@ -117,18 +131,23 @@
 			outcome,
 			detail,
 			startedAtMs,
-			upstreamsUsed,
+			events: cutter?.events ?? 0,
+			silentMs: clock.nowMs() - heardAtMs,
 			lastEventId: cutter?.lastEventId,
+			...more,
 		});
 	};
 
 	const watchStall = (delayMs: number) => {
 		stallTimer?.dispose();
 		const limitMs = delayMs * (target.isRelay ? relayStallFactor : 1);
+		const dueMs = clock.nowMs() + limitMs;
 		stallTimer = clock.setTimer(() => {
 			// Without the right to go elsewhere, a late answer is better than none.
 			if (options.mayGoElsewhere && options.mayResendNow()) {
-				fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true);
+				fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true, {
+					stall: {limitMs, timerLateMs: clock.nowMs() - dueMs},
+				});
 			}
 		}, limitMs);
 	};
@@ -153,6 +172,7 @@
 	};
 
 	const onHead = (status: number, headers: wireFormat.Headers) => {
+		heardAtMs = clock.nowMs();
 		const verdict = answerVerdict.judgeAnswer(
 			status,
 			headers,
@@ -165,7 +185,9 @@
 				account?.noteReplaced();
 			}
 
-			fail(verdict.outcome, verdict.detail, verdict.isHard, verdict.upstreamsUsed);
+			fail(verdict.outcome, verdict.detail, verdict.isHard, {
+				upstreamsUsed: verdict.upstreamsUsed,
+			});
 		} else if (options.isResumption && status !== 200) {
 			fail('unknown', `resume-${status}`, false);
 		} else {
@@ -175,6 +197,7 @@
 	};
 
 	const onData = (bytes: Uint8Array) => {
+		heardAtMs = clock.nowMs();
 		account?.noteEvent();
 		account?.noteFirstEvent();
 		if (cutter && head!.status < 300) {
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -3,6 +3,9 @@
  * believes. docs/OPERATIONS.md explains each kind.
  */
 
+/** Why a request is not sent again after an attempt. */
+export type ResendObstacle = 'not-idempotent' | 'no-time' | 'upstreams-used' | 'budget';
+
 /** Events of one request; all carry its id. */
 export type RequestEvent = {request: string; route: string} & (
 	| {
@@ -13,6 +16,8 @@
 			expectedMs: number;
 			candidates: number;
 			remainingMs: number;
+			/** The caller has part of the answer already. */
+			hasStarted: boolean;
 			configVersion: number;
 			upstreamRevision: number;
 	  }
@@ -45,12 +50,24 @@
 			outcome: 'not-run' | 'unknown' | 'ran';
 			detail: string;
 			afterMs: number;
+			isRelay: boolean;
+			/** Complete events that the peer sent. */
+			events: number;
+			/** Time since the last bytes of the peer. */
+			silentMs: number;
+			/** Set when the attempt was given up for its peer's silence. */
+			stallLimitMs?: number;
+			/** Delay of the timer that noticed the silence. */
+			timerLateMs?: number;
 			next: 'resend' | 'give-up';
+			obstacle?: ResendObstacle;
 	  }
 	| {
 			kind: 'request-ended';
 			outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
 			status: number;
+			/** Why there is no whole answer. */
+			reason?: string;
 			sends: number;
 			firstMs: number;
 			totalMs: number;
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -104,6 +104,7 @@
 	const finish = (
 		outcome: (gatewayEvent.RequestEvent & {kind: 'request-ended'})['outcome'],
 		status: number,
+		reason?: string,
 	) => {
 		hasEnded = true;
 		for (const timer of timers) {
@@ -118,6 +119,7 @@
 			service: service.name,
 			outcome,
 			status,
+			reason,
 			sends,
 			firstMs: Math.round(firstMs),
 			totalMs: Math.round(clock.nowMs() - request.arrivedAtMs),
@@ -131,7 +133,7 @@
 		const outcome: answerVerdict.Outcome = mayHaveRun ? 'unknown' : 'not-run';
 		if (hasStarted) {
 			reply.abort();
-			finish('broken', status);
+			finish('broken', status, reason);
 			return;
 		}
 
@@ -150,7 +152,7 @@
 		reply.start(status, headers);
 		reply.write(body);
 		reply.end();
-		finish(outcome, status);
+		finish(outcome, status, reason);
 	};
 
 	const refuse = (reason: string, retryAfterMs: number, basis?: dispatcher.ChoiceBasis) => {
@@ -163,14 +165,15 @@
 			request: requestId,
 			route: route.name,
 			reason,
-			status: mayHaveRun ? 502 : 503,
+			status: hasStarted || mayHaveRun ? 502 : 503,
 			retryAfterMs: Math.round(waitMs),
 			expectedMs: Math.round(basis?.expectedMs ?? -1),
 			candidates: basis?.candidates ?? 0,
 			remainingMs: Math.round(remainingMs()),
+			hasStarted,
 			...services.versions(),
 		});
-		if (mayHaveRun) {
+		if (hasStarted || mayHaveRun) {
 			failWith(502, reason);
 		} else {
 			failWith(503, reason, waitMs);
@@ -188,6 +191,25 @@
 		}
 	};
 
+	/** Why the request may not be sent again after an attempt; takes from the budget when it may. */
+	const obstacleToResend = (
+		outcome: answerVerdict.Outcome,
+	): gatewayEvent.ResendObstacle | undefined => {
+		if (outcome !== 'not-run' && !isIdempotent) {
+			return 'not-idempotent';
+		}
+
+		if (remainingMs() <= minUsefulMs) {
+			return 'no-time';
+		}
+
+		if (outcome !== 'not-run' && upstreamsThatRan >= request.maxUpstreams) {
+			return 'upstreams-used';
+		}
+
+		return services.budget.tryResend(service.name) ? undefined : 'budget';
+	};
+
 	/** Decides what follows an attempt that did not answer the caller. */
 	const afterFailure = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
 		if (failure.outcome !== 'not-run') {
@@ -197,12 +219,7 @@
 				failure.upstreamsUsed ?? (target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1);
 		}
 
-		const isSafeToResend = failure.outcome === 'not-run' || isIdempotent;
-		const mayResend =
-			isSafeToResend &&
-			remainingMs() > minUsefulMs &&
-			(failure.outcome === 'not-run' || upstreamsThatRan < request.maxUpstreams) &&
-			services.budget.tryResend(service.name);
+		const obstacle = obstacleToResend(failure.outcome);
 		log.note({
 			kind: 'request-attempt-failed',
 			request: requestId,
@@ -212,9 +229,15 @@
 			outcome: failure.outcome,
 			detail: failure.detail,
 			afterMs: Math.round(clock.nowMs() - failure.startedAtMs),
-			next: mayResend ? 'resend' : 'give-up',
+			isRelay: target.isRelay,
+			events: failure.events,
+			silentMs: Math.round(failure.silentMs),
+			stallLimitMs: failure.stall && Math.round(failure.stall.limitMs),
+			timerLateMs: failure.stall && Math.round(failure.stall.timerLateMs),
+			next: obstacle ? 'give-up' : 'resend',
+			obstacle,
 		});
-		if (mayResend) {
+		if (!obstacle) {
 			next();
 		} else if (mayHaveRun) {
 			failWith(502, failure.detail);
@@ -380,8 +403,6 @@
 		} else if (choice.reason === 'no-upstream' && waitedMs < route.goalMs * waitForUpstreamShare) {
 			waitedMs += waitStepMs;
 			after(waitStepMs, next);
-		} else if (hasStarted) {
-			failWith(502, choice.reason);
 		} else {
 			refuse(choice.reason, choice.retryAfterMs, choice.basis);
 		}
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -53,6 +53,12 @@
 		'Requests by outcome',
 		['service', 'outcome'],
 	);
+	const failedAttempts = metrics.createCounter(
+		registry,
+		'hawthornfront_failed_attempts_total',
+		'Attempts that did not answer the caller, by step, and whether for the silence of the peer',
+		['step', 'stalled', 'next'],
+	);
 	const firstMs = metrics.createHistogram(
 		registry,
 		'hawthornfront_first_event_ms',
@@ -115,6 +121,11 @@
 				}
 			}
 
+			if (event.kind === 'request-attempt-failed') {
+				const stalled = event.stallLimitMs === undefined ? 'no' : 'yes';
+				failedAttempts.inc({step: event.step, stalled, next: event.next});
+			}
+
 			if (mayWrite(event)) {
 				logger.info(event);
 			}
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -205,6 +205,37 @@
 	t.equal(reply.ending, 'broken');
 });
 
+// Guards against a broken answer whose log lines do not say what inputs decided its end.
+tap.t.test('the log tells why an answer broke', async (t) => {
+	const {clock, transport, events, ended} = start(fixtures.shortRoute, {upstreams: 1});
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	await clock.advance(300);
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	await clock.advance(300);
+	t.match(
+		events.find((event) => event.kind === 'request-attempt-failed'),
+		{detail: 'ECONNRESET', events: 1, silentMs: 300, isRelay: false, next: 'resend'},
+	);
+	t.match(
+		events.find((event) => event.kind === 'request-refused'),
+		{reason: 'no-upstream', hasStarted: true, candidates: 0},
+	);
+	t.match(ended(), {outcome: 'broken', reason: 'no-upstream'});
+});
+
+// Guards against a stall that cannot be told from a delay of the daemon itself.
+tap.t.test('the log tells what counted as a stall', async (t) => {
+	const {clock, transport, events} = start(fixtures.shortRoute);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	await clock.advance(1300);
+	t.match(
+		events.find((event) => event.kind === 'request-attempt-failed'),
+		{detail: 'stalled', events: 1, silentMs: 1200, stallLimitMs: 1200, timerLateMs: 0},
+	);
+});
+
 tap.t.test('a stream that stalls moves', async (t) => {
 	const {clock, transport} = start(fixtures.shortRoute);
 	const first = transport.last;
