Reproduce the loss of accepted work at silent upstreams

Callers lost accepted work: a stream was cut in the middle of its answer although its upstream was still at work on it.

The set-up of the engine's tests moves to engine-run.ts; its budget is the same number of sends, stated directly.

--- /dev/null
+++ b/packages/gateway/src/test/engine-run.ts
@@ -0,0 +1,105 @@
+/** Runs one request through the engine on a manual clock, for the engine's tests. */
+import * as clockService from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import * as requestEngine from '../common/request-engine.js';
+import * as resendBudget from '../common/resend-budget.js';
+import type * as routeConfig from '../common/route-config.js';
+import * as fakeTransport from './fake-transport.js';
+import * as fixtures from './fixtures.js';
+
+export const bytes = (text: string) => new TextEncoder().encode(text);
+export const signed = {signed: '1', attempt: 'attempt-1'};
+
+export type RunOptions = {
+	relayedFrom?: string;
+	maxUpstreams?: number;
+	upstreams?: number;
+	/** Further sends that the budget allows; plenty when undefined. */
+	resends?: number;
+	/** Clock of the engine, made from the one that the test moves. */
+	engineClock?(clock: manualClock.ManualClock): clockService.Clock;
+};
+
+/** Timers that fire late, as those of an event loop that is held up. */
+export class LateClock extends clockService.Clock {
+	lateMs = 0;
+
+	constructor(readonly inner: clockService.Clock) {
+		super();
+	}
+
+	override nowMs(): number {
+		return this.inner.nowMs();
+	}
+
+	override wallMs(): number {
+		return this.inner.wallMs();
+	}
+
+	override setTimer(callback: () => void, delayMs: number): disposable.Disposable {
+		return this.inner.setTimer(callback, delayMs + this.lateMs);
+	}
+}
+
+/** Starts a request on a deployment whose upstreams are answered by hand. */
+export const start = (route: routeConfig.Route, options: RunOptions = {}) => {
+	const deployment = fixtures.createDeployment();
+	const {clock, registry, subject} = deployment;
+	const service =
+		route.targets[0]!.service === 'model' ? fixtures.modelService : fixtures.deskService;
+	for (let index = 1; index <= (options.upstreams ?? 3); index++) {
+		registry.put(fixtures.upstream(`u${index}`, {service: service.name}), 1);
+	}
+
+	const transport = new fakeTransport.FakeTransport();
+	const reply = new fakeTransport.FakeReply();
+	const events: gatewayEvent.GatewayEvent[] = [];
+	const budget = resendBudget.createResendBudget(
+		() => clock.nowMs(),
+		() => ({share: 0, extraPerWindow: (options.resends ?? 16) / 0.8, windowMs: 10_000}),
+		() => 1,
+	);
+	const engine = requestEngine.createRequestEngine({
+		clock: options.engineClock?.(clock) ?? clock,
+		wire: new fakeTransport.FakeWire(),
+		dispatcher: subject,
+		transport,
+		budget,
+		log: {
+			note(event) {
+				events.push(event);
+			},
+		},
+		ownRegion: 'north',
+		versions: () => ({configVersion: 3, upstreamRevision: 1}),
+	});
+	const isModel = service.name === 'model';
+	let ends = 0;
+	const course = engine.handle(
+		{
+			method: 'POST',
+			path: `${route.prefix}x`,
+			rawHeaders: [],
+			facts: fixtures.facts(
+				isModel ? {patienceMs: 3000} : {patienceMs: 3000, promptTokens: 0, promptParts: []},
+			),
+			route,
+			service,
+			arrivedAtMs: clock.nowMs(),
+			maxUpstreams: options.maxUpstreams ?? route.maxUpstreams,
+			relayedFrom: options.relayedFrom,
+		},
+		reply,
+		() => {
+			ends++;
+		},
+	);
+	const ended = () => events.find((event) => event.kind === 'request-ended');
+	return {...deployment, transport, reply, events, course, ended, ends: () => ends};
+};
+
+/** Value of a header that was sent. */
+export const headerOf = (sent: fakeTransport.Sent, name: string) =>
+	sent.request.headers[sent.request.headers.indexOf(name) + 1];
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -41,9 +41,18 @@
 	headers: wireFormat.Headers = {};
 	text = '';
 	ending: 'open' | 'complete' | 'broken' = 'open';
+	/** Whether the caller reads; set it back with {@link read}. */
+	isReading = true;
+	readonly #didDrain = event.createEmitter<void>();
 
 	override get onDidDrain(): event.Event<void> {
-		return event.createEmitter<void>().event;
+		return this.#didDrain.event;
+	}
+
+	/** The caller reads again. */
+	read(): void {
+		this.isReading = true;
+		this.#didDrain.fire();
 	}
 
 	override start(status: number, headers: wireFormat.Headers): void {
@@ -53,7 +62,7 @@
 
 	override write(bytes: Uint8Array): boolean {
 		this.text += new TextDecoder().decode(bytes);
-		return true;
+		return this.isReading;
 	}
 
 	override end(): void {
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -1,77 +1,11 @@
 // The promises to callers, request by request, against upstreams that fail in every way.
 import * as tap from 'tap';
-import type * as gatewayEvent from '../common/gateway-event.js';
 import * as relayHeaders from '../common/relay-headers.js';
-import * as requestEngine from '../common/request-engine.js';
-import * as resendBudget from '../common/resend-budget.js';
-import type * as routeConfig from '../common/route-config.js';
-import * as fakeTransport from './fake-transport.js';
+import * as engineRun from './engine-run.js';
+import type * as fakeTransport from './fake-transport.js';
 import * as fixtures from './fixtures.js';
 
-const bytes = (text: string) => new TextEncoder().encode(text);
-const signed = {signed: '1', attempt: 'attempt-1'};
-
-const start = (
-	route: routeConfig.Route,
-	options: {relayedFrom?: string; maxUpstreams?: number; upstreams?: number} = {},
-) => {
-	const deployment = fixtures.createDeployment();
-	const {clock, registry, subject} = deployment;
-	const service =
-		route.targets[0]!.service === 'model' ? fixtures.modelService : fixtures.deskService;
-	for (let index = 1; index <= (options.upstreams ?? 3); index++) {
-		registry.put(fixtures.upstream(`u${index}`, {service: service.name}), 1);
-	}
-
-	const transport = new fakeTransport.FakeTransport();
-	const reply = new fakeTransport.FakeReply();
-	const events: gatewayEvent.GatewayEvent[] = [];
-	const budget = resendBudget.createResendBudget(
-		() => clock.nowMs(),
-		() => ({share: 0.2, extraPerWindow: 20, windowMs: 10_000}),
-		() => 1,
-	);
-	const engine = requestEngine.createRequestEngine({
-		clock,
-		wire: new fakeTransport.FakeWire(),
-		dispatcher: subject,
-		transport,
-		budget,
-		log: {
-			note(event) {
-				events.push(event);
-			},
-		},
-		ownRegion: 'north',
-		versions: () => ({configVersion: 3, upstreamRevision: 1}),
-	});
-	const isModel = service.name === 'model';
-	let ends = 0;
-	const course = engine.handle(
-		{
-			method: 'POST',
-			path: `${route.prefix}x`,
-			rawHeaders: [],
-			facts: fixtures.facts(
-				isModel ? {patienceMs: 3000} : {patienceMs: 3000, promptTokens: 0, promptParts: []},
-			),
-			route,
-			service,
-			arrivedAtMs: clock.nowMs(),
-			maxUpstreams: options.maxUpstreams ?? route.maxUpstreams,
-			relayedFrom: options.relayedFrom,
-		},
-		reply,
-		() => {
-			ends++;
-		},
-	);
-	const ended = () => events.find((event) => event.kind === 'request-ended');
-	return {...deployment, transport, reply, events, course, ended, ends: () => ends};
-};
-
-const headerOf = (sent: fakeTransport.Sent, name: string) =>
-	sent.request.headers[sent.request.headers.indexOf(name) + 1];
+const {bytes, signed, start, headerOf} = engineRun;
 
 tap.t.test('an answer is passed on whole', async (t) => {
 	const {transport, reply, ended, ends} = start(fixtures.bookingRoute);
--- /dev/null
+++ b/packages/gateway/src/test/silent-upstreams.test.ts
@@ -0,0 +1,154 @@
+// Upstreams that are silent for a while: accepted work is not lost on a suspicion.
+import * as tap from 'tap';
+import * as relayHeaders from '../common/relay-headers.js';
+import * as engineRun from './engine-run.js';
+import * as fixtures from './fixtures.js';
+
+const {bytes, signed, start, headerOf} = engineRun;
+
+const firstEvent = 'id: 1\ndata: a\n\n';
+const secondEvent = 'id: 2\ndata: b\n\n';
+/** Longer than any limit of the gaps of a stream. */
+const silenceMs = 1500;
+
+/** A stream of which the caller has the first event. */
+const startStream = (options: engineRun.RunOptions = {}) => {
+	const run = start(fixtures.shortRoute, options);
+	const first = run.transport.last;
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes(firstEvent));
+	return {...run, first};
+};
+
+/** A request that a daemon of another region relays. */
+const startRelayed = async () => {
+	const run = start(fixtures.shortRoute, {upstreams: 1});
+	run.fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	run.registry.replaceAll([], 2);
+	run.transport.last.listener.onFailure({mayHaveBeenSent: false, detail: 'ECONNREFUSED'});
+	await run.clock.advance(200);
+	return {...run, relay: run.transport.last};
+};
+
+// Guards against a run that is cancelled for its silence though no other upstream exists.
+tap.t.test('a silent stream without another upstream goes on', async (t) => {
+	const {clock, reply, first} = startStream({upstreams: 1});
+	await clock.advance(silenceMs);
+	t.notOk(first.isCancelled);
+	t.equal(reply.ending, 'open');
+	first.listener.onData(bytes(secondEvent));
+	first.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against a run that is cancelled for its silence though the others are full.
+tap.t.test('a silent stream goes on when the others refuse it', async (t) => {
+	const {clock, transport, reply, first} = startStream({upstreams: 2});
+	await clock.advance(1250);
+	t.equal(transport.sent.length, 2);
+	transport.last.listener.onHead(503, {refused: '1'});
+	await clock.advance(silenceMs - 1250);
+	t.notOk(first.isCancelled);
+	first.listener.onData(bytes(secondEvent));
+	first.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against a run that is cancelled for its silence though no further send is allowed.
+tap.t.test('a silent stream goes on when the budget is spent', async (t) => {
+	const {clock, transport, reply, first} = startStream({resends: 1});
+	await clock.advance(1250);
+	transport.last.listener.onHead(503, {refused: '1'});
+	await clock.advance(silenceMs - 1250);
+	t.equal(transport.sent.length, 2);
+	first.listener.onData(bytes(secondEvent));
+	first.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against 502 for a request that waits at its upstream when the others are full.
+tap.t.test('a late first event is not given up for a refusal', async (t) => {
+	const {clock, transport, reply} = start(fixtures.shortRoute, {upstreams: 2});
+	const first = transport.last;
+	await clock.advance(silenceMs);
+	for (const other of transport.sent.slice(1)) {
+		other.listener.onHead(503, {refused: '1'});
+	}
+
+	t.equal(reply.status, 0);
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes(firstEvent));
+	first.listener.onEnd();
+	t.match(reply, {status: 200, text: firstEvent, ending: 'complete'});
+});
+
+// Guards against a stream that loses its upstream when it speaks again.
+tap.t.test('a silent stream that speaks again keeps its caller', async (t) => {
+	const {clock, transport, reply, first} = startStream({upstreams: 2});
+	await clock.advance(1250);
+	t.equal(transport.sent.length, 2);
+	first.listener.onData(bytes(secondEvent));
+	t.ok(transport.last.isCancelled);
+	first.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against a relayed stream that is cut though nobody else may run it.
+tap.t.test('a relayed stream is not cut for its silence', async (t) => {
+	const {clock, reply, relay} = await startRelayed();
+	relay.listener.onHead(200, signed);
+	relay.listener.onData(bytes(firstEvent));
+	await clock.advance(2700);
+	t.notOk(relay.isCancelled);
+	relay.listener.onData(bytes(secondEvent));
+	relay.listener.onEnd();
+	t.equal(reply.ending, 'complete');
+});
+
+// Guards against 502 for a relayed request whose daemon is alive and at work.
+tap.t.test('a relayed request waits while its daemon is heard', async (t) => {
+	const {clock, fleet, reply, relay} = await startRelayed();
+	t.equal(headerOf(relay, relayHeaders.relayedFromHeader), 'north');
+	for (let elapsedMs = 0; elapsedMs < 2600; elapsedMs += 200) {
+		fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+		await clock.advance(200);
+	}
+
+	t.equal(reply.status, 0);
+	relay.listener.onHead(200, signed);
+	relay.listener.onData(bytes(firstEvent));
+	relay.listener.onEnd();
+	t.match(reply, {status: 200, ending: 'complete'});
+});
+
+// Guards against the daemon's own delay taken for the upstream's silence.
+tap.t.test('a daemon that was held up reads before it judges', async (t) => {
+	let late: engineRun.LateClock | undefined;
+	const {clock, transport, reply, first} = startStream({
+		engineClock(inner) {
+			late = new engineRun.LateClock(inner);
+			late.lateMs = 1200;
+			return late;
+		},
+	});
+	late!.lateMs = 0;
+	// The loop is held up until 2400 ms; the timer fires before the sockets are read.
+	await clock.advance(2410);
+	t.equal(transport.sent.length, 1);
+	first.listener.onData(bytes(secondEvent));
+	first.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against a slow caller whose upstream looks silent.
+tap.t.test('a caller that does not read makes nobody silent', async (t) => {
+	const {clock, transport, reply, first} = startStream();
+	reply.isReading = false;
+	first.listener.onData(bytes(secondEvent));
+	await clock.advance(silenceMs);
+	t.equal(transport.sent.length, 1);
+	reply.read();
+	await clock.advance(1000);
+	first.listener.onEnd();
+	t.equal(reply.ending, 'complete');
+});
