Give up a silent run only when another upstream holds the request

Cause: the stall watch cancelled a run at its limit and only then asked whether the request may run elsewhere and whether an upstream takes it. Under load the others are predicted late or refuse, so the accepted request was lost. At a relay the answer was always no, since a daemon that relays may have used every upstream that the route allows. A daemon that was held up, or whose caller did not read, counted its own delay as the upstream's silence.

Relayed requests were cut 1.4 s after their send while the other daemon had the answer.

Now a silent attempt goes on. Another upstream is chosen and paid for from the budget first, and is asked beside it; the first attempt is cancelled when the successor answers or, for streams, has had the request for 250 ms without refusing it (the platform allows two upstreams on one stream for 400 ms). If the first one speaks again, it keeps its caller. A relayed request is left to the daemon that relays it while its region is heard. Progress is a whole event, not any bytes; the silence only counts while this daemon reads.

'a stream that stalls moves' now wants the first run to be cancelled when the second one answers, not before.

--- /dev/null
+++ b/packages/gateway/src/common/attempt-pair.ts
@@ -0,0 +1,163 @@
+/**
+ * The attempt that answers a caller and, while its peer is silent, a successor at
+ * another peer. The first one is given up only when the successor holds the
+ * request: it answers or, for a stream, has not refused the request for a while.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as attempt from './attempt.js';
+import type * as dispatcher from './dispatcher.js';
+import type * as silenceWatch from './silence-watch.js';
+
+/** One of the two attempts. */
+export type PairMember = {
+	target: attempt.AttemptTarget;
+	/** Account of the upstream's load and failures; undefined for a relay. */
+	account: dispatcher.Dispatched | undefined;
+	start(listener: attempt.AttemptListener): attempt.Attempt;
+};
+
+export type PairListener = Pick<attempt.AttemptListener, 'onHead' | 'onBytes' | 'onAnswered'> & {
+	/** The only attempt failed. */
+	onFailed(member: PairMember, failure: attempt.AttemptFailure): void;
+	/** The only attempt is silent; repeated while it lasts. */
+	onSilent(member: PairMember, running: attempt.Attempt, silence: Silence): void;
+	/** The successor did not take the request; the first attempt goes on. */
+	onSuccessorFailed(member: PairMember, failure: attempt.AttemptFailure): void;
+	/** The first attempt spoke again, and the successor was cancelled. */
+	onKept(cancelled: PairMember, wasSent: boolean): void;
+	/** The successor answers the caller now; what the first attempt may have run is over. */
+	onMoved(from: PairMember, to: PairMember, basis: MoveBasis): void;
+};
+
+export type Silence = silenceWatch.Stall & {step: string};
+
+/** `answer`: the successor answers; `held`: it has not refused; `failure`: the first attempt failed. */
+export type MoveBasis =
+	{kind: 'answer' | 'held'} | {kind: 'failure'; failure: attempt.AttemptFailure};
+
+export type AttemptPair = {
+	/** Starts the attempt that answers the caller. */
+	startFirst(member: PairMember): void;
+	/** Starts another attempt beside a silent one. */
+	startSuccessor(member: PairMember): void;
+	readonly hasSuccessor: boolean;
+	/** Stops the work of both. */
+	cancel(): void;
+};
+
+/**
+ * Time after which a successor that has the request and did not refuse it takes
+ * over. Two upstreams may be at work on a resumed stream for 400 ms at most.
+ */
+export const takeoverMs = 250;
+/** A refusal that waits in the socket is read in this time, also when the event loop was held up. */
+const lastReadMs = 1;
+
+export type PairOptions = {
+	clock: clock.Clock;
+	/** Two upstreams may be at work for a short time only, so a successor need not answer to take over. */
+	mustMoveSoon: boolean;
+};
+
+type Running = {member: PairMember; attempt?: attempt.Attempt; wasSent: boolean};
+
+/** Creates a pair without attempts. */
+export const createAttemptPair = (options: PairOptions, listener: PairListener): AttemptPair => {
+	const {clock: time, mustMoveSoon} = options;
+	let first: Running | undefined;
+	let successor: Running | undefined;
+	let takeoverTimer: disposable.Disposable | undefined;
+
+	const dropSuccessor = () => {
+		successor = undefined;
+		takeoverTimer?.dispose();
+		takeoverTimer = undefined;
+	};
+
+	const move = (basis: MoveBasis) => {
+		const from = first!;
+		const to = successor!;
+		dropSuccessor();
+		first = to;
+		if (basis.kind !== 'failure') {
+			from.attempt?.cancel();
+		}
+
+		listener.onMoved(from.member, to.member, basis);
+	};
+
+	const listenerOf = (running: Running): attempt.AttemptListener => ({
+		onSent() {
+			running.wasSent = true;
+			if (running === successor && mustMoveSoon) {
+				takeoverTimer = time.setTimer(() => {
+					takeoverTimer = time.setTimer(() => {
+						move({kind: 'held'});
+					}, lastReadMs);
+				}, takeoverMs - lastReadMs);
+			}
+		},
+		onAccepted() {
+			if (running === successor) {
+				move({kind: 'answer'});
+			}
+		},
+		onProgress() {
+			if (running === first && successor) {
+				const {member, wasSent, attempt: other} = successor;
+				dropSuccessor();
+				other?.cancel();
+				listener.onKept(member, wasSent);
+			}
+		},
+		onSilent(stall, step) {
+			if (running === first && !successor) {
+				listener.onSilent(running.member, running.attempt!, {...stall, step});
+			}
+		},
+		onHead: listener.onHead,
+		onBytes: listener.onBytes,
+		onAnswered(status) {
+			first = undefined;
+			successor?.attempt?.cancel();
+			dropSuccessor();
+			listener.onAnswered(status);
+		},
+		onFailed(failure) {
+			if (running === successor) {
+				dropSuccessor();
+				listener.onSuccessorFailed(running.member, failure);
+			} else if (successor) {
+				move({kind: 'failure', failure});
+			} else {
+				first = undefined;
+				listener.onFailed(running.member, failure);
+			}
+		},
+	});
+
+	const start = (running: Running) => {
+		running.attempt = running.member.start(listenerOf(running));
+	};
+
+	return {
+		startFirst(member) {
+			first = {member, wasSent: false};
+			start(first);
+		},
+		startSuccessor(member) {
+			successor = {member, wasSent: false};
+			start(successor);
+		},
+		get hasSuccessor() {
+			return successor !== undefined;
+		},
+		cancel() {
+			first?.attempt?.cancel();
+			first = undefined;
+			successor?.attempt?.cancel();
+			dropSuccessor();
+		},
+	};
+};
--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -1,10 +1,10 @@
 /** One attempt of a request: a send to an upstream, or to a daemon of another region, up to its end. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
-import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as answerVerdict from './answer-verdict.js';
 import type * as dispatcher from './dispatcher.js';
 import * as eventCutter from './event-cutter.js';
 import type * as gatewayRequest from './gateway-request.js';
+import * as silenceWatch from './silence-watch.js';
 import type * as upstreamTransport from './upstream-transport.js';
 import type * as wireFormat from './wire-format.js';
 
@@ -27,21 +27,12 @@
 	/** Account of the upstream's load and failures; undefined for a relay. */
 	account: dispatcher.Dispatched | undefined;
 	isIdempotent: boolean;
-	/** Whether the request may still run elsewhere after this attempt has run. */
-	mayGoElsewhere: boolean;
-	/** Whether the budget has room for a further send. */
-	mayResendNow(): boolean;
+	/** Whether a failed run would be repeated, so that its answer is not passed on. */
+	mayAskAgain(): boolean;
 	/** The caller has part of the answer already. */
 	isResumption: boolean;
 };
 
-/** Why a peer's silence counted as a stall. */
-export type Stall = {
-	limitMs: number;
-	/** Delay of this daemon's own timer; a long one means that the daemon itself was held up. */
-	timerLateMs: number;
-};
-
 export type AttemptFailure = {
 	/** Step of the request at which it failed. */
 	step: string;
@@ -52,39 +43,56 @@
 	upstreamsUsed?: number;
 	/** Complete events that the peer sent. */
 	events: number;
-	/** Time since the last bytes of the peer, or since the send. */
+	/** Time since the peer last made progress, or since the send. */
 	silentMs: number;
 	/** Set when the attempt was given up for its peer's silence. */
-	stall?: Stall;
+	stall?: silenceWatch.Stall;
 	/** Last whole event that the caller was given. */
 	lastEventId?: string;
 };
 
+/** Callbacks of one attempt. After `onAnswered`, `onFailed` or a cancel, nothing more is called. */
 export type AttemptListener = {
+	/** A connection stands and the request is written to it. */
+	onSent(): void;
+	/** The peer answers the request, and the answer may be passed on. */
+	onAccepted(): void;
+	/** The peer sent a whole event, or part of a plain answer. Called before its bytes are passed on. */
+	onProgress(): void;
+	/** The peer is silent beyond the limit; repeated while it lasts. The attempt goes on. */
+	onSilent(stall: silenceWatch.Stall, step: string): void;
 	/** The head goes to the caller; called before the first bytes. */
 	onHead(status: number, headers: wireFormat.Headers): void;
-	onBytes(bytes: Uint8Array, exchange: upstreamTransport.Exchange | undefined): void;
+	onBytes(bytes: Uint8Array, flow: Flow | undefined): void;
 	/** The whole answer was passed on. */
 	onAnswered(status: number): void;
 	onFailed(failure: AttemptFailure): void;
 };
 
+/** Holds the peer's bytes back while the caller does not read. */
+export type Flow = Pick<upstreamTransport.Exchange, 'pause' | 'resume'>;
+
 export type Attempt = {
 	isRunning(): boolean;
+	/** Last whole event that the caller was given. */
+	readonly lastEventId: string | undefined;
+	/** Complete events that the peer sent. */
+	readonly events: number;
+	/** Gives the attempt up for its peer's silence. */
+	giveUp(stall: silenceWatch.Stall): void;
 	/** Stops the upstream's work; nothing more is called. */
 	cancel(): void;
 };
 
 /** Answers of plain services up to this size are held back until they are complete. */
 const maxHeldAnswerBytes = 262_144;
-/** An idempotent request without a first event goes elsewhere after this multiple of the expected time. */
+/** An idempotent request without a first event looks for another upstream after this multiple of the expected time. */
 const stallFactor = 3;
 const minStallMs = 700;
 const minGapStallMs = 900;
-/**
- * A daemon that relays notices a stall itself and goes on elsewhere; the daemon
- * that sent it there waits this many times as long, for a second upstream too.
- */
+/** Multiple of the longest gap that is on time. */
+const gapStallFactor = 2;
+/** A daemon that relays looks for another upstream itself first, so the one that sent it there waits longer. */
 const relayStallFactor = 2;
 
 /** Sends the request. */
@@ -100,13 +108,13 @@
 	let isPassing = false;
 	let isOver = false;
 	let head: {status: number; headers: wireFormat.Headers} | undefined;
-	let stallTimer: disposable.Disposable | undefined;
-	let heardAtMs = startedAtMs;
+	let watch: silenceWatch.SilenceWatch | undefined;
+	let progressAtMs = startedAtMs;
 	const running: {exchange?: upstreamTransport.Exchange} = {};
 
 	const close = () => {
 		isOver = true;
-		stallTimer?.dispose();
+		watch?.dispose();
 		account?.end();
 	};
 
@@ -114,7 +122,7 @@
 		outcome: answerVerdict.Outcome,
 		detail: string,
 		isHard: boolean,
-		more: {upstreamsUsed?: number; stall?: Stall} = {},
+		more: {upstreamsUsed?: number; stall?: silenceWatch.Stall} = {},
 	) => {
 		if (isOver) {
 			return;
@@ -132,24 +140,33 @@
 			detail,
 			startedAtMs,
 			events: cutter?.events ?? 0,
-			silentMs: clock.nowMs() - heardAtMs,
+			silentMs: clock.nowMs() - progressAtMs,
 			lastEventId: cutter?.lastEventId,
 			...more,
 		});
 	};
 
-	const watchStall = (delayMs: number) => {
-		stallTimer?.dispose();
-		const limitMs = delayMs * (target.isRelay ? relayStallFactor : 1);
-		const dueMs = clock.nowMs() + limitMs;
-		stallTimer = clock.setTimer(() => {
-			// Without the right to go elsewhere, a late answer is better than none.
-			if (options.mayGoElsewhere && options.mayResendNow()) {
-				fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true, {
-					stall: {limitMs, timerLateMs: clock.nowMs() - dueMs},
-				});
-			}
-		}, limitMs);
+	const flow: Flow = {
+		pause() {
+			running.exchange?.pause();
+			watch?.pause();
+		},
+		resume() {
+			running.exchange?.resume();
+			watch?.resume();
+		},
+	};
+
+	const silenceLimitMs = (delayMs: number) => delayMs * (target.isRelay ? relayStallFactor : 1);
+
+	const noteProgress = () => {
+		progressAtMs = clock.nowMs();
+		account?.noteEvent();
+		account?.noteFirstEvent();
+		watch?.setLimit(
+			silenceLimitMs(Math.max(minGapStallMs, gapStallFactor * (route.maxEventGapMs ?? 0))),
+		);
+		listener.onProgress();
 	};
 
 	const startPassing = () => {
@@ -161,7 +178,7 @@
 
 	const pass = (bytes: Uint8Array) => {
 		startPassing();
-		listener.onBytes(bytes, isOver ? undefined : running.exchange);
+		listener.onBytes(bytes, isOver ? undefined : flow);
 	};
 
 	const passHeld = () => {
@@ -172,13 +189,12 @@
 	};
 
 	const onHead = (status: number, headers: wireFormat.Headers) => {
-		heardAtMs = clock.nowMs();
 		const verdict = answerVerdict.judgeAnswer(
 			status,
 			headers,
 			wire.readAnswer(status, headers),
 			request.facts.attemptId,
-			options.mayGoElsewhere && !options.isResumption && !target.isRelay,
+			options.mayAskAgain() && !options.isResumption && !target.isRelay,
 		);
 		if (verdict.kind === 'fail') {
 			if (verdict.isReplaced) {
@@ -193,21 +209,24 @@
 		} else {
 			head = {status, headers};
 			step = 'first-token';
+			listener.onAccepted();
 		}
 	};
 
 	const onData = (bytes: Uint8Array) => {
-		heardAtMs = clock.nowMs();
-		account?.noteEvent();
-		account?.noteFirstEvent();
 		if (cutter && head!.status < 300) {
 			const complete = cutter.push(bytes);
-			watchStall(Math.max(minGapStallMs, 2 * (route.maxEventGapMs ?? 0)));
 			if (complete) {
 				step = 'mid-stream';
+				noteProgress();
 				pass(complete);
 			}
-		} else if (isPassing || isStream) {
+
+			return;
+		}
+
+		noteProgress();
+		if (isPassing || isStream) {
 			step = 'mid-stream';
 			pass(bytes);
 		} else {
@@ -249,6 +268,11 @@
 			needsRecentConnection: !options.isIdempotent,
 		},
 		{
+			onSent() {
+				if (!isOver) {
+					listener.onSent();
+				}
+			},
 			onHead(status, headers) {
 				if (!isOver) {
 					onHead(status, headers);
@@ -269,12 +293,27 @@
 			},
 		},
 	);
-	if (options.mayGoElsewhere) {
-		watchStall(Math.max(minStallMs, stallFactor * target.expectedMs));
+	if (options.isIdempotent && !isOver) {
+		watch = silenceWatch.createSilenceWatch(
+			clock,
+			silenceLimitMs(Math.max(minStallMs, stallFactor * target.expectedMs)),
+			(stall) => {
+				listener.onSilent(stall, step);
+			},
+		);
 	}
 
 	return {
 		isRunning: () => !isOver,
+		get lastEventId() {
+			return cutter?.lastEventId;
+		},
+		get events() {
+			return cutter?.events ?? 0;
+		},
+		giveUp(stall) {
+			fail('unknown', step === 'sent-in-full' ? 'no-answer' : 'stalled', true, {stall});
+		},
 		cancel() {
 			close();
 			running.exchange?.cancel();
--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -13,6 +13,8 @@
 const storeMemberTrustMs = 4000;
 /** A member that left is remembered while peers may still echo it. */
 const leftMemberMemoryMs = 15_000;
+/** A region of which no member was heard for this long may be cut off. */
+const regionSilentAfterMs = 1500;
 /** Expected waits of a region that are older say nothing. */
 const outlookMaxAgeMs = 4000;
 
@@ -36,6 +38,8 @@
 	alive(): readonly Member[];
 	aliveIn(region: string): readonly Member[];
 	member(name: string): Member | undefined;
+	/** Whether a member is alive as far as is known, and its region was heard of a short time ago. */
+	isReachable(name: string): boolean;
 	/** Whether this daemon hears any other daemon at all. */
 	hearsPeers(): boolean;
 	outlook(region: string, service: string): RegionOutlook | undefined;
@@ -111,6 +115,15 @@
 		alive: () => [...members.values()].filter((member) => isAlive(member)),
 		aliveIn: (region) => view.alive().filter((member) => member.region === region),
 		member: (name) => members.get(name),
+		isReachable(name) {
+			const member = members.get(name);
+			const oldestMs = timeSource.nowMs() - regionSilentAfterMs;
+			return (
+				member !== undefined &&
+				isAlive(member) &&
+				view.aliveIn(member.region).some(({aliveAtMs}) => aliveAtMs >= oldestMs)
+			);
+		},
 		hearsPeers: () => view.alive().length > 0,
 		outlook(region, service) {
 			const outlook = outlooks.get(region)?.get(service);
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -6,6 +6,10 @@
 /** Why a request is not sent again after an attempt. */
 export type ResendObstacle = 'not-idempotent' | 'no-time' | 'upstreams-used' | 'budget';
 
+/** Why no other upstream is tried beside a silent one. */
+export type TakeoverObstacle =
+	'no-time' | 'upstreams-used' | 'budget' | 'relayed' | 'no-upstream' | 'overloaded';
+
 /** Events of one request; all carry its id. */
 export type RequestEvent = {request: string; route: string} & (
 	| {
@@ -53,15 +57,39 @@
 			isRelay: boolean;
 			/** Complete events that the peer sent. */
 			events: number;
-			/** Time since the last bytes of the peer. */
+			/** Time since the peer last made progress. */
 			silentMs: number;
 			/** Set when the attempt was given up for its peer's silence. */
 			stallLimitMs?: number;
 			/** Delay of the timer that noticed the silence. */
 			timerLateMs?: number;
-			next: 'resend' | 'give-up';
+			/** `other-attempt`: one that was started before goes on. */
+			next: 'resend' | 'give-up' | 'other-attempt';
 			obstacle?: ResendObstacle;
 	  }
+	| {
+			kind: 'request-silent';
+			peer: string;
+			isRelay: boolean;
+			step: string;
+			/** Complete events that the peer sent. */
+			events: number;
+			/** Time since the peer last made progress. */
+			silentMs: number;
+			limitMs: number;
+			/** Delay of the timer that noticed the silence. */
+			timerLateMs: number;
+			remainingMs: number;
+			next: 'takeover' | 'wait' | 'give-up';
+			obstacle?: TakeoverObstacle;
+	  }
+	| {
+			kind: 'request-takeover';
+			successor: string;
+			/** `kept`: the silent peer spoke again; the others say why the successor answers now. */
+			result: 'kept' | 'answer' | 'held' | 'failure';
+			remainingMs: number;
+	  }
 	| {
 			kind: 'request-ended';
 			outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -7,6 +7,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as answerVerdict from './answer-verdict.js';
 import * as attempt from './attempt.js';
+import * as attemptPair from './attempt-pair.js';
 import type * as dispatcher from './dispatcher.js';
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
@@ -25,6 +26,8 @@
 	budget: resendBudget.ResendBudget;
 	log: gatewayEvent.EventLog;
 	ownRegion: string;
+	/** Whether a daemon of another region is alive and its region not cut off. */
+	isReachable(peer: string): boolean;
 	/** Versions on which decisions are based, for the log. */
 	versions(): {configVersion: number; upstreamRevision: number};
 };
@@ -54,6 +57,9 @@
 const priorityStep = 3;
 const lastPriority = 9;
 
+/** A choice by which the request is sent. */
+type SendChoice = Exclude<dispatcher.Choice, {kind: 'refuse'}>;
+
 const priorityOf = (rank: number): number =>
 	Math.min(lastPriority, firstPriority + rank * priorityStep);
 
@@ -87,7 +93,7 @@
 	let hasEnded = false;
 	let firstMs = -1;
 	let resumeAfter = facts.lastEventId;
-	let cancelAttempt: (() => void) | undefined;
+	let lastObstacle: gatewayEvent.TakeoverObstacle | undefined;
 	let waitedMs = 0;
 
 	const remainingMs = () => deadlineMs - clock.nowMs();
@@ -181,7 +187,7 @@
 	};
 
 	const onDeadline = () => {
-		cancelAttempt?.();
+		attempts.cancel();
 		if (sends > 0) {
 			// Nothing tells whether the upstream has begun.
 			mayHaveRun = true;
@@ -210,16 +216,20 @@
 		return services.budget.tryResend(service.name) ? undefined : 'budget';
 	};
 
-	/** Decides what follows an attempt that did not answer the caller. */
-	const afterFailure = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
-		if (failure.outcome !== 'not-run') {
-			mayHaveRun = true;
-			// A daemon that does not say how many it used may have used all.
-			upstreamsThatRan +=
-				failure.upstreamsUsed ?? (target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1);
-		}
+	/** Counts upstreams that may have run the request in an attempt that is over. */
+	const noteMayHaveRun = (target: attempt.AttemptTarget, upstreamsUsed?: number) => {
+		mayHaveRun = true;
+		// A daemon that does not say how many it used may have used all.
+		upstreamsThatRan +=
+			upstreamsUsed ?? (target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1);
+	};
 
-		const obstacle = obstacleToResend(failure.outcome);
+	const logFailure = (
+		target: attempt.AttemptTarget,
+		failure: attempt.AttemptFailure,
+		next: 'resend' | 'give-up' | 'other-attempt',
+		obstacle?: gatewayEvent.ResendObstacle,
+	) => {
 		log.note({
 			kind: 'request-attempt-failed',
 			request: requestId,
@@ -234,9 +244,28 @@
 			silentMs: Math.round(failure.silentMs),
 			stallLimitMs: failure.stall && Math.round(failure.stall.limitMs),
 			timerLateMs: failure.stall && Math.round(failure.stall.timerLateMs),
-			next: obstacle ? 'give-up' : 'resend',
+			next,
 			obstacle,
 		});
+	};
+
+	const noteFailed = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
+		if (failure.outcome !== 'ran') {
+			failedUpstreams.add(target.peer);
+		}
+
+		if (failure.outcome !== 'not-run') {
+			noteMayHaveRun(target, failure.upstreamsUsed);
+		}
+
+		resumeAfter = failure.lastEventId ?? resumeAfter;
+	};
+
+	/** Decides what follows an attempt that did not answer the caller. */
+	const afterFailure = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
+		noteFailed(target, failure);
+		const obstacle = obstacleToResend(failure.outcome);
+		logFailure(target, failure, obstacle ? 'give-up' : 'resend', obstacle);
 		if (!obstacle) {
 			next();
 		} else if (mayHaveRun) {
@@ -246,69 +275,182 @@
 		}
 	};
 
-	const passOn = (bytes: Uint8Array, exchange: upstreamTransport.Exchange | undefined) => {
+	const passOn = (bytes: Uint8Array, flow: attempt.Flow | undefined) => {
 		if (firstMs < 0) {
 			firstMs = clock.nowMs() - request.arrivedAtMs;
 		}
 
-		if (!reply.write(bytes) && exchange) {
-			exchange.pause();
+		if (!reply.write(bytes) && flow) {
+			flow.pause();
 			const listener = reply.onDidDrain(() => {
 				listener.dispose();
-				exchange.resume();
+				flow.resume();
 			});
 		}
 	};
 
-	/** Starts one attempt; its end decides what follows. */
-	const attemptAt = (target: attempt.AttemptTarget, account: dispatcher.Dispatched | undefined) => {
-		const mayGoElsewhere = isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams;
-		const running = attempt.startAttempt(
-			{
-				clock,
-				wire,
-				transport: services.transport,
-				request,
-				target,
-				account,
-				isIdempotent,
-				mayGoElsewhere,
-				mayResendNow: () => services.budget.canResend(service.name),
-				isResumption: hasStarted,
+	/** Why no other upstream may be tried beside a silent attempt. */
+	const obstacleToTakeover = (
+		target: attempt.AttemptTarget,
+	): gatewayEvent.TakeoverObstacle | undefined => {
+		if (remainingMs() <= minUsefulMs) {
+			return 'no-time';
+		}
+
+		// A daemon that relays looks for another upstream itself.
+		if (target.isRelay && (hasStarted || services.isReachable(target.peer))) {
+			return 'relayed';
+		}
+
+		if (!target.isRelay && upstreamsThatRan + 1 >= request.maxUpstreams) {
+			return 'upstreams-used';
+		}
+
+		return services.budget.canResend(service.name) ? undefined : 'budget';
+	};
+
+	/** Looks for an upstream that takes a request over from a silent one. */
+	const findSuccessor = (
+		target: attempt.AttemptTarget,
+	): {choice: SendChoice} | {obstacle: gatewayEvent.TakeoverObstacle} => {
+		const obstacle = obstacleToTakeover(target);
+		if (obstacle) {
+			return {obstacle};
+		}
+
+		const choice = services.dispatcher.choose({
+			...dispatchRequest(),
+			failedUpstreams: new Set([...failedUpstreams, target.peer]),
+		});
+		if (choice.kind === 'refuse') {
+			return {obstacle: choice.reason};
+		}
+
+		return services.budget.tryResend(service.name) ? {choice} : {obstacle: 'budget'};
+	};
+
+	const onSilent = (
+		{target, account}: attemptPair.PairMember,
+		running: attempt.Attempt,
+		silence: attemptPair.Silence,
+	) => {
+		const found = findSuccessor(target);
+		const obstacle = 'obstacle' in found ? found.obstacle : undefined;
+		const isCutOff = target.isRelay && !hasStarted && !services.isReachable(target.peer);
+		const next = obstacle ? (isCutOff ? 'give-up' : 'wait') : 'takeover';
+		if (next !== 'wait' || obstacle !== lastObstacle) {
+			lastObstacle = obstacle;
+			log.note({
+				kind: 'request-silent',
+				request: requestId,
+				route: route.name,
+				peer: target.peer,
+				isRelay: target.isRelay,
+				step: silence.step,
+				events: running.events,
+				silentMs: Math.round(silence.silentMs),
+				limitMs: Math.round(silence.limitMs),
+				timerLateMs: Math.round(silence.timerLateMs),
+				remainingMs: Math.round(remainingMs()),
+				next,
+				obstacle,
+			});
+		}
+
+		if ('choice' in found) {
+			account?.noteFailure(true);
+			resumeAfter = running.lastEventId ?? resumeAfter;
+			attempts.startSuccessor(memberFor(found.choice));
+		} else if (isCutOff) {
+			running.giveUp(silence);
+		}
+	};
+
+	const attempts = attemptPair.createAttemptPair(
+		{clock, mustMoveSoon: route.work === 'stream'},
+		{
+			onHead(status, headers) {
+				if (!hasStarted) {
+					hasStarted = true;
+					reply.start(status, wire.answerHeaders(headers));
+				}
 			},
-			{
-				onHead(status, headers) {
-					if (!hasStarted) {
-						hasStarted = true;
-						reply.start(status, wire.answerHeaders(headers));
-					}
-				},
-				onBytes: passOn,
-				onAnswered(status) {
-					cancelAttempt = undefined;
-					reply.end();
-					finish('answered', status);
-				},
-				onFailed(failure) {
-					cancelAttempt = undefined;
-					if (failure.outcome !== 'ran') {
-						failedUpstreams.add(target.peer);
-					}
-
-					resumeAfter = failure.lastEventId ?? resumeAfter;
-					afterFailure(target, failure);
-				},
+			onBytes: passOn,
+			onAnswered(status) {
+				reply.end();
+				finish('answered', status);
 			},
-		);
-		if (!hasEnded && running.isRunning()) {
-			cancelAttempt = running.cancel;
-		}
+			onFailed({target}, failure) {
+				afterFailure(target, failure);
+			},
+			onSilent,
+			onSuccessorFailed({target}, failure) {
+				noteFailed(target, failure);
+				logFailure(target, failure, 'other-attempt');
+			},
+			onKept({target}, wasSent) {
+				if (wasSent) {
+					noteMayHaveRun(target);
+				}
+
+				logTakeover(target, 'kept');
+			},
+			onMoved(from, to, basis) {
+				if (basis.kind === 'failure') {
+					noteFailed(from.target, basis.failure);
+					logFailure(from.target, basis.failure, 'other-attempt');
+				} else {
+					noteMayHaveRun(from.target);
+				}
+
+				lastObstacle = undefined;
+				logTakeover(to.target, basis.kind);
+			},
+		},
+	);
+
+	const logTakeover = (
+		target: attempt.AttemptTarget,
+		result: 'kept' | attemptPair.MoveBasis['kind'],
+	) => {
+		log.note({
+			kind: 'request-takeover',
+			request: requestId,
+			route: route.name,
+			successor: target.peer,
+			result,
+			remainingMs: Math.round(remainingMs()),
+		});
 	};
 
-	const sendTo = (
+	/** Describes an attempt that is started by the pair. */
+	const createMember = (
+		target: attempt.AttemptTarget,
+		account: dispatcher.Dispatched | undefined,
+	): attemptPair.PairMember => ({
+		target,
+		account,
+		start: (listener) =>
+			attempt.startAttempt(
+				{
+					clock,
+					wire,
+					transport: services.transport,
+					request,
+					target,
+					account,
+					isIdempotent,
+					mayAskAgain: () =>
+						attempts.hasSuccessor || (isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams),
+					isResumption: hasStarted,
+				},
+				listener,
+			),
+	});
+
+	const memberAtUpstream = (
 		choice: dispatcher.Choice & {kind: 'upstream'},
-		dispatchRequest: dispatcher.DispatchRequest,
-	) => {
+	): attemptPair.PairMember => {
 		const {upstream, basis} = choice;
 		const {id, address} = upstream.entry;
 		triedUpstreams.add(id);
@@ -335,13 +477,13 @@
 			resumeAfterEventId: resumeAfter,
 			promptSource: choice.promptSource?.entry.address,
 		});
-		attemptAt(
+		return createMember(
 			{peer: id, address, headers, isRelay: false, expectedMs: basis.expectedMs},
-			services.dispatcher.dispatch(choice, dispatchRequest),
+			services.dispatcher.dispatch(choice, dispatchRequest()),
 		);
 	};
 
-	const relayTo = (choice: dispatcher.Choice & {kind: 'region'}) => {
+	const memberInRegion = (choice: dispatcher.Choice & {kind: 'region'}): attemptPair.PairMember => {
 		const {region, member, basis} = choice;
 		triedRegions.add(region);
 		sends++;
@@ -363,7 +505,7 @@
 			relayHeaders.upstreamsLeftHeader,
 			String(request.maxUpstreams - upstreamsThatRan),
 		);
-		attemptAt(
+		return createMember(
 			{
 				peer: member.name,
 				address: member.peerAddress,
@@ -375,6 +517,21 @@
 		);
 	};
 
+	/** Tells of the send in the log and counts it. */
+	const memberFor = (choice: SendChoice): attemptPair.PairMember =>
+		choice.kind === 'upstream' ? memberAtUpstream(choice) : memberInRegion(choice);
+
+	const dispatchRequest = (): dispatcher.DispatchRequest => ({
+		route,
+		service,
+		work,
+		remainingMs: remainingMs(),
+		triedUpstreams,
+		failedUpstreams,
+		triedRegions,
+		mayCross: request.relayedFrom === undefined,
+	});
+
 	const next = () => {
 		if (hasEnded) {
 			return;
@@ -385,21 +542,9 @@
 			return;
 		}
 
-		const dispatchRequest: dispatcher.DispatchRequest = {
-			route,
-			service,
-			work,
-			remainingMs: remainingMs(),
-			triedUpstreams,
-			failedUpstreams,
-			triedRegions,
-			mayCross: request.relayedFrom === undefined,
-		};
-		const choice = services.dispatcher.choose(dispatchRequest);
-		if (choice.kind === 'upstream') {
-			sendTo(choice, dispatchRequest);
-		} else if (choice.kind === 'region') {
-			relayTo(choice);
+		const choice = services.dispatcher.choose(dispatchRequest());
+		if (choice.kind !== 'refuse') {
+			attempts.startFirst(memberFor(choice));
 		} else if (choice.reason === 'no-upstream' && waitedMs < route.goalMs * waitForUpstreamShare) {
 			waitedMs += waitStepMs;
 			after(waitStepMs, next);
@@ -417,7 +562,7 @@
 				return;
 			}
 
-			cancelAttempt?.();
+			attempts.cancel();
 			finish('caller-gone', 0);
 		},
 	};
--- a/packages/gateway/src/common/upstream-transport.ts
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -22,6 +22,8 @@
 
 /** Callbacks of one exchange. After `onEnd`, `onFailure` or a cancel, nothing more is called. */
 export type TransportListener = {
+	/** A connection stands and the request is written to it. */
+	onSent(): void;
 	onHead(status: number, headers: wireFormat.Headers): void;
 	onData(bytes: Uint8Array): void;
 	/** The answer is complete. */
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -153,6 +153,8 @@
 					controller = started;
 					if (isCancelled) {
 						started.abort(new Error('cancelled'));
+					} else {
+						listener.onSent();
 					}
 				},
 				onResponseStart(started, status, headers) {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -124,6 +124,7 @@
 		budget,
 		log,
 		ownRegion: vm.region,
+		isReachable: fleet.isReachable,
 		versions,
 	});
 
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -44,6 +44,7 @@
 		pool.send(
 			{address, method: 'GET', path: '/x', headers: ['Host', 'a'], needsRecentConnection},
 			{
+				onSent: () => undefined,
 				onHead(status) {
 					seen.status = status;
 				},
@@ -201,6 +202,7 @@
 			needsRecentConnection: false,
 		},
 		{
+			onSent: () => undefined,
 			onHead: () => undefined,
 			onData: () => undefined,
 			onEnd: () => undefined,
--- a/packages/gateway/src/test/engine-run.ts
+++ b/packages/gateway/src/test/engine-run.ts
@@ -22,11 +22,12 @@
 	engineClock?(clock: manualClock.ManualClock): clockService.Clock;
 };
 
-/** Timers that fire late, as those of an event loop that is held up. */
-export class LateClock extends clockService.Clock {
-	lateMs = 0;
-
-	constructor(readonly inner: clockService.Clock) {
+/** Clock of an event loop that is held up: no timer fires before it goes on. */
+export class HeldUpClock extends clockService.Clock {
+	constructor(
+		readonly inner: clockService.Clock,
+		readonly heldUntilMs: number,
+	) {
 		super();
 	}
 
@@ -39,14 +40,14 @@
 	}
 
 	override setTimer(callback: () => void, delayMs: number): disposable.Disposable {
-		return this.inner.setTimer(callback, delayMs + this.lateMs);
+		return this.inner.setTimer(callback, Math.max(delayMs, this.heldUntilMs - this.nowMs()));
 	}
 }
 
 /** Starts a request on a deployment whose upstreams are answered by hand. */
 export const start = (route: routeConfig.Route, options: RunOptions = {}) => {
 	const deployment = fixtures.createDeployment();
-	const {clock, registry, subject} = deployment;
+	const {clock, fleet, registry, subject} = deployment;
 	const service =
 		route.targets[0]!.service === 'model' ? fixtures.modelService : fixtures.deskService;
 	for (let index = 1; index <= (options.upstreams ?? 3); index++) {
@@ -73,6 +74,7 @@
 			},
 		},
 		ownRegion: 'north',
+		isReachable: fleet.isReachable,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
 	});
 	const isModel = service.name === 'model';
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -11,6 +11,8 @@
 
 export class FakeTransport extends upstreamTransport.UpstreamTransport {
 	readonly sent: Sent[] = [];
+	/** Whether connections stand at once; otherwise the test calls `onSent`. */
+	connectsAtOnce = true;
 
 	get last(): Sent {
 		return this.sent.at(-1)!;
@@ -22,6 +24,10 @@
 	): upstreamTransport.Exchange {
 		const sent: Sent = {request, listener, isCancelled: false};
 		this.sent.push(sent);
+		if (this.connectsAtOnce) {
+			listener.onSent();
+		}
+
 		return {
 			cancel() {
 				sent.isCancelled = true;
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -165,19 +165,31 @@
 	transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
 	await clock.advance(1300);
 	t.match(
-		events.find((event) => event.kind === 'request-attempt-failed'),
-		{detail: 'stalled', events: 1, silentMs: 1200, stallLimitMs: 1200, timerLateMs: 0},
+		events.find((event) => event.kind === 'request-silent'),
+		{
+			step: 'mid-stream',
+			events: 1,
+			silentMs: 1200,
+			limitMs: 1200,
+			timerLateMs: 0,
+			next: 'takeover',
+		},
 	);
 });
 
 tap.t.test('a stream that stalls moves', async (t) => {
-	const {clock, transport} = start(fixtures.shortRoute);
+	const {clock, transport, reply} = start(fixtures.shortRoute);
 	const first = transport.last;
 	first.listener.onHead(200, signed);
 	first.listener.onData(bytes('id: 1\ndata: a\n\n'));
 	await clock.advance(1300);
-	t.ok(first.isCancelled, 'the first run is stopped');
 	t.equal(headerOf(transport.last, 'after'), '1');
+	t.notOk(first.isCancelled, 'the other one may still refuse');
+	transport.last.listener.onHead(200, signed);
+	t.ok(first.isCancelled, 'the first run is stopped');
+	transport.last.listener.onData(bytes('id: 2\ndata: b\n\n'));
+	transport.last.listener.onEnd();
+	t.match(reply, {text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', ending: 'complete'});
 });
 
 tap.t.test('a relayed stream that stalls is left to the daemon that relays it', async (t) => {
--- a/packages/gateway/src/test/silent-upstreams.test.ts
+++ b/packages/gateway/src/test/silent-upstreams.test.ts
@@ -70,11 +70,14 @@
 tap.t.test('a late first event is not given up for a refusal', async (t) => {
 	const {clock, transport, reply} = start(fixtures.shortRoute, {upstreams: 2});
 	const first = transport.last;
-	await clock.advance(silenceMs);
-	for (const other of transport.sent.slice(1)) {
-		other.listener.onHead(503, {refused: '1'});
+	while (clock.nowMs() < silenceMs) {
+		await clock.advance(10);
+		if (transport.sent.length === 2 && !transport.last.isCancelled) {
+			transport.last.listener.onHead(503, {refused: '1'});
+		}
 	}
 
+	t.notOk(first.isCancelled);
 	t.equal(reply.status, 0);
 	first.listener.onHead(200, signed);
 	first.listener.onData(bytes(firstEvent));
@@ -123,16 +126,10 @@
 
 // Guards against the daemon's own delay taken for the upstream's silence.
 tap.t.test('a daemon that was held up reads before it judges', async (t) => {
-	let late: engineRun.LateClock | undefined;
 	const {clock, transport, reply, first} = startStream({
-		engineClock(inner) {
-			late = new engineRun.LateClock(inner);
-			late.lateMs = 1200;
-			return late;
-		},
+		engineClock: (inner) => new engineRun.HeldUpClock(inner, 2400),
 	});
-	late!.lateMs = 0;
-	// The loop is held up until 2400 ms; the timer fires before the sockets are read.
+	// The timer fires at 2400 ms, before the sockets are read.
 	await clock.advance(2410);
 	t.equal(transport.sent.length, 1);
 	first.listener.onData(bytes(secondEvent));
@@ -152,3 +149,96 @@
 	first.listener.onEnd();
 	t.equal(reply.ending, 'complete');
 });
+
+// Guards against two upstreams at work on one stream: the platform allows 400 ms.
+tap.t.test('a successor that holds the request takes over in time', async (t) => {
+	const {clock, transport, reply, first} = startStream();
+	await clock.advance(1200);
+	t.equal(transport.sent.length, 2);
+	await clock.advance(240);
+	t.notOk(first.isCancelled);
+	await clock.advance(100);
+	t.ok(first.isCancelled);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes(secondEvent));
+	transport.last.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against a silent run that is given up for a peer that cannot be reached.
+tap.t.test('a successor without a connection does not take over', async (t) => {
+	const {clock, transport, first} = startStream({upstreams: 2});
+	transport.connectsAtOnce = false;
+	await clock.advance(1700);
+	t.equal(transport.sent.length, 2);
+	t.notOk(first.isCancelled);
+	transport.last.listener.onFailure({mayHaveBeenSent: false, detail: 'UND_ERR_CONNECT_TIMEOUT'});
+	t.notOk(first.isCancelled);
+});
+
+// Guards against an answer that breaks with its first run though another has the request.
+tap.t.test('a run that breaks leaves the answer to its successor', async (t) => {
+	const {clock, transport, reply, first} = startStream();
+	await clock.advance(1250);
+	first.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, 2);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes(secondEvent));
+	transport.last.listener.onEnd();
+	t.match(reply, {text: firstEvent + secondEvent, ending: 'complete'});
+});
+
+// Guards against the failure of a second run in place of the first one's answer.
+tap.t.test('a failed successor does not answer', async (t) => {
+	const {clock, transport, reply} = start(fixtures.lookupRoute);
+	const first = transport.last;
+	await clock.advance(750);
+	t.equal(transport.sent.length, 2);
+	transport.last.listener.onHead(500, signed);
+	t.equal(reply.status, 0);
+	await clock.advance(500);
+	t.equal(transport.sent.length, 2, 'two upstreams are all that the route allows');
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes('found'));
+	first.listener.onEnd();
+	t.match(reply, {status: 200, text: 'found', ending: 'complete'});
+});
+
+// Guards against a plain answer that is thrown away before another one is known.
+tap.t.test('the first of two plain answers wins', async (t) => {
+	for (const winner of [0, 1]) {
+		const {clock, transport, reply} = start(fixtures.lookupRoute);
+		await clock.advance(1500);
+		t.equal(transport.sent.length, 2);
+		t.notOk(transport.sent.some(({isCancelled}) => isCancelled));
+		const {listener} = transport.sent[winner]!;
+		listener.onHead(200, signed);
+		t.equal(transport.sent[0]!.isCancelled, winner === 1);
+		listener.onData(bytes('found'));
+		listener.onEnd();
+		t.ok(transport.sent[1 - winner]!.isCancelled);
+		t.match(reply, {status: 200, text: 'found', ending: 'complete'});
+	}
+});
+
+// Guards against a wait for a daemon whose region is cut off.
+tap.t.test('a relayed request is not left with a region that is cut off', async (t) => {
+	const {clock, reply, relay, events} = await startRelayed();
+	await clock.advance(2600);
+	t.ok(relay.isCancelled);
+	t.equal(reply.status, 502);
+	t.match(
+		events.findLast((event) => event.kind === 'request-silent'),
+		{isRelay: true, next: 'give-up'},
+	);
+});
+
+// Guards against runs that go on after the caller has left.
+tap.t.test('a caller that leaves stops both runs', async (t) => {
+	const {clock, transport, course, first} = startStream();
+	await clock.advance(1250);
+	course.dispose();
+	t.ok(first.isCancelled);
+	t.ok(transport.last.isCancelled);
+	t.equal(clock.pendingTimers, 0);
+});
