Do not begin a plain answer again when the caller has part of it

What callers saw: an idempotent plain answer of more than 256 KiB is passed on while it is read. When its upstream broke off or paused, the request was sent again and the second answer was appended to the first part, on a connection that looked complete or was cut by the length.

Cause: only the kind of work decided whether a request may be sent again, not what the caller has already. Streams go on after their last event; a plain answer cannot. Such an answer now breaks visibly when its upstream breaks off, and is waited for when it pauses.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -4,11 +4,11 @@
  */
 
 /** Why a request is not sent again after an attempt. */
-export type ResendObstacle = 'not-idempotent' | 'no-time' | 'upstreams-used' | 'budget';
+export type ResendObstacle =
+	'not-idempotent' | 'partly-passed' | 'no-time' | 'upstreams-used' | 'budget';
 
 /** Why no other upstream is tried beside a silent one. */
-export type TakeoverObstacle =
-	'no-time' | 'upstreams-used' | 'budget' | 'relayed' | 'no-upstream' | 'overloaded';
+export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded';
 
 /** Events of one request; all carry its id. */
 export type RequestEvent = {request: string; route: string} & (
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -197,6 +197,9 @@
 		}
 	};
 
+	/** The caller has part of an answer that no other run can go on with. */
+	const isPartlyPassed = () => hasStarted && !(route.work === 'stream' && route.canResume);
+
 	/** Why the request may not be sent again after an attempt; takes from the budget when it may. */
 	const obstacleToResend = (
 		outcome: answerVerdict.Outcome,
@@ -205,6 +208,10 @@
 			return 'not-idempotent';
 		}
 
+		if (isPartlyPassed()) {
+			return 'partly-passed';
+		}
+
 		if (remainingMs() <= minUsefulMs) {
 			return 'no-time';
 		}
@@ -293,6 +300,10 @@
 	const obstacleToTakeover = (
 		target: attempt.AttemptTarget,
 	): gatewayEvent.TakeoverObstacle | undefined => {
+		if (isPartlyPassed()) {
+			return 'partly-passed';
+		}
+
 		if (remainingMs() <= minUsefulMs) {
 			return 'no-time';
 		}
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -104,6 +104,28 @@
 	t.match(reply, {status: 200, text: 'whole', ending: 'complete'});
 });
 
+// Guards against an answer made of two runs, when part of a plain one was passed on.
+tap.t.test('a large answer that breaks midway is not begun again', async (t) => {
+	const {transport, reply} = start(fixtures.lookupRoute);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(new Uint8Array(300_000));
+	t.equal(reply.text.length, 300_000);
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, 1);
+	t.equal(reply.ending, 'broken');
+});
+
+// Guards against a second run of a plain answer of which the caller has a part.
+tap.t.test('a large answer that pauses waits for its upstream', async (t) => {
+	const {clock, transport, reply} = start(fixtures.lookupRoute);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(new Uint8Array(300_000));
+	await clock.advance(2000);
+	t.equal(transport.sent.length, 1);
+	transport.last.listener.onEnd();
+	t.equal(reply.ending, 'complete');
+});
+
 tap.t.test('no more upstreams run a request than its route allows', async (t) => {
 	const {transport, reply} = start(fixtures.lookupRoute);
 	for (let index = 0; index < 2; index++) {
