Cut events in time linear to the bytes, and tell when an event has no end

Cause: the cutter joined all bytes of an incomplete event again at each piece and searched all of them again for an empty line, so time and copies grew with the square of the bytes, and it kept them without a limit.

Now bytes of an incomplete event stand in one array that doubles (growing-bytes.ts), and only new bytes and the two before them are searched. `isOverlong` tells that more than maxEventBytes (256 KiB) have come since the last event. Comments, empty lines and lines without a `data` or `id` field make no event. The caller of the cutter does not use it yet.

--- a/packages/gateway/src/common/event-cutter.ts
+++ b/packages/gateway/src/common/event-cutter.ts
@@ -3,32 +3,47 @@
  * that breaks midway can go on elsewhere without half an event.
  */
 
+import * as growingBytes from './growing-bytes.js';
+
 export type EventCutter = {
 	/** Takes bytes and returns those that complete events; undefined when none is complete. */
 	push(bytes: Uint8Array): Uint8Array | undefined;
-	/** Bytes of an event that is not complete. */
+	/** Bytes of an event that is not complete; valid until the next push. */
 	rest(): Uint8Array;
 	/** Id of the last complete event. */
 	readonly lastEventId: string | undefined;
 	/** Complete events so far. */
 	readonly events: number;
+	/** More than {@link maxEventBytes} have come since the last complete event. */
+	readonly isOverlong: boolean;
 };
 
+/** Limit of one event. Runners write some hundred bytes an event. */
+export const maxEventBytes = 262_144;
+
 const lineFeed = 10;
 const carriageReturn = 13;
 const idField = /^id: ?(.*?)\r?$/u;
+/** Comments and empty lines make no event. */
+const eventField = /^(?:data|id)(?:[:\r]|$)/u;
+/** An empty line and the line end before it are at most three bytes, so two may lie before new bytes. */
+const borderBytes = 2;
 
 const isLineEnd = (byte: number | undefined) => byte === lineFeed || byte === carriageReturn;
 
-/** Index behind the last empty line; 0 when there is none. */
-const endOfLastEvent = (bytes: Uint8Array): number => {
-	for (let index = bytes.length - 1; index > 0; index--) {
+/**
+ * Index behind the last empty line that ends in `bytes`; 0 when there is none.
+ * @param border last bytes before `bytes`
+ */
+const endOfLastEvent = (border: Uint8Array, bytes: Uint8Array): number => {
+	const byteAt = (index: number) => (index < 0 ? border.at(index) : bytes[index]);
+	for (let index = bytes.length - 1; index >= 0; index--) {
 		if (bytes[index] !== lineFeed) {
 			continue;
 		}
 
-		const previous = bytes[index - 1] === carriageReturn ? index - 2 : index - 1;
-		if (previous >= 0 && bytes[previous] === lineFeed) {
+		const previous = byteAt(index - 1) === carriageReturn ? index - 2 : index - 1;
+		if (byteAt(previous) === lineFeed) {
 			return index + 1;
 		}
 	}
@@ -36,20 +51,14 @@
 	return 0;
 };
 
-const join = (first: Uint8Array, second: Uint8Array): Uint8Array => {
-	const joined = new Uint8Array(first.length + second.length);
-	joined.set(first);
-	joined.set(second, first.length);
-	return joined;
-};
-
 /** Creates a cutter at the start of a stream. */
 export const createEventCutter = (): EventCutter => {
-	let pending: Uint8Array = new Uint8Array(0);
+	const pending = growingBytes.createGrowingBytes();
 	let lastEventId: string | undefined;
 	let events = 0;
+	let sinceEventBytes = 0;
 
-	const readIds = (bytes: Uint8Array) => {
+	const readEvents = (bytes: Uint8Array) => {
 		const text = new TextDecoder('latin1').decode(bytes);
 		let isInEvent = false;
 		for (const line of text.split('\n')) {
@@ -60,30 +69,43 @@
 				continue;
 			}
 
-			isInEvent = true;
+			isInEvent ||= eventField.test(line);
 			lastEventId = idField.exec(line)?.[1] ?? lastEventId;
 		}
 	};
 
+	/** Takes what is pending and the bytes that complete it. */
+	const complete = (bytes: Uint8Array): Uint8Array => {
+		if (pending.length === 0) {
+			return bytes;
+		}
+
+		pending.append(bytes);
+		return pending.take();
+	};
+
 	return {
 		push(bytes) {
-			const all = pending.length === 0 ? bytes : join(pending, bytes);
-			const end = endOfLastEvent(all);
-			pending = all.subarray(end);
-			if (end === 0) {
-				return undefined;
+			const end = endOfLastEvent(pending.last(borderBytes), bytes);
+			const before = events;
+			const whole = end === 0 ? undefined : complete(bytes.subarray(0, end));
+			if (whole) {
+				readEvents(whole);
 			}
 
-			const complete = all.subarray(0, end);
-			readIds(complete);
-			return complete;
+			pending.append(bytes.subarray(end));
+			sinceEventBytes = events === before ? sinceEventBytes + bytes.length : pending.length;
+			return whole;
 		},
-		rest: () => pending,
+		rest: () => pending.view(),
 		get lastEventId() {
 			return lastEventId;
 		},
 		get events() {
 			return events;
 		},
+		get isOverlong() {
+			return sinceEventBytes > maxEventBytes;
+		},
 	};
 };
--- a/packages/gateway/src/test/event-cutter.test.ts
+++ b/packages/gateway/src/test/event-cutter.test.ts
@@ -39,3 +39,73 @@
 	);
 	t.pass();
 });
+
+const kib = 1024;
+
+/** Bytes that typed arrays copy while `run` runs. */
+const copiedBytesIn = (t: tap.Test, run: () => void): number => {
+	const calls = t.capture(Uint8Array.prototype, 'set', Uint8Array.prototype.set);
+	run();
+	calls.restore();
+	return calls().reduce((sum, {args}) => sum + args[0].length, 0);
+};
+
+// Time that grows with the square of the bytes of an event without end.
+for (const [name, pieceBytes] of [
+	['large', 64 * kib],
+	['small', kib],
+] as const) {
+	tap.t.test(`${name} pieces of a long event are not copied at each piece`, async (t) => {
+		const cutter = eventCutter.createEventCutter();
+		const pieces = 256;
+		const piece = new TextEncoder().encode('x'.repeat(pieceBytes));
+		const copiedBytes = copiedBytesIn(t, () => {
+			for (let index = 0; index < pieces; index++) {
+				cutter.push(piece);
+			}
+		});
+		const totalBytes = pieces * pieceBytes;
+		t.ok(copiedBytes <= 4 * totalBytes, `${copiedBytes} bytes copied of ${totalBytes}`);
+	});
+}
+
+// Bytes that hold no event were kept without a limit.
+tap.t.test('bytes without an event are overlong, events are not', async (t) => {
+	const event = new TextEncoder().encode(eventText(1, 'x'.repeat(300), '\n'));
+	const proper = eventCutter.createEventCutter();
+	for (let bytes = 0; bytes < 4 * eventCutter.maxEventBytes; bytes += event.length) {
+		proper.push(event);
+	}
+
+	t.notOk(proper.isOverlong);
+	for (const text of ['x', '\n', '\r\n', ': a comment\n\n', 'no field\n\n']) {
+		const cutter = eventCutter.createEventCutter();
+		cutter.push(event);
+		const piece = new TextEncoder().encode(text.repeat(Math.ceil((4 * kib) / text.length)));
+		let bytes = 0;
+		while (!cutter.isOverlong && bytes <= 2 * eventCutter.maxEventBytes) {
+			cutter.push(piece);
+			bytes += piece.length;
+		}
+
+		t.ok(cutter.isOverlong, JSON.stringify(text));
+		t.equal(cutter.events, 1);
+		t.ok(bytes > eventCutter.maxEventBytes, 'not before the limit');
+		t.ok(cutter.rest().length <= eventCutter.maxEventBytes + piece.length);
+	}
+});
+
+tap.t.test('an event is found however its end is cut', async (t) => {
+	for (const newline of ['\n', '\r\n']) {
+		const bytes = new TextEncoder().encode(eventText(1, 'a', newline));
+		for (let cut = 0; cut <= bytes.length; cut++) {
+			const cutter = eventCutter.createEventCutter();
+			for (const piece of [bytes.subarray(0, cut), bytes.subarray(cut)]) {
+				cutter.push(piece);
+			}
+
+			t.equal(cutter.events, 1);
+			t.equal(cutter.rest().length, 0);
+		}
+	}
+});
