Take an event without end for no answer, and only whole events for progress

Cause: an attempt at a stream took each piece of bytes for an event: the piece renewed the watch for stalls and counted as the first event, so a runner that sends bytes without an event looked alive, and an idempotent request stayed with it until the caller left. Bytes of a stream that may not move went to the caller as they came, event or not.

All streams go through the event cutter now. Only a complete event is progress. Beyond 256 KiB without one the attempt fails as `not-an-answer`, which is the upstream's fault: its connection is reset, a stream that may move goes on elsewhere, one that may not ends broken, or with 502 when the caller has nothing yet. A stream that may not move reaches its caller by whole events; a last event without an empty line is passed on at the end of the answer as before.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -100,7 +100,7 @@
 	const {clock, wire, request, target, account} = options;
 	const {route} = request;
 	const isStream = route.work === 'stream';
-	const cutter = isStream && route.canResume ? eventCutter.createEventCutter() : undefined;
+	const cutter = isStream ? eventCutter.createEventCutter() : undefined;
 	const startedAtMs = clock.nowMs();
 	const held: Uint8Array[] = [];
 	let heldBytes = 0;
@@ -112,6 +112,9 @@
 	let progressAtMs = startedAtMs;
 	const running: {exchange?: upstreamTransport.Exchange} = {};
 
+	/** Where another run may go on. */
+	const lastEventId = () => (route.canResume ? cutter?.lastEventId : undefined);
+
 	const close = () => {
 		isOver = true;
 		watch?.dispose();
@@ -141,7 +144,7 @@
 			startedAtMs,
 			events: cutter?.events ?? 0,
 			silentMs: clock.nowMs() - progressAtMs,
-			lastEventId: cutter?.lastEventId,
+			lastEventId: lastEventId(),
 			...more,
 		});
 	};
@@ -213,15 +216,27 @@
 		}
 	};
 
+	/** Only complete events are progress: a runner in trouble may send other bytes without end. */
+	const passEvents = (events: eventCutter.EventCutter, bytes: Uint8Array) => {
+		const eventsBefore = events.events;
+		const complete = events.push(bytes);
+		if (events.events > eventsBefore) {
+			noteProgress();
+		}
+
+		if (complete) {
+			step = 'mid-stream';
+			pass(complete);
+		}
+
+		if (events.isOverlong) {
+			fail('unknown', 'not-an-answer', true);
+		}
+	};
+
 	const onData = (bytes: Uint8Array) => {
 		if (cutter && head!.status < 300) {
-			const complete = cutter.push(bytes);
-			if (complete) {
-				step = 'mid-stream';
-				noteProgress();
-				pass(complete);
-			}
-
+			passEvents(cutter, bytes);
 			return;
 		}
 
@@ -306,7 +321,7 @@
 	return {
 		isRunning: () => !isOver,
 		get lastEventId() {
-			return cutter?.lastEventId;
+			return lastEventId();
 		},
 		get events() {
 			return cutter?.events ?? 0;
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -92,6 +92,89 @@
 	}
 });
 
+const pieceWithoutEvent = new Uint8Array(65_536).fill(120);
+
+/** Sends pieces until the exchange is cancelled, at most `count`. @returns bytes sent. */
+const sendPieces = (sent: fakeTransport.Sent, count: number): number => {
+	let sentBytes = 0;
+	while (!sent.isCancelled && sentBytes < count * pieceWithoutEvent.length) {
+		sent.listener.onData(pieceWithoutEvent);
+		sentBytes += pieceWithoutEvent.length;
+	}
+
+	return sentBytes;
+};
+
+// An event without end was kept until the caller left.
+tap.t.test('an event without end is no answer, and the request goes elsewhere', async (t) => {
+	const {transport, reply, events} = start(fixtures.shortRoute);
+	const first = transport.last;
+	first.listener.onHead(200, signed);
+	t.ok(sendPieces(first, 64) < 400_000, 'ends at the limit of one event');
+	t.ok(first.isCancelled);
+	t.match(
+		events.find(({kind}) => kind === 'request-attempt-failed'),
+		{step: 'first-token', detail: 'not-an-answer', outcome: 'unknown', next: 'resend'},
+	);
+	t.equal(transport.sent.length, 2);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	transport.last.listener.onEnd();
+	t.match(reply, {text: 'id: 1\ndata: a\n\n', ending: 'complete'});
+});
+
+// Bytes of a stream that may not move went to the caller as they came.
+tap.t.test('a stream that may not move and holds no event is no answer', async (t) => {
+	const {transport, reply} = start(fixtures.longRoute);
+	transport.last.listener.onHead(200, signed);
+	sendPieces(transport.last, 64);
+	t.ok(transport.last.isCancelled);
+	t.equal(transport.sent.length, 1);
+	t.equal(reply.status, 502);
+	t.match(reply.text, '"outcome":"unknown"');
+});
+
+tap.t.test('an event without end breaks a stream that may not move', async (t) => {
+	const {transport, reply} = start(fixtures.longRoute);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	sendPieces(transport.last, 64);
+	t.ok(transport.last.isCancelled);
+	t.match(reply, {status: 200, text: 'id: 1\ndata: a\n\n', ending: 'broken'});
+});
+
+// Bytes without an event renewed the watch for stalls.
+tap.t.test('bytes without an event are no sign of life', async (t) => {
+	for (const isFirst of [true, false]) {
+		const {clock, transport} = start(fixtures.shortRoute);
+		const first = transport.last;
+		first.listener.onHead(200, signed);
+		if (!isFirst) {
+			first.listener.onData(bytes('id: 1\ndata: a\n\n'));
+		}
+
+		for (let round = 0; round < 20 && transport.sent.length === 1; round++) {
+			await clock.advance(100);
+			first.listener.onData(bytes(round % 2 === 0 ? 'x' : ': comment\n\n'));
+		}
+
+		t.equal(transport.sent.length, 2);
+		transport.last.listener.onHead(200, signed);
+		t.ok(first.isCancelled);
+	}
+});
+
+tap.t.test('a whole answer of a stream may end without an empty line', async (t) => {
+	for (const route of [fixtures.longRoute, fixtures.shortRoute]) {
+		const {transport, reply} = start(route);
+		transport.last.listener.onHead(200, signed);
+		transport.last.listener.onData(bytes('id: 1\ndata: a\n\nid: 2\n'));
+		transport.last.listener.onData(bytes('data: b'));
+		transport.last.listener.onEnd();
+		t.match(reply, {text: 'id: 1\ndata: a\n\nid: 2\ndata: b', ending: 'complete'});
+	}
+});
+
 tap.t.test('a truncated answer of an idempotent request is asked for again', async (t) => {
 	const {transport, reply} = start(fixtures.lookupRoute);
 	transport.last.listener.onHead(200, signed);
