Keep a planned stop going when a second signal comes

Callers lost the answers in progress when SIGTERM came twice: the listeners were removed by the first signal, so the second one met the default action and ended the process at once (exit status 143, 0.3 s into a stop of 1.5 s, in a trial with two signals). Nothing else ends a process in its stop; SIGHUP has its own listener throughout.

The listeners now stay and start one stop only. A process that must end sooner gets SIGKILL, as the platform does after the grace.

--- a/packages/base/src/node/daemon-program.ts
+++ b/packages/base/src/node/daemon-program.ts
@@ -20,11 +20,17 @@
 };
 
 const stopOnSignal = (stop: () => Promise<void>): void => {
-	for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-		process.once(signal, () => {
+	let isStopping = false;
+	const onSignal = () => {
+		if (!isStopping) {
+			isStopping = true;
 			void stop();
-		});
-	}
+		}
+	};
+
+	// The listeners stay: without one, a further signal would end the process at once.
+	process.on('SIGINT', onSignal);
+	process.on('SIGTERM', onSignal);
 };
 
 /** Writes one line to standard error and sets the exit code. */
