Close idle connections last in a planned stop, and none that carries a request

Of an answer of 20 MB that was ended but still being written to a slow caller, 3.9 MB arrived.

Causes: - "Idle" meant "no head was read yet". Timers run before the loop reads its sockets, so a request that arrived during a stall didn't count, nor did half a head; and the close came every 100 ms from 1.3 s on, while new connections were accepted until 2.2 s, so these were closed before their first request. - `http.Server.close` also destroys each connection whose answer has been ended, whether it has been written or not.

Now a connection counts as idle when no byte has come since its last answer or its opening, and not for less than 250 ms; that is looked at after the loop has read its sockets once more. Listening ends with the method of `net.Server`, also after that, so that connections in the queue are accepted first. Idle connections are closed at the very end instead of at 1.3 s: by then callers have a newer answer of the directory (2 s) or `Connection: close` with an answer, so fewer requests cross. A request that does cross the close is still not run. The server of other daemons stops in the same way; before, it was destroyed at the end without a warning.

Ruled out: requests in progress were not closed by `closeIdle` (they are counted until their answer is written), nor by the limits in force.

`a stop asks callers to leave and runs nothing that crosses it` took a half read head for an idle connection, which is the fault itself; two tests replace it, one for each half of its name, and three others fail on the code before (5 of 33 checks). planned-stop.test.ts has the order of the steps.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -1,12 +1,13 @@
 /** HTTP server for callers and, on another port, for requests that other daemons relay. */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as event from '@hawthornfront/base/common/event.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as routeConfig from '../common/route-config.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
+import * as callerConnections from './caller-connections.js';
 
 /** A request whose head was read. */
 export type CallerHead = {
@@ -39,11 +40,13 @@
 	applyLimits(limits: routeConfig.CallerLimits): void;
 	/** Asks callers to leave with their next answer. */
 	startDraining(): void;
+	/** Closes connections on which no request is in progress, half read or to be expected at once. */
 	closeIdle(): void;
 	/** Takes no new connections. */
 	stopListening(): void;
 	/** Requests between their head and the end of their answer. */
 	readonly inFlight: number;
+	readonly openConnections: number;
 	destroy(): void;
 };
 
@@ -51,6 +54,8 @@
 const connectionsCheckMs = 2000;
 /** Part of the idle limit that is kept beyond it, for a request that is on its way. */
 const idleSlackMs = 1000;
+/** The request for which a caller opens a connection arrives within this time on a slow network. */
+const firstRequestMs = 250;
 
 class ServerReply extends upstreamTransport.CallerReply {
 	readonly #response: http.ServerResponse;
@@ -101,7 +106,8 @@
 /**
  * Calls back after the event loop has looked at its sockets once more. After a
  * stall, the close of a caller that has left waits right behind its request, and
- * the loop reads one of the two at a time.
+ * the loop reads one of the two at a time. Timers run before the loop reads what
+ * arrived during a stall, so a decision on an idle connection waits for it too.
  */
 const afterNextPoll = (callback: () => void): void => {
 	setImmediate(() => {
@@ -114,9 +120,7 @@
 	nowMs: () => number,
 	judge: (head: CallerHead) => Verdict,
 ): CallerServer => {
-	const sockets = new Set<net.Socket>();
-	const busySockets = new Set<net.Socket>();
-	const closingSockets = new WeakSet<net.Socket>();
+	const connections = callerConnections.createCallerConnections(nowMs);
 	let isDraining = false;
 	let inFlight = 0;
 	let maxHeaderBytes = headerLimitBytes;
@@ -150,13 +154,13 @@
 
 	const onRequest = (request: http.IncomingMessage, response: http.ServerResponse) => {
 		// It crossed the close of the connection, so its answer could not be sent.
-		if (closingSockets.has(request.socket)) {
+		if (connections.isClosing(request.socket)) {
 			request.socket.destroy();
 			return;
 		}
 
 		inFlight++;
-		busySockets.add(request.socket);
+		connections.startRequest(request.socket);
 		let course: disposable.Disposable | undefined;
 		let isOver = false;
 		const end = () => {
@@ -166,7 +170,7 @@
 
 			isOver = true;
 			inFlight--;
-			busySockets.delete(request.socket);
+			connections.endRequest(request.socket);
 			course?.dispose();
 		};
 
@@ -262,14 +266,18 @@
 		},
 		onRequest,
 	);
+	// The method of the HTTP server would also destroy connections whose answer is still being written.
+	const closeListener = () => net.Server.prototype.close.call(server);
+
 	server.on('connection', (socket) => {
-		sockets.add(socket);
-		socket.on('close', () => {
-			sockets.delete(socket);
-		});
+		connections.add(socket);
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (socket.writable && !busySockets.has(socket as net.Socket) && error.code !== 'ECONNRESET') {
+		if (
+			socket.writable &&
+			!connections.isBusy(socket as net.Socket) &&
+			error.code !== 'ECONNRESET'
+		) {
 			const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
 			const text = status === 431 ? 'Request Header Fields Too Large' : 'Bad Request';
 			socket.end(`HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
@@ -298,22 +306,27 @@
 			isDraining = true;
 		},
 		closeIdle() {
-			for (const socket of sockets) {
-				if (!busySockets.has(socket) && !closingSockets.has(socket)) {
-					closingSockets.add(socket);
-					socket.end();
+			afterNextPoll(() => {
+				for (const socket of connections.all()) {
+					if ((connections.idleMs(socket) ?? 0) > firstRequestMs) {
+						connections.close(socket);
+					}
 				}
-			}
+			});
 		},
 		stopListening() {
-			server.close();
+			// Accepts those first that wait for it.
+			afterNextPoll(closeListener);
 		},
 		get inFlight() {
 			return inFlight;
 		},
+		get openConnections() {
+			return connections.count;
+		},
 		destroy() {
-			server.close();
-			for (const socket of sockets) {
+			closeListener();
+			for (const socket of connections.all()) {
 				socket.destroy();
 			}
 		},
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -362,9 +362,8 @@
 			log.note({kind: 'stopping', inFlight: inFlight(), graceMs});
 			noteReadiness();
 			gossip.announce();
-			callers.startDraining();
 			void members.leave();
-			await plannedStop.drainCallers({clock, callers, inFlight, graceMs});
+			await plannedStop.drainCallers({clock, servers: [callers, relays], graceMs});
 			log.note({
 				kind: 'stopped',
 				inFlight: inFlight(),
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -21,9 +21,10 @@
 const start = async (t: tap.Test) => {
 	const runs: Run[] = [];
 	const replies: upstreamTransport.CallerReply[] = [];
+	const time = {nowMs: 0};
 	let left = 0;
 	const server = callerServer.createCallerServer(
-		() => 0,
+		() => time.nowMs,
 		(head) =>
 			head.path === '/none/'
 				? {kind: 'reject', status: 404, reason: 'no-route'}
@@ -53,12 +54,15 @@
 	t.teardown(() => {
 		server.destroy();
 	});
-	const open = async () => {
-		const socket = net.connect(listenPort, '127.0.0.1');
-		const state = {text: '', isClosed: false};
+	const open = async (allowHalfOpen = false) => {
+		const socket = net.connect({port: listenPort, host: '127.0.0.1', allowHalfOpen});
+		const state = {text: '', hasEnded: false, isClosed: false};
 		socket.on('data', (bytes) => {
 			state.text += bytes.toString();
 		});
+		socket.on('end', () => {
+			state.hasEnded = true;
+		});
 		socket.on('close', () => {
 			state.isClosed = true;
 		});
@@ -72,7 +76,15 @@
 		return {socket, state};
 	};
 
-	return {server, runs, replies, open, left: () => left};
+	return {server, runs, replies, time, open, left: () => left};
+};
+
+/** The event loop reads no socket meanwhile. */
+const stallLoop = (durationMs: number): void => {
+	const endMs = performance.now() + durationMs;
+	while (performance.now() < endMs) {
+		// Busy.
+	}
 };
 
 const until = async (condition: () => boolean): Promise<boolean> => {
@@ -168,29 +180,107 @@
 	t.notMatch(state.text, '0\r\n\r\n');
 });
 
-tap.t.test('a stop asks callers to leave and runs nothing that crosses it', async (t) => {
-	const {server, runs, open} = await start(t);
-	const busy = await open();
+tap.t.test('a stop asks callers to leave with their answers', async (t) => {
+	const {server, open} = await start(t);
+	const {socket, state} = await open();
+	server.startDraining();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => state.text.endsWith('ok')));
+	t.match(state.text.toLowerCase(), 'connection: close');
+	t.ok(await until(() => state.isClosed));
+});
+
+tap.t.test('a request that crosses the close of its idle connection is not run', async (t) => {
+	const {server, runs, time, open} = await start(t);
+	const {socket, state} = await open(true);
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => state.text.endsWith('ok'));
+	time.nowMs += 1000;
 	server.startDraining();
-	busy.socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
-	t.ok(await until(() => busy.state.text.endsWith('ok')));
-	t.match(busy.state.text.toLowerCase(), 'connection: close');
-	const idle = await open();
-	// The server has seen the connection once another one is served.
-	await until(() => runs.length === 1);
-	idle.socket.write('GET /b/ HTTP/1.1\r\nhost: a\r\nx: ');
-	await new Promise((resolve) => {
-		setTimeout(resolve, 50);
-	});
 	server.closeIdle();
-	idle.socket.write('1\r\n\r\n');
-	t.ok(await until(() => idle.state.isClosed));
+	t.ok(await until(() => state.hasEnded));
+	socket.write('GET /b/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => server.openConnections === 0));
 	t.same(
 		runs.map(({path}) => path),
 		['/a/'],
 	);
 });
 
+// Requests that waited in the socket while the daemon stalled got no answer.
+tap.t.test('a stop answers what arrived before it closes a connection', async (t) => {
+	const {server, runs, time, open} = await start(t);
+	const kept = await open();
+	kept.socket.write('GET /kept-1/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	const half = await open();
+	half.socket.write('GET /half/ HTTP/1.1\r\nhost: a\r\nx: ');
+	const fresh = await open();
+	t.ok(await until(() => kept.state.text.endsWith('ok') && server.openConnections === 3));
+	await new Promise((resolve) => {
+		setTimeout(resolve, 50);
+	});
+	time.nowMs += 1000;
+	server.startDraining();
+	kept.socket.write('GET /kept-2/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	half.socket.write('1\r\n\r\n');
+	fresh.socket.write('GET /fresh/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	stallLoop(100);
+	server.closeIdle();
+	t.ok(await until(() => [kept, half, fresh].every(({state}) => state.isClosed)));
+	t.same(runs.map(({path}) => path).sort(), ['/fresh/', '/half/', '/kept-1/', '/kept-2/']);
+	t.ok([kept, half, fresh].every(({state}) => state.text.endsWith('ok')));
+});
+
+// A connection that was opened late in a stop was closed before its first request.
+tap.t.test('a stop does not close what was just opened or is half read', async (t) => {
+	const {server, runs, time, open} = await start(t);
+	const half = await open();
+	half.socket.write('GET /half/ HTTP/1.1\r\nhost: a\r\nx: ');
+	await until(() => server.openConnections === 1);
+	await new Promise((resolve) => {
+		setTimeout(resolve, 50);
+	});
+	time.nowMs += 1000;
+	server.startDraining();
+	const fresh = await open();
+	await until(() => server.openConnections === 2);
+	server.closeIdle();
+	await new Promise((resolve) => {
+		setTimeout(resolve, 50);
+	});
+	half.socket.write('1\r\n\r\n');
+	fresh.socket.write('GET /fresh/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => half.state.isClosed && fresh.state.isClosed));
+	t.same(runs.map(({path}) => path).sort(), ['/fresh/', '/half/']);
+});
+
+// The HTTP server destroys such a connection when it stops to listen.
+tap.t.test('a stop lets slow callers read their answer to the end', async (t) => {
+	const {server, replies, open} = await start(t);
+	const {socket, state} = await open();
+	const bytes = new Uint8Array(16_000_000);
+	let read = 0;
+	socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => replies.length === 1);
+	socket.removeAllListeners('data');
+	socket.pause();
+	replies[0]!.start(200, {'content-length': String(bytes.length)});
+	replies[0]!.write(bytes);
+	replies[0]!.end();
+	server.startDraining();
+	server.closeIdle();
+	server.stopListening();
+	await new Promise((resolve) => {
+		setTimeout(resolve, 100);
+	});
+	socket.on('data', (chunk) => {
+		read += chunk.length;
+	});
+	socket.resume();
+	t.ok(await until(() => read > bytes.length), 'head and body');
+	t.notOk(state.isClosed && read < bytes.length);
+});
+
 tap.t.test('addresses are split at the port', async (t) => {
 	t.same(settings.splitAddress('10.1.0.35:8144'), {host: '10.1.0.35', port: 8144});
 });
--- /dev/null
+++ b/packages/gateway/src/test/planned-stop.test.ts
@@ -0,0 +1,74 @@
+// The order in which a stop lets callers go.
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as tap from 'tap';
+import * as plannedStop from '../node/planned-stop.js';
+
+const start = (graceMs = 8000) => {
+	const clock = new manualClock.ManualClock();
+	const steps: string[] = [];
+	const state = {inFlight: 0, openConnections: 1, isDone: false};
+	const note = (step: string) => {
+		if (steps.at(-1) !== step) {
+			steps.push(step);
+		}
+	};
+
+	const server = {
+		get inFlight() {
+			return state.inFlight;
+		},
+		get openConnections() {
+			return state.openConnections;
+		},
+		startDraining() {
+			note('drain');
+		},
+		closeIdle() {
+			note('close-idle');
+		},
+		stopListening() {
+			note('stop-listening');
+		},
+	};
+	void plannedStop.drainCallers({clock, servers: [server], graceMs}).then(() => {
+		state.isDone = true;
+	});
+	return {clock, steps, state};
+};
+
+tap.t.test('idle connections are closed last', async (t) => {
+	const {clock, steps, state} = start();
+	state.inFlight = 1;
+	await clock.advance(2000);
+	t.same(steps, ['drain'], 'callers may still come');
+	await clock.advance(2000);
+	t.same(steps, ['drain', 'stop-listening'], 'a request is in progress');
+	state.inFlight = 0;
+	await clock.advance(200);
+	t.same(steps, ['drain', 'stop-listening', 'close-idle']);
+	t.notOk(state.isDone, 'a caller has not closed its side');
+	state.openConnections = 0;
+	await clock.advance(100);
+	t.ok(state.isDone);
+});
+
+tap.t.test('callers that never close their side do not hold a stop up', async (t) => {
+	const {clock, state} = start();
+	await clock.advance(2500);
+	state.inFlight = 1;
+	await clock.advance(2000);
+	state.inFlight = 0;
+	await clock.advance(400);
+	t.notOk(state.isDone, 'counts from the end of the last request');
+	await clock.advance(600);
+	t.ok(state.isDone);
+});
+
+tap.t.test('a stop ends before its grace does', async (t) => {
+	const {clock, state} = start(3000);
+	state.inFlight = 1;
+	await clock.advance(2700);
+	t.notOk(state.isDone);
+	await clock.advance(300);
+	t.ok(state.isDone);
+});
