Judge work that was accepted by its time, not by the admission of new work

Cause: the second choice of a request that an upstream had begun went through the same admission as a new one. A caller that has part of an answer gains from a late rest and loses everything otherwise. The budget of further sends and the number of upstreams a route allows bound it as before. A takeover from a silent upstream keeps the limit of new work, since the first upstream may be the faster one.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -27,6 +27,8 @@
 	triedRegions: ReadonlySet<string>;
 	/** False for a request that came from another region. */
 	mayCross: boolean;
+	/** An upstream was at work on it, so it is taken as long as it can begin again in time. */
+	wasAccepted: boolean;
 };
 
 /** What the choice was based on, for the log. */
@@ -345,6 +347,15 @@
 		basis,
 	});
 
+	/** Longest expected time to the first event with which a request is taken. */
+	const admissionLimitMs = ({service, route, remainingMs, wasAccepted}: DispatchRequest) => {
+		const limitMs = remainingMs * settings.admissionShare;
+		// A queue of long work grows on what is late; a plain request is short.
+		return service.engine && !wasAccepted
+			? Math.min(limitMs, route.goalMs * settings.admissionGoalFactor)
+			: limitMs;
+	};
+
 	const choose = (request: DispatchRequest): Choice => {
 		const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.ownRegion);
 		const {best, candidates} = isLocalAllowed
@@ -353,11 +364,7 @@
 		const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
 		const streamingMs = best?.streamingMs ?? 0;
 		const remote = request.mayCross ? bestRegion(request) : undefined;
-		// A queue of long work grows on what is late; a plain request is short.
-		const goalLimitMs = request.service.engine
-			? request.route.goalMs * settings.admissionGoalFactor
-			: Number.POSITIVE_INFINITY;
-		const limitMs = Math.min(request.remainingMs * settings.admissionShare, goalLimitMs);
+		const limitMs = admissionLimitMs(request);
 		if (remote && isWorthCrossing(request, localMs, remote.basis.expectedMs)) {
 			return remote.basis.expectedMs > limitMs
 				? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + overloadRetryMs)
@@ -375,7 +382,8 @@
 			heldTokens: Math.round(request.work.promptTokens - best.readTokens),
 			streamingMs: Math.round(streamingMs),
 		};
-		const lateMs = Math.max(localMs - limitMs, localMs + streamingMs - request.remainingMs);
+		const endsLateMs = request.wasAccepted ? 0 : localMs + streamingMs - request.remainingMs;
+		const lateMs = Math.max(localMs - limitMs, endsLateMs);
 		return lateMs > 0
 			? refuse('overloaded', basis, lateMs + overloadRetryMs)
 			: {
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -332,6 +332,8 @@
 		const choice = services.dispatcher.choose({
 			...dispatchRequest(),
 			failedUpstreams: new Set([...failedUpstreams, target.peer]),
+			// The silent upstream may still be the faster one.
+			wasAccepted: false,
 		});
 		if (choice.kind === 'refuse') {
 			return {obstacle: choice.reason};
@@ -541,6 +543,7 @@
 		failedUpstreams,
 		triedRegions,
 		mayCross: request.relayedFrom === undefined,
+		wasAccepted: mayHaveRun,
 	});
 
 	const next = () => {
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -168,5 +168,6 @@
 	failedUpstreams: new Set(),
 	triedRegions: new Set(),
 	mayCross: true,
+	wasAccepted: false,
 	...options,
 });
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -187,6 +187,30 @@
 	t.match(reply, {status: 200, text: 'whole', ending: 'complete'});
 });
 
+// Guards against a stream that breaks with its upstream because the others are busy.
+tap.t.test('a broken stream goes on at a busy upstream', async (t) => {
+	const {transport, subject, reply} = start(fixtures.shortRoute, {upstreams: 2});
+	const first = transport.last;
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	const busy = {requests: 12, urgentReadTokens: 140_000, otherReadTokens: 0, memoryTokens: 50_000};
+	subject.notePeerLoads('n2', [
+		{upstreamId: 'u1', ...busy},
+		{upstreamId: 'u2', ...busy},
+	]);
+	t.match(
+		subject.choose(fixtures.dispatchRequest(fixtures.shortRoute)),
+		{kind: 'refuse', reason: 'overloaded'},
+		'a new request would be late',
+	);
+	first.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, 2);
+	transport.last.listener.onHead(200, signed);
+	transport.last.listener.onData(bytes('id: 2\ndata: b\n\n'));
+	transport.last.listener.onEnd();
+	t.equal(reply.ending, 'complete');
+});
+
 // Guards against an answer made of two runs, when part of a plain one was passed on.
 tap.t.test('a large answer that breaks midway is not begun again', async (t) => {
 	const {transport, reply} = start(fixtures.lookupRoute);
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -199,6 +199,7 @@
 			failedUpstreams: new Set(),
 			triedRegions: new Set(),
 			mayCross: false,
+			wasAccepted: false,
 		};
 		const choice = subject.choose(request);
 		if (choice.kind === 'refuse') {
