Close idle connections by the limit in force, and after their bytes were read

Causes: the HTTP server sets the timer with the limit that is in force at the end of the last answer, and timers run before the loop reads its sockets.

The server now only reports the timeout. The connection is closed after the loop has looked at its sockets once more, if still nothing came and the limit in force is over; otherwise the timer gets what is left. A lowered limit closes nothing in a hurry. The close is an orderly one, and a caller that leaves its side open loses the connection 2 s later.

Ruled out, and kept as a test: lowering `idleMs`, `headerTimeoutMs`, `headerBytes` and `bodyBytes` does not touch requests in progress, before or after their head, on new or kept connections.

--- a/packages/gateway/src/node/caller-connections.ts
+++ b/packages/gateway/src/node/caller-connections.ts
@@ -1,6 +1,9 @@
 /** Connections of callers: what is in progress on them, and how long they have been idle. */
 import type * as net from 'node:net';
 
+/** Time for a caller to close its side; its socket reports a timeout then. */
+const closeTimeoutMs = 2000;
+
 type Connection = {
 	/** Requests between their head and the end of their answer. */
 	requests: number;
@@ -76,6 +79,7 @@
 			}
 
 			socket.end();
+			socket.setTimeout(closeTimeoutMs);
 		},
 		all: () => connections.keys(),
 		get count() {
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -125,6 +125,7 @@
 	let inFlight = 0;
 	let maxHeaderBytes = headerLimitBytes;
 	let maxBodyBytes = 4_194_304;
+	let idleLimitMs = Number.POSITIVE_INFINITY;
 
 	const reject = (
 		response: http.ServerResponse,
@@ -272,6 +273,28 @@
 	server.on('connection', (socket) => {
 		connections.add(socket);
 	});
+	// With a listener, the server leaves it to it to close the connection.
+	server.on('timeout', (socket: net.Socket) => {
+		if (connections.isClosing(socket)) {
+			socket.destroy();
+			return;
+		}
+
+		const {bytesRead} = socket;
+		afterNextPoll(() => {
+			if (socket.destroyed || connections.isBusy(socket) || socket.bytesRead !== bytesRead) {
+				return;
+			}
+
+			// The limit may have been raised since the connection became idle.
+			const leftMs = idleLimitMs - (connections.idleMs(socket) ?? idleLimitMs);
+			if (leftMs > 0) {
+				socket.setTimeout(leftMs);
+			} else {
+				connections.close(socket);
+			}
+		});
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		if (
 			socket.writable &&
@@ -300,7 +323,8 @@
 			maxHeaderBytes = limits.headerBytes;
 			maxBodyBytes = limits.bodyBytes;
 			server.headersTimeout = limits.headerTimeoutMs;
-			server.keepAliveTimeout = limits.idleMs + idleSlackMs;
+			idleLimitMs = limits.idleMs + idleSlackMs;
+			server.keepAliveTimeout = idleLimitMs;
 		},
 		startDraining() {
 			isDraining = true;
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -3,6 +3,7 @@
 import * as tap from 'tap';
 import * as callerServer from '../node/caller-server.js';
 import * as settings from '../node/settings.js';
+import type * as routeConfig from '../common/route-config.js';
 import type * as upstreamTransport from '../common/upstream-transport.js';
 
 type Run = {body: string; path: string};
@@ -50,7 +51,6 @@
 	);
 	const listenPort = await port();
 	await server.listen('127.0.0.1', listenPort);
-	server.applyLimits({headerBytes: 500, bodyBytes: 100, headerTimeoutMs: 3000, idleMs: 15_000});
 	t.teardown(() => {
 		server.destroy();
 	});
@@ -76,9 +76,28 @@
 		return {socket, state};
 	};
 
-	return {server, runs, replies, time, open, left: () => left};
+	const setLimits = (limits: Partial<routeConfig.CallerLimits>) => {
+		server.applyLimits({
+			headerBytes: 500,
+			bodyBytes: 100,
+			headerTimeoutMs: 3000,
+			idleMs: 15_000,
+			...limits,
+		});
+	};
+
+	setLimits({});
+	return {server, runs, replies, time, open, setLimits, left: () => left};
 };
 
+/** The timer of an idle limit of 0 has fired after this time. */
+const idleTimerMs = 2500;
+
+const sleep = async (durationMs: number): Promise<void> =>
+	new Promise((resolve) => {
+		setTimeout(resolve, durationMs);
+	});
+
 /** The event loop reads no socket meanwhile. */
 const stallLoop = (durationMs: number): void => {
 	const endMs = performance.now() + durationMs;
@@ -87,11 +106,9 @@
 	}
 };
 
-const until = async (condition: () => boolean): Promise<boolean> => {
-	for (let step = 0; step < 200 && !condition(); step++) {
-		await new Promise((resolve) => {
-			setTimeout(resolve, 10);
-		});
+const until = async (condition: () => boolean, maxSteps = 200): Promise<boolean> => {
+	for (let step = 0; step < maxSteps && !condition(); step++) {
+		await sleep(10);
 	}
 
 	return condition();
@@ -159,9 +176,7 @@
 			socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n', resolve);
 			leave(socket);
 		});
-		await new Promise((resolve) => {
-			setTimeout(resolve, 100);
-		});
+		await sleep(100);
 		t.same(runs, []);
 		t.equal(server.inFlight, 0);
 	});
@@ -216,9 +231,7 @@
 	half.socket.write('GET /half/ HTTP/1.1\r\nhost: a\r\nx: ');
 	const fresh = await open();
 	t.ok(await until(() => kept.state.text.endsWith('ok') && server.openConnections === 3));
-	await new Promise((resolve) => {
-		setTimeout(resolve, 50);
-	});
+	await sleep(50);
 	time.nowMs += 1000;
 	server.startDraining();
 	kept.socket.write('GET /kept-2/ HTTP/1.1\r\nhost: a\r\n\r\n');
@@ -237,17 +250,13 @@
 	const half = await open();
 	half.socket.write('GET /half/ HTTP/1.1\r\nhost: a\r\nx: ');
 	await until(() => server.openConnections === 1);
-	await new Promise((resolve) => {
-		setTimeout(resolve, 50);
-	});
+	await sleep(50);
 	time.nowMs += 1000;
 	server.startDraining();
 	const fresh = await open();
 	await until(() => server.openConnections === 2);
 	server.closeIdle();
-	await new Promise((resolve) => {
-		setTimeout(resolve, 50);
-	});
+	await sleep(50);
 	half.socket.write('1\r\n\r\n');
 	fresh.socket.write('GET /fresh/ HTTP/1.1\r\nhost: a\r\n\r\n');
 	t.ok(await until(() => half.state.isClosed && fresh.state.isClosed));
@@ -270,9 +279,7 @@
 	server.startDraining();
 	server.closeIdle();
 	server.stopListening();
-	await new Promise((resolve) => {
-		setTimeout(resolve, 100);
-	});
+	await sleep(100);
 	socket.on('data', (chunk) => {
 		read += chunk.length;
 	});
@@ -281,6 +288,82 @@
 	t.notOk(state.isClosed && read < bytes.length);
 });
 
+tap.t.test('an idle connection is closed after the limit', async (t) => {
+	const {time, open, setLimits} = await start(t);
+	setLimits({idleMs: 0});
+	const {socket, state} = await open();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => state.text.endsWith('ok'));
+	time.nowMs += 5000;
+	t.ok(await until(() => state.isClosed, 1000));
+	t.ok(state.text.endsWith('ok'), 'with nothing but the answer');
+});
+
+tap.t.test('a caller that does not close its side holds no connection', async (t) => {
+	const {server, time, open} = await start(t);
+	const {socket, state} = await open(true);
+	await until(() => server.openConnections === 1);
+	time.nowMs += 1000;
+	server.closeIdle();
+	t.ok(await until(() => state.hasEnded));
+	t.ok(await until(() => server.openConnections === 0, 1000));
+	t.notOk(socket.destroyed);
+});
+
+// The timer of an idle connection kept the limit that was in force at its last answer.
+tap.t.test('a raised idle limit holds for connections that are idle already', async (t) => {
+	const {time, open, setLimits} = await start(t);
+	setLimits({idleMs: 0});
+	const {socket, state} = await open();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => state.text.endsWith('ok'));
+	setLimits({idleMs: 15_000});
+	time.nowMs += 10_000;
+	await sleep(idleTimerMs);
+	t.notOk(state.hasEnded);
+	socket.write('GET /none/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => state.text.includes('404')));
+});
+
+// The timer fired before the request was read that waited in the socket.
+tap.t.test('a request that came in time during a stall is answered', async (t) => {
+	const {time, open, setLimits} = await start(t);
+	setLimits({idleMs: 0});
+	const {socket, state} = await open();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => state.text.endsWith('ok'));
+	socket.write('GET /none/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	stallLoop(idleTimerMs);
+	time.nowMs += 5000;
+	t.ok(await until(() => state.text.includes('404')));
+	t.notOk(state.hasEnded);
+});
+
+tap.t.test('changed limits leave requests in progress alone', async (t) => {
+	const {runs, replies, time, open, setLimits} = await start(t);
+	const callers = [await open(), await open()];
+	for (const {socket, state} of callers) {
+		socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+		await until(() => state.text.endsWith('ok'));
+		socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	}
+
+	await until(() => replies.length === 4);
+	const [early, late] = replies.filter((_reply, index) => runs[index]!.path === '/wait/');
+	early!.start(200, {});
+	early!.write(new TextEncoder().encode('first'));
+	setLimits({headerBytes: 10, bodyBytes: 1, headerTimeoutMs: 1, idleMs: 0});
+	time.nowMs += 5000;
+	await sleep(idleTimerMs);
+	late!.start(200, {});
+	for (const reply of [early!, late!]) {
+		reply.write(new TextEncoder().encode('last'));
+		reply.end();
+	}
+
+	t.ok(await until(() => callers.every(({state}) => state.text.endsWith('last\r\n0\r\n\r\n'))));
+});
+
 tap.t.test('addresses are split at the port', async (t) => {
 	t.same(settings.splitAddress('10.1.0.35:8144'), {host: '10.1.0.35', port: 8144});
 });
