Keep a silent model stream until a successor holds its place

Callers saw: an accepted answer broken ("sent no token for N ms", outcome unknown) although its runner was still at work.

Cause: the stall watch ended the attempt as soon as no token had come for stallTimeoutMs or firstTokenTimeoutMs (half of the time left for work that may be repeated). Only then was it asked whether the request may be repeated, whether the retry budget allows it, whether an upstream that resumes has a place. When any said no, the answer was lost. The limit of the HTTP client until the headers did the same before the first token.

Now a stall starts a search for a successor, and the attempt is ended only when the successor holds a place, may repeat the work and the budget allows it. Otherwise the attempt goes on until a token comes (the place is given back), it ends by itself, the deadline passes or the caller leaves. A refused search is repeated after each further limit of silence. Work that may not be repeated starts no search, so it still has one attempt that may run. Both attempts of a hedged pair must be silent. An upstream beyond its limit is released as failed, as before, so ejection sees the same.

Ruled out: a reader that does not read (no wait is open then, see the existing test of the paused reader).

The fake runner follows the limit of the client now.

--- a/packages/entry/src/common/attempt-sources.ts
+++ b/packages/entry/src/common/attempt-sources.ts
@@ -24,6 +24,8 @@
 	preemptions: number;
 	/** True while no token was delivered. */
 	isFirst: boolean;
+	/** Ends the wait. */
+	signal: AbortSignal;
 };
 
 export type AttemptSources = {
@@ -144,7 +146,7 @@
 
 			const {excluded, preemptions} = options;
 			const wanted = {...item, excluded, preemptions};
-			return localSource(await services.scheduler.acquire(wanted, request.signal));
+			return localSource(await services.scheduler.acquire(wanted, options.signal));
 		},
 		acquireHedge(excluded) {
 			if (!services.repetition.tryHedge(item.workClass)) {
--- a/packages/entry/src/common/attempt.ts
+++ b/packages/entry/src/common/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt at an answer: a stream from one peer, with stall detection and cancellation. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
-import type * as event from '@hawthornfront/base/common/event.js';
+import * as event from '@hawthornfront/base/common/event.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as runnerClient from './runner-client.js';
 import * as stallWatch from './stall-watch.js';
@@ -35,9 +35,9 @@
 }
 
 export type AttemptSettings = {
-	/** Limit until the first token. */
+	/** Silence before the first token after which another upstream is looked for. */
 	firstTokenTimeoutMs: number;
-	/** Limit between tokens. */
+	/** Silence between tokens after which another upstream is looked for. */
 	stallTimeoutMs: number;
 };
 
@@ -48,6 +48,13 @@
 	readonly source: AttemptSource;
 	/** False only while no byte can have left for the peer. */
 	readonly mayHaveRun: boolean;
+	/** True while the peer has sent no part for longer than the limit. */
+	readonly isSilent: boolean;
+	readonly hasEnded: boolean;
+	/** Fires after each limit of silence. The attempt goes on: a late answer is better than none. */
+	readonly onDidStall: event.Event<void>;
+	/** Fires when a part arrives after a stall. */
+	readonly onDidRecover: event.Event<void>;
 	/** Next part; undefined after the end of the stream. @throws when the attempt failed or was interrupted. */
 	next(): Promise<runnerClient.StreamPart | undefined>;
 	/** Ends the attempt and frees its slot. Later calls have no effect. */
@@ -65,16 +72,16 @@
 	services: AttemptServices,
 	source: AttemptSource,
 	limits: AttemptSettings,
-	request: Omit<
-		runnerClient.RunnerRequest,
-		'address' | 'path' | 'headers' | 'timeoutMs' | 'signal' | 'onSent'
-	>,
+	request: Omit<runnerClient.RunnerRequest, 'address' | 'path' | 'headers' | 'signal' | 'onSent'>,
 	callerSignal: AbortSignal,
 ): Attempt => {
 	const {clock, client} = services;
 	const controller = new AbortController();
 	const resources = disposable.createDisposableStore();
+	const didStall = resources.add(event.createEmitter<void>());
+	const didRecover = resources.add(event.createEmitter<void>());
 	let hasEnded = false;
+	let isSilent = false;
 	let hasFirstToken = false;
 	let mayHaveRun = false;
 	let endReason: Error | undefined;
@@ -88,7 +95,8 @@
 
 		hasEnded = true;
 		resources.dispose();
-		source.release(result);
+		// An upstream that left its limit behind counts as failed, whatever ended the wait for it.
+		source.release(result === 'cancelled' && isSilent ? 'failed' : result);
 		if (result === 'answered') {
 			void readToEnd();
 		} else {
@@ -115,9 +123,9 @@
 		}),
 	);
 	const watch = resources.add(
-		stallWatch.createStallWatch(clock, (limitMs) => {
-			const detail = `${source.name} sent no token for ${limitMs} ms`;
-			end('failed', new AttemptInterrupted('stalled', detail));
+		stallWatch.createStallWatch(clock, () => {
+			isSilent = true;
+			didStall.fire();
 		}),
 	);
 
@@ -127,7 +135,6 @@
 		address: source.address,
 		path: source.path,
 		headers: source.headers,
-		timeoutMs: limits.firstTokenTimeoutMs,
 		signal: controller.signal,
 		onSent() {
 			mayHaveRun = true;
@@ -187,10 +194,23 @@
 		get mayHaveRun() {
 			return mayHaveRun;
 		},
+		get isSilent() {
+			return isSilent;
+		},
+		get hasEnded() {
+			return hasEnded;
+		},
+		onDidStall: didStall.event,
+		onDidRecover: didRecover.event,
 		async next() {
 			watch.begin(hasFirstToken ? limits.stallTimeoutMs : limits.firstTokenTimeoutMs);
 			const result = await readUnlessEnded();
 			watch.end();
+			if (isSilent) {
+				isSilent = false;
+				didRecover.fire();
+			}
+
 			if (result.done) {
 				return undefined;
 			}
--- a/packages/entry/src/common/model-answer.ts
+++ b/packages/entry/src/common/model-answer.ts
@@ -1,13 +1,16 @@
 /**
  * Produces the whole answer of a model as an ordered sequence of tokens. A
  * broken or pre-empted stream goes on at the exact token on an upstream that
- * resumes streams; otherwise the answer ends with an error, never silently.
+ * resumes streams; otherwise the answer ends with an error, never silently. A
+ * silent stream goes on until another upstream holds a place for the rest.
  */
+import * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import * as attempt from './attempt.js';
 import * as deadline from './deadline.js';
 import type * as runnerClient from './runner-client.js';
 import * as settleWithin from './settle-within.js';
+import * as successorSearch from './successor-search.js';
 import * as tokenSequencer from './token-sequencer.js';
 
 export type AnswerPart = runnerClient.TokenPart | runnerClient.FinishPart;
@@ -23,7 +26,11 @@
 	deadlineAtMs: number;
 	signal: AbortSignal;
 	/** Waits for a place to run. Names in `excluded` have failed this request or cannot resume it. */
-	acquire(excluded: ReadonlySet<string>, nextToken: number): Promise<attempt.AttemptSource>;
+	acquire(
+		excluded: ReadonlySet<string>,
+		nextToken: number,
+		signal: AbortSignal,
+	): Promise<attempt.AttemptSource>;
 	/** Place for a second attempt without waiting; undefined when there is none. */
 	acquireHedge(excluded: ReadonlySet<string>): attempt.AttemptSource | undefined;
 	/** Delay after which a second attempt is worth its cost; undefined for none. */
@@ -39,6 +46,8 @@
 
 const maxAttempts = 4;
 const minimumAttemptMs = 100;
+/** The signal of the deadline decides; the limit of the client must not come before it. */
+const clientGraceMs = 1000;
 
 type Run = {
 	services: attempt.AttemptServices;
@@ -50,11 +59,19 @@
 	nextToken: number;
 };
 
+/** Looks for a successor while all attempts of one round are silent. */
+type Handover = {
+	watch(current: attempt.Attempt): void;
+	/** Ends the search; the source that was found, if any. */
+	finish(): attempt.AttemptSource | undefined;
+};
+
 type Started = {attempt: attempt.Attempt; first: Promise<runnerClient.StreamPart | undefined>};
 
 /**
- * Limits of one attempt. Work that may be repeated gives no attempt more than
- * half of the time that is left, so that a hung upstream leaves time for another.
+ * Silence after which an attempt needs a successor. Work that may be repeated
+ * looks for one after half of the time that is left, so that a hung upstream
+ * leaves time for another.
  */
 const limitsOf = (run: Run): attempt.AttemptSettings => {
 	const {settings, clock} = run.services;
@@ -67,7 +84,7 @@
 		: settings;
 };
 
-const start = (run: Run, source: attempt.AttemptSource): Started => {
+const start = (run: Run, source: attempt.AttemptSource, handover: Handover): Started => {
 	const started = attempt.startAttempt(
 		run.services,
 		source,
@@ -77,9 +94,11 @@
 			requestId: run.request.requestId,
 			priority: run.request.priority,
 			resumeFromToken: run.nextToken,
+			timeoutMs: Math.max(0, run.request.deadlineAtMs - run.services.clock.nowMs()) + clientGraceMs,
 		},
 		run.signal,
 	);
+	handover.watch(started);
 	const first = started.next();
 	first.catch(() => undefined);
 	return {attempt: started, first};
@@ -97,8 +116,12 @@
 	return winner;
 };
 
-const startWithHedge = async (run: Run, source: attempt.AttemptSource): Promise<Started> => {
-	const first = start(run, source);
+const startWithHedge = async (
+	run: Run,
+	source: attempt.AttemptSource,
+	handover: Handover,
+): Promise<Started> => {
+	const first = start(run, source, handover);
 	const delayMs = run.request.isIdempotent ? run.request.hedgeDelayMs() : undefined;
 	if (
 		delayMs === undefined ||
@@ -108,7 +131,7 @@
 	}
 
 	const other = run.request.acquireHedge(new Set([...run.excluded, source.name]));
-	return other ? race(run, first, start(run, other)) : first;
+	return other ? race(run, first, start(run, other, handover)) : first;
 };
 
 /** Yields ordered parts of one attempt. @throws when the attempt ends before the whole answer. */
@@ -159,7 +182,7 @@
  */
 const acquire = async (run: Run): Promise<attempt.AttemptSource> => {
 	try {
-		return await run.request.acquire(run.excluded, run.nextToken);
+		return await run.request.acquire(run.excluded, run.nextToken, run.request.signal);
 	} catch (error) {
 		if (error instanceof gatewayError.GatewayException && run.mayHaveRun) {
 			const outcome = error.error.outcome === 'not-run' ? 'unknown' : error.error.outcome;
@@ -170,6 +193,65 @@
 	}
 };
 
+/** Names that must not take the answer over when `failed` do not give it. */
+const excludedAfter = (run: Run, failed: readonly string[]): Set<string> =>
+	new Set([...run.excluded, ...failed, ...(run.nextToken > 0 ? run.request.cannotResume() : [])]);
+
+const createHandover = (run: Run, attempts: number): Handover => {
+	const {request} = run;
+	const resources = disposable.createDisposableStore();
+	const watched: attempt.Attempt[] = [];
+	const names = () => watched.map(({source}) => source.name);
+	const running = () => watched.filter(({hasEnded}) => !hasEnded);
+	const areSilent = () => running().every(({isSilent}) => isSilent);
+	const mayRepeat = () =>
+		request.isIdempotent || !(run.mayHaveRun || watched.some(({mayHaveRun}) => mayHaveRun));
+	const search = successorSearch.createSuccessorSearch<attempt.AttemptSource>({
+		acquire: async (signal) => request.acquire(excludedAfter(run, names()), run.nextToken, signal),
+		// A hedge may have started while the place was waited for.
+		mayReplace: () => areSilent() && mayRepeat() && request.mayRetry(),
+		release(source) {
+			source.release('cancelled');
+		},
+		onDidFind() {
+			run.excluded = excludedAfter(run, names());
+			for (const current of running()) {
+				const detail = `${current.source.name} is silent, and another upstream goes on`;
+				current.end('failed', new attempt.AttemptInterrupted('stalled', detail));
+			}
+		},
+	});
+	return {
+		watch(current) {
+			watched.push(current);
+			resources.add(
+				current.onDidStall(() => {
+					if (areSilent() && attempts < maxAttempts && mayRepeat()) {
+						search.start();
+					}
+				}),
+			);
+			resources.add(
+				current.onDidRecover(() => {
+					search.stop();
+				}),
+			);
+		},
+		finish() {
+			resources.dispose();
+			search.stop();
+			const found = search.take();
+			// A token that arrived while the place was taken needs an upstream that resumes.
+			if (found && (run.signal.aborted || excludedAfter(run, []).has(found.name))) {
+				found.release('cancelled');
+				return undefined;
+			}
+
+			return found;
+		},
+	};
+};
+
 /** Decides whether the answer can go on after a failed attempt; throws when it cannot. */
 const prepareNext = (run: Run, failed: attempt.Attempt, error: unknown, attempts: number): void => {
 	const wasPreempted = error instanceof attempt.AttemptInterrupted && error.reason === 'preempted';
@@ -189,11 +271,7 @@
 		run.excluded.add(failed.source.name);
 	}
 
-	if (run.nextToken > 0) {
-		for (const name of run.request.cannotResume()) {
-			run.excluded.add(name);
-		}
-	}
+	run.excluded = excludedAfter(run, []);
 };
 
 /**
@@ -216,10 +294,13 @@
 		nextToken: request.firstToken,
 	};
 	let current: attempt.Attempt | undefined;
+	let handover: Handover | undefined;
+	let successor: attempt.AttemptSource | undefined;
 	try {
 		for (let attempts = 1; ; attempts++) {
-			const source = await acquire(run);
-			const started = await startWithHedge(run, source);
+			const source = successor ?? (await acquire(run));
+			handover = createHandover(run, attempts);
+			const started = await startWithHedge(run, source, handover);
 			current = started.attempt;
 			try {
 				yield* readAttempt(run, started);
@@ -228,10 +309,15 @@
 			} catch (error) {
 				run.mayHaveRun ||= current.mayHaveRun;
 				current.end('failed');
-				prepareNext(run, current, error, attempts);
+				successor = handover.finish();
+				if (!successor) {
+					prepareNext(run, current, error, attempts);
+				}
 			}
 		}
 	} finally {
+		// A successor that was found for an answer which ended meanwhile is not used.
+		handover?.finish()?.release('cancelled');
 		current?.end('cancelled');
 		limit.dispose();
 	}
--- a/packages/entry/src/common/model-request.ts
+++ b/packages/entry/src/common/model-request.ts
@@ -179,8 +179,8 @@
 			isIdempotent: entry.idempotent,
 			deadlineAtMs: item.deadlineAtMs,
 			signal: request.signal,
-			acquire: async (excluded, nextToken) =>
-				sources.acquire({excluded, preemptions, isFirst: nextToken === plan.firstToken}),
+			acquire: async (excluded, nextToken, signal) =>
+				sources.acquire({excluded, preemptions, isFirst: nextToken === plan.firstToken, signal}),
 			acquireHedge: (excluded) => sources.acquireHedge(excluded),
 			hedgeDelayMs: () => repetition.hedgeDelayMs(candidate),
 			mayRetry: () => repetition.tryRetry(entry.workClass),
--- a/packages/entry/src/common/stall-watch.ts
+++ b/packages/entry/src/common/stall-watch.ts
@@ -13,14 +13,11 @@
 	end(): void;
 };
 
-/** Creates a watch; `onStall` is called once, with the limit that was exceeded. */
-export const createStallWatch = (
-	time: clock.Clock,
-	onStall: (limitMs: number) => void,
-): StallWatch => {
+/** Creates a watch; `onStall` is called each time a wait has taken another `limitMs`. */
+export const createStallWatch = (time: clock.Clock, onStall: () => void): StallWatch => {
 	let timer: disposable.Disposable | undefined;
 	let timerDueMs = Number.POSITIVE_INFINITY;
-	let waitingSinceMs: number | undefined;
+	let stallAtMs: number | undefined;
 	let currentLimitMs = 0;
 
 	const arm = (delayMs: number) => {
@@ -32,32 +29,34 @@
 	const check = () => {
 		timer = undefined;
 		timerDueMs = Number.POSITIVE_INFINITY;
-		if (waitingSinceMs === undefined) {
+		if (stallAtMs === undefined) {
 			return;
 		}
 
-		const remainingMs = waitingSinceMs + currentLimitMs - time.nowMs();
+		const remainingMs = stallAtMs - time.nowMs();
 		if (remainingMs > 0) {
 			arm(remainingMs);
 		} else {
-			onStall(currentLimitMs);
+			stallAtMs = time.nowMs() + currentLimitMs;
+			arm(currentLimitMs);
+			onStall();
 		}
 	};
 
 	return {
 		begin(limitMs) {
-			waitingSinceMs = time.nowMs();
+			stallAtMs = time.nowMs() + limitMs;
 			currentLimitMs = limitMs;
-			if (timerDueMs > waitingSinceMs + limitMs) {
+			if (timerDueMs > stallAtMs) {
 				arm(limitMs);
 			}
 		},
 		end() {
-			waitingSinceMs = undefined;
+			stallAtMs = undefined;
 		},
 		dispose() {
 			timer?.dispose();
-			waitingSinceMs = undefined;
+			stallAtMs = undefined;
 		},
 	};
 };
--- a/packages/entry/src/test/fake-runner.ts
+++ b/packages/entry/src/test/fake-runner.ts
@@ -12,6 +12,9 @@
 	delayMs?: number;
 	/** Breaks the connection before this token. */
 	breaksAt?: number;
+	/** Pauses before this token for `pauseMs`. */
+	pausesAt?: number;
+	pauseMs?: number;
 	/** Sends nothing more from this token on. */
 	hangsAt?: number;
 	/** Ends cleanly without a finish before this token. */
@@ -65,6 +68,10 @@
 					return;
 				}
 
+				if (index === script.pausesAt) {
+					await time.sleep(script.pauseMs ?? 0, signal);
+				}
+
 				if (index === script.hangsAt) {
 					await time.sleep(1e9, signal);
 				}
@@ -97,7 +104,12 @@
 
 			request.onSent?.();
 			executions.push({address: request.address, from: request.resumeFromToken});
-			await time.sleep(script.delayMs ?? 0, request.signal);
+			const delayMs = script.delayMs ?? 0;
+			await time.sleep(Math.min(delayMs, request.timeoutMs), request.signal);
+			if (delayMs > request.timeoutMs) {
+				throw new httpClient.HttpClientError('no answer in time', request.address, true);
+			}
+
 			return stream(request, script);
 		}
 	}
--- a/packages/entry/src/test/model-answer.test.ts
+++ b/packages/entry/src/test/model-answer.test.ts
@@ -13,6 +13,9 @@
 	hedgeDelayMs?: number;
 	isIdempotent?: boolean;
 	unable?: string[];
+	mayRetry?: boolean;
+	/** Wait for a place after the first one. */
+	placeAfterMs?: number;
 	/** Pre-empts the first source after this time. */
 	preemptAfterMs?: number;
 };
@@ -54,10 +57,16 @@
 			isIdempotent: options.isIdempotent ?? true,
 			deadlineAtMs: 5000,
 			signal: new AbortController().signal,
-			acquire: async (excluded) => take(excluded),
+			async acquire(excluded) {
+				if (sources.length > 0 && options.placeAfterMs !== undefined) {
+					await clock.sleep(options.placeAfterMs);
+				}
+
+				return take(excluded);
+			},
 			acquireHedge: (excluded) => take(excluded),
 			hedgeDelayMs: () => options.hedgeDelayMs,
-			mayRetry: () => true,
+			mayRetry: () => options.mayRetry ?? true,
 			cannotResume: () => options.unable ?? [],
 			noteHedge() {},
 			noteResume() {},
@@ -123,6 +132,70 @@
 	});
 }
 
+const withoutSuccessor: Record<string, Options> = {
+	'without another upstream': {names: ['a']},
+	'when the retry budget is spent': {mayRetry: false},
+	'when it may not be repeated': {isIdempotent: false},
+	'while no place is free': {placeAfterMs: 6000},
+	'that ends before a place is free': {placeAfterMs: 300},
+};
+
+// Guards against an accepted answer that is cut off for its silence while no other upstream can give it.
+for (const [name, options] of Object.entries({
+	...withoutSuccessor,
+	'when no other resumes': {unable: ['b', 'c']},
+})) {
+	tap.t.test(`silent stream ${name} goes on`, async (t) => {
+		const result = await run({scripts: {a: [{pausesAt: 3, pauseMs: 400}]}, ...options});
+		t.same(result.tokens, allTokens);
+		t.ok(result.isWhole);
+		t.same(result.runners.executions, [{address: 'a', from: 0}]);
+		t.same(result.sources[0]?.releases, ['answered']);
+		t.ok(result.sources.slice(1).every(({releases}) => releases.join(',') === 'cancelled'));
+	});
+}
+
+// Guards against the same before the first token, by the watch or by the limit of the HTTP client.
+for (const [name, options] of Object.entries(withoutSuccessor)) {
+	tap.t.test(`late first token ${name} is waited for`, async (t) => {
+		const result = await run({scripts: {a: [{delayMs: 1200}]}, ...options});
+		t.same(result.tokens, allTokens);
+		t.same(result.runners.executions, [{address: 'a', from: 0}]);
+	});
+}
+
+tap.t.test('hedge that started during the search is not cut off', async (t) => {
+	const result = await run({
+		hedgeDelayMs: 1100,
+		placeAfterMs: 300,
+		scripts: {a: [{hangsAt: 0}], b: [{delayMs: 400}]},
+	});
+	t.same(result.tokens, allTokens);
+	t.same(result.runners.executions, [
+		{address: 'a', from: 0},
+		{address: 'b', from: 0},
+	]);
+});
+
+tap.t.test('hedged pair that is silent goes on at a third upstream', async (t) => {
+	const hangs = [{hangsAt: 0}];
+	const result = await run({hedgeDelayMs: 50, scripts: {a: hangs, b: [...hangs]}});
+	t.same(result.tokens, allTokens);
+	t.same(result.runners.executions.at(-1), {address: 'c', from: 0});
+	t.same(
+		result.sources.map(({releases}) => releases),
+		[['failed'], ['failed'], ['answered']],
+	);
+});
+
+tap.t.test('silent upstream counts as failed when the deadline ends the answer', async (t) => {
+	const result = await run({names: ['a'], scripts: {a: [{hangsAt: 3}]}});
+	t.same(result.tokens, [0, 1, 2]);
+	t.equal(result.error?.kind, 'deadline-exceeded');
+	t.same(result.sources[0]?.releases, ['failed']);
+	t.equal(result.pendingTimers, 0);
+});
+
 tap.t.test('broken stream without an upstream that resumes is an error', async (t) => {
 	const result = await run({scripts: {a: [{breaksAt: 3}]}, unable: ['b', 'c']});
 	t.notOk(result.isWhole);
