Send no second run after part of a failure

What callers saw: a failure on a route of streams, such as 404, is passed on as it comes. When its connection broke, the request was sent again and the second answer was appended to the part of the first that the caller had.

Cause: a stream that may move counted as one that can go on, whatever its status. A further send now needs whole events of a successful answer, or a caller that has nothing.

--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -90,6 +90,8 @@
 	let upstreamsThatRan = 0;
 	let mayHaveRun = false;
 	let hasStarted = false;
+	/** The caller has part of an answer that no other run can go on with. */
+	let isPartlyPassed = false;
 	let hasEnded = false;
 	let firstMs = -1;
 	let resumeAfter = facts.lastEventId;
@@ -197,9 +199,6 @@
 		}
 	};
 
-	/** The caller has part of an answer that no other run can go on with. */
-	const isPartlyPassed = () => hasStarted && !(route.work === 'stream' && route.canResume);
-
 	/** Why the request may not be sent again after an attempt; takes from the budget when it may. */
 	const obstacleToResend = (
 		outcome: answerVerdict.Outcome,
@@ -208,7 +207,7 @@
 			return 'not-idempotent';
 		}
 
-		if (isPartlyPassed()) {
+		if (isPartlyPassed) {
 			return 'partly-passed';
 		}
 
@@ -300,7 +299,7 @@
 	const obstacleToTakeover = (
 		target: attempt.AttemptTarget,
 	): gatewayEvent.TakeoverObstacle | undefined => {
-		if (isPartlyPassed()) {
+		if (isPartlyPassed) {
 			return 'partly-passed';
 		}
 
@@ -385,6 +384,7 @@
 			onHead(status, headers) {
 				if (!hasStarted) {
 					hasStarted = true;
+					isPartlyPassed = status >= 300 || !routeConfig.mayResume(route);
 					reply.start(status, wire.answerHeaders(headers));
 				}
 			},
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -65,9 +65,11 @@
 });
 export type RouteConfig = zod.infer<typeof routeConfigSchema>;
 
+/** Whether another run may go on from part of an answer. */
+export const mayResume = (route: Route): boolean => route.work === 'stream' && route.canResume;
+
 /** Whether a request of a route may run more than once. */
-export const isIdempotent = (route: Route): boolean =>
-	route.work === 'safe' || (route.work === 'stream' && route.canResume);
+export const isIdempotent = (route: Route): boolean => route.work === 'safe' || mayResume(route);
 
 /** Whether a route may send requests to a region. */
 export const mayUseRegion = (route: Route, region: string): boolean =>
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -233,6 +233,16 @@
 	t.equal(reply.ending, 'complete');
 });
 
+// Guards against the answer of another run after part of a failure.
+tap.t.test('no run follows a failure of which the caller has a part', async (t) => {
+	const {transport, reply} = start(fixtures.shortRoute);
+	transport.last.listener.onHead(404, signed);
+	transport.last.listener.onData(bytes('not '));
+	transport.last.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, 1);
+	t.match(reply, {status: 404, text: 'not ', ending: 'broken'});
+});
+
 tap.t.test('no more upstreams run a request than its route allows', async (t) => {
 	const {transport, reply} = start(fixtures.lookupRoute);
 	for (let index = 0; index < 2; index++) {
