Answer heads that take too long with 408, and only those

Causes: every error that is no overflow of the head counted as a bad request; the HTTP server counts the time of the first head from the opening; and its check is a timer, which runs before the loop reads what came during a stall.

The handler now looks again after the loop has read its sockets. A connection with a part of a head gets 408; one without is left to the limit on idle connections; one whose request came meanwhile is served. A connection that got such an answer counts as closing, so nothing that follows on it runs.

--- a/packages/gateway/src/node/caller-connections.ts
+++ b/packages/gateway/src/node/caller-connections.ts
@@ -23,8 +23,12 @@
 	isClosing(socket: net.Socket): boolean;
 	/** Time without a request and without any byte of one; undefined while there is one. */
 	idleMs(socket: net.Socket): number | undefined;
-	/** Closes the own side; callers may still have sent a request, which is not answered. */
-	close(socket: net.Socket): void;
+	/**
+	 * Closes the own side; callers may still have sent a request, which is not answered.
+	 *
+	 * @param lastText sent before
+	 */
+	close(socket: net.Socket, lastText?: string): void;
 	all(): Iterable<net.Socket>;
 	readonly count: number;
 };
@@ -72,13 +76,13 @@
 
 			return nowMs() - connection.quietSinceMs;
 		},
-		close(socket) {
+		close(socket, lastText = '') {
 			const connection = connections.get(socket);
 			if (connection) {
 				connection.isClosing = true;
 			}
 
-			socket.end();
+			socket.end(lastText);
 			socket.setTimeout(closeTimeoutMs);
 		},
 		all: () => connections.keys(),
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -115,6 +115,10 @@
 	});
 };
 
+/** @param status code and reason phrase */
+const emptyAnswer = (status: string): string =>
+	`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+
 /** @param judge decides on a request from its head */
 export const createCallerServer = (
 	nowMs: () => number,
@@ -295,17 +299,31 @@
 			}
 		});
 	});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (
-			socket.writable &&
-			!connections.isBusy(socket as net.Socket) &&
-			error.code !== 'ECONNRESET'
-		) {
-			const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400;
-			const text = status === 431 ? 'Request Header Fields Too Large' : 'Bad Request';
-			socket.end(`HTTP/1.1 ${status} ${text}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+	const closeSlowHead = (socket: net.Socket) => {
+		if (socket.destroyed || connections.isBusy(socket) || connections.isClosing(socket)) {
+			return;
+		}
+
+		if (connections.idleMs(socket) === undefined) {
+			connections.close(socket, emptyAnswer('408 Request Timeout'));
 		} else {
+			// No head has begun, or it came in the end; the limit on idle connections applies.
+			socket.setTimeout(idleLimitMs);
+		}
+	};
+
+	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+		const socket = stream as net.Socket;
+		if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+			afterNextPoll(() => {
+				closeSlowHead(socket);
+			});
+		} else if (!socket.writable || connections.isBusy(socket) || error.code === 'ECONNRESET') {
 			socket.destroy();
+		} else {
+			const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+			const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
+			connections.close(socket, emptyAnswer(status));
 		}
 	});
 
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -93,6 +93,9 @@
 /** The timer of an idle limit of 0 has fired after this time. */
 const idleTimerMs = 2500;
 
+/** The server has looked for slow heads after this time. */
+const headTimerMs = 2200;
+
 const sleep = async (durationMs: number): Promise<void> =>
 	new Promise((resolve) => {
 		setTimeout(resolve, durationMs);
@@ -364,6 +367,73 @@
 	t.ok(await until(() => callers.every(({state}) => state.text.endsWith('last\r\n0\r\n\r\n'))));
 });
 
+// Callers do not retry after 400; after 408 they know that the request has not run.
+tap.t.test('a head that takes too long gets 408', async (t) => {
+	const {runs, open, setLimits} = await start(t);
+	setLimits({headerTimeoutMs: 100});
+	const {socket, state} = await open();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\nx: ');
+	t.ok(await until(() => state.isClosed, 1000));
+	t.match(state.text, 'HTTP/1.1 408 ');
+	t.same(runs, []);
+});
+
+// The limit on heads counted from the opening of the connection, which then got 400.
+tap.t.test('the limit on heads does not concern a connection without a request', async (t) => {
+	const {server, runs, open, setLimits} = await start(t);
+	setLimits({headerTimeoutMs: 100});
+	const early = await open();
+	await until(() => server.openConnections === 1);
+	await sleep(headTimerMs);
+	t.notOk(early.state.hasEnded);
+	t.equal(early.state.text, '');
+	early.socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await until(() => runs.length === 1));
+});
+
+tap.t.test('a connection without any request is closed after the idle limit', async (t) => {
+	const {server, time, open, setLimits} = await start(t);
+	setLimits({headerTimeoutMs: 1, idleMs: 0});
+	const {state} = await open();
+	await until(() => server.openConnections === 1);
+	time.nowMs += 5000;
+	t.ok(await until(() => state.isClosed, 1000));
+	t.equal(state.text, '');
+});
+
+// The request ran, and its caller was told 400.
+tap.t.test('a head whose rest came during a stall is in time', async (t) => {
+	const {server, runs, open, setLimits} = await start(t);
+	setLimits({headerTimeoutMs: 100});
+	const {socket, state} = await open();
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\nx: ');
+	await until(() => server.openConnections === 1);
+	await sleep(50);
+	socket.write('1\r\n\r\n');
+	stallLoop(headTimerMs);
+	t.ok(await until(() => state.text.endsWith('ok')));
+	t.match(state.text, 'HTTP/1.1 200 ');
+	t.equal(runs.length, 1);
+	t.notOk(state.hasEnded);
+});
+
+// A timer that is set before the first request must not end its answer.
+tap.t.test('an answer may pause for longer than the idle limit', async (t) => {
+	const {server, replies, time, open, setLimits} = await start(t);
+	setLimits({headerTimeoutMs: 1, idleMs: 0});
+	const {socket, state} = await open();
+	await until(() => server.openConnections === 1);
+	await sleep(headTimerMs);
+	socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => replies.length === 1);
+	time.nowMs += 5000;
+	await sleep(idleTimerMs);
+	replies[0]!.start(200, {'content-length': '2'});
+	replies[0]!.write(new TextEncoder().encode('ok'));
+	replies[0]!.end();
+	t.ok(await until(() => state.text.endsWith('ok')));
+});
+
 tap.t.test('addresses are split at the port', async (t) => {
 	t.same(settings.splitAddress('10.1.0.35:8144'), {host: '10.1.0.35', port: 8144});
 });
