Keep a late service call until a successor holds a slot

Callers saw: an idempotent call of a plain service failed after half of its time, although the service was still at work and would have answered in time.

Cause: attemptDeadlineMs ended each attempt at half of the time left, before it was known whether the retry budget, the number of attempts and a free slot allow another one.

Now half of the time only starts the search for a successor (see successor-search.ts, as for model streams). The attempt is cancelled when the successor holds a slot and the budget paid for it; otherwise it goes on until it answers, fails or the deadline passes. A refused search is repeated after half of what is left then. A late attempt that is cancelled is released as failed, as before. Calls that may not be repeated, keyed calls and the last attempt start no search.

Ruled out: the deadline signal of the attempt still ends with it, so that the end of a hedge race does not cut a long answer that is being streamed.

--- a/packages/entry/src/common/service-attempts.ts
+++ b/packages/entry/src/common/service-attempts.ts
@@ -1,4 +1,5 @@
 /** Attempts at plain services: old setup, upstream choice, hedges and retries. */
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import * as iteration from '@hawthornfront/base/common/iteration.js';
 import type * as types from '@hawthornfront/decisions/common/types.js';
@@ -9,6 +10,7 @@
 import * as requestHeaders from './request-headers.js';
 import * as serviceAnswer from './service-answer.js';
 import * as settleWithin from './settle-within.js';
+import * as successorSearch from './successor-search.js';
 
 const maxAttempts = 3;
 const minimumAttemptMs = 100;
@@ -101,19 +103,18 @@
 };
 
 /**
- * End of one attempt. A call that may be repeated gives no attempt more than half
- * of the time that is left, so that a hung upstream leaves time for another.
+ * Time after which an attempt needs a successor: half of the time that is left,
+ * so that a hung upstream leaves time for another.
  */
-const attemptDeadlineMs = ({services, context, item}: ServiceCall): number => {
-	const nowMs = services.clock.nowMs();
-	const leftMs = item.deadlineAtMs - nowMs;
-	return context.entry.idempotent ? nowMs + Math.max(minimumAttemptMs, leftMs / 2) : nowMs + leftMs;
-};
+const patienceMs = ({services, item}: ServiceCall): number =>
+	Math.max(minimumAttemptMs, (item.deadlineAtMs - services.clock.nowMs()) / 2);
 
 type Running = {
 	answer: Promise<serviceAnswer.ServiceAnswer>;
 	upstream: string;
-	cancel(): void;
+	/** The attempt counts as failed when it is cancelled from now on. */
+	markLate(): void;
+	cancel(reason: string): void;
 };
 
 const start = (
@@ -126,10 +127,11 @@
 	const controller = new AbortController();
 	const startMs = services.clock.nowMs();
 	const {name, address} = assignment.upstream;
+	let isLate = false;
 	const run = async () => {
 		const limit = deadline.createDeadlineSignal(
 			services.clock,
-			attemptDeadlineMs(call),
+			item.deadlineAtMs,
 			AbortSignal.any([call.signal, controller.signal]),
 		);
 		const {signal} = limit;
@@ -148,7 +150,7 @@
 			return {...answer, body};
 		} catch (error) {
 			const isCancelled = call.signal.aborted || controller.signal.aborted;
-			assignment.release(isCancelled ? 'cancelled' : 'failed');
+			assignment.release(isCancelled && !isLate ? 'cancelled' : 'failed');
 			excluded.add(name);
 			throw error;
 		} finally {
@@ -162,8 +164,11 @@
 	return {
 		answer,
 		upstream: name,
-		cancel() {
-			controller.abort(new Error('another attempt was faster'));
+		markLate() {
+			isLate = true;
+		},
+		cancel(reason) {
+			controller.abort(new Error(reason));
 		},
 	};
 };
@@ -189,22 +194,83 @@
 	return assignment && start(call, assignment, excluded);
 };
 
+/** Looks for a successor of late attempts; they go on until one holds a slot. */
+type Handover = {
+	watch(running: Running): void;
+	/** Ends the search; the slot that was found, if any. */
+	finish(): types.Assignment | undefined;
+};
+
+const createHandover = (
+	call: ServiceCall,
+	excluded: ReadonlySet<string>,
+	canBeRepeated: boolean,
+): Handover => {
+	const {services, context, item} = call;
+	const watched: Running[] = [];
+	let timer: disposable.Disposable | undefined;
+	const search = successorSearch.createSuccessorSearch<types.Assignment>({
+		acquire: async (signal) =>
+			services.scheduler.acquire(
+				{...item, excluded: new Set([...excluded, ...watched.map(({upstream}) => upstream)])},
+				signal,
+			),
+		mayReplace: () => services.repetition.tryRetry(context.entry.workClass),
+		release(assignment) {
+			assignment.release('cancelled');
+		},
+		onDidFind() {
+			for (const running of watched) {
+				running.cancel('the attempt is late, and another upstream has a slot');
+			}
+		},
+	});
+
+	const watchLate = () => {
+		timer?.dispose();
+		timer = services.clock.setTimer(() => {
+			for (const running of watched) {
+				running.markLate();
+			}
+
+			search.start();
+			watchLate();
+		}, patienceMs(call));
+	};
+
+	return {
+		watch(running) {
+			watched.push(running);
+			if (canBeRepeated) {
+				search.stop();
+				watchLate();
+			}
+		},
+		finish() {
+			timer?.dispose();
+			search.stop();
+			return search.take();
+		},
+	};
+};
+
 /** One attempt at an upstream that the scheduler chooses, with a hedge for idempotent calls. */
 const runOnce = async (
 	call: ServiceCall,
+	assignment: types.Assignment,
 	excluded: Set<string>,
+	handover: Handover,
 	markSent?: MarkSent,
-	place?: Place,
 ): Promise<serviceAnswer.ServiceAnswer> => {
-	const {scheduler} = call.services;
-	const assignment =
-		place?.take() ?? (await scheduler.acquire({...call.item, excluded}, call.signal));
 	const first = start(call, assignment, excluded, markSent);
+	handover.watch(first);
 	const second = markSent ? undefined : await startHedge(call, first, excluded);
 	if (!second) {
 		return first.answer;
 	}
 
+	handover.watch(second);
+
 	try {
 		const winner = await Promise.any([
 			first.answer.then(() => first),
@@ -216,8 +282,8 @@
 		// Both failed; the error of the first attempt is as good as the other.
 		return await first.answer;
 	} finally {
-		first.cancel();
-		second.cancel();
+		first.cancel('another attempt was faster');
+		second.cancel('another attempt was faster');
 	}
 };
 
@@ -246,18 +312,39 @@
 	markSent?: MarkSent,
 	place?: Place,
 ): Promise<serviceAnswer.ServiceAnswer> => {
+	const {scheduler} = call.services;
 	const excluded = new Set<string>();
 	let mayHaveRun = false;
+	let successor: types.Assignment | undefined;
 	for (let attempts = 1; ; attempts++) {
+		const canBeRepeated = call.context.entry.idempotent && !markSent && attempts < maxAttempts;
+		const handover = createHandover(call, excluded, canBeRepeated);
 		try {
 			const old = attempts === 1 ? await runAtOldSetup(call, markSent) : undefined;
-			return old ?? (await runOnce(call, excluded, markSent, place));
+			if (old) {
+				return old;
+			}
+
+			const assignment =
+				successor ??
+				place?.take() ??
+				(await scheduler.acquire({...call.item, excluded}, call.signal));
+			return await runOnce(call, assignment, excluded, handover, markSent);
 		} catch (error) {
 			const isKnown = error instanceof gatewayError.GatewayException;
 			mayHaveRun ||= !isKnown || error.error.outcome !== 'not-run';
+			successor = handover.finish();
+			if (successor && !call.signal.aborted) {
+				continue;
+			}
+
+			successor?.release('cancelled');
+			successor = undefined;
 			if (attempts >= maxAttempts || !mayTryAgain(call, error)) {
 				throw withOutcome(error, mayHaveRun);
 			}
+		} finally {
+			handover.finish()?.release('cancelled');
 		}
 	}
 };
