Let a hedge win only with an answer

Callers saw: a failure although the first attempt was at work, when the second attempt failed in a way that counts as an answer: a model stream that ended at once, or status 429 or 5xx of a service.

Cause: the race took the first attempt whose promise was fulfilled. A model stream without a token fulfils it with undefined, and a service that is broken or overloaded with its status. The other attempt was then cancelled; the answer was lost when the budget allowed no retry.

When neither attempt of a call is sound, the failure that a service answered is passed on, as before. A lost answer that is being streamed is closed, so that its slot is released.

Ruled out: second attempts that break or refuse (rejections never won; tests "breaks" and "refuses" passed before too), and 503 of idempotent calls (an error already).

Before the change three of the new tests failed: the stream that ends at once, 429 and 500.

--- a/packages/entry/src/common/model-answer.ts
+++ b/packages/entry/src/common/model-answer.ts
@@ -104,11 +104,20 @@
 	return {attempt: started, first};
 };
 
+/** A stream that ends at once or fails does not win against one that may still answer. */
+const withFirstPart = async (started: Started): Promise<Started> => {
+	const part = await started.first;
+	if (!part || part.kind === 'done') {
+		throw new Error(`${started.attempt.source.name} ended its stream without a token`);
+	}
+
+	return started;
+};
+
 const race = async (run: Run, first: Started, second: Started): Promise<Started> => {
-	const winner = await Promise.any([
-		first.first.then(() => first),
-		second.first.then(() => second),
-	]).catch(() => first);
+	const winner = await Promise.any([withFirstPart(first), withFirstPart(second)]).catch(
+		() => first,
+	);
 	const loser = winner === first ? second : first;
 	run.mayHaveRun ||= loser.attempt.mayHaveRun;
 	loser.attempt.end('cancelled');
--- a/packages/entry/src/common/service-attempts.ts
+++ b/packages/entry/src/common/service-attempts.ts
@@ -254,6 +254,52 @@
 	};
 };
 
+/** An upstream that is broken or overloaded does not win against one that may still answer. */
+const isSound = ({status}: serviceAnswer.ServiceAnswer): boolean => status < 500 && status !== 429;
+
+const withSoundAnswer = async (running: Running): Promise<Running> => {
+	const answer = await running.answer;
+	if (!isSound(answer)) {
+		throw new Error(`${running.upstream} answered with status ${answer.status}`);
+	}
+
+	return running;
+};
+
+const withAnswer = async (running: Running): Promise<Running> => {
+	await running.answer;
+	return running;
+};
+
+/** Ends an attempt that lost, and closes its answer if there is one already. */
+const discard = (running: Running): void => {
+	running.cancel('another attempt was faster');
+	void running.answer.then(
+		async ({body}) => (body instanceof Uint8Array ? undefined : body.return?.()),
+		() => undefined,
+	);
+};
+
+const race = async (
+	call: ServiceCall,
+	first: Running,
+	second: Running,
+): Promise<serviceAnswer.ServiceAnswer> => {
+	const pair = [first, second];
+	try {
+		// When neither answer is sound, any answer is better than an error.
+		const winner = await Promise.any(pair.map(async (running) => withSoundAnswer(running))).catch(
+			async () => Promise.any(pair.map(async (running) => withAnswer(running))),
+		);
+		discard(winner === first ? second : first);
+		call.services.counters.countHedge(winner === first ? 'first' : 'second');
+		return await winner.answer;
+	} catch {
+		// Both failed; the error of the first attempt is as good as the other.
+		return first.answer;
+	}
+};
+
 /** One attempt at an upstream that the scheduler chooses, with a hedge for idempotent calls. */
 const runOnce = async (
 	call: ServiceCall,
@@ -270,21 +316,7 @@
 	}
 
 	handover.watch(second);
-
-	try {
-		const winner = await Promise.any([
-			first.answer.then(() => first),
-			second.answer.then(() => second),
-		]);
-		call.services.counters.countHedge(winner === first ? 'first' : 'second');
-		return await winner.answer;
-	} catch {
-		// Both failed; the error of the first attempt is as good as the other.
-		return await first.answer;
-	} finally {
-		first.cancel('another attempt was faster');
-		second.cancel('another attempt was faster');
-	}
+	return race(call, first, second);
 };
 
 const runAtOldSetup = async (
--- a/packages/entry/src/test/model-answer.test.ts
+++ b/packages/entry/src/test/model-answer.test.ts
@@ -164,6 +164,24 @@
 	});
 }
 
+// Guards against a running attempt that is cancelled for a hedge without a token.
+for (const [name, script] of Object.entries({
+	'ends its stream at once': {truncatesAt: 0},
+	breaks: {breaksAt: 0},
+	refuses: {refuses: true},
+})) {
+	tap.t.test(`hedge that ${name} does not end the first attempt`, async (t) => {
+		const result = await run({
+			hedgeDelayMs: 50,
+			mayRetry: false,
+			scripts: {a: [{delayMs: 400}], b: [script]},
+		});
+		t.same(result.tokens, allTokens);
+		t.ok(result.isWhole);
+		t.same(result.sources[0]?.releases, ['answered']);
+	});
+}
+
 tap.t.test('hedge that started during the search is not cut off', async (t) => {
 	const result = await run({
 		hedgeDelayMs: 1100,
--- a/packages/entry/src/test/service-attempts.test.ts
+++ b/packages/entry/src/test/service-attempts.test.ts
@@ -160,3 +160,32 @@
 	t.same(result.releases, ['a failed', 'b failed']);
 	t.equal(result.pendingTimers, 0);
 });
+
+// Guards against a running call that is cancelled for a hedge which the upstream did not answer well.
+for (const status of [429, 500, 503]) {
+	tap.t.test(`hedge answered with ${status} does not end the first attempt`, async (t) => {
+		const result = await run({
+			hedgeDelayMs: 50,
+			mayRetry: false,
+			scripts: {a: {delayMs: 200}, b: {status}},
+		});
+		t.equal(result.answer, '200 a');
+		t.same(result.calls, ['a', 'b']);
+		t.ok(result.releases.includes('a answered'));
+	});
+}
+
+tap.t.test('failure of one attempt and error of the other give the failure', async (t) => {
+	const result = await run({
+		hedgeDelayMs: 50,
+		mayRetry: false,
+		scripts: {a: {delayMs: 200, status: 503}, b: {status: 500}},
+	});
+	t.equal(result.answer, '500 b');
+});
+
+tap.t.test('faster hedge wins and cancels the first attempt', async (t) => {
+	const result = await run({hedgeDelayMs: 50, scripts: {a: {delayMs: 400}}});
+	t.equal(result.answer, '200 b');
+	t.same(result.releases, ['b answered', 'a cancelled']);
+});
