Limit the bytes of an answer that are not its body

Cause: the parser limits headers and trailers (16 KiB), and nothing else outside a body. An upstream could send status lines, spaces in a header, empty lines before or after an answer, interim answers, and sizes and extensions of chunks without end; the gateway read them until the caller left, and connections that were idle read empty lines until they were swept.

The pool now counts what it has read of a connection against the bytes of the body. An idle connection on which bytes come is closed.

--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -6,6 +6,7 @@
 import * as net from 'node:net';
 import * as undiciParts from '@hawthornfront/base/node/undici-parts.js';
 import type * as undici from 'undici';
+import * as framingMeter from '../common/framing-meter.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 
 export type PoolSettings = {
@@ -41,6 +42,10 @@
 	isReadingUntilEnd: boolean;
 	/** Whether the end of the connection was a reset; settles after the end of an answer without length. */
 	wasReset?: Promise<boolean>;
+	/** Bytes that had come at the end of the last answer. */
+	readBytes: number;
+	/** Bytes have come and the client has taken what it can; set while a request is in progress. */
+	onRead?: () => void;
 	isClosed: boolean;
 };
 
@@ -78,6 +83,10 @@
 	}
 };
 
+/** Bytes of a connection that its client has taken. */
+const readBytesOf = (socket: net.Socket | undefined): number =>
+	socket ? socket.bytesRead - socket.readableLength : 0;
+
 const detailOf = (error: Error): string =>
 	'code' in error && typeof error.code === 'string' ? error.code : error.message;
 
@@ -104,6 +113,7 @@
 		listener: upstreamTransport.TransportListener,
 	): upstreamTransport.Exchange {
 		const connection = this.#take(request);
+		const meter = framingMeter.createFramingMeter();
 		let controller: undici.Dispatcher.DispatchController | undefined;
 		let isCancelled = false;
 		let isFramed = true;
@@ -115,6 +125,7 @@
 			}
 
 			isOver = true;
+			connection.onRead = undefined;
 			const mayHaveBeenSent = !neverSentCodes.has(detailOf(error));
 			this.#close(connection);
 			if (!isCancelled) {
@@ -133,12 +144,21 @@
 			}
 
 			isOver = true;
+			connection.onRead = undefined;
 			this.#release(connection);
 			if (!isCancelled) {
 				listener.onEnd();
 			}
 		};
 
+		meter.start(readBytesOf(connection.socket));
+		connection.onRead = () => {
+			if (meter.isExceeded(readBytesOf(connection.socket))) {
+				resetSocket(connection.socket);
+				fail(new Error('too many bytes outside the body of the answer'));
+			}
+		};
+
 		connection.client.dispatch(
 			{
 				method: request.method,
@@ -167,6 +187,7 @@
 					}
 				},
 				onResponseData(_controller, chunk) {
+					meter.noteBody(chunk.length);
 					if (!isCancelled) {
 						listener.onData(chunk);
 					}
@@ -280,6 +301,7 @@
 			hasSocketError: false,
 			hasSocketEnded: false,
 			isReadingUntilEnd: false,
+			readBytes: 0,
 			isClosed: false,
 		};
 		connection.client = new undiciParts.Client(`http://${address}`, {
@@ -292,9 +314,26 @@
 				this.#connect(connection, options, callback);
 			},
 		});
+		connection.client.on('connect', () => {
+			this.#watchReads(connection);
+		});
 		return connection;
 	}
 
+	/** Starts when the client listens to the socket, so that it takes the bytes first. */
+	#watchReads(connection: Connection): void {
+		const {socket} = connection;
+		socket?.on('readable', () => {
+			if (connection.onRead) {
+				connection.onRead();
+			} else if (readBytesOf(socket) > connection.readBytes) {
+				// The client ignores empty lines between answers.
+				resetSocket(socket);
+				this.#close(connection);
+			}
+		});
+	}
+
 	#connect(
 		connection: Connection,
 		options: undici.buildConnector.Options,
@@ -356,6 +395,7 @@
 	}
 
 	#release(connection: Connection): void {
+		connection.readBytes = connection.socket?.bytesRead ?? 0;
 		connection.lastUsedMs = this.#nowMs();
 		const idle = this.#idle.get(connection.address) ?? [];
 		if (connection.isClosed || idle.length >= this.#settings.maxIdlePerPeer) {
