--- a/packages/gateway/src/test/endless-answers.test.ts
+++ b/packages/gateway/src/test/endless-answers.test.ts
@@ -30,6 +30,7 @@
 		const exchange = pool.send(
 			{address, method: 'GET', path: '/x', headers: ['Host', 'a'], needsRecentConnection: false},
 			{
+				onSent: () => undefined,
 				onHead(status) {
 					seen.status = status;
 				},
@@ -147,6 +148,7 @@
 			needsRecentConnection: false,
 		},
 		{
+			onSent: () => undefined,
 			onHead: () => undefined,
 			onData(bytes) {
 				takenBytes += bytes.length;
