Tell a daemon that relayed a request when it was refused before it ran

A daemon that refused a relayed request by its head (it stops, it knows no configuration yet, it has no such route or service) said so in the body only. Peers go on to choose a daemon that stops until its datagram has reached them.

Refusals on the port of daemons now carry the same headers as those of the engine: not run, the reason, no upstream used. The sender goes on as after any other proof that a request has not run. Callers get no such headers.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -21,7 +21,14 @@
 
 /** What the daemon wants done with a request after its head. */
 export type Verdict =
-	| {kind: 'reject'; status: number; reason: string; retryAfterMs?: number}
+	| {
+			kind: 'reject';
+			status: number;
+			reason: string;
+			retryAfterMs?: number;
+			/** Sent besides. */
+			headers?: wireFormat.Headers;
+	  }
 	/** An answer of this daemon itself, to another daemon. */
 	| {kind: 'respond'; body: string}
 	| {
@@ -136,6 +143,7 @@
 		status: number,
 		reason: string,
 		retryAfterMs?: number,
+		headers: wireFormat.Headers = {},
 	) => {
 		const body = JSON.stringify({outcome: 'not-run', reason});
 		response.sendDate = false;
@@ -148,6 +156,7 @@
 		}
 
 		response.writeHead(status, {
+			...headers,
 			'content-type': 'application/problem+json',
 			'content-length': buffer.Buffer.byteLength(body),
 		});
@@ -195,7 +204,7 @@
 		});
 		if (verdict.kind === 'reject') {
 			request.resume();
-			reject(response, verdict.status, verdict.reason, verdict.retryAfterMs);
+			reject(response, verdict.status, verdict.reason, verdict.retryAfterMs, verdict.headers);
 			return;
 		}
 
--- a/packages/gateway/src/node/request-judge.ts
+++ b/packages/gateway/src/node/request-judge.ts
@@ -1,5 +1,6 @@
 /** Decides from the head of a request whether it is taken, and with what route and service. */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
+import type * as answerVerdict from '../common/answer-verdict.js';
 import * as relayHeaders from '../common/relay-headers.js';
 import type * as requestEngine from '../common/request-engine.js';
 import * as routeConfig from '../common/route-config.js';
@@ -35,6 +36,16 @@
 	retryAfterMs: notReadyRetryMs,
 });
 
+/** Proof for the daemon that relayed a request, which may send it elsewhere then. */
+const notRunHeaders = (reason: string): wireFormat.Headers => {
+	const outcome: answerVerdict.Outcome = 'not-run';
+	return {
+		[relayHeaders.outcomeHeader]: outcome,
+		[relayHeaders.reasonHeader]: reason,
+		[relayHeaders.upstreamsUsedHeader]: '0',
+	};
+};
+
 /** Creates the judge of one port. */
 export const createJudge = (
 	options: JudgeOptions,
@@ -79,12 +90,7 @@
 		};
 	};
 
-	return (head) => {
-		if (isPeerPort && head.path.startsWith(snapshotPath)) {
-			const knownConfig = Number(head.path.slice(snapshotPath.length));
-			return {kind: 'respond', body: JSON.stringify(options.snapshot(knownConfig))};
-		}
-
+	const judgeRequest = (head: callerServer.CallerHead): callerServer.Verdict => {
 		const table = options.table();
 		if (!table) {
 			return notReady('no-configuration');
@@ -102,4 +108,16 @@
 
 		return accept(head, route, table);
 	};
+
+	return (head) => {
+		if (isPeerPort && head.path.startsWith(snapshotPath)) {
+			const knownConfig = Number(head.path.slice(snapshotPath.length));
+			return {kind: 'respond', body: JSON.stringify(options.snapshot(knownConfig))};
+		}
+
+		const verdict = judgeRequest(head);
+		return isPeerPort && verdict.kind === 'reject'
+			? {...verdict, headers: notRunHeaders(verdict.reason)}
+			: verdict;
+	};
 };
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -82,7 +82,7 @@
 
 /** Headers with names of its own, so that no platform stands in the engine's tests. */
 export class FakeWire extends wireFormat.WireFormat {
-	override readRequest(): wireFormat.RequestFacts {
+	override readRequest(_headers: wireFormat.Headers): wireFormat.RequestFacts {
 		throw new Error('the tests pass facts');
 	}
 
--- /dev/null
+++ b/packages/gateway/src/test/request-judge.test.ts
@@ -0,0 +1,81 @@
+// What a daemon takes, and what it tells a daemon whose request it refuses.
+import * as tap from 'tap';
+import * as answerVerdict from '../common/answer-verdict.js';
+import * as routeConfig from '../common/route-config.js';
+import type * as wireFormat from '../common/wire-format.js';
+import type * as callerServer from '../node/caller-server.js';
+import * as requestJudge from '../node/request-judge.js';
+import * as fakeTransport from './fake-transport.js';
+import * as fixtures from './fixtures.js';
+
+class JudgeWire extends fakeTransport.FakeWire {
+	override readRequest(headers: wireFormat.Headers): wireFormat.RequestFacts {
+		return fixtures.facts(headers.patience ? {patienceMs: Number(headers.patience)} : {});
+	}
+}
+
+const start = (isPeerPort: boolean) => {
+	const state = {isLeaving: false, isReady: true};
+	const table = routeConfig.createRouteTable(fixtures.config);
+	const judge = requestJudge.createJudge({
+		wire: new JudgeWire(),
+		engine: {
+			handle() {
+				throw new Error('no request runs here');
+			},
+		},
+		isPeerPort,
+		table: () => (state.isReady ? table : undefined),
+		snapshot: () => ({evacuated: [], operatorRevision: 0, upstreams: [], upstreamRevision: 0}),
+		isLeaving: () => state.isLeaving,
+	});
+	const ask = (path: string, headers: wireFormat.Headers = {}) =>
+		judge({method: 'POST', path, host: 'a.example', rawHeaders: [], headers, arrivedAtMs: 0});
+	return {state, ask};
+};
+
+const refusal = (verdict: callerServer.Verdict) =>
+	verdict.kind === 'reject' ? [verdict.status, verdict.reason] : verdict.kind;
+
+tap.t.test('a stream that may not move is refused in a stop', async (t) => {
+	const {state, ask} = start(false);
+	t.equal(ask('/drafts/x').kind, 'accept');
+	state.isLeaving = true;
+	t.same(refusal(ask('/drafts/x')), [503, 'stopping']);
+	t.equal(ask('/questions/x').kind, 'accept');
+});
+
+// The daemon that had relayed it took the refusal for an unknown outcome, or passed a 404 on.
+tap.t.test('a refused relay is known not to have run', async (t) => {
+	const {state, ask} = start(true);
+	const wire = new JudgeWire();
+	const outcome = (verdict: callerServer.Verdict) => {
+		if (verdict.kind !== 'reject') {
+			return verdict.kind;
+		}
+
+		const headers = verdict.headers ?? {};
+		const answer = wire.readAnswer(verdict.status, headers);
+		return answerVerdict.judgeAnswer(verdict.status, headers, answer, undefined, false);
+	};
+
+	const notRun = (detail: string) => ({
+		kind: 'fail',
+		outcome: 'not-run',
+		detail,
+		isHard: false,
+		upstreamsUsed: 0,
+	});
+	t.same(outcome(ask('/nowhere/')), notRun('no-route'));
+	state.isLeaving = true;
+	t.same(outcome(ask('/drafts/x')), notRun('stopping'));
+	state.isReady = false;
+	t.same(outcome(ask('/questions/x')), notRun('no-configuration'));
+});
+
+tap.t.test('callers get no headers between daemons', async (t) => {
+	const {ask} = start(false);
+	const verdict = ask('/nowhere/');
+	t.same(refusal(verdict), [404, 'no-route']);
+	t.notOk(verdict.kind === 'reject' && verdict.headers);
+});
