Refuse a request late in a stop that could outlast it

Any other request on a kept connection, or relayed by another daemon, was taken until the process ended, also a second before the end of the grace, and cut off there after it had been passed on.

New connections are taken for 2.2 s after SIGTERM, as long as callers may hold an answer of the directory from before it. A request that comes later than that is now taken only if all of its time (the lesser of its own and the route's) ends before the requests in progress are cut; otherwise it is refused at once as not run, with `Connection: close`, and another daemon can take it. So a request that was taken late always ends with an answer, be it the 504 of its own limit.

Not changed: requests of the first 2.2 s that last longer than the grace are still cut at its end. Refusing all that could (12 s of a route against 8 s of grace) would send away many that end in time.

The judge also gets the request's facts once instead of in two steps, and the daemon's `isLeaving` follows from the stop's start instead of standing beside it.

--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -71,7 +71,7 @@
 	const startedAtUnixMs = Math.round(clock.wallMs());
 	const failureDomains = new Map(Object.entries(current.failureDomains));
 	const regions = [...new Set(failureDomains.values())];
-	let isLeaving = false;
+	let stopping: {startedAtMs: number; graceMs: number} | undefined;
 	let wasReady = false;
 
 	log.note({kind: 'started', name: vm.name, region: vm.region, startedAtUnixMs});
@@ -128,7 +128,7 @@
 		versions,
 	});
 
-	const isReady = () => belief.isComplete && !isLeaving;
+	const isReady = () => belief.isComplete && !stopping;
 
 	const self = (): gossipMessage.MemberRecord => ({
 		name: vm.name,
@@ -138,7 +138,7 @@
 		peerAddress: listen.peers,
 		startedAtUnixMs,
 		isReady: isReady(),
-		isLeaving,
+		isLeaving: stopping !== undefined,
 		configVersion: belief.configVersion,
 		upstreamRevision: registry.revision,
 		operatorRevision: belief.operatorRevision,
@@ -153,7 +153,8 @@
 			isPeerPort,
 			table: () => (registry.isLoaded ? belief.table : undefined),
 			snapshot: belief.snapshot,
-			isLeaving: () => isLeaving,
+			stop: () =>
+				stopping && {elapsedMs: nowMs() - stopping.startedAtMs, graceMs: stopping.graceMs},
 		});
 
 	const callers = callerServer.createCallerServer(nowMs, judge(false));
@@ -270,7 +271,7 @@
 	const noteReadiness = () => {
 		if (isReady() !== wasReady) {
 			wasReady = isReady();
-			const reason = isLeaving ? 'stopping' : wasReady ? 'complete' : 'incomplete';
+			const reason = stopping ? 'stopping' : wasReady ? 'complete' : 'incomplete';
 			log.note({kind: 'readiness', isReady: wasReady, reason});
 		}
 	};
@@ -358,7 +359,7 @@
 		}),
 		async stop() {
 			const graceMs = current.stop.graceS * 1000;
-			isLeaving = true;
+			stopping = {startedAtMs: nowMs(), graceMs};
 			log.note({kind: 'stopping', inFlight: inFlight(), graceMs});
 			noteReadiness();
 			gossip.announce();
--- a/packages/gateway/src/node/planned-stop.ts
+++ b/packages/gateway/src/node/planned-stop.ts
@@ -10,6 +10,18 @@
 const lingerMs = 500;
 const stepMs = 100;
 
+/** How far a stop has come. */
+export type StopProgress = {elapsedMs: number; graceMs: number};
+
+/**
+ * Whether a request that arrives now might be cut by the end of the stop. Before, while
+ * callers may not know of the stop yet, a refusal would cost them more.
+ *
+ * @param limitMs longest time that the request may take
+ */
+export const isTooLate = ({elapsedMs, graceMs}: StopProgress, limitMs: number): boolean =>
+	elapsedMs > stopAcceptingMs && elapsedMs + limitMs > graceMs - marginMs;
+
 export type DrainOptions = {
 	clock: clock.Clock;
 	/** The server of callers and that of other daemons. */
--- a/packages/gateway/src/node/request-judge.ts
+++ b/packages/gateway/src/node/request-judge.ts
@@ -7,6 +7,7 @@
 import type * as wireFormat from '../common/wire-format.js';
 import type * as beliefs from './beliefs.js';
 import type * as callerServer from './caller-server.js';
+import * as plannedStop from './planned-stop.js';
 
 /** Path on the peer port at which a daemon tells what it believes. */
 const snapshotPath = '/hawthornfront/snapshot?knownConfig=';
@@ -26,7 +27,8 @@
 	/** Undefined until the daemon knows configuration and upstreams. */
 	table(): routeConfig.RouteTable | undefined;
 	snapshot(knownConfig: number): beliefs.Snapshot;
-	isLeaving(): boolean;
+	/** Undefined unless the daemon is stopping. */
+	stop(): plannedStop.StopProgress | undefined;
 };
 
 const notReady = (reason: string): callerServer.Verdict => ({
@@ -55,9 +57,9 @@
 	const accept = (
 		head: callerServer.CallerHead,
 		route: routeConfig.Route,
+		facts: wireFormat.RequestFacts,
 		table: routeConfig.RouteTable,
 	): callerServer.Verdict => {
-		const facts = wire.readRequest(head.headers);
 		const share = 1 - hash.uniform(facts.attemptId ?? '', route.name);
 		const service = table.service(routeConfig.chooseService(route, share));
 		if (!service) {
@@ -101,12 +103,18 @@
 			return {kind: 'reject', status: 404, reason: 'no-route'};
 		}
 
-		// A stream that may not move is better begun at a daemon that stays.
-		if (options.isLeaving() && route.work === 'stream' && !route.canResume) {
-			return {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs};
+		const facts = wire.readRequest(head.headers);
+		const stop = options.stop();
+		if (stop) {
+			// A stream that may not move is better begun at a daemon that stays.
+			const mayNotMove = route.work === 'stream' && !route.canResume;
+			const limitMs = Math.min(facts.patienceMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+			if (mayNotMove || plannedStop.isTooLate(stop, limitMs)) {
+				return {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs};
+			}
 		}
 
-		return accept(head, route, table);
+		return accept(head, route, facts, table);
 	};
 
 	return (head) => {
