Limit the time of bodies that are read as text

Cause: the HTTP client limits the time until the head of an answer; its body had a limit of bytes only.

requestText in base sends a request and reads its answer under both limits; what breaks one is cancelled and its connection closed. The calls named above use it, with 3 s for the body (0.9 s for a load). The client of the placer and the reader of state dumps limit the whole call already.

The signal of a caller is listened to for the time of the call only. AbortSignal.any with a signal that lives long is not used for this.

Test before (without the limit of time): the call was still open when the stand-in gave up, for a slow body (2 s), a silent one (0.5 s) and a chunk extension (25 MiB); a body in many bytes ended by the limit of bytes before and after.

The upstream without end moves to base, for its tests.

--- a/packages/gateway/src/test/endless-upstream.ts
+++ b/packages/base/src/test/endless-upstream.ts
@@ -11,6 +11,17 @@
 	sentBytes(): number;
 };
 
+export type EndlessForm = {
+	head: string;
+	/** Follows the head without end. */
+	repeated: string;
+	pieceBytes: number;
+	/** Delay after each piece. */
+	pauseMs?: number;
+	/** The upstream gives up after this many pieces. */
+	maxPieces?: number;
+};
+
 /** The upstream gives up after this many bytes. */
 export const mostBytes = 33_554_432;
 
@@ -21,10 +32,11 @@
 /** Answers its first request with `head` and then with `repeated` without end. */
 export const startEndlessUpstream = async (
 	t: tap.Test,
-	form: {head: string; repeated: string; pieceBytes: number},
+	form: EndlessForm,
 ): Promise<EndlessUpstream> => {
 	const piece = pieceOf(form.repeated, form.pieceBytes);
 	let sentBytes = 0;
+	const maxBytes = Math.min(mostBytes, (form.maxPieces ?? Number.POSITIVE_INFINITY) * piece.length);
 	let settle: (end: 'closed' | 'gave-up') => void = () => undefined;
 	const ended = new Promise<'closed' | 'gave-up'>((resolve) => {
 		settle = resolve;
@@ -32,7 +44,7 @@
 
 	const send = async (socket: net.Socket) => {
 		socket.write(form.head);
-		while (!socket.destroyed && sentBytes < mostBytes) {
+		while (!socket.destroyed && sentBytes < maxBytes) {
 			const isTaken = socket.write(piece);
 			sentBytes += piece.length;
 			if (!isTaken) {
@@ -46,7 +58,7 @@
 				]);
 			}
 
-			await timers.setImmediate();
+			await (form.pauseMs === undefined ? timers.setImmediate() : timers.setTimeout(form.pauseMs));
 		}
 
 		settle(socket.destroyed ? 'closed' : 'gave-up');
--- a/packages/entry/src/node/load-poller.ts
+++ b/packages/entry/src/node/load-poller.ts
@@ -1,14 +1,15 @@
 /** Polls the load of the upstreams that the fleet assigns to this daemon. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
-import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
+import * as textRequest from '@hawthornfront/base/node/text-request.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
 import * as zod from 'zod';
 
 /** Short enough that a leaving upstream is known in its domain within 3 s. */
 const pollPeriodMs = 1000;
 const pollTimeoutMs = 900;
-const maxReportBytes = 16_384;
+const reportLimits: textRequest.BodyLimits = {maxBytes: 16_384, timeoutMs: pollTimeoutMs};
 
 /** Answer of `GET /load`. Services leave out the members of runners. */
 const loadAnswerSchema = zod.object({
@@ -54,13 +55,11 @@
 		const observedAtMs = time.nowMs();
 		pending.add(upstream.name);
 		try {
-			const answer = await client.request({
-				peer: upstream.address,
-				method: 'GET',
-				path: '/load',
-				timeoutMs: pollTimeoutMs,
-			});
-			const text = await httpClient.readText(answer.body, maxReportBytes);
+			const {text} = await textRequest.requestText(
+				client,
+				{peer: upstream.address, method: 'GET', path: '/load', timeoutMs: pollTimeoutMs},
+				reportLimits,
+			);
 			const load = loadAnswerSchema.parse(JSON.parse(text));
 			options.publish(upstream.name, {
 				...load,
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -1,14 +1,15 @@
 /** Pulls what a peer knows when it knows more and this daemon does not hear it from the store. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as errorText from '@hawthornfront/base/common/error-text.js';
-import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import type * as httpClient from '@hawthornfront/base/common/http-client.js';
+import * as textRequest from '@hawthornfront/base/node/text-request.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as beliefs from './beliefs.js';
 import * as requestJudge from './request-judge.js';
 
 const pullTimeoutMs = 1500;
-const maxSnapshotBytes = 16_777_216;
+const snapshotLimits: textRequest.BodyLimits = {maxBytes: 16_777_216, timeoutMs: 3000};
 /** Delay between two pulls, about one round of datagrams. */
 const pullEveryMs = 250;
 /** Peers of other failure domains are asked after this time, when none of the own one has helped. */
@@ -41,14 +42,17 @@
 		isPulling = true;
 		pulledAtMs = clock.nowMs();
 		try {
-			const answer = await client.request({
-				peer: peer.peerAddress,
-				method: 'GET',
-				path: requestJudge.snapshotPathFor(belief.configVersion),
-				headers: {},
-				timeoutMs: pullTimeoutMs,
-			});
-			const text = await httpClient.readText(answer.body, maxSnapshotBytes);
+			const {text} = await textRequest.requestText(
+				client,
+				{
+					peer: peer.peerAddress,
+					method: 'GET',
+					path: requestJudge.snapshotPathFor(belief.configVersion),
+					headers: {},
+					timeoutMs: pullTimeoutMs,
+				},
+				snapshotLimits,
+			);
 			const snapshot = beliefs.snapshotSchema.parse(JSON.parse(text));
 			belief.merge(snapshot, peer.name);
 			behindSinceMs = undefined;
--- a/packages/gateway/src/test/endless-answers.test.ts
+++ b/packages/gateway/src/test/endless-answers.test.ts
@@ -1,8 +1,8 @@
 // Upstreams that send bytes without end that are no answer, over loopback.
 import * as net from 'node:net';
+import * as endlessUpstream from '@hawthornfront/base/test/endless-upstream.js';
 import * as tap from 'tap';
 import * as connectionPool from '../node/connection-pool.js';
-import * as endlessUpstream from './endless-upstream.js';
 
 type Seen = {
 	status: number;
--- a/packages/protocol/src/node/json-rpc.ts
+++ b/packages/protocol/src/node/json-rpc.ts
@@ -1,11 +1,12 @@
 /** JSON-RPC 2.0 over HTTP POST, on the `json-rpc-2.0` library. */
 import * as jsonRpc from 'json-rpc-2.0';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import * as textRequest from '@hawthornfront/base/node/text-request.js';
 import type * as zod from 'zod';
 import * as rpc from '../common/rpc.js';
 
 const defaultTimeoutMs = 2000;
-const maxAnswerBytes = 16_777_216;
+const bodyLimits: textRequest.BodyLimits = {maxBytes: 16_777_216, timeoutMs: 3000};
 
 /** Client over an {@link httpClient.HttpClient}. */
 export class HttpRpcClient extends rpc.RpcClient {
@@ -25,16 +26,19 @@
 	): Promise<zod.infer<Result>> {
 		const request = jsonRpc.createJSONRPCRequest(++this.#lastId, method.name, params);
 		try {
-			const answer = await this.#client.request({
-				peer,
-				method: 'POST',
-				path: rpc.rpcPath,
-				headers: {'content-type': 'application/json'},
-				body: JSON.stringify(request),
-				timeoutMs: options.timeoutMs ?? defaultTimeoutMs,
-				signal: options.signal,
-			});
-			const text = await httpClient.readText(answer.body, maxAnswerBytes);
+			const {text} = await textRequest.requestText(
+				this.#client,
+				{
+					peer,
+					method: 'POST',
+					path: rpc.rpcPath,
+					headers: {'content-type': 'application/json'},
+					body: JSON.stringify(request),
+					timeoutMs: options.timeoutMs ?? defaultTimeoutMs,
+					signal: options.signal,
+				},
+				bodyLimits,
+			);
 			const response = JSON.parse(text) as jsonRpc.JSONRPCResponse;
 			if (response.error) {
 				throw new rpc.RpcError(method.name, peer, response.error.message, true);
