Keep the process alive when an answer that ends with its connection is cancelled

Cause: an answer with `Connection: close` or without a length ends with its connection, and the client ends its parser when the socket closes without an error or ends. Two assertions of the client then ended the whole process: - The pool's cancel resets the socket without an error, so the client took the close for the end of an answer that has no length, of a request that had been aborted ("assert(!this.aborted)"). It needs one caller that leaves, or one deadline, while such an answer is on its way. - While the exchange is paused for a slow caller, a cancel, or an end or a reset by the upstream, ended a parser that must not be paused ("assert(!this.paused)"). This concerns streams with `Connection: close` too.

The pool now tells the client an error before it resets, resumes the exchange at the end of the socket (all bytes are taken then), and hides the code of a reset while paused, which the client treats as an end. Pause and resume act on their own exchange only: a caller that drains late no longer resumes the next exchange of a connection.

--- a/packages/base/src/test/endless-upstream.ts
+++ b/packages/base/src/test/endless-upstream.ts
@@ -9,6 +9,8 @@
 	ended: Promise<'closed' | 'gave-up'>;
 	/** Bytes that were handed to the system so far. */
 	sentBytes(): number;
+	/** Resolves to true when the system takes no more, and to false when the upstream has ended. */
+	isBlocked(): Promise<boolean>;
 };
 
 export type EndlessForm = {
@@ -25,6 +27,9 @@
 /** The upstream gives up after this many bytes. */
 export const mostBytes = 33_554_432;
 
+/** A write that is not taken within this time waits for the reader. */
+const blockedAfterMs = 200;
+
 /** Text repeated to about `pieceBytes`. */
 const pieceOf = (repeated: string, pieceBytes: number): string =>
 	repeated.repeat(Math.ceil(pieceBytes / repeated.length));
@@ -83,5 +88,17 @@
 		}
 	});
 	const {port} = server.address() as net.AddressInfo;
-	return {address: `127.0.0.1:${port}`, ended, sentBytes: () => sentBytes};
+	const isBlocked = async (): Promise<boolean> => {
+		for (let before = -1; before !== sentBytes || before === 0;) {
+			before = sentBytes;
+			const end = await Promise.race([ended, timers.setTimeout(blockedAfterMs, 'open')]);
+			if (end !== 'open') {
+				return false;
+			}
+		}
+
+		return true;
+	};
+
+	return {address: `127.0.0.1:${port}`, ended, sentBytes: () => sentBytes, isBlocked};
 };
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -42,6 +42,8 @@
 	isReadingUntilEnd: boolean;
 	/** Whether the end of the connection was a reset; settles after the end of an answer without length. */
 	wasReset?: Promise<boolean>;
+	/** Of the request in progress. */
+	controller?: undici.Dispatcher.DispatchController;
 	/** Bytes that had come at the end of the last answer. */
 	readBytes: number;
 	/** Bytes have come and the client has taken what it can; set while a request is in progress. */
@@ -78,7 +80,9 @@
 /** Drops what was not delivered yet, so that it cannot reach the peer after the request has ended. */
 const resetSocket = (socket: net.Socket | undefined): void => {
 	// A reset of a socket that is connecting would wait for the connection.
-	if (socket && !socket.connecting) {
+	if (socket && !socket.connecting && !socket.destroyed) {
+		// Without an error, the client takes the close for the end of an answer without length.
+		socket.emit('error', new Error('reset by this daemon'));
 		socket.resetAndDestroy();
 	}
 };
@@ -114,7 +118,6 @@
 	): upstreamTransport.Exchange {
 		const connection = this.#take(request);
 		const meter = framingMeter.createFramingMeter();
-		let controller: undici.Dispatcher.DispatchController | undefined;
 		let isCancelled = false;
 		let isFramed = true;
 		let isOver = false;
@@ -126,6 +129,7 @@
 
 			isOver = true;
 			connection.onRead = undefined;
+			connection.controller = undefined;
 			const mayHaveBeenSent = !neverSentCodes.has(detailOf(error));
 			this.#close(connection);
 			if (!isCancelled) {
@@ -145,6 +149,7 @@
 
 			isOver = true;
 			connection.onRead = undefined;
+			connection.controller = undefined;
 			this.#release(connection);
 			if (!isCancelled) {
 				listener.onEnd();
@@ -159,6 +164,8 @@
 			}
 		};
 
+		const ownController = () => (isOver ? undefined : connection.controller);
+
 		connection.client.dispatch(
 			{
 				method: request.method,
@@ -170,7 +177,7 @@
 			},
 			{
 				onRequestStart(started) {
-					controller = started;
+					connection.controller = started;
 					if (isCancelled) {
 						started.abort(new Error('cancelled'));
 					} else {
@@ -178,7 +185,7 @@
 					}
 				},
 				onResponseStart(started, status, headers) {
-					controller = started;
+					connection.controller = started;
 					isFramed =
 						headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 					connection.isReadingUntilEnd = !isFramed;
@@ -221,15 +228,18 @@
 				isCancelled = true;
 				if (!isOver) {
 					resetSocket(connection.socket);
-					controller?.abort(new Error('cancelled'));
+					connection.controller?.abort(new Error('cancelled'));
 					this.#close(connection);
 				}
 			},
 			pause() {
-				controller?.pause();
+				// After the end of the connection there is nothing left to hold back.
+				if (!connection.hasSocketEnded) {
+					ownController()?.pause();
+				}
 			},
 			resume() {
-				controller?.resume();
+				ownController()?.resume();
 			},
 		};
 	}
@@ -376,8 +386,13 @@
 		socket.once('connect', () => {
 			settle();
 		});
-		socket.on('error', (error) => {
+		socket.on('error', (error: NodeJS.ErrnoException) => {
 			connection.hasSocketError = true;
+			if (connection.controller?.paused) {
+				// After a reset the client ends its parser, which must not be paused then.
+				error.code = undefined;
+			}
+
 			if (!isSettled) {
 				// No byte of a request is written before the connection stands.
 				settle(Object.assign(error, {code: 'ECONNREFUSED'}));
@@ -385,6 +400,8 @@
 		});
 		socket.once('end', () => {
 			connection.hasSocketEnded = true;
+			// All bytes are taken; the client ends its parser next, which must not be paused then.
+			connection.controller?.resume();
 			if (connection.isReadingUntilEnd) {
 				connection.wasReset = testForReset(socket);
 			}
--- a/packages/gateway/src/test/endless-answers.test.ts
+++ b/packages/gateway/src/test/endless-answers.test.ts
@@ -158,19 +158,8 @@
 			onFailure: () => undefined,
 		},
 	);
-	await untilBlocked(upstream);
+	t.ok(await upstream.isBlocked());
 	t.ok(takenBytes > 0 && takenBytes <= 65_536, `${takenBytes} bytes`);
 	exchange.cancel();
 	t.equal(await upstream.ended, 'closed');
 });
-
-/** Resolves when the upstream cannot hand more to the system. */
-const untilBlocked = async (upstream: endlessUpstream.EndlessUpstream): Promise<void> => {
-	let before = -1;
-	while (before !== upstream.sentBytes()) {
-		before = upstream.sentBytes();
-		await new Promise((resolve) => {
-			setTimeout(resolve, 200);
-		});
-	}
-};
