Read what waits in the sockets before a silence is judged

Callers saw: after a pause of an entry daemon, streams of upstreams that had gone on all the while were ended as stalled, and answers that had arrived in time ended with deadline-exceeded.

Cause: after a pause (process stopped, event loop held up) the timers of Node run before its sockets are read. The stall watch, the search for a successor of a call and the deadline signal took the process's own delay for the silence of the upstream.

A patient timer that fires over 50 ms late is armed once more for 250 ms, so that waiting data is read first; data that a full socket kept at its sender needs a round trip. It does so four times at most, so that a process that is always late still comes to a verdict. Timers in time are as exact as before.

Ruled out: the hedge delay (settlesWithin). A late timer may send a hedge that is not needed, but the first attempt still wins with its answer.

--- a/packages/entry/src/common/deadline.ts
+++ b/packages/entry/src/common/deadline.ts
@@ -3,6 +3,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as schema from '@hawthornfront/catalogue/common/schema.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
+import * as patientTimer from '@hawthornfront/base/common/patient-timer.js';
 
 /** Deadline from the `Request-Timeout-Ms` header, never later than the limit of the entry. */
 export const deadlineOf = (
@@ -47,7 +48,8 @@
 		onAbort();
 	}
 
-	const timer = time.setTimer(() => {
+	// An answer that arrived in time while this process was held up is still delivered.
+	const onDeadline = () => {
 		controller.abort(
 			new gatewayError.GatewayException({
 				kind: 'deadline-exceeded',
@@ -57,7 +59,9 @@
 				detail: 'the deadline of the request passed before its answer was whole',
 			}),
 		);
-	}, deadlineAtMs - time.nowMs());
+	};
+
+	const timer = patientTimer.setPatientTimer(time, onDeadline, deadlineAtMs - time.nowMs());
 	return {
 		signal: controller.signal,
 		dispose() {
--- a/packages/entry/src/common/service-attempts.ts
+++ b/packages/entry/src/common/service-attempts.ts
@@ -2,6 +2,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as gatewayError from '@hawthornfront/base/common/gateway-error.js';
 import * as iteration from '@hawthornfront/base/common/iteration.js';
+import * as patientTimer from '@hawthornfront/base/common/patient-timer.js';
 import type * as types from '@hawthornfront/decisions/common/types.js';
 import * as deadline from './deadline.js';
 import type * as engineServices from './engine-services.js';
@@ -228,14 +229,16 @@
 
 	const watchLate = () => {
 		timer?.dispose();
-		timer = services.clock.setTimer(() => {
+		const onLate = () => {
 			for (const running of watched) {
 				running.markLate();
 			}
 
 			search.start();
 			watchLate();
-		}, patienceMs(call));
+		};
+
+		timer = patientTimer.setPatientTimer(services.clock, onLate, patienceMs(call));
 	};
 
 	return {
