Take pre-empted work back into a full queue

Callers saw: an accepted long stream, stopped to make room for short work, ended with "overloaded: the queue is full".

Cause: a pre-empted stream asks for a new place like a new request, and the limits of the queue and of its team refuse new requests. The stream had been stopped before it was known that it would be taken back.

Deadline, caller and upstreams are checked as before, and new work is refused as before.

--- a/packages/decisions/src/common/scheduler.ts
+++ b/packages/decisions/src/common/scheduler.ts
@@ -203,6 +203,11 @@
 			throw refusal.createRefusal('no-upstream', settings.tickMs);
 		}
 
+		// Work that was stopped to make room was accepted before.
+		if ((item.preemptions ?? 0) > 0) {
+			return;
+		}
+
 		const ofTeam = queuedByTeam.get(item.team) ?? 0;
 		const teamLimit = Math.max(1, settings.maxQueuedItems * settings.maxQueueSharePerTeam);
 		if (queued >= settings.maxQueuedItems || ofTeam >= teamLimit) {
--- a/packages/decisions/src/test/scheduler-preemption.test.ts
+++ b/packages/decisions/src/test/scheduler-preemption.test.ts
@@ -104,6 +104,26 @@
 	t.equal(made[0]?.item.preemptions, 1);
 });
 
+// Guards against an accepted stream that is stopped to make room and then refused by the limits of the queue.
+for (const [name, limits] of Object.entries({
+	'a full queue': {maxQueuedItems: 1, maxQueueSharePerTeam: 1},
+	'a full share of its team': {maxQueuedItems: 2, maxQueueSharePerTeam: 0.5},
+})) {
+	tap.t.test(`pre-empted work is not refused by ${name}`, async (t) => {
+		const {clock, subject} = createSubject({...settings, ...limits});
+		subject.setUpstreams([createUpstream('a')]);
+		const first = await subject.acquire(createLong(), never);
+		const {made, add} = fixtures.collect(subject);
+		add(createLong());
+		await t.rejects(subject.acquire(createLong(), never), /the queue is full/u);
+		const resuming = add(createLong({preemptions: 1}));
+		first.release('answered');
+		await clock.advance(0);
+		await t.resolves(resuming);
+		t.equal(made[0]?.item.preemptions, 1);
+	});
+}
+
 tap.t.test(
 	'a stream makes room for a short item that is stuck in the queue of the engine',
 	async (t) => {
