Stop a stream for other work only where it can go on

Callers saw: a long stream on an upstream that was leaving was stopped to relieve a short item there and then ended with "no upstream may serve the request", although its upstream would have finished it.

Cause: relief looks at all upstreams, leaving ones included, and plans victims without asking whether an upstream that stays and resumes streams may take them back.

The preemptor now leaves a stream alone unless an upstream of its model that is not leaving, resumes streams and is not excluded exists; that may be the upstream it runs on.

--- a/packages/decisions/src/common/preemptor.ts
+++ b/packages/decisions/src/common/preemptor.ts
@@ -5,6 +5,7 @@
 import type * as recomputeBudget from './recompute-budget.js';
 import type * as schedulerSettings from './scheduler-settings.js';
 import type * as upstreamPool from './upstream-pool.js';
+import type * as upstreamState from './upstream-state.js';
 
 export type PreemptorOptions = {
 	clock: clock.Clock;
@@ -24,8 +25,16 @@
 export const createPreemptor = ({clock, pool, settings, budget}: PreemptorOptions): Preemptor => {
 	let count = 0;
 
+	/** A stream on an upstream that leaves needs another one that continues at a token. */
+	const canGoOn = ({item}: upstreamState.Running): boolean =>
+		pool
+			.candidates(item.model)
+			.some(({upstream}) => upstream.resumesStreams && !item.excluded.has(upstream.name));
+
 	const carryOut = ({victims: planned, nextAtMs}: preemption.PreemptionPlan): number => {
-		const victims = planned.filter((victim) => budget.tryTake(preemption.recomputedTokens(victim)));
+		const victims = planned.filter(
+			(victim) => canGoOn(victim) && budget.tryTake(preemption.recomputedTokens(victim)),
+		);
 		// All are marked first, since a listener may release at once and start the next plan.
 		for (const victim of victims) {
 			victim.isPreempted = true;
--- a/packages/decisions/src/test/scheduler-preemption.test.ts
+++ b/packages/decisions/src/test/scheduler-preemption.test.ts
@@ -149,6 +149,32 @@
 	},
 );
 
+// Guards against an accepted stream that is stopped where no upstream may take it back.
+for (const [name, others, expected] of [
+	['no other', [], 0],
+	['one that does not resume streams', [createUpstream('b', {resumesStreams: false})], 0],
+	['one that resumes streams', [createUpstream('b')], 1],
+] as const) {
+	tap.t.test(`stream of a leaving upstream beside ${name}`, async (t) => {
+		const {clock, subject} = createSubject(settings);
+		subject.setUpstreams([createUpstream('a', {slots: 3})]);
+		const long = await subject.acquire(createLong(), never);
+		long.noteTokens(1);
+		let fired = 0;
+		long.onDidPreempt(() => {
+			fired++;
+		});
+		await clock.advance(2000);
+		await subject.acquire(createItem(), never);
+		subject.setUpstreams([createUpstream('a', {slots: 2}), ...others]);
+		subject.setLeaving(new Set(['a']));
+		// The engine queues the short item behind work that no report shows.
+		subject.report('a', fixtures.createReport({running: 2, waiting: 1, slots: 2, leaving: true}));
+		await clock.advance(5000);
+		t.equal(fired, expected);
+	});
+}
+
 tap.t.test('the stream with the least to compute again is stopped, prompt included', async (t) => {
 	const {clock, subject} = createSubject(settings);
 	subject.setUpstreams([createUpstream('a', {slots: 3})]);
