Read an answer that waits in the socket before its request times out

Callers saw: requests of daemons to upstreams, other daemons and the platform ended with "no answer within N ms" after the event loop had been held up, although the answer had arrived in time. Behind it a keyed request was refused because its witness seemed silent, or an attempt was lost.

The limit is a patient timer now. Limits in time are as exact as before.

--- a/packages/base/src/node/undici-http-client.ts
+++ b/packages/base/src/node/undici-http-client.ts
@@ -1,6 +1,8 @@
 /** HTTP client on undici. Its automatic retries and redirects stay off. */
 import * as errorText from '../common/error-text.js';
 import * as httpClient from '../common/http-client.js';
+import * as patientTimer from '../common/patient-timer.js';
+import * as systemClock from './system-clock.js';
 import * as undiciParts from './undici-parts.js';
 
 const defaultTimeoutMs = 30_000;
@@ -33,6 +35,7 @@
 
 /** Client with one connection pool a peer. */
 export class UndiciHttpClient extends httpClient.HttpClient {
+	readonly #clock = new systemClock.SystemClock();
 	readonly #agent = new undiciParts.Agent({
 		connections: maxConnectionsPerPeer,
 		pipelining: 1,
@@ -43,9 +46,12 @@
 
 	override async request(request: httpClient.HttpRequest): Promise<httpClient.HttpResponse> {
 		const timeout = new AbortController();
-		const timer = setTimeout(() => {
-			timeout.abort(new Error(`no answer within ${request.timeoutMs ?? defaultTimeoutMs} ms`));
-		}, request.timeoutMs ?? defaultTimeoutMs);
+		const timeoutMs = request.timeoutMs ?? defaultTimeoutMs;
+		const onTimeout = () => {
+			timeout.abort(new Error(`no answer within ${timeoutMs} ms`));
+		};
+
+		const timer = patientTimer.setPatientTimer(this.#clock, onTimeout, timeoutMs);
 		const signals = request.signal ? [timeout.signal, request.signal] : [timeout.signal];
 		try {
 			request.onSent?.();
@@ -71,7 +77,7 @@
 				error,
 			);
 		} finally {
-			clearTimeout(timer);
+			timer.dispose();
 		}
 	}
 
