--- /dev/null
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -0,0 +1,110 @@
+/** Daemons that exchange datagrams in memory, on a manual clock. */
+import * as datagramSocket from '@hawthornfront/base/common/datagram-socket.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as random from '@hawthornfront/base/common/random.js';
+import * as fleetView from '../common/fleet-view.js';
+import type * as gossipMessage from '../common/gossip-message.js';
+import * as gossipNode from '../node/gossip-node.js';
+import * as fixtures from './fixtures.js';
+
+class Network {
+	readonly sockets = new Map<string, MemorySocket>();
+	readonly cut = new Set<string>();
+	bytes = 0;
+}
+
+class MemorySocket extends datagramSocket.DatagramSocket {
+	readonly #network: Network;
+	readonly #address: string;
+	readonly #didReceive = event.createEmitter<datagramSocket.Datagram>();
+
+	constructor(network: Network, address: string) {
+		super();
+		this.#network = network;
+		this.#address = address;
+		network.sockets.set(address, this);
+	}
+
+	override get onDidReceive() {
+		return this.#didReceive.event;
+	}
+
+	override send(peer: string, bytes: Uint8Array): void {
+		this.#network.bytes += bytes.length;
+		const isCut = this.#network.cut.has(peer) || this.#network.cut.has(this.#address);
+		if (!isCut) {
+			this.#network.sockets.get(peer)?.receive({peer: this.#address, bytes});
+		}
+	}
+
+	receive(datagram: datagramSocket.Datagram): void {
+		this.#didReceive.fire(datagram);
+	}
+
+	override dispose(): void {
+		this.#network.sockets.delete(this.#address);
+	}
+}
+
+const startNode = (
+	clock: manualClock.ManualClock,
+	network: Network,
+	record: gossipMessage.MemberRecord,
+	seeds: string[],
+) => {
+	const fleet = fleetView.createFleetView(clock, record.name);
+	const heard: gossipMessage.GossipMessage[] = [];
+	const chains: Array<{partId: string; runner: string}> = [];
+	const state = {record};
+	const socket = new MemorySocket(network, record.peerAddress);
+	const node = gossipNode.startGossip({
+		clock,
+		random: random.createRandom(record.name.codePointAt(1)!),
+		socket,
+		fleet,
+		log: {note: () => undefined},
+		everyMs: 250,
+		seeds,
+		self: () => state.record,
+		ownLoads: () => [],
+		domainLoads: () => [],
+		ownOutlooks: () => [],
+		farOutlooks: () => [],
+		takeChains: () => chains.splice(0),
+		onMessage(message) {
+			heard.push(message);
+			fleet.noteMember(message.sender, 0);
+			for (const {record: other, ageMs} of message.others) {
+				fleet.noteMember(other, ageMs);
+			}
+		},
+	});
+	return {
+		fleet,
+		heard,
+		chains,
+		state,
+		node,
+		stop() {
+			node.dispose();
+			socket.dispose();
+		},
+	};
+};
+
+/** Two daemons in each of two regions, whose datagrams go through memory. */
+export const startFleet = () => {
+	const clock = new manualClock.ManualClock();
+	const network = new Network();
+	const records = ['n1', 'n2', 's1', 's2'].map((name) =>
+		fixtures.member(name, {
+			region: name.startsWith('n') ? 'north' : 'south',
+			failureDomain: name.startsWith('n') ? 'north-a' : 'south-a',
+		}),
+	);
+	const nodes = Object.fromEntries(
+		records.map((record) => [record.name, startNode(clock, network, record, ['n1:90', 's1:90'])]),
+	) as Record<'n1' | 'n2' | 's1' | 's2', ReturnType<typeof startNode>>;
+	return {clock, network, nodes};
+};
