Take daemons in their planned stop for reachable

What callers saw: silent relayed requests answered 502 while the relaying daemon, or the one that relays, was in a planned stop.

Cause: a member that leaves counts as not alive, which is right for new requests and wrong for those that it still answers; and nobody told a leaving daemon anything, so after a while it took all regions for cut off. A leaving member now counts as reachable while its region is heard, and daemons of its failure domain go on telling it what they hear.

--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -34,11 +34,13 @@
 	/** Takes over a member from the store, which may be dead already. */
 	noteStoreMember(record: gossip.MemberRecord): void;
 	noteOutlook(region: string, service: string, outlook: RegionOutlook): void;
-	/** Members that are alive, without this daemon. */
+	/** Members that are alive and stay, without this daemon. */
 	alive(): readonly Member[];
+	/** Members that announced a planned stop a short time ago. */
+	leaving(): readonly Member[];
 	aliveIn(region: string): readonly Member[];
 	member(name: string): Member | undefined;
-	/** Whether a member is alive as far as is known, and its region was heard of a short time ago. */
+	/** Whether a member is alive or in its planned stop, and its region was heard of a short time ago. */
 	isReachable(name: string): boolean;
 	/** Whether this daemon hears any other daemon at all. */
 	hearsPeers(): boolean;
@@ -113,6 +115,7 @@
 			}
 		},
 		alive: () => [...members.values()].filter((member) => isAlive(member)),
+		leaving: () => [...members.values()].filter(({isLeaving}) => isLeaving),
 		aliveIn: (region) => view.alive().filter((member) => member.region === region),
 		member: (name) => members.get(name),
 		isReachable(name) {
@@ -120,8 +123,10 @@
 			const oldestMs = timeSource.nowMs() - regionSilentAfterMs;
 			return (
 				member !== undefined &&
-				isAlive(member) &&
-				view.aliveIn(member.region).some(({aliveAtMs}) => aliveAtMs >= oldestMs)
+				(member.isLeaving || isAlive(member)) &&
+				[...members.values()].some(
+					({region, aliveAtMs}) => region === member.region && aliveAtMs >= oldestMs,
+				)
 			);
 		},
 		hearsPeers: () => view.alive().length > 0,
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -101,7 +101,10 @@
 
 	const sendNear = () => {
 		const self = options.self();
-		const near = fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
+		// A daemon in its planned stop still relays, and judges by what it hears whether it reaches others.
+		const near = [...fleet.alive(), ...fleet.leaving()].filter(
+			(member) => member.failureDomain === self.failureDomain,
+		);
 		const own = options.takeChains().map((chain) => ({...chain, isFar: false}));
 		ownSinceFar.push(...own);
 		const bytes = buildMessage(
--- a/packages/gateway/src/test/cancelled-answers.test.ts
+++ b/packages/gateway/src/test/cancelled-answers.test.ts
@@ -60,6 +60,7 @@
 		exchange = pool.send(
 			{address, method: 'GET', path: '/x', headers: ['Host', 'a'], needsRecentConnection: false},
 			{
+				onSent: () => undefined,
 				onHead: () => undefined,
 				onData() {
 					onFirstBytes(exchange!);
--- a/packages/gateway/src/test/endless-passing.test.ts
+++ b/packages/gateway/src/test/endless-passing.test.ts
@@ -32,6 +32,7 @@
 		),
 		log: {note: () => undefined},
 		ownRegion: 'north',
+		isReachable: () => true,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
 	});
 	const server = callerServer.createCallerServer(
