Say why connections are closed, and answer what a stop can't finish

An incident showed that the log doesn't say who closed a caller's connection: a server that closed one said nothing, and a caller that left and a caller that was cut both ended as `caller-gone`. Callers in turn saw nothing but a closed connection when the grace was over, also for a request that had not begun.

- `connections-closed`, at most once a second for each port and reason, counts connections that the server closed and the requests on them that got no whole answer of an upstream.
Closes by callers are not in it.
- `limits-changed` follows `config-in-force` where a version brings other limits.
- At the end of a stop, a request without a begun answer gets 502 (its outcome is unknown), or 503 if it was not passed on yet, and 100 ms to leave; an answer that has begun is broken as before.
A relayed request is still broken, which its daemon takes for an unknown outcome and goes on from.

The log line and the answer come with `requests in progress at the end of a stop get an answer`; other tests of closes check the reason, too.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -134,7 +134,22 @@
 	| {kind: 'member'; change: string; member: string; region: string; ageMs: number}
 	| {kind: 'snapshot-pulled'; peer: string; configVersion: number; upstreamRevision: number}
 	| {kind: 'snapshot-pull-failed'; peer: string; detail: string}
-	| {kind: 'datagram-rejected'; peer: string; detail: string};
+	| {kind: 'datagram-rejected'; peer: string; detail: string}
+	| {
+			kind: 'connections-closed';
+			port: string;
+			reason: string;
+			connections: number;
+			unanswered: number;
+	  }
+	| {
+			kind: 'limits-changed';
+			version: number;
+			headerBytes: number;
+			bodyBytes: number;
+			headerTimeoutMs: number;
+			idleMs: number;
+	  };
 
 export type GatewayEvent = RequestEvent | BeliefEvent;
 
--- a/packages/gateway/src/node/beliefs.ts
+++ b/packages/gateway/src/node/beliefs.ts
@@ -2,6 +2,7 @@
  * The configuration, evacuations and upstreams that are in force here, fed by the
  * store while this daemon watches it, or else by peers. Versions never go back.
  */
+import * as util from 'node:util';
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as errorText from '@hawthornfront/base/common/error-text.js';
@@ -84,6 +85,7 @@
 			return;
 		}
 
+		const previousLimits = table?.config.limits;
 		table = routeConfig.createRouteTable(config);
 		log.note({
 			kind: 'config-in-force',
@@ -92,6 +94,10 @@
 			source,
 			routes: config.routes.length,
 		});
+		if (!previousLimits || !util.isDeepStrictEqual(previousLimits, config.limits)) {
+			log.note({kind: 'limits-changed', version: config.version, ...config.limits});
+		}
+
 		didChangeConfig.fire(table);
 	};
 
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -4,10 +4,12 @@
 import * as net from 'node:net';
 import * as event from '@hawthornfront/base/common/event.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as answerVerdict from '../common/answer-verdict.js';
 import type * as routeConfig from '../common/route-config.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as callerConnections from './caller-connections.js';
+import type * as closeLog from './close-log.js';
 
 /** A request whose head was read. */
 export type CallerHead = {
@@ -54,6 +56,8 @@
 	/** Requests between their head and the end of their answer. */
 	readonly inFlight: number;
 	readonly openConnections: number;
+	/** Gives requests in progress an answer that says what is known of them, or breaks one that has begun. */
+	endRequests(): void;
 	destroy(): void;
 };
 
@@ -126,14 +130,19 @@
 const emptyAnswer = (status: string): string =>
 	`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
 
-/** @param judge decides on a request from its head */
+/**
+ * @param judge decides on a request from its head
+ * @param closes takes note of connections that the server closes
+ */
 export const createCallerServer = (
 	nowMs: () => number,
 	judge: (head: CallerHead) => Verdict,
+	closes: Pick<closeLog.CloseLog, 'note'>,
 ): CallerServer => {
 	const connections = callerConnections.createCallerConnections(nowMs);
+	/** Ends each request in progress. */
+	const endsInProgress = new Set<() => void>();
 	let isDraining = false;
-	let inFlight = 0;
 	let maxHeaderBytes = headerLimitBytes;
 	let maxBodyBytes = 4_194_304;
 	let idleLimitMs = Number.POSITIVE_INFINITY;
@@ -142,10 +151,17 @@
 		response: http.ServerResponse,
 		status: number,
 		reason: string,
-		retryAfterMs?: number,
-		headers: wireFormat.Headers = {},
+		{
+			outcome = 'not-run',
+			retryAfterMs,
+			headers = {},
+		}: {
+			outcome?: answerVerdict.Outcome;
+			retryAfterMs?: number;
+			headers?: wireFormat.Headers;
+		} = {},
 	) => {
-		const body = JSON.stringify({outcome: 'not-run', reason});
+		const body = JSON.stringify({outcome, reason});
 		response.sendDate = false;
 		if (retryAfterMs !== undefined) {
 			response.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
@@ -169,25 +185,39 @@
 	const onRequest = (request: http.IncomingMessage, response: http.ServerResponse) => {
 		// It crossed the close of the connection, so its answer could not be sent.
 		if (connections.isClosing(request.socket)) {
+			closes.note('crossed', 1);
 			request.socket.destroy();
 			return;
 		}
 
-		inFlight++;
 		connections.startRequest(request.socket);
 		let course: disposable.Disposable | undefined;
 		let isOver = false;
+		let hasRun = false;
 		const end = () => {
 			if (isOver) {
 				return;
 			}
 
 			isOver = true;
-			inFlight--;
+			endsInProgress.delete(endNow);
 			connections.endRequest(request.socket);
 			course?.dispose();
 		};
 
+		const endNow = () => {
+			closes.note('grace-over', connections.requests(request.socket));
+			end();
+			if (response.headersSent) {
+				request.socket.destroy();
+			} else if (hasRun) {
+				reject(response, 502, 'stopping', {outcome: 'unknown'});
+			} else {
+				reject(response, 503, 'stopping');
+			}
+		};
+
+		endsInProgress.add(endNow);
 		response.on('close', end);
 		if (headerBytes(request.rawHeaders) > maxHeaderBytes) {
 			reject(response, 431, 'header-too-large');
@@ -204,7 +234,7 @@
 		});
 		if (verdict.kind === 'reject') {
 			request.resume();
-			reject(response, verdict.status, verdict.reason, verdict.retryAfterMs, verdict.headers);
+			reject(response, verdict.status, verdict.reason, verdict);
 			return;
 		}
 
@@ -236,6 +266,7 @@
 					return;
 				}
 
+				hasRun = true;
 				const reply = new ServerReply(response, () => isDraining);
 				course = run(body, reply, () => {
 					course = undefined;
@@ -304,6 +335,7 @@
 			if (leftMs > 0) {
 				socket.setTimeout(leftMs);
 			} else {
+				closes.note('idle-limit', 0);
 				connections.close(socket);
 			}
 		});
@@ -314,6 +346,7 @@
 		}
 
 		if (connections.idleMs(socket) === undefined) {
+			closes.note('slow-head', 0);
 			connections.close(socket, emptyAnswer('408 Request Timeout'));
 		} else {
 			// No head has begun, or it came in the end; the limit on idle connections applies.
@@ -327,7 +360,16 @@
 			afterNextPoll(() => {
 				closeSlowHead(socket);
 			});
-		} else if (!socket.writable || connections.isBusy(socket) || error.code === 'ECONNRESET') {
+			return;
+		}
+
+		if (!socket.writable || connections.isClosing(socket) || error.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+
+		closes.note('client-error', connections.requests(socket));
+		if (connections.isBusy(socket)) {
 			socket.destroy();
 		} else {
 			const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
@@ -360,6 +402,7 @@
 			afterNextPoll(() => {
 				for (const socket of connections.all()) {
 					if ((connections.idleMs(socket) ?? 0) > firstRequestMs) {
+						closes.note('stop', 0);
 						connections.close(socket);
 					}
 				}
@@ -370,11 +413,16 @@
 			afterNextPoll(closeListener);
 		},
 		get inFlight() {
-			return inFlight;
+			return endsInProgress.size;
 		},
 		get openConnections() {
 			return connections.count;
 		},
+		endRequests() {
+			for (const endNow of endsInProgress) {
+				endNow();
+			}
+		},
 		destroy() {
 			closeListener();
 			for (const socket of connections.all()) {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -17,6 +17,7 @@
 import type * as wireFormat from '../common/wire-format.js';
 import * as beliefs from './beliefs.js';
 import * as callerServer from './caller-server.js';
+import * as closeLog from './close-log.js';
 import * as connectionPool from './connection-pool.js';
 import type * as eventWriter from './event-writer.js';
 import * as gossipNode from './gossip-node.js';
@@ -54,6 +55,8 @@
 /** Callers that keep an answer for longer still ask daemons that have stopped. */
 const maxTimeToLiveMs = 2000;
 const housekeepingMs = 1000;
+/** Time for answers that are given when the grace is over to leave. */
+const lastAnswersMs = 100;
 /** How often it is decided whether this daemon watches the store. */
 const watchDutyEveryMs = 500;
 
@@ -157,8 +160,10 @@
 				stopping && {elapsedMs: nowMs() - stopping.startedAtMs, graceMs: stopping.graceMs},
 		});
 
-	const callers = callerServer.createCallerServer(nowMs, judge(false));
-	const relays = callerServer.createCallerServer(nowMs, judge(true));
+	const callerCloses = closeLog.createCloseLog(log, 'callers');
+	const relayCloses = closeLog.createCloseLog(log, 'peers');
+	const callers = callerServer.createCallerServer(nowMs, judge(false), callerCloses);
+	const relays = callerServer.createCallerServer(nowMs, judge(true), relayCloses);
 
 	const ownOutlooks = (): gossipMessage.GossipMessage['outlooks'] =>
 		(belief.table?.config.services ?? []).map((service) => ({
@@ -316,6 +321,8 @@
 		clock.setPeriodicTimer(() => {
 			pool.sweep();
 			noteReadiness();
+			callerCloses.flush();
+			relayCloses.flush();
 		}, housekeepingMs),
 	);
 	const callersAt = settings.splitAddress(listen.callers);
@@ -370,9 +377,16 @@
 				inFlight: inFlight(),
 				reason: inFlight() === 0 ? 'idle' : 'grace-over',
 			});
+			if (callers.inFlight > 0) {
+				callers.endRequests();
+				await clock.sleep(lastAnswersMs);
+			}
+
 			disposables.dispose();
 			callers.destroy();
 			relays.destroy();
+			callerCloses.flush();
+			relayCloses.flush();
 			pool.dispose();
 			options.socket.dispose();
 			log.flush();
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -23,6 +23,7 @@
 	const runs: Run[] = [];
 	const replies: upstreamTransport.CallerReply[] = [];
 	const time = {nowMs: 0};
+	const closes: string[] = [];
 	let left = 0;
 	const server = callerServer.createCallerServer(
 		() => time.nowMs,
@@ -48,6 +49,11 @@
 							};
 						},
 					},
+		{
+			note(reason, unanswered) {
+				closes.push(`${reason} ${unanswered}`);
+			},
+		},
 	);
 	const listenPort = await port();
 	await server.listen('127.0.0.1', listenPort);
@@ -87,7 +93,7 @@
 	};
 
 	setLimits({});
-	return {server, runs, replies, time, open, setLimits, left: () => left};
+	return {server, runs, replies, closes, time, open, setLimits, left: () => left};
 };
 
 /** The timer of an idle limit of 0 has fired after this time. */
@@ -130,7 +136,7 @@
 });
 
 tap.t.test('a request inside another one is not run', async (t) => {
-	const {runs, open} = await start(t);
+	const {runs, closes, open} = await start(t);
 	const {socket, state} = await open();
 	socket.write(
 		'POST /a/ HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n' +
@@ -139,6 +145,7 @@
 	t.ok(await until(() => state.isClosed));
 	t.match(state.text, 'HTTP/1.1 400');
 	t.same(runs, []);
+	t.same(closes, ['client-error 0']);
 });
 
 tap.t.test('limits of head and body get their status', async (t) => {
@@ -209,7 +216,7 @@
 });
 
 tap.t.test('a request that crosses the close of its idle connection is not run', async (t) => {
-	const {server, runs, time, open} = await start(t);
+	const {closes, server, runs, time, open} = await start(t);
 	const {socket, state} = await open(true);
 	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
 	await until(() => state.text.endsWith('ok'));
@@ -223,6 +230,7 @@
 		runs.map(({path}) => path),
 		['/a/'],
 	);
+	t.same(closes, ['stop 0', 'crossed 1']);
 });
 
 // Requests that waited in the socket while the daemon stalled got no answer.
@@ -292,7 +300,7 @@
 });
 
 tap.t.test('an idle connection is closed after the limit', async (t) => {
-	const {time, open, setLimits} = await start(t);
+	const {closes, time, open, setLimits} = await start(t);
 	setLimits({idleMs: 0});
 	const {socket, state} = await open();
 	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
@@ -300,6 +308,7 @@
 	time.nowMs += 5000;
 	t.ok(await until(() => state.isClosed, 1000));
 	t.ok(state.text.endsWith('ok'), 'with nothing but the answer');
+	t.same(closes, ['idle-limit 0']);
 });
 
 tap.t.test('a caller that does not close its side holds no connection', async (t) => {
@@ -369,13 +378,14 @@
 
 // Callers do not retry after 400; after 408 they know that the request has not run.
 tap.t.test('a head that takes too long gets 408', async (t) => {
-	const {runs, open, setLimits} = await start(t);
+	const {closes, runs, open, setLimits} = await start(t);
 	setLimits({headerTimeoutMs: 100});
 	const {socket, state} = await open();
 	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\nx: ');
 	t.ok(await until(() => state.isClosed, 1000));
 	t.match(state.text, 'HTTP/1.1 408 ');
 	t.same(runs, []);
+	t.same(closes, ['slow-head 0']);
 });
 
 // The limit on heads counted from the opening of the connection, which then got 400.
@@ -434,6 +444,31 @@
 	t.ok(await until(() => state.text.endsWith('ok')));
 });
 
+// Callers could not tell the end of the grace from a crash.
+tap.t.test('requests in progress at the end of a stop get an answer', async (t) => {
+	const {server, runs, replies, closes, open, left} = await start(t);
+	const [begun, waiting, unread] = [await open(), await open(), await open()];
+	begun.socket.write('GET /wait/begun/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	await until(() => replies.length === 1);
+	replies[0]!.start(200, {});
+	replies[0]!.write(new TextEncoder().encode('first'));
+	waiting.socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	unread.socket.write('POST /wait/ HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nab');
+	t.ok(await until(() => begun.state.text.includes('first') && server.inFlight === 3));
+	await until(() => runs.length === 2);
+	server.startDraining();
+	server.endRequests();
+	t.equal(server.inFlight, 0);
+	t.equal(left(), 2);
+	t.ok(await until(() => [begun, waiting, unread].every(({state}) => state.isClosed)));
+	t.notMatch(begun.state.text, '0\r\n\r\n', 'does not look complete');
+	t.match(waiting.state.text, 'HTTP/1.1 502 ');
+	t.match(waiting.state.text, '{"outcome":"unknown","reason":"stopping"}');
+	t.match(unread.state.text, 'HTTP/1.1 503 ');
+	t.match(unread.state.text, '{"outcome":"not-run","reason":"stopping"}');
+	t.same(closes, ['grace-over 1', 'grace-over 1', 'grace-over 1']);
+});
+
 tap.t.test('addresses are split at the port', async (t) => {
 	t.same(settings.splitAddress('10.1.0.35:8144'), {host: '10.1.0.35', port: 8144});
 });
