--- a/packages/gateway/src/test/endless-passing.test.ts
+++ b/packages/gateway/src/test/endless-passing.test.ts
@@ -56,6 +56,7 @@
 					onEnd,
 				),
 		}),
+		{note: () => undefined},
 	);
 	const probe = net.createServer();
 	await new Promise<void>((resolve) => {
