--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -12,6 +12,7 @@
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as relayHeaders from './relay-headers.js';
+import * as requestLogs from './request-log.js';
 import type * as resendBudget from './resend-budget.js';
 import * as routeConfig from './route-config.js';
 import type * as upstreamTransport from './upstream-transport.js';
@@ -74,9 +75,8 @@
 	reply: upstreamTransport.CallerReply,
 	onEnd: () => void,
 ): disposable.Disposable => {
-	const {clock, wire, log} = services;
+	const {clock, wire} = services;
 	const {route, facts, service} = request;
-	const requestId = facts.attemptId ?? '';
 	const work = workEstimate.estimateWork(facts, route);
 	const isIdempotent = routeConfig.isIdempotent(route);
 	const limitMs = Math.min(facts.patienceMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -100,6 +100,12 @@
 
 	const remainingMs = () => deadlineMs - clock.nowMs();
 
+	const requestLog = requestLogs.createRequestLog(clock, services.log, request, () => ({
+		remainingMs: remainingMs(),
+		sends,
+		resumeAfter,
+	}));
+
 	/** Calls back unless the request ends before. */
 	const after = (delayMs: number, callback: () => void) => {
 		const timer = clock.setTimer(() => {
@@ -109,30 +115,14 @@
 		timers.add(timer);
 	};
 
-	const finish = (
-		outcome: (gatewayEvent.RequestEvent & {kind: 'request-ended'})['outcome'],
-		status: number,
-		reason?: string,
-	) => {
+	const finish = (outcome: requestLogs.EndedEvent['outcome'], status: number, reason?: string) => {
 		hasEnded = true;
 		for (const timer of timers) {
 			timer.dispose();
 		}
 
 		timers.clear();
-		log.note({
-			kind: 'request-ended',
-			request: requestId,
-			route: route.name,
-			service: service.name,
-			outcome,
-			status,
-			reason,
-			sends,
-			firstMs: Math.round(firstMs),
-			totalMs: Math.round(clock.nowMs() - request.arrivedAtMs),
-			goalMs: route.goalMs,
-		});
+		requestLog.ended({outcome, status, reason}, firstMs);
 		onEnd();
 	};
 
@@ -168,24 +158,9 @@
 			minRetryAfterMs,
 			Math.min(retryAfterMs, remainingMs() * maxRetryAfterShare),
 		);
-		log.note({
-			kind: 'request-refused',
-			request: requestId,
-			route: route.name,
-			reason,
-			status: hasStarted || mayHaveRun ? 502 : 503,
-			retryAfterMs: Math.round(waitMs),
-			expectedMs: Math.round(basis?.expectedMs ?? -1),
-			candidates: basis?.candidates ?? 0,
-			remainingMs: Math.round(remainingMs()),
-			hasStarted,
-			...services.versions(),
-		});
-		if (hasStarted || mayHaveRun) {
-			failWith(502, reason);
-		} else {
-			failWith(503, reason, waitMs);
-		}
+		const status = hasStarted || mayHaveRun ? 502 : 503;
+		requestLog.refused({reason, status, hasStarted, ...services.versions()}, waitMs, basis);
+		failWith(status, reason, status === 503 ? waitMs : undefined);
 	};
 
 	const onDeadline = () => {
@@ -230,31 +205,6 @@
 			upstreamsUsed ?? (target.isRelay ? request.maxUpstreams - upstreamsThatRan : 1);
 	};
 
-	const logFailure = (
-		target: attempt.AttemptTarget,
-		failure: attempt.AttemptFailure,
-		next: 'resend' | 'give-up' | 'other-attempt',
-		obstacle?: gatewayEvent.ResendObstacle,
-	) => {
-		log.note({
-			kind: 'request-attempt-failed',
-			request: requestId,
-			route: route.name,
-			peer: target.peer,
-			step: failure.step,
-			outcome: failure.outcome,
-			detail: failure.detail,
-			afterMs: Math.round(clock.nowMs() - failure.startedAtMs),
-			isRelay: target.isRelay,
-			events: failure.events,
-			silentMs: Math.round(failure.silentMs),
-			stallLimitMs: failure.stall && Math.round(failure.stall.limitMs),
-			timerLateMs: failure.stall && Math.round(failure.stall.timerLateMs),
-			next,
-			obstacle,
-		});
-	};
-
 	const noteFailed = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
 		if (failure.outcome !== 'ran') {
 			failedUpstreams.add(target.peer);
@@ -271,7 +221,7 @@
 	const afterFailure = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
 		noteFailed(target, failure);
 		const obstacle = obstacleToResend(failure.outcome);
-		logFailure(target, failure, obstacle ? 'give-up' : 'resend', obstacle);
+		requestLog.failed(target, failure, obstacle ? 'give-up' : 'resend', obstacle);
 		if (!obstacle) {
 			next();
 		} else if (mayHaveRun) {
@@ -352,21 +302,7 @@
 		const next = obstacle ? (isCutOff ? 'give-up' : 'wait') : 'takeover';
 		if (next !== 'wait' || obstacle !== lastObstacle) {
 			lastObstacle = obstacle;
-			log.note({
-				kind: 'request-silent',
-				request: requestId,
-				route: route.name,
-				peer: target.peer,
-				isRelay: target.isRelay,
-				step: silence.step,
-				events: running.events,
-				silentMs: Math.round(silence.silentMs),
-				limitMs: Math.round(silence.limitMs),
-				timerLateMs: Math.round(silence.timerLateMs),
-				remainingMs: Math.round(remainingMs()),
-				next,
-				obstacle,
-			});
+			requestLog.silent(target, running.events, silence, {next, obstacle});
 		}
 
 		if ('choice' in found) {
@@ -399,43 +335,29 @@
 			onSilent,
 			onSuccessorFailed({target}, failure) {
 				noteFailed(target, failure);
-				logFailure(target, failure, 'other-attempt');
+				requestLog.failed(target, failure, 'other-attempt');
 			},
 			onKept({target}, wasSent) {
 				if (wasSent) {
 					noteMayHaveRun(target);
 				}
 
-				logTakeover(target, 'kept');
+				requestLog.tookOver(target, 'kept');
 			},
 			onMoved(from, to, basis) {
 				if (basis.kind === 'failure') {
 					noteFailed(from.target, basis.failure);
-					logFailure(from.target, basis.failure, 'other-attempt');
+					requestLog.failed(from.target, basis.failure, 'other-attempt');
 				} else {
 					noteMayHaveRun(from.target);
 				}
 
 				lastObstacle = undefined;
-				logTakeover(to.target, basis.kind);
+				requestLog.tookOver(to.target, basis.kind);
 			},
 		},
 	);
 
-	const logTakeover = (
-		target: attempt.AttemptTarget,
-		result: 'kept' | attemptPair.MoveBasis['kind'],
-	) => {
-		log.note({
-			kind: 'request-takeover',
-			request: requestId,
-			route: route.name,
-			successor: target.peer,
-			result,
-			remainingMs: Math.round(remainingMs()),
-		});
-	};
-
 	/** Describes an attempt that is started by the pair. */
 	const createMember = (
 		target: attempt.AttemptTarget,
@@ -468,21 +390,7 @@
 		const {id, address} = upstream.entry;
 		triedUpstreams.add(id);
 		sends++;
-		log.note({
-			kind: 'request-sent',
-			request: requestId,
-			route: route.name,
-			upstream: id,
-			send: sends,
-			expectedMs: Math.round(basis.expectedMs),
-			candidates: basis.candidates,
-			requestsThere: basis.requestsThere,
-			heldTokens: basis.heldTokens,
-			streamingMs: basis.streamingMs,
-			promptSource: choice.promptSource?.entry.id,
-			remainingMs: Math.round(remainingMs()),
-			resumeAfter,
-		});
+		requestLog.sent(choice);
 		const headers = wire.dispatchHeaders(request.rawHeaders, {
 			remainingMs: remainingMs(),
 			upstreamId: id,
@@ -500,17 +408,7 @@
 		const {region, member, basis} = choice;
 		triedRegions.add(region);
 		sends++;
-		log.note({
-			kind: 'request-relayed',
-			request: requestId,
-			route: route.name,
-			region,
-			peer: member.name,
-			send: sends,
-			expectedMs: Math.round(basis.expectedMs),
-			outlookAgeMs: basis.outlookAgeMs,
-			remainingMs: Math.round(remainingMs()),
-		});
+		requestLog.relayed(choice);
 		const headers = wire.relayHeaders(request.rawHeaders, remainingMs(), resumeAfter);
 		headers.push(
 			relayHeaders.relayedFromHeader,
--- /dev/null
+++ b/packages/gateway/src/common/request-log.ts
@@ -0,0 +1,155 @@
+/** Lines of the log on one request: each decision with the inputs that it was based on. */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as attempt from './attempt.js';
+import type * as attemptPair from './attempt-pair.js';
+import type * as dispatcher from './dispatcher.js';
+import type * as gatewayEvent from './gateway-event.js';
+import type * as gatewayRequest from './gateway-request.js';
+
+/** What the log needs to know of the request at the moment of a line. */
+export type RequestState = {
+	remainingMs: number;
+	sends: number;
+	/** Last event of a broken stream after which the next run goes on. */
+	resumeAfter?: string;
+};
+
+export type EndedEvent = gatewayEvent.RequestEvent & {kind: 'request-ended'};
+
+export type RequestLog = {
+	sent(choice: dispatcher.Choice & {kind: 'upstream'}): void;
+	relayed(choice: dispatcher.Choice & {kind: 'region'}): void;
+	failed(
+		target: attempt.AttemptTarget,
+		failure: attempt.AttemptFailure,
+		next: (gatewayEvent.RequestEvent & {kind: 'request-attempt-failed'})['next'],
+		obstacle?: gatewayEvent.ResendObstacle,
+	): void;
+	silent(
+		target: attempt.AttemptTarget,
+		events: number,
+		silence: attemptPair.Silence,
+		decision: Pick<gatewayEvent.RequestEvent & {kind: 'request-silent'}, 'next' | 'obstacle'>,
+	): void;
+	tookOver(
+		successor: attempt.AttemptTarget,
+		result: (gatewayEvent.RequestEvent & {kind: 'request-takeover'})['result'],
+	): void;
+	refused(
+		refusal: Pick<
+			gatewayEvent.RequestEvent & {kind: 'request-refused'},
+			'reason' | 'status' | 'hasStarted' | 'configVersion' | 'upstreamRevision'
+		>,
+		retryAfterMs: number,
+		basis: dispatcher.ChoiceBasis | undefined,
+	): void;
+	/** @param firstMs time to the first bytes; -1 without any */
+	ended(end: Pick<EndedEvent, 'outcome' | 'status' | 'reason'>, firstMs: number): void;
+};
+
+/** Creates the log of a request. */
+export const createRequestLog = (
+	time: clock.Clock,
+	log: gatewayEvent.EventLog,
+	{facts, route, service, arrivedAtMs}: gatewayRequest.GatewayRequest,
+	state: () => RequestState,
+): RequestLog => {
+	const subject = {request: facts.attemptId ?? '', route: route.name};
+	const remainingMs = () => Math.round(state().remainingMs);
+
+	return {
+		sent({upstream, promptSource, basis}) {
+			log.note({
+				kind: 'request-sent',
+				...subject,
+				upstream: upstream.entry.id,
+				send: state().sends,
+				expectedMs: Math.round(basis.expectedMs),
+				candidates: basis.candidates,
+				requestsThere: basis.requestsThere,
+				heldTokens: basis.heldTokens,
+				streamingMs: basis.streamingMs,
+				promptSource: promptSource?.entry.id,
+				remainingMs: remainingMs(),
+				resumeAfter: state().resumeAfter,
+			});
+		},
+		relayed({region, member, basis}) {
+			log.note({
+				kind: 'request-relayed',
+				...subject,
+				region,
+				peer: member.name,
+				send: state().sends,
+				expectedMs: Math.round(basis.expectedMs),
+				outlookAgeMs: basis.outlookAgeMs,
+				remainingMs: remainingMs(),
+			});
+		},
+		failed(target, failure, next, obstacle) {
+			log.note({
+				kind: 'request-attempt-failed',
+				...subject,
+				peer: target.peer,
+				step: failure.step,
+				outcome: failure.outcome,
+				detail: failure.detail,
+				afterMs: Math.round(time.nowMs() - failure.startedAtMs),
+				isRelay: target.isRelay,
+				events: failure.events,
+				silentMs: Math.round(failure.silentMs),
+				stallLimitMs: failure.stall && Math.round(failure.stall.limitMs),
+				timerLateMs: failure.stall && Math.round(failure.stall.timerLateMs),
+				next,
+				obstacle,
+			});
+		},
+		silent(target, events, silence, decision) {
+			log.note({
+				kind: 'request-silent',
+				...subject,
+				peer: target.peer,
+				isRelay: target.isRelay,
+				step: silence.step,
+				events,
+				silentMs: Math.round(silence.silentMs),
+				limitMs: Math.round(silence.limitMs),
+				timerLateMs: Math.round(silence.timerLateMs),
+				remainingMs: remainingMs(),
+				...decision,
+			});
+		},
+		tookOver(successor, result) {
+			log.note({
+				kind: 'request-takeover',
+				...subject,
+				successor: successor.peer,
+				result,
+				remainingMs: remainingMs(),
+			});
+		},
+		refused(refusal, retryAfterMs, basis) {
+			log.note({
+				kind: 'request-refused',
+				...subject,
+				...refusal,
+				retryAfterMs: Math.round(retryAfterMs),
+				expectedMs: Math.round(basis?.expectedMs ?? -1),
+				candidates: basis?.candidates ?? 0,
+				remainingMs: remainingMs(),
+			});
+		},
+		ended(end, firstMs) {
+			log.note({
+				kind: 'request-ended',
+				...subject,
+				service: service.name,
+				...end,
+				sends: state().sends,
+				firstMs: Math.round(firstMs),
+				totalMs: Math.round(time.nowMs() - arrivedAtMs),
+				goalMs: route.goalMs,
+			});
+		},
+	};
+};
