Keep the takeover of a stream in its region, and judge it by the state of the answer

What callers would have seen, found by the review of the fix: a silent stream was moved after 250 ms to a daemon of another region that had said nothing yet and refused later; a failure of the successor was appended to a stream that a comment had started meanwhile; a 500 through a relay ended a plain request whose first run was at work; a relay beside a local run was told of one upstream more than the route allows.

Streams now look for a successor in their own region. Plain requests may still be asked in another region beside a silent upstream, since both may answer, with one upstream less for the relay. Whether an answer has begun, and whether another run may answer, is asked when the head arrives, not when the attempt starts.

--- a/packages/gateway/src/common/attempt-pair.ts
+++ b/packages/gateway/src/common/attempt-pair.ts
@@ -41,6 +41,7 @@
 	startFirst(member: PairMember): void;
 	/** Starts another attempt beside a silent one. */
 	startSuccessor(member: PairMember): void;
+	readonly isRunning: boolean;
 	readonly hasSuccessor: boolean;
 	/** Stops the work of both. */
 	cancel(): void;
@@ -150,6 +151,9 @@
 			successor = {member, wasSent: false};
 			start(successor);
 		},
+		get isRunning() {
+			return first !== undefined;
+		},
 		get hasSuccessor() {
 			return successor !== undefined;
 		},
--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -27,10 +27,10 @@
 	/** Account of the upstream's load and failures; undefined for a relay. */
 	account: dispatcher.Dispatched | undefined;
 	isIdempotent: boolean;
-	/** Whether a failed run would be repeated, so that its answer is not passed on. */
+	/** Whether another run may answer in place of one that failed, so that its failure is not passed on. */
 	mayAskAgain(): boolean;
-	/** The caller has part of the answer already. */
-	isResumption: boolean;
+	/** Whether the caller has part of the answer already. */
+	isResumption(): boolean;
 };
 
 export type AttemptFailure = {
@@ -197,7 +197,7 @@
 			headers,
 			wire.readAnswer(status, headers),
 			request.facts.attemptId,
-			options.mayAskAgain() && !options.isResumption && !target.isRelay,
+			options.mayAskAgain() && !options.isResumption(),
 		);
 		if (verdict.kind === 'fail') {
 			if (verdict.isReplaced) {
@@ -207,7 +207,7 @@
 			fail(verdict.outcome, verdict.detail, verdict.isHard, {
 				upstreamsUsed: verdict.upstreamsUsed,
 			});
-		} else if (options.isResumption && status !== 200) {
+		} else if (options.isResumption() && status !== 200) {
 			fail('unknown', `resume-${status}`, false);
 		} else {
 			head = {status, headers};
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -283,6 +283,8 @@
 			failedUpstreams: new Set([...failedUpstreams, target.peer]),
 			// The silent upstream may still be the faster one.
 			wasAccepted: false,
+			// A daemon of another region may find out too late for a stream that it has no upstream.
+			mayCross: route.work !== 'stream' && request.relayedFrom === undefined,
 		});
 		if (choice.kind === 'refuse') {
 			return {obstacle: choice.reason};
@@ -376,8 +378,9 @@
 					account,
 					isIdempotent,
 					mayAskAgain: () =>
-						attempts.hasSuccessor || (isIdempotent && upstreamsThatRan + 1 < request.maxUpstreams),
-					isResumption: hasStarted,
+						attempts.hasSuccessor ||
+						(isIdempotent && !target.isRelay && upstreamsThatRan + 1 < request.maxUpstreams),
+					isResumption: () => hasStarted,
 				},
 				listener,
 			),
@@ -414,7 +417,7 @@
 			relayHeaders.relayedFromHeader,
 			services.ownRegion,
 			relayHeaders.upstreamsLeftHeader,
-			String(request.maxUpstreams - upstreamsThatRan),
+			String(request.maxUpstreams - upstreamsThatRan - (attempts.isRunning ? 1 : 0)),
 		);
 		return createMember(
 			{
