Leave half of the budget of further sends to runs that failed

What callers would have seen, found by the review of the fix: further sends beside silent runs, most of which speak again, take the budget in the minutes of overload; when an upstream breaks off then, its request may not be sent again and is lost although others are free.

Sends beside a run that goes on now take half of the budget at most. Both new tests failed before ('silent runs leave half of the budget' with 3 sends, the other with a broken answer).

--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -266,7 +266,7 @@
 			return 'upstreams-used';
 		}
 
-		return services.budget.canResend(service.name) ? undefined : 'budget';
+		return services.budget.canTryBeside(service.name) ? undefined : 'budget';
 	};
 
 	/** Looks for an upstream that takes a request over from a silent one. */
@@ -290,7 +290,7 @@
 			return {obstacle: choice.reason};
 		}
 
-		return services.budget.tryResend(service.name) ? {choice} : {obstacle: 'budget'};
+		return services.budget.tryBeside(service.name) ? {choice} : {obstacle: 'budget'};
 	};
 
 	const onSilent = (
--- a/packages/gateway/src/common/resend-budget.ts
+++ b/packages/gateway/src/common/resend-budget.ts
@@ -14,14 +14,18 @@
 
 export type ResendBudget = {
 	noteRequest(service: string): void;
-	/** Whether a further arrival could be taken now. */
-	canResend(service: string): boolean;
 	/** Takes one further arrival; false when the budget is spent. */
 	tryResend(service: string): boolean;
+	/** Whether an arrival beside a run that goes on could be taken now. */
+	canTryBeside(service: string): boolean;
+	/** Takes one arrival beside a run that goes on; leaves a part of the budget to runs that failed. */
+	tryBeside(service: string): boolean;
 };
 
 /** Part of the budget that is used; the rest covers windows that overlap differently. */
 const usedShare = 0.8;
+/** Part of what is used that arrivals beside a run may take. */
+const besideShare = 0.5;
 
 type Use = {requestsAtMs: number[]; resendsAtMs: number[]};
 
@@ -50,25 +54,29 @@
 		return use;
 	};
 
-	const hasRoom = (use: Use): boolean => {
+	/** @param part of the budget that may be taken */
+	const hasRoom = (use: Use, part: number): boolean => {
 		const {share, extraPerWindow} = settings();
 		const earned = share * use.requestsAtMs.length + extraPerWindow / Math.max(1, daemonCount());
-		return use.resendsAtMs.length + 1 <= usedShare * earned;
+		return use.resendsAtMs.length + 1 <= part * usedShare * earned;
+	};
+
+	const tryTake = (service: string, part: number): boolean => {
+		const use = useOf(service);
+		const isTaken = hasRoom(use, part);
+		if (isTaken) {
+			use.resendsAtMs.push(nowMs());
+		}
+
+		return isTaken;
 	};
 
 	return {
 		noteRequest(service) {
 			useOf(service).requestsAtMs.push(nowMs());
 		},
-		canResend: (service) => hasRoom(useOf(service)),
-		tryResend(service) {
-			const use = useOf(service);
-			if (!hasRoom(use)) {
-				return false;
-			}
-
-			use.resendsAtMs.push(nowMs());
-			return true;
-		},
+		tryResend: (service) => tryTake(service, 1),
+		canTryBeside: (service) => hasRoom(useOf(service), besideShare),
+		tryBeside: (service) => tryTake(service, besideShare),
 	};
 };
--- a/packages/gateway/src/test/takeovers.test.ts
+++ b/packages/gateway/src/test/takeovers.test.ts
@@ -83,3 +83,34 @@
 	t.equal(clock.pendingTimers, 0);
 	t.equal(ends(), 1);
 });
+
+// Guards against a budget that silences have spent when a run breaks off.
+tap.t.test('a run that breaks off finds its part of the budget', async (t) => {
+	const {clock, first, transport, reply} = await startSuccessor(fixtures.shortRoute, {
+		firstBytes: firstEvent,
+		resends: 2,
+	});
+	for (let elapsedMs = 0; elapsedMs < 1000; elapsedMs += 50) {
+		if (!transport.last.isCancelled && transport.last !== first) {
+			transport.last.listener.onHead(503, {refused: '1'});
+		}
+
+		await clock.advance(50);
+	}
+
+	const sends = transport.sent.length;
+	first.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.equal(transport.sent.length, sends + 1);
+	t.equal(reply.ending, 'open');
+});
+
+// Guards against silences that take all further sends of a service.
+tap.t.test('silent runs leave half of the budget', async (t) => {
+	const {clock, successor, transport} = await startSuccessor(fixtures.shortRoute, {
+		firstBytes: firstEvent,
+		resends: 2,
+	});
+	successor.listener.onHead(503, {refused: '1'});
+	await clock.advance(1000);
+	t.equal(transport.sent.length, 2);
+});
