Let time alone end accepted work whose upstream broke off

What callers would have seen, found by the review of the fix: the rest of a broken stream was refused because an upstream was predicted too late, because earlier failures had suspended the others, or because none was there for an eighth of the goal. Three silences of an upstream that spoke again counted as three broken connections and suspended it.

Accepted work now takes the best upstream whatever its prediction, also a suspended one when no other is left, and a begun answer waits for one until its time is over; the budget and the number of upstreams bound it as before. A silence counts as a failure when the request moves, not when it is noticed. A request whose upstreams are used up is not sent again after a true refusal either, since a relay may have used all.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -27,7 +27,7 @@
 	triedRegions: ReadonlySet<string>;
 	/** False for a request that came from another region. */
 	mayCross: boolean;
-	/** An upstream was at work on it, so it is taken as long as it can begin again in time. */
+	/** An upstream was at work on it, so neither a prediction nor a suspicion refuses it. */
 	wasAccepted: boolean;
 };
 
@@ -177,8 +177,14 @@
 		service.coldRatePerS > 0 && nowMs() < upstream.coldUntilMs;
 
 	const isUsable = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service): boolean =>
+		!failuresOf(upstream.entry.id).isSuspended(nowMs()) && mayBeSentTo(upstream, service);
+
+	/** Whether the rules of the deployment allow a send, whatever the upstream's failures. */
+	const mayBeSentTo = (
+		upstream: upstreamRegistry.Upstream,
+		service: routeConfig.Service,
+	): boolean =>
 		!options.isEvacuated(upstream.entry.failureDomain) &&
-		!failuresOf(upstream.entry.id).isSuspended(nowMs()) &&
 		(!isCold(upstream, service) || ramp.mayUse(upstream.entry.id, service.coldRatePerS));
 
 	const sharedTokensOf = (work: workEstimate.WorkEstimate) =>
@@ -275,10 +281,29 @@
 			.usable(request.service.name, options.ownRegion)
 			.filter((upstream) => !tried?.has(upstream.entry.id) && isUsable(upstream, request.service));
 
-	const bestLocal = (request: DispatchRequest): {best?: Scored; candidates: number} => {
+	/** Upstreams among which the request may choose, in the order of the sets that are tried. */
+	const candidatesFor = (request: DispatchRequest): upstreamRegistry.Upstream[] => {
 		const untried = usableIn(request, request.triedUpstreams);
+		if (untried.length > 0) {
+			return untried;
+		}
+
 		// The only upstream of a region may be asked again: its failure may concern one run.
-		const usable = untried.length > 0 ? untried : usableIn(request, request.failedUpstreams);
+		const usable = usableIn(request, request.failedUpstreams);
+		if (usable.length > 0 || !request.wasAccepted) {
+			return usable;
+		}
+
+		return registry
+			.usable(request.service.name, options.ownRegion)
+			.filter(
+				(upstream) =>
+					!request.failedUpstreams.has(upstream.entry.id) && mayBeSentTo(upstream, request.service),
+			);
+	};
+
+	const bestLocal = (request: DispatchRequest): {best?: Scored; candidates: number} => {
+		const usable = candidatesFor(request);
 		const preferred = cache.preferredRunner(
 			request.work.sharedParts,
 			usable.map((upstream) => upstream.entry.id),
@@ -349,9 +374,13 @@
 
 	/** Longest expected time to the first event with which a request is taken. */
 	const admissionLimitMs = ({service, route, remainingMs, wasAccepted}: DispatchRequest) => {
+		if (wasAccepted) {
+			return Number.POSITIVE_INFINITY;
+		}
+
 		const limitMs = remainingMs * settings.admissionShare;
 		// A queue of long work grows on what is late; a plain request is short.
-		return service.engine && !wasAccepted
+		return service.engine
 			? Math.min(limitMs, route.goalMs * settings.admissionGoalFactor)
 			: limitMs;
 	};
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -164,11 +164,13 @@
 	};
 
 	const onDeadline = () => {
+		// A request of which a run failed may be waiting for another upstream.
+		const reason = sends > 0 && !attempts.isRunning ? 'no-upstream' : 'deadline';
 		attempts.cancel();
 		if (sends > 0) {
 			// Nothing tells whether the upstream has begun.
 			mayHaveRun = true;
-			failWith(504, 'deadline');
+			failWith(504, reason);
 		} else {
 			refuse('deadline', minRetryAfterMs);
 		}
@@ -190,7 +192,7 @@
 			return 'no-time';
 		}
 
-		if (outcome !== 'not-run' && upstreamsThatRan >= request.maxUpstreams) {
+		if (upstreamsThatRan >= request.maxUpstreams) {
 			return 'upstreams-used';
 		}
 
@@ -294,7 +296,7 @@
 	};
 
 	const onSilent = (
-		{target, account}: attemptPair.PairMember,
+		{target}: attemptPair.PairMember,
 		running: attempt.Attempt,
 		silence: attemptPair.Silence,
 	) => {
@@ -308,7 +310,6 @@
 		}
 
 		if ('choice' in found) {
-			account?.noteFailure(true);
 			resumeAfter = running.lastEventId ?? resumeAfter;
 			attempts.startSuccessor(memberFor(found.choice));
 		} else if (isCutOff) {
@@ -447,6 +448,8 @@
 		wasAccepted: mayHaveRun,
 	});
 
+	const mayWaitForUpstream = () => waitedMs < route.goalMs * waitForUpstreamShare;
+
 	const next = () => {
 		if (hasEnded) {
 			return;
@@ -460,7 +463,7 @@
 		const choice = services.dispatcher.choose(dispatchRequest());
 		if (choice.kind !== 'refuse') {
 			attempts.startFirst(memberFor(choice));
-		} else if (choice.reason === 'no-upstream' && waitedMs < route.goalMs * waitForUpstreamShare) {
+		} else if (choice.reason === 'no-upstream' && (hasStarted || mayWaitForUpstream())) {
 			waitedMs += waitStepMs;
 			after(waitStepMs, next);
 		} else {
