Limit an event of a runner in the entry daemon

Cause: the parser of server-sent events keeps an incomplete line and joins it with each piece, and collects the data of an event, without a limit; a runner that sends a line, a field or comments without end held its stream, and memory, until the request ended.

The runner's client breaks a stream after 256 KiB without an event.

--- a/packages/entry/src/node/http-runner-client.ts
+++ b/packages/entry/src/node/http-runner-client.ts
@@ -5,6 +5,8 @@
 import * as runnerClient from '../common/runner-client.js';
 
 const maxRefusalBytes = 65_536;
+/** Limit of one event. Runners write some hundred bytes an event. */
+const maxEventBytes = 262_144;
 
 const chunkSchema = zod.object({
 	token_index: zod.number().int().nonnegative().optional(),
@@ -97,17 +99,23 @@
 		isIndexed: false,
 	};
 	let ready: runnerClient.StreamPart[] = [];
+	let sinceEventBytes = 0;
 	const parser = eventsourceParser.createParser({
 		onEvent(event) {
+			sinceEventBytes = 0;
 			ready.push(...parseData(event.data, state));
 		},
 	});
 	const decoder = new TextDecoder();
 	for await (const bytes of body) {
+		sinceEventBytes += bytes.length;
 		parser.feed(decoder.decode(bytes, {stream: true}));
 		const parts = ready;
 		ready = [];
 		yield* parts;
+		if (sinceEventBytes > maxEventBytes) {
+			throw new Error(`the runner sent ${sinceEventBytes} bytes without an event`);
+		}
 	}
 }
 
