Read the body that waits in the socket before it is judged late

Cause: requestText limits the time of a body with a plain timer. After a pause of this process its timers run before its sockets are read, so a body that had arrived in the meantime was given up.

It uses the patient timer now, as the time until the head does. Test before: with the loop blocked for 600 ms after the head and 300 ms for the body, the call failed with "body is not complete after 300 ms"; now it reads the answer (three runs).

--- a/packages/base/src/node/text-request.ts
+++ b/packages/base/src/node/text-request.ts
@@ -1,5 +1,10 @@
 /** Requests whose whole answer is read as text. */
+import type * as disposable from '../common/disposable.js';
 import * as httpClient from '../common/http-client.js';
+import * as patientTimer from '../common/patient-timer.js';
+import * as systemClock from './system-clock.js';
+
+const clock = new systemClock.SystemClock();
 
 /** Limits of a body, whatever its sender does. */
 export type BodyLimits = {
@@ -28,15 +33,17 @@
 		cancel();
 	}
 
-	let timer: NodeJS.Timeout | undefined;
+	let timer: disposable.Disposable | undefined;
 	try {
 		const answer = await client.request({...request, signal: cancelling.signal});
-		timer = setTimeout(() => {
+		const giveUp = () => {
 			cancelling.abort(new Error(`body is not complete after ${limits.timeoutMs} ms`));
-		}, limits.timeoutMs);
+		};
+
+		timer = patientTimer.setPatientTimer(clock, giveUp, limits.timeoutMs);
 		return {status: answer.status, text: await httpClient.readText(answer.body, limits.maxBytes)};
 	} finally {
-		clearTimeout(timer);
+		timer?.dispose();
 		signal?.removeEventListener('abort', cancel);
 	}
 };
