Let an attempt answer with an event or a whole answer, not with a head

What callers would have seen, found by the review of the fix: the head of a successor, or part of the first one's plain answer, ended the other attempt; when the one that was left broke off, both were lost (502). A request that was relayed to a region that is cut off found no other region, or used one upstream more than its route allows. The only daemon of a region counted as cut off 1.5 s after its planned stop began. Daemons with few requests could not try beside a silent run at all.

An attempt answers for the pair at its first whole event or, for plain work, when its answer is passed on: whole, or too large to be held. 'the first of two plain answers wins', 'a stream that stalls moves' and 'bytes without an event are no sign of life' took a head for an answer and now want the event or the end; the spent budget of one further send is tested as before.

--- a/packages/gateway/src/common/attempt-pair.ts
+++ b/packages/gateway/src/common/attempt-pair.ts
@@ -99,13 +99,10 @@
 				}, takeoverMs - lastReadMs);
 			}
 		},
-		onAccepted() {
+		onAnswering() {
 			if (running === successor) {
 				move({kind: 'answer'});
-			}
-		},
-		onProgress() {
-			if (running === first && successor) {
+			} else if (running === first && successor) {
 				const {member, wasSent, attempt: other} = successor;
 				dropSuccessor();
 				other?.cancel();
--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -55,10 +55,12 @@
 export type AttemptListener = {
 	/** A connection stands and the request is written to it. */
 	onSent(): void;
-	/** The peer answers the request, and the answer may be passed on. */
-	onAccepted(): void;
-	/** The peer sent a whole event, or part of a plain answer. Called before its bytes are passed on. */
-	onProgress(): void;
+	/**
+	 * The peer has an answer for the caller: a whole event of a stream, or a plain
+	 * answer that is whole or too large to be held. Called before its bytes are
+	 * passed on, for each event.
+	 */
+	onAnswering(): void;
 	/** The peer is silent beyond the limit; repeated while it lasts. The attempt goes on. */
 	onSilent(stall: silenceWatch.Stall, step: string): void;
 	/** The head goes to the caller; called before the first bytes. */
@@ -169,12 +171,12 @@
 		watch?.setLimit(
 			silenceLimitMs(Math.max(minGapStallMs, gapStallFactor * (route.maxEventGapMs ?? 0))),
 		);
-		listener.onProgress();
 	};
 
 	const startPassing = () => {
 		if (!isPassing) {
 			isPassing = true;
+			listener.onAnswering();
 			listener.onHead(head!.status, head!.headers);
 		}
 	};
@@ -212,7 +214,6 @@
 		} else {
 			head = {status, headers};
 			step = 'first-token';
-			listener.onAccepted();
 		}
 	};
 
@@ -222,6 +223,7 @@
 		const complete = events.push(bytes);
 		if (events.events > eventsBefore) {
 			noteProgress();
+			listener.onAnswering();
 		}
 
 		if (complete) {
--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -120,10 +120,14 @@
 		member: (name) => members.get(name),
 		isReachable(name) {
 			const member = members.get(name);
+			if (!member || member.isLeaving) {
+				// Nothing newer is taken over of a member that leaves; the end of its process ends its connections.
+				return member !== undefined;
+			}
+
 			const oldestMs = timeSource.nowMs() - regionSilentAfterMs;
 			return (
-				member !== undefined &&
-				(member.isLeaving || isAlive(member)) &&
+				isAlive(member) &&
 				[...members.values()].some(
 					({region, aliveAtMs}) => region === member.region && aliveAtMs >= oldestMs,
 				)
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -264,7 +264,8 @@
 			return 'relayed';
 		}
 
-		if (!target.isRelay && upstreamsThatRan + 1 >= request.maxUpstreams) {
+		// Of a region that is cut off, one upstream is counted.
+		if (upstreamsThatRan + 1 >= request.maxUpstreams) {
 			return 'upstreams-used';
 		}
 
@@ -286,7 +287,7 @@
 			// The silent upstream may still be the faster one.
 			wasAccepted: false,
 			// A daemon of another region may find out too late for a stream that it has no upstream.
-			mayCross: route.work !== 'stream' && request.relayedFrom === undefined,
+			mayCross: dispatchRequest().mayCross && (route.work !== 'stream' || target.isRelay),
 		});
 		if (choice.kind === 'refuse') {
 			return {obstacle: choice.reason};
--- a/packages/gateway/src/common/resend-budget.ts
+++ b/packages/gateway/src/common/resend-budget.ts
@@ -61,9 +61,13 @@
 		return use.resendsAtMs.length + 1 <= part * usedShare * earned;
 	};
 
-	const tryTake = (service: string, part: number): boolean => {
+	/** Also daemons with few requests may try once, when nothing was sent again lately. */
+	const hasRoomBeside = (use: Use): boolean =>
+		hasRoom(use, use.resendsAtMs.length === 0 ? 1 : besideShare);
+
+	const tryTake = (service: string, hasRoomFor: (use: Use) => boolean): boolean => {
 		const use = useOf(service);
-		const isTaken = hasRoom(use, part);
+		const isTaken = hasRoomFor(use);
 		if (isTaken) {
 			use.resendsAtMs.push(nowMs());
 		}
@@ -75,8 +79,8 @@
 		noteRequest(service) {
 			useOf(service).requestsAtMs.push(nowMs());
 		},
-		tryResend: (service) => tryTake(service, 1),
-		canTryBeside: (service) => hasRoom(useOf(service), besideShare),
-		tryBeside: (service) => tryTake(service, besideShare),
+		tryResend: (service) => tryTake(service, (use) => hasRoom(use, 1)),
+		canTryBeside: (service) => hasRoomBeside(useOf(service)),
+		tryBeside: (service) => tryTake(service, hasRoomBeside),
 	};
 };
--- a/packages/gateway/src/test/leaving-daemon.test.ts
+++ b/packages/gateway/src/test/leaving-daemon.test.ts
@@ -21,6 +21,16 @@
 	);
 });
 
+// The only daemon of a region counted as cut off soon after it began to stop.
+tap.t.test('the only daemon of a region is reached in its planned stop', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const fleet = fleetView.createFleetView(clock, 'n1');
+	fleet.noteMember(fixtures.member('s1', {region: 'south'}), 0);
+	fleet.noteMember(fixtures.member('s1', {region: 'south', isLeaving: true}), 0);
+	await clock.advance(4000);
+	t.ok(fleet.isReachable('s1'));
+});
+
 // A daemon that stops hears nobody after a while, and gave up its relays as cut off.
 tap.t.test('a daemon in its planned stop reaches the others', async (t) => {
 	const {clock, nodes} = memoryFleet.startFleet();
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -160,6 +160,7 @@
 
 		t.equal(transport.sent.length, 2);
 		transport.last.listener.onHead(200, signed);
+		transport.last.listener.onData(bytes('id: 2\ndata: b\n\n'));
 		t.ok(first.isCancelled);
 	}
 });
@@ -371,8 +372,9 @@
 	t.equal(headerOf(transport.last, 'after'), '1');
 	t.notOk(first.isCancelled, 'the other one may still refuse');
 	transport.last.listener.onHead(200, signed);
-	t.ok(first.isCancelled, 'the first run is stopped');
+	t.notOk(first.isCancelled, 'a head is no event');
 	transport.last.listener.onData(bytes('id: 2\ndata: b\n\n'));
+	t.ok(first.isCancelled, 'the first run is stopped');
 	transport.last.listener.onEnd();
 	t.match(reply, {text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', ending: 'complete'});
 });
--- a/packages/gateway/src/test/takeovers.test.ts
+++ b/packages/gateway/src/test/takeovers.test.ts
@@ -114,3 +114,28 @@
 	await clock.advance(1000);
 	t.equal(transport.sent.length, 2);
 });
+
+// Guards against two runs that are lost because one of them sent a head.
+tap.t.test('a head is no plain answer', async (t) => {
+	const {first, successor, reply} = await startSuccessor(fixtures.lookupRoute);
+	successor.listener.onHead(200, signed);
+	successor.listener.onData(bytes('fou'));
+	successor.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	t.notOk(first.isCancelled);
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes('found'));
+	first.listener.onEnd();
+	t.match(reply, {status: 200, text: 'found', ending: 'complete'});
+});
+
+// Guards against a successor that is dropped for part of an answer that breaks off.
+tap.t.test('part of a plain answer does not stop its successor', async (t) => {
+	const {first, successor, reply} = await startSuccessor(fixtures.lookupRoute);
+	first.listener.onHead(200, signed);
+	first.listener.onData(bytes('fou'));
+	first.listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+	successor.listener.onHead(200, signed);
+	successor.listener.onData(bytes('found'));
+	successor.listener.onEnd();
+	t.match(reply, {status: 200, text: 'found', ending: 'complete'});
+});
