Do not take regions for cut off in the own planned stop

What callers saw, found by the soak: the last daemon of a failure domain to stop heard nobody, took the other regions for cut off after 1.5 s and gave up its silent relays with 502.

A daemon that has announced its stop is told nothing any more, so the silence of others proves nothing: it waits for its relays.

--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -36,11 +36,11 @@
 	noteOutlook(region: string, service: string, outlook: RegionOutlook): void;
 	/** Members that are alive and stay, without this daemon. */
 	alive(): readonly Member[];
-	/** Members that announced a planned stop a short time ago. */
-	leaving(): readonly Member[];
+	/** This daemon leaves: the others tell it nothing any more, so their silence proves nothing. */
+	noteOwnStop(): void;
 	aliveIn(region: string): readonly Member[];
 	member(name: string): Member | undefined;
-	/** Whether a member is alive or in its planned stop, and its region was heard of a short time ago. */
+	/** Whether a member is in its planned stop, or alive in a region that was heard of a short time ago. */
 	isReachable(name: string): boolean;
 	/** Whether this daemon hears any other daemon at all. */
 	hearsPeers(): boolean;
@@ -57,6 +57,7 @@
 export const createFleetView = (timeSource: clock.Clock, ownName: string): FleetView => {
 	const members = new Map<string, Member>();
 	const outlooks = new Map<string, Map<string, Outlook>>();
+	let isStopping = false;
 	const didChange = event.createEmitter<MemberChange>();
 
 	const isAlive = (member: Member) =>
@@ -115,18 +116,21 @@
 			}
 		},
 		alive: () => [...members.values()].filter((member) => isAlive(member)),
-		leaving: () => [...members.values()].filter(({isLeaving}) => isLeaving),
+		noteOwnStop() {
+			isStopping = true;
+		},
 		aliveIn: (region) => view.alive().filter((member) => member.region === region),
 		member: (name) => members.get(name),
 		isReachable(name) {
 			const member = members.get(name);
-			if (!member || member.isLeaving) {
-				// Nothing newer is taken over of a member that leaves; the end of its process ends its connections.
-				return member !== undefined;
+			// Nothing newer is taken over of a member that leaves; the end of its process ends its connections.
+			if (isStopping || member?.isLeaving) {
+				return true;
 			}
 
 			const oldestMs = timeSource.nowMs() - regionSilentAfterMs;
 			return (
+				member !== undefined &&
 				isAlive(member) &&
 				[...members.values()].some(
 					({region, aliveAtMs}) => region === member.region && aliveAtMs >= oldestMs,
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -369,7 +369,7 @@
 			stopping = {startedAtMs: nowMs(), graceMs};
 			log.note({kind: 'stopping', inFlight: inFlight(), graceMs});
 			noteReadiness();
-			gossip.announce();
+			gossip.announceStop();
 			void members.leave();
 			await plannedStop.drainCallers({clock, servers: [callers, relays], graceMs});
 			log.note({
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -23,7 +23,7 @@
 
 export type GossipNode = disposable.Disposable & {
 	/** Tells all members at once, as on a stop. */
-	announce(): void;
+	announceStop(): void;
 	/** Tells the own failure domain without waiting for the next tick. */
 	tellDomain(): void;
 };
@@ -101,10 +101,7 @@
 
 	const sendNear = () => {
 		const self = options.self();
-		// A daemon in its planned stop still relays, and judges by what it hears whether it reaches others.
-		const near = [...fleet.alive(), ...fleet.leaving()].filter(
-			(member) => member.failureDomain === self.failureDomain,
-		);
+		const near = fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
 		const own = options.takeChains().map((chain) => ({...chain, isFar: false}));
 		ownSinceFar.push(...own);
 		const bytes = buildMessage(
@@ -184,7 +181,8 @@
 	sendAll();
 	return {
 		tellDomain: sendNear,
-		announce() {
+		announceStop() {
+			fleet.noteOwnStop();
 			const bytes = buildMessage({});
 			for (const member of fleet.alive()) {
 				socket.send(member.peerAddress, bytes);
