--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -381,7 +381,10 @@
 					isIdempotent,
 					mayAskAgain: () =>
 						attempts.hasSuccessor ||
-						(isIdempotent && !target.isRelay && upstreamsThatRan + 1 < request.maxUpstreams),
+						(isIdempotent &&
+							!target.isRelay &&
+							upstreamsThatRan + 1 < request.maxUpstreams &&
+							services.budget.canResend(service.name)),
 					isResumption: () => hasStarted,
 				},
 				listener,
--- a/packages/gateway/src/common/resend-budget.ts
+++ b/packages/gateway/src/common/resend-budget.ts
@@ -14,6 +14,8 @@
 
 export type ResendBudget = {
 	noteRequest(service: string): void;
+	/** Whether a further arrival could be taken now. */
+	canResend(service: string): boolean;
 	/** Takes one further arrival; false when the budget is spent. */
 	tryResend(service: string): boolean;
 	/** Whether an arrival beside a run that goes on could be taken now. */
@@ -79,6 +81,7 @@
 		noteRequest(service) {
 			useOf(service).requestsAtMs.push(nowMs());
 		},
+		canResend: (service) => hasRoom(useOf(service), 1),
 		tryResend: (service) => tryTake(service, (use) => hasRoom(use, 1)),
 		canTryBeside: (service) => hasRoomBeside(useOf(service)),
 		tryBeside: (service) => tryTake(service, hasRoomBeside),
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -294,6 +294,15 @@
 	t.match(reply, {status: 404, text: 'not ', ending: 'broken'});
 });
 
+// Guards against 502 in place of an upstream's own failure that cannot be repeated.
+tap.t.test('a failure is passed on when the budget is spent', async (t) => {
+	const {transport, reply} = start(fixtures.lookupRoute, {resends: 0});
+	transport.last.listener.onHead(500, signed);
+	transport.last.listener.onData(bytes('no stock'));
+	transport.last.listener.onEnd();
+	t.match(reply, {status: 500, text: 'no stock', ending: 'complete'});
+});
+
 tap.t.test('no more upstreams run a request than its route allows', async (t) => {
 	const {transport, reply} = start(fixtures.lookupRoute);
 	for (let index = 0; index < 2; index++) {
