--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -33,13 +33,19 @@
 	versions(): {configVersion: number; upstreamRevision: number};
 };
 
+/** A request in progress. Disposing it means that the caller has left. */
+export type RequestCourse = disposable.Disposable & {
+	/** This daemon ends the request, since its stop leaves it no more time. */
+	cut(): void;
+};
+
 export type RequestEngine = {
-	/** Starts a request. Disposing it means that the caller has left. */
+	/** Starts a request. */
 	handle(
 		request: gatewayRequest.GatewayRequest,
 		reply: upstreamTransport.CallerReply,
 		onEnd: () => void,
-	): disposable.Disposable;
+	): RequestCourse;
 };
 
 /** A request with less time left is not sent. */
@@ -74,7 +80,7 @@
 	request: gatewayRequest.GatewayRequest,
 	reply: upstreamTransport.CallerReply,
 	onEnd: () => void,
-): disposable.Disposable => {
+): RequestCourse => {
 	const {clock, wire} = services;
 	const {route, facts, service} = request;
 	const work = workEstimate.estimateWork(facts, route);
@@ -478,14 +484,19 @@
 	services.budget.noteRequest(service.name);
 	after(Math.max(0, remainingMs()), onDeadline);
 	next();
+	const stop = (outcome: requestLogs.EndedEvent['outcome'], reason?: string) => {
+		if (!hasEnded) {
+			attempts.cancel();
+			finish(outcome, 0, reason);
+		}
+	};
+
 	return {
 		dispose() {
-			if (hasEnded) {
-				return;
-			}
-
-			attempts.cancel();
-			finish('caller-gone', 0);
+			stop('caller-gone');
+		},
+		cut() {
+			stop(hasStarted ? 'broken' : 'unknown', 'grace-over');
 		},
 	};
 };
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -3,8 +3,8 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as event from '@hawthornfront/base/common/event.js';
-import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as answerVerdict from '../common/answer-verdict.js';
+import type * as requestEngine from '../common/request-engine.js';
 import type * as routeConfig from '../common/route-config.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
@@ -35,12 +35,12 @@
 	| {kind: 'respond'; body: string}
 	| {
 			kind: 'accept';
-			/** Called once with the whole body. Disposing the result means that the caller left. */
+			/** Called once with the whole body. */
 			run(
 				body: Uint8Array | undefined,
 				reply: upstreamTransport.CallerReply,
 				onEnd: () => void,
-			): disposable.Disposable;
+			): requestEngine.RequestCourse;
 	  };
 
 export type CallerServer = {
@@ -191,7 +191,7 @@
 		}
 
 		connections.startRequest(request.socket);
-		let course: disposable.Disposable | undefined;
+		let course: requestEngine.RequestCourse | undefined;
 		let isOver = false;
 		let hasRun = false;
 		const end = () => {
@@ -207,6 +207,7 @@
 
 		const endNow = () => {
 			closes.note('grace-over', connections.requests(request.socket));
+			course?.cut();
 			end();
 			if (response.headersSent) {
 				request.socket.destroy();
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -426,6 +426,21 @@
 	t.equal(transport.sent.length, 1);
 });
 
+// Guards against a request that the daemon cut and that looks as if its caller had left.
+tap.t.test('the log tells a cut at the end of a stop from a caller that left', async (t) => {
+	const begun = start(fixtures.longRoute);
+	begun.transport.last.listener.onHead(200, signed);
+	begun.transport.last.listener.onData(bytes('id: 1\ndata: a\n\n'));
+	const waiting = start(fixtures.bookingRoute);
+	for (const {course, transport} of [begun, waiting]) {
+		course.cut();
+		t.ok(transport.last.isCancelled);
+	}
+
+	t.match(begun.ended(), {outcome: 'broken', reason: 'grace-over'});
+	t.match(waiting.ended(), {outcome: 'unknown', reason: 'grace-over'});
+});
+
 tap.t.test('each send tells only the time that is left', async (t) => {
 	const {clock, transport} = start(fixtures.lookupRoute);
 	await clock.advance(300);
