Run a successor beside late work of the OpenAI side until one of them answers

What callers saw: a late attempt was cancelled as soon as its successor held a place in the scheduler. When that one answered 503 or 500, or refused a stream, the caller got its failure although the first attempt would have answered in time: a call that takes 700 of 1000 ms, a first token after 1200 ms.

The successor of a call now joins a contest that the first sound answer wins, with the hedge if there is one. The successor of a stream is read to its first part; then the silent attempts end and the answer goes on there. If a silent attempt speaks first, the successor is cancelled. Successors are still paid for from the retry budget and count against the attempts of the answer.

In 'late call is given to another upstream' the order of the two releases changes, since the late attempt is given up when the other one has answered.

--- a/packages/entry/src/common/service-attempts.ts
+++ b/packages/entry/src/common/service-attempts.ts
@@ -195,20 +195,23 @@
 	return assignment && start(call, assignment, excluded);
 };
 
-/** Looks for a successor of late attempts; they go on until one holds a slot. */
+/** Starts successors beside attempts that are late. */
 type Handover = {
 	watch(running: Running): void;
-	/** Ends the search; the slot that was found, if any. */
-	finish(): types.Assignment | undefined;
+	/** Ends the search. */
+	finish(): void;
 };
 
+/** @param successors further attempts that the call may have */
 const createHandover = (
 	call: ServiceCall,
-	excluded: ReadonlySet<string>,
-	canBeRepeated: boolean,
+	excluded: Set<string>,
+	successors: number,
+	onSuccessor: (running: Running) => void,
 ): Handover => {
 	const {services, context, item} = call;
 	const watched: Running[] = [];
+	let started = 0;
 	let timer: disposable.Disposable | undefined;
 	const search = successorSearch.createSuccessorSearch<types.Assignment>({
 		acquire: async (signal) =>
@@ -221,9 +224,8 @@
 			assignment.release('cancelled');
 		},
 		onDidFind() {
-			for (const running of watched) {
-				running.cancel('the attempt is late, and another upstream has a slot');
-			}
+			started++;
+			onSuccessor(start(call, search.take()!, excluded));
 		},
 	});
 
@@ -234,8 +236,10 @@
 				running.markLate();
 			}
 
-			search.start();
-			watchLate();
+			if (started < successors) {
+				search.start();
+				watchLate();
+			}
 		};
 
 		timer = patientTimer.setPatientTimer(services.clock, onLate, patienceMs(call));
@@ -244,7 +248,7 @@
 	return {
 		watch(running) {
 			watched.push(running);
-			if (canBeRepeated) {
+			if (started < successors) {
 				search.stop();
 				watchLate();
 			}
@@ -252,7 +256,6 @@
 		finish() {
 			timer?.dispose();
 			search.stop();
-			return search.take();
 		},
 	};
 };
@@ -283,43 +286,97 @@
 	);
 };
 
-const race = async (
-	call: ServiceCall,
-	first: Running,
-	second: Running,
-): Promise<serviceAnswer.ServiceAnswer> => {
-	const pair = [first, second];
-	try {
-		// When neither answer is sound, any answer is better than an error.
-		const winner = await Promise.any(pair.map(async (running) => withSoundAnswer(running))).catch(
-			async () => Promise.any(pair.map(async (running) => withAnswer(running))),
-		);
-		discard(winner === first ? second : first);
-		call.services.counters.countHedge(winner === first ? 'first' : 'second');
-		return await winner.answer;
-	} catch {
-		// Both failed; the error of the first attempt is as good as the other.
-		return first.answer;
-	}
+/** Attempts of one call side by side. */
+type Contest = {
+	add(running: Running): void;
+	/** The first with a sound answer; when all have failed, one with an answer, or else the first. */
+	readonly winner: Promise<Running>;
+};
+
+const createContest = (): Contest => {
+	const entrants: Running[] = [];
+	let atWork = 0;
+	let isOver = false;
+	let settle: (winner: Running) => void = () => undefined;
+	const winner = new Promise<Running>((resolve) => {
+		settle = resolve;
+	});
+
+	const end = (best: Running) => {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		for (const other of entrants) {
+			if (other !== best) {
+				discard(other);
+			}
+		}
+
+		settle(best);
+	};
+
+	const follow = async (running: Running) => {
+		try {
+			end(await withSoundAnswer(running));
+		} catch {
+			atWork--;
+			if (atWork === 0) {
+				// Any answer is better than an error; all errors are as good.
+				const withAnswers = entrants.map(async (entrant) => withAnswer(entrant));
+				end(await Promise.any(withAnswers).catch(() => entrants[0]!));
+			}
+		}
+	};
+
+	return {
+		add(running) {
+			entrants.push(running);
+			if (isOver) {
+				discard(running);
+				return;
+			}
+
+			atWork++;
+			void follow(running);
+		},
+		winner,
+	};
 };
 
-/** One attempt at an upstream that the scheduler chooses, with a hedge for idempotent calls. */
-const runOnce = async (
+/** Attempts at upstreams that the scheduler chooses, with a hedge and successors for idempotent calls. */
+const runRound = async (
 	call: ServiceCall,
 	assignment: types.Assignment,
 	excluded: Set<string>,
-	handover: Handover,
+	successors: number,
 	markSent?: MarkSent,
 ): Promise<serviceAnswer.ServiceAnswer> => {
-	const first = start(call, assignment, excluded, markSent);
-	handover.watch(first);
-	const second = markSent ? undefined : await startHedge(call, first, excluded);
-	if (!second) {
-		return first.answer;
-	}
+	const contest = createContest();
+	const handover = createHandover(call, excluded, successors, (running) => {
+		contest.add(running);
+		handover.watch(running);
+	});
+	try {
+		const first = start(call, assignment, excluded, markSent);
+		contest.add(first);
+		handover.watch(first);
+		const second = markSent ? undefined : await startHedge(call, first, excluded);
+		if (second) {
+			contest.add(second);
+			handover.watch(second);
+		}
+
+		const winner = await contest.winner;
+		if (second && (winner === first || winner === second)) {
+			call.services.counters.countHedge(winner === first ? 'first' : 'second');
+		}
 
-	handover.watch(second);
-	return race(call, first, second);
+		return await winner.answer;
+	} finally {
+		handover.finish();
+	}
 };
 
 const runAtOldSetup = async (
@@ -350,10 +407,8 @@
 	const {scheduler} = call.services;
 	const excluded = new Set<string>();
 	let mayHaveRun = false;
-	let successor: types.Assignment | undefined;
 	for (let attempts = 1; ; attempts++) {
-		const canBeRepeated = call.context.entry.idempotent && !markSent && attempts < maxAttempts;
-		const handover = createHandover(call, excluded, canBeRepeated);
+		const canBeRepeated = call.context.entry.idempotent && !markSent;
 		try {
 			const old = attempts === 1 ? await runAtOldSetup(call, markSent) : undefined;
 			if (old) {
@@ -361,25 +416,15 @@
 			}
 
 			const assignment =
-				successor ??
-				place?.take() ??
-				(await scheduler.acquire({...call.item, excluded}, call.signal));
-			return await runOnce(call, assignment, excluded, handover, markSent);
+				place?.take() ?? (await scheduler.acquire({...call.item, excluded}, call.signal));
+			const successors = canBeRepeated ? maxAttempts - attempts : 0;
+			return await runRound(call, assignment, excluded, successors, markSent);
 		} catch (error) {
 			const isKnown = error instanceof gatewayError.GatewayException;
 			mayHaveRun ||= !isKnown || error.error.outcome !== 'not-run';
-			successor = handover.finish();
-			if (successor && !call.signal.aborted) {
-				continue;
-			}
-
-			successor?.release('cancelled');
-			successor = undefined;
 			if (attempts >= maxAttempts || !mayTryAgain(call, error)) {
 				throw withOutcome(error, mayHaveRun);
 			}
-		} finally {
-			handover.finish()?.release('cancelled');
 		}
 	}
 };
--- a/packages/entry/src/common/successor-search.ts
+++ b/packages/entry/src/common/successor-search.ts
@@ -1,7 +1,6 @@
 /**
  * Finds another place for a request whose attempt is silent, while that attempt
- * goes on. Silence is no proof of failure, so the attempt is given up only once
- * its successor holds a place.
+ * goes on. Silence is no proof of failure, so the successor runs beside it.
  */
 
 export type SuccessorSearchOptions<Place> = {
@@ -11,7 +10,7 @@
 	mayReplace(): boolean;
 	/** Gives a place back that is not used. */
 	release(place: Place): void;
-	/** The successor is held: ends the attempts before it. */
+	/** The place is held; take it. */
 	onDidFind(): void;
 };
 
