Drop what nothing uses of the silence watch and the pair of attempts

The watch's own notice of progress and its measure of silence had no caller since the attempt sets a limit with each event; the time of a takeover is used in its module only; a takeover described the request for the dispatcher twice. No behaviour changes: format, build and lint of the changed folder, and 405 of 405 assertions of eight gateway test files.

--- a/packages/gateway/src/common/attempt-pair.ts
+++ b/packages/gateway/src/common/attempt-pair.ts
@@ -51,7 +51,7 @@
  * Time after which a successor that has the request and did not refuse it takes
  * over. Two upstreams may be at work on a resumed stream for 400 ms at most.
  */
-export const takeoverMs = 200;
+const takeoverMs = 200;
 /** A refusal that waits in the socket is read in this time, also when the event loop was held up. */
 const lastReadMs = 1;
 
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -287,13 +287,14 @@
 			return {obstacle};
 		}
 
+		const asked = dispatchRequest();
 		const choice = services.dispatcher.choose({
-			...dispatchRequest(),
+			...asked,
 			failedUpstreams: new Set([...failedUpstreams, target.peer]),
 			// The silent upstream may still be the faster one.
 			wasAccepted: false,
 			// A daemon of another region may find out too late for a stream that it has no upstream.
-			mayCross: dispatchRequest().mayCross && (route.work !== 'stream' || target.isRelay),
+			mayCross: asked.mayCross && (route.work !== 'stream' || target.isRelay),
 		});
 		if (choice.kind === 'refuse') {
 			return {obstacle: choice.reason};
--- a/packages/gateway/src/common/silence-watch.ts
+++ b/packages/gateway/src/common/silence-watch.ts
@@ -15,14 +15,11 @@
 };
 
 export type SilenceWatch = disposable.Disposable & {
-	/** The peer made progress; it is silent from now on. */
-	noteProgress(): void;
-	/** From now on progress is expected within this time. */
+	/** The peer made progress; the next is expected within this time. */
 	setLimit(limitMs: number): void;
 	/** This daemon does not read the connection. */
 	pause(): void;
 	resume(): void;
-	readonly silentMs: number;
 };
 
 /** A timer that is later than this shows that the event loop was held up. */
@@ -92,7 +89,6 @@
 
 	arm(limitMs);
 	return {
-		noteProgress: restart,
 		setLimit(nextMs) {
 			limitMs = nextMs;
 			restart();
@@ -108,9 +104,6 @@
 				restart();
 			}
 		},
-		get silentMs() {
-			return time.nowMs() - silentSinceMs;
-		},
 		dispose() {
 			isDisposed = true;
 			timer?.dispose();
