Keep what a daemon believes of the store in one place

Cause: the registry held its own flag, which four places set by events. Before the first answer of the store the 500 ms decision on watches set it to 'not reachable'; the first answer fires onRegained only after a loss, so nothing set it back. From then on each upstream that left stayed as one that went missing in an outage, and its drop was put off for good. A peer's pull got it back as seen, missing, gone, again and again. The same flag was wrong after a lost feed that stopped following and began again, and a feed that follows again reported the store as reached before it had answered.

Change: store-reachability.ts derives the belief from the current contact of the own feed and of the peers, whatever the order; the feed has one state (reached, lost, none) with one notification; the registry only asks how long missing entries are unsettled. A missing entry of a peer that this daemon has dropped is not taken back. A change of the belief has its log line.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -128,6 +128,13 @@
 	  }
 	| {kind: 'directory'; region: string; basis: string; named: number; addresses: string[]}
 	| {kind: 'store-watch'; isWatching: boolean; peers: number; behindMs: number}
+	| {
+			kind: 'store-reachability';
+			isReachable: boolean;
+			/** Whether the store responds to this daemon; `none`: it does not watch. */
+			ownContact: string;
+			isReachedByPeers: boolean;
+	  }
 	| {kind: 'store-lost'; feed: string; detail: string}
 	| {kind: 'store-regained'; feed: string; awayMs: number; revision: number}
 	| {kind: 'store-history-lost'; feed: string; revision: number}
--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -6,6 +6,7 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as prefixStore from './prefix-store.js';
+import type * as storeWatcherElection from './store-watcher-election.js';
 
 export type StoreFeedHandler = {
 	onListing(listing: prefixStore.StoreListing): void;
@@ -15,13 +16,13 @@
 	/** The store responded again; called before `onListing`. */
 	onRegained(awayMs: number, revision: number): void;
 	onHistoryLost(revision: number): void;
+	/** Called at each change of `contact`. */
+	onDidChangeContact(contact: storeWatcherElection.StoreContact): void;
 };
 
 export type StoreFeed = disposable.Disposable & {
-	/** Whether it follows the prefix and the store responds. */
-	readonly isReachable: boolean;
-	/** Whether it follows the prefix and the store does not respond. */
-	readonly isLost: boolean;
+	/** `none`: it does not follow the prefix, or has not had a response since it began to. */
+	readonly contact: storeWatcherElection.StoreContact;
 	/** Stops following the prefix, or lists and follows it again. */
 	setFollowing(isFollowing: boolean): void;
 	/** Ends a pending watch because another call to the store failed; the feed lists again. */
@@ -47,9 +48,16 @@
 	let watchAbort = new AbortController();
 	const followState = {isFollowing: true, resume: (): void => undefined};
 	let lostAtMs: number | undefined;
-	let hasEverResponded = false;
+	let contact: storeWatcherElection.StoreContact = 'none';
 	let retries = 0;
 
+	const setContact = (next: storeWatcherElection.StoreContact) => {
+		if (next !== contact) {
+			contact = next;
+			handler.onDidChangeContact(next);
+		}
+	};
+
 	const noteResponse = (revision: number) => {
 		if (lostAtMs !== undefined) {
 			const awayMs = clock.nowMs() - lostAtMs;
@@ -57,7 +65,10 @@
 			handler.onRegained(awayMs, revision);
 		}
 
-		hasEverResponded = true;
+		if (followState.isFollowing) {
+			setContact('reached');
+		}
+
 		retries = 0;
 	};
 
@@ -67,6 +78,7 @@
 			handler.onLost(error);
 		}
 
+		setContact('lost');
 		retries++;
 	};
 
@@ -128,11 +140,8 @@
 
 	void run();
 	return {
-		get isReachable() {
-			return followState.isFollowing && hasEverResponded && lostAtMs === undefined;
-		},
-		get isLost() {
-			return followState.isFollowing && lostAtMs !== undefined;
+		get contact() {
+			return contact;
 		},
 		setFollowing(next) {
 			if (next === followState.isFollowing) {
@@ -145,6 +154,7 @@
 			} else {
 				// Clears the outage, so that the time without a watch does not count towards it.
 				lostAtMs = undefined;
+				setContact('none');
 				watchAbort.abort(new Error('another daemon follows the store'));
 			}
 		},
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -5,6 +5,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as event from '@hawthornfront/base/common/event.js';
+import * as storeReachability from './store-reachability.js';
 import type * as upstreamEntry from './upstream-entry.js';
 
 export type Upstream = {
@@ -23,12 +24,6 @@
 	revision: number;
 };
 
-/**
- * Time for which an entry that went missing during an outage of the store is kept
- * after the store is back. The platform restores entries within 2 s.
- */
-export const missingEntryGraceMs = 2200;
-
 export type UpstreamRegistry = {
 	readonly onDidChange: event.Event<UpstreamChange>;
 	/**
@@ -42,14 +37,12 @@
 		revision: number,
 		lastChange?: number,
 	): void;
-	/** Replaces all entries with those that a peer reports. */
+	/** Replaces all entries with those that a peer reports. A missing entry that is unknown here has been dropped before. */
 	replaceFromPeer(reports: readonly upstreamEntry.ReportedUpstream[], revision: number): void;
 	/** All entries, to be sent to a peer. */
 	reportAll(): upstreamEntry.ReportedUpstream[];
 	put(entry: upstreamEntry.UpstreamEntry, revision: number): void;
 	remove(id: string, revision: number): void;
-	/** Sets whether the store is reachable; entries are not dropped right after an outage. */
-	setStoreReachable(isReachable: boolean): void;
 	get(id: string): Upstream | undefined;
 	/** Upstreams of a service in a region that accept new work. */
 	usable(service: string, region: string): readonly Upstream[];
@@ -63,36 +56,31 @@
 
 /**
  * @param regionOf region of a failure domain; undefined for an unknown one, whose upstreams are not used
+ * @param reachability decides whether a missing entry may return
  */
 export const createUpstreamRegistry = (
 	timeSource: clock.Clock,
 	regionOf: (failureDomain: string) => string | undefined,
+	reachability: Pick<storeReachability.StoreReachability, 'unsettledMs'>,
 ): UpstreamRegistry => {
 	const upstreams = new Map<string, Upstream>();
 	const didChange = event.createEmitter<UpstreamChange>();
 	let groups: Map<string, Upstream[]> | undefined;
 	let revision = 0;
 	let isLoaded = false;
-	let isStoreReachable = true;
-	let reachableSinceMs = Number.NEGATIVE_INFINITY;
 
 	const note = (kind: UpstreamChange['kind'], upstream: Upstream, at: number) => {
 		groups = undefined;
 		didChange.fire({kind, upstream, revision: at});
 	};
 
-	const isStoreUnsettled = (nowMs: number) =>
-		!isStoreReachable || nowMs - reachableSinceMs < missingEntryGraceMs;
-
 	const drop = (upstream: Upstream, at: number) => {
 		upstreams.delete(upstream.entry.id);
 		note('gone', upstream, at);
 	};
 
 	const scheduleDrop = (id: string) => {
-		const delayMs = isStoreReachable
-			? missingEntryGraceMs - (timeSource.nowMs() - reachableSinceMs)
-			: missingEntryGraceMs;
+		const delayMs = Math.min(reachability.unsettledMs(), storeReachability.missingEntryGraceMs);
 		timeSource.setTimer(
 			() => {
 				const upstream = upstreams.get(id);
@@ -100,7 +88,7 @@
 					return;
 				}
 
-				if (isStoreUnsettled(timeSource.nowMs())) {
+				if (reachability.unsettledMs() > 0) {
 					scheduleDrop(id);
 				} else {
 					drop(upstream, 0);
@@ -124,7 +112,7 @@
 		}
 
 		// A draining upstream is not expected to return.
-		const isExpectedBack = !upstream.entry.isDraining && isStoreUnsettled(timeSource.nowMs());
+		const isExpectedBack = !upstream.entry.isDraining && reachability.unsettledMs() > 0;
 		if (!isExpectedBack) {
 			drop(upstream, at);
 		} else if (upstream.missingSinceMs === undefined) {
@@ -237,7 +225,8 @@
 			removeOthers(new Set(reports.map(({entry}) => entry.id)), at);
 			for (const {entry, coldLeftMs, isMissing} of reports) {
 				const before = upstreams.get(entry.id);
-				if (isMissing && before?.missingSinceMs !== undefined) {
+				const isDropped = before === undefined && isLoaded;
+				if (isMissing && (isDropped || before?.missingSinceMs !== undefined)) {
 					continue;
 				}
 
@@ -264,13 +253,6 @@
 			removeEntry(id, at);
 			revision = Math.max(revision, at);
 		},
-		setStoreReachable(isReachable) {
-			if (isReachable && !isStoreReachable) {
-				reachableSinceMs = timeSource.nowMs();
-			}
-
-			isStoreReachable = isReachable;
-		},
 		get: (id) => upstreams.get(id),
 		usable(service, region) {
 			groups ??= buildGroups();
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -12,6 +12,7 @@
 import type * as prefixStore from '../common/prefix-store.js';
 import * as routeConfig from '../common/route-config.js';
 import * as storeFeed from '../common/store-feed.js';
+import type * as storeReachability from '../common/store-reachability.js';
 import * as upstreamEntry from '../common/upstream-entry.js';
 import type * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as storeWatcherElection from '../common/store-watcher-election.js';
@@ -42,8 +43,6 @@
 	readonly storeContact: storeWatcherElection.StoreContact;
 	/** Starts or stops watching the store. Without a watch, the state comes from the snapshots of peers. */
 	setWatching(isWatching: boolean): void;
-	/** Sets whether any peer reaches the store; only used while this daemon does not reach it. */
-	setStoreReachableByPeers(isReached: boolean): void;
 	/** Makes both feeds check the store again, because another store call failed. */
 	suspectStore(): void;
 	isEvacuated(failureDomain: string): boolean;
@@ -59,6 +58,7 @@
 	store: prefixStore.PrefixStore;
 	layout: prefixStore.StoreLayout;
 	registry: upstreamRegistry.UpstreamRegistry;
+	reachability: storeReachability.StoreReachability;
 	log: gatewayEvent.EventLog;
 	watchWaitMs: number;
 	random(): number;
@@ -66,14 +66,13 @@
 
 /** Starts the operator feed (configuration and evacuations) and the upstream feed. */
 export const startClusterState = (options: ClusterStateOptions): ClusterState => {
-	const {clock, store, layout, registry, log} = options;
+	const {clock, store, layout, registry, reachability, log} = options;
 	const disposables = disposable.createDisposableStore();
 	const didChangeConfig = event.createEmitter<routeConfig.RouteTable>();
 	const didApplyStoreUpdate = event.createEmitter<void>();
 	const evacuated = new Set<string>();
 	let table: routeConfig.RouteTable | undefined;
 	let operatorRevision = 0;
-	let isStoreReachableByPeers = false;
 
 	const applyConfig = (config: routeConfig.RouteConfig, source: string) => {
 		const current = table?.config.version ?? 0;
@@ -179,6 +178,7 @@
 				didApplyStoreUpdate.fire();
 			},
 			...feedLog(log, 'operator'),
+			onDidChangeContact: () => undefined,
 		},
 	});
 
@@ -191,7 +191,6 @@
 		}
 	};
 
-	const upstreamLog = feedLog(log, 'upstreams');
 	const upstreamFeed = storeFeed.startStoreFeed({
 		clock,
 		store,
@@ -218,15 +217,9 @@
 
 				didApplyStoreUpdate.fire();
 			},
-			onLost(error) {
-				registry.setStoreReachable(isStoreReachableByPeers);
-				upstreamLog.onLost(error);
-			},
-			onRegained(awayMs, revision) {
-				registry.setStoreReachable(true);
-				upstreamLog.onRegained(awayMs, revision);
-			},
-			onHistoryLost: upstreamLog.onHistoryLost,
+			...feedLog(log, 'upstreams'),
+			// Entries expire in the store that this feed reads, so its contact decides on missing ones.
+			onDidChangeContact: reachability.setOwnContact,
 		},
 	});
 	const feeds = [operatorFeed, upstreamFeed];
@@ -249,23 +242,17 @@
 			return operatorRevision;
 		},
 		get storeContact() {
-			if (feeds.some((feed) => feed.isLost)) {
+			if (feeds.some((feed) => feed.contact === 'lost')) {
 				return 'lost';
 			}
 
-			return feeds.every((feed) => feed.isReachable) ? 'reached' : 'none';
+			return feeds.every((feed) => feed.contact === 'reached') ? 'reached' : 'none';
 		},
 		setWatching(isWatching) {
 			for (const feed of feeds) {
 				feed.setFollowing(isWatching);
 			}
 		},
-		setStoreReachableByPeers(isReached) {
-			isStoreReachableByPeers = isReached;
-			if (!upstreamFeed.isReachable) {
-				registry.setStoreReachable(isReached);
-			}
-		},
 		suspectStore() {
 			for (const feed of feeds) {
 				feed.suspect();
@@ -286,11 +273,11 @@
 			}
 
 			// While the store is watched and responds, it is more current than any snapshot.
-			if (!upstreamFeed.isReachable && snapshot.upstreamRevision > registry.revision) {
+			if (upstreamFeed.contact !== 'reached' && snapshot.upstreamRevision > registry.revision) {
 				registry.replaceFromPeer(snapshot.upstreams, snapshot.upstreamRevision);
 			}
 
-			if (!operatorFeed.isReachable && snapshot.operatorRevision > operatorRevision) {
+			if (operatorFeed.contact !== 'reached' && snapshot.operatorRevision > operatorRevision) {
 				operatorRevision = snapshot.operatorRevision;
 				for (const failureDomain of new Set([...snapshot.evacuated, ...evacuated])) {
 					const isEvacuated = snapshot.evacuated.includes(failureDomain);
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -13,6 +13,7 @@
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
+import * as storeReachability from '../common/store-reachability.js';
 import * as storeWatcherElection from '../common/store-watcher-election.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as clusterState from './cluster-state.js';
@@ -78,8 +79,11 @@
 	let wasReady = false;
 
 	log.note({kind: 'started', name: vm.name, region: vm.region, startedAtUnixMs});
-	const registry = upstreamRegistry.createUpstreamRegistry(clock, (name) =>
-		failureDomains.get(name),
+	const reachability = storeReachability.createStoreReachability(nowMs);
+	const registry = upstreamRegistry.createUpstreamRegistry(
+		clock,
+		(name) => failureDomains.get(name),
+		reachability,
 	);
 	const fleet = fleetView.createFleetView(clock, vm.name);
 	const cluster = disposables.add(
@@ -88,6 +92,7 @@
 			store: options.store,
 			layout: options.layout,
 			registry,
+			reachability,
 			log,
 			watchWaitMs: current.store.watchWaitMs,
 			random: random.next,
@@ -258,7 +263,7 @@
 
 	const updateWatch = () => {
 		const alive = fleet.alive();
-		cluster.setStoreReachableByPeers(alive.some(({storeContact}) => storeContact === 'reached'));
+		reachability.setReachedByPeers(alive.some(({storeContact}) => storeContact === 'reached'));
 		const domainPeers = alive
 			.filter(({failureDomain}) => failureDomain === vm.failureDomain)
 			.map(({name, aliveAtMs, storeContact}) => ({
@@ -304,6 +309,11 @@
 			}
 		}),
 	);
+	disposables.add(
+		reachability.onDidChange((change) => {
+			log.note({kind: 'store-reachability', ...change});
+		}),
+	);
 	disposables.add(
 		fleet.onDidChange(({kind, member}) => {
 			log.note({
--- a/packages/gateway/src/test/cluster-state.test.ts
+++ b/packages/gateway/src/test/cluster-state.test.ts
@@ -4,6 +4,7 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import type * as routeConfig from '../common/route-config.js';
+import * as storeReachability from '../common/store-reachability.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as clusterState from '../node/cluster-state.js';
 import * as fixtures from './fixtures.js';
@@ -12,9 +13,11 @@
 const start = async (t: tap.Test) => {
 	const clock = new manualClock.ManualClock();
 	const store = new memoryStore.MemoryPrefixStore(clock);
+	const reachability = storeReachability.createStoreReachability(() => clock.nowMs());
 	const registry = upstreamRegistry.createUpstreamRegistry(
 		clock,
 		(name) => fixtures.regionByDomain[name],
+		reachability,
 	);
 	const events: gatewayEvent.GatewayEvent[] = [];
 	const subject = clusterState.startClusterState({
@@ -22,6 +25,7 @@
 		store,
 		layout: new memoryStore.MemoryLayout(),
 		registry,
+		reachability,
 		log: {
 			note(event) {
 				events.push(event);
@@ -34,7 +38,7 @@
 		subject.dispose();
 	});
 	await clock.advance(1);
-	return {clock, store, registry, events, subject};
+	return {clock, store, registry, reachability, events, subject};
 };
 
 const config = (version: number): routeConfig.RouteConfig => ({...fixtures.config, version});
@@ -210,14 +214,14 @@
 });
 
 tap.t.test('an entry that expired in an outage ends at a follower as at the watcher', async (t) => {
-	const {clock, subject, registry} = await start(t);
+	const {clock, subject, registry, reachability} = await start(t);
 	subject.setWatching(false);
 	const knownUpstream = (id: string, isMissing: boolean) => ({
 		entry: fixtures.upstream(id),
 		coldLeftMs: 0,
 		isMissing,
 	});
-	subject.setStoreReachableByPeers(true);
+	reachability.setReachedByPeers(true);
 	await clock.advance(10_000);
 	subject.merge(
 		snapshot({
@@ -226,9 +230,9 @@
 		}),
 		'n2',
 	);
-	subject.setStoreReachableByPeers(false);
+	reachability.setReachedByPeers(false);
 	await clock.advance(4000);
-	subject.setStoreReachableByPeers(true);
+	reachability.setReachedByPeers(true);
 	subject.merge(
 		snapshot({
 			upstreams: [knownUpstream('u1', true), knownUpstream('u2', false)],
@@ -237,7 +241,7 @@
 		'n2',
 	);
 	t.equal(registry.all().length, 2, 'a missing entry may return');
-	await clock.advance(upstreamRegistry.missingEntryGraceMs + 100);
+	await clock.advance(storeReachability.missingEntryGraceMs + 100);
 	t.same(
 		registry.all().map(({entry}) => entry.id),
 		['u2'],
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -133,7 +133,9 @@
 /** Creates the dispatcher of a daemon in `north-a` with its clock, registry and fleet view. */
 export const createDeployment = (daemonName = 'n1') => {
 	const clock = new manualClock.ManualClock();
-	const registry = upstreamRegistry.createUpstreamRegistry(clock, (name) => regionByDomain[name]);
+	const registry = upstreamRegistry.createUpstreamRegistry(clock, (name) => regionByDomain[name], {
+		unsettledMs: () => 0,
+	});
 	const fleet = fleetView.createFleetView(clock, daemonName);
 	const evacuated = new Set<string>();
 	const subject = dispatcher.createDispatcher({
--- a/packages/gateway/src/test/peer-catch-up.test.ts
+++ b/packages/gateway/src/test/peer-catch-up.test.ts
@@ -3,6 +3,7 @@
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as tap from 'tap';
 import type * as gossipMessage from '../common/gossip-message.js';
+import * as storeReachability from '../common/store-reachability.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as clusterState from '../node/cluster-state.js';
 import * as peerCatchUp from '../node/peer-catch-up.js';
@@ -12,9 +13,11 @@
 const start = async (t: tap.Test) => {
 	const clock = new manualClock.ManualClock();
 	const store = new memoryStore.MemoryPrefixStore(clock);
+	const reachability = storeReachability.createStoreReachability(() => clock.nowMs());
 	const registry = upstreamRegistry.createUpstreamRegistry(
 		clock,
 		(name) => fixtures.regionByDomain[name],
+		reachability,
 	);
 	store.write('ops/routes', {...fixtures.config, version: 5});
 	const cluster = clusterState.startClusterState({
@@ -22,6 +25,7 @@
 		store,
 		layout: new memoryStore.MemoryLayout(),
 		registry,
+		reachability,
 		log: {note: () => undefined},
 		watchWaitMs: 1000,
 		random: () => 0.5,
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -78,6 +78,7 @@
 			onEvents(events, revision) {
 				calls.push(`events ${events.length} up to ${revision}`);
 			},
+			onDidChangeContact: () => undefined,
 			onLost() {
 				calls.push('lost');
 			},
@@ -104,7 +105,7 @@
 	await clock.advance(1);
 	t.same(calls, ['listing 1', 'events 1 up to 4']);
 	t.equal(store.listCalls, 1);
-	t.ok(feed.isReachable);
+	t.equal(feed.contact, 'reached');
 });
 
 tap.t.test('an outage is reported once and ends with a listing', async (t) => {
@@ -112,13 +113,13 @@
 	store.isUnavailable = true;
 	store.failWatch();
 	await clock.advance(20_000);
-	t.notOk(feed.isReachable);
+	t.not(feed.contact, 'reached');
 	t.ok(store.listCalls < 60, `${store.listCalls} calls in 20 s`);
 	store.isUnavailable = false;
 	store.listing = {items: [], revision: 30};
 	await clock.advance(2000);
 	t.same(calls, ['listing 1', 'lost', 'regained', 'listing 30']);
-	t.ok(feed.isReachable);
+	t.equal(feed.contact, 'reached');
 });
 
 tap.t.test('a lost history leads to a new listing', async (t) => {
@@ -134,13 +135,12 @@
 	feed.setFollowing(false);
 	await clock.advance(20_000);
 	t.equal(store.listCalls, 1);
-	t.notOk(feed.isReachable);
-	t.notOk(feed.isLost, 'the state of the store is unknown');
+	t.equal(feed.contact, 'none', 'the state of the store is unknown');
 	store.listing = {items: [], revision: 70};
 	feed.setFollowing(true);
 	await clock.advance(10);
 	t.same(calls, ['listing 1', 'listing 70']);
-	t.ok(feed.isReachable);
+	t.equal(feed.contact, 'reached');
 });
 
 tap.t.test('a lost feed that stops following does not count as lost', async (t) => {
@@ -148,10 +148,10 @@
 	store.isUnavailable = true;
 	store.failWatch();
 	await clock.advance(3000);
-	t.ok(feed.isLost);
+	t.equal(feed.contact, 'lost');
 	feed.setFollowing(false);
 	await clock.advance(3000);
-	t.notOk(feed.isLost);
+	t.equal(feed.contact, 'none');
 	store.isUnavailable = false;
 	feed.setFollowing(true);
 	await clock.advance(2000);
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -149,7 +149,9 @@
 			engine: {slots, eventTokens, memoryTokens},
 		};
 		this.#dispatchers = Array.from({length: scenario.daemons}, (_, daemon) => {
-			const registry = upstreamRegistry.createUpstreamRegistry(clock, () => region);
+			const registry = upstreamRegistry.createUpstreamRegistry(clock, () => region, {
+				unsettledMs: () => 0,
+			});
 			for (let runner = 0; runner < scenario.runners; runner++) {
 				registry.put(
 					{
