Distribute reports through relays of a failure domain

Cause: each daemon sent its report to 16 daemons of its failure domain, drawn anew.

Daemons report to the relays; the relays take turns to send the sums of the region, prompt prefixes, changed member records and heartbeats (8 bytes a member) to their failure domain, and only relays send to other failure domains. A prefix that a peer was told of is not told again for a third of the time for which it is expected to be held.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -71,7 +71,12 @@
 
 export type Dispatcher = Pick<
 	loadTable.LoadTable,
-	'localLoads' | 'domainLoads' | 'notePeerLoads' | 'noteDomainLoads'
+	| 'localLoads'
+	| 'domainLoads'
+	| 'regionLoads'
+	| 'notePeerLoads'
+	| 'noteDomainLoads'
+	| 'noteRegionLoads'
 > & {
 	choose(request: DispatchRequest): Choice;
 	/** Counts a request that goes to an upstream, until its end. */
@@ -481,6 +486,8 @@
 		predictWaitMs: (service, isUrgent) => decideNow(() => predictWaitMs(service, isUrgent)),
 		localLoads: loads.localLoads,
 		domainLoads: loads.domainLoads,
+		regionLoads: loads.regionLoads,
+		noteRegionLoads: loads.noteRegionLoads,
 		notePeerLoads: loads.notePeerLoads,
 		noteDomainLoads: loads.noteDomainLoads,
 		takeSentPromptPrefixes: () => cache.takeSent(),
--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -5,7 +5,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as event from '@hawthornfront/base/common/event.js';
-import type * as gossip from './gossip-message.js';
+import * as gossip from './gossip-message.js';
 
 /** A member without a heartbeat for this long counts as lost. */
 export const memberLostAfterMs = 3500;
@@ -31,6 +31,8 @@
 	readonly onDidChange: event.Event<MemberChange>;
 	/** Applies a peer's report on a member, unless a newer one is held. */
 	noteMember(record: gossip.MemberRecord, ageMs: number): void;
+	/** Applies a peer's report that known members are alive. */
+	noteHeartbeats(heartbeats: readonly gossip.Heartbeat[]): void;
 	/** Applies a member record of the store; the member may be dead already. */
 	noteStoreMember(record: gossip.MemberRecord): void;
 	noteRegionWaits(region: string, service: string, waits: RegionWaits): void;
@@ -56,6 +58,7 @@
 /** Creates a view without other members. */
 export const createFleetView = (timeSource: clock.Clock, daemonName: string): FleetView => {
 	const members = new Map<string, Member>();
+	const namesById = new Map<number, string>();
 	const waitsByRegion = new Map<string, Map<string, ReceivedWaits>>();
 	let isStopping = false;
 	const didChange = event.createEmitter<MemberChange>();
@@ -67,6 +70,14 @@
 		const current = members.get(record.name);
 		const member: Member = {...record, aliveAtMs};
 		members.set(record.name, member);
+		if (current?.startedAtUnixMs !== record.startedAtUnixMs) {
+			if (current) {
+				namesById.delete(gossip.memberId(current));
+			}
+
+			namesById.set(gossip.memberId(record), record.name);
+		}
+
 		if (!current || !isAlive(current)) {
 			if (isAlive(member)) {
 				didChange.fire({kind: current ? 'restarted' : 'joined', member});
@@ -98,6 +109,16 @@
 				put(record, aliveAtMs);
 			}
 		},
+		noteHeartbeats(heartbeats) {
+			const nowMs = timeSource.nowMs();
+			for (const {memberId, ageMs} of heartbeats) {
+				const name = namesById.get(memberId);
+				const member = name === undefined ? undefined : members.get(name);
+				if (member && !member.isLeaving && member.aliveAtMs < nowMs - ageMs) {
+					put(member, nowMs - ageMs);
+				}
+			}
+		},
 		noteStoreMember(record) {
 			const current = members.get(record.name);
 			if (
@@ -160,13 +181,18 @@
 					})),
 			),
 		sweep() {
-			for (const [name, member] of members) {
+			const remove = (member: Member) => {
+				members.delete(member.name);
+				namesById.delete(gossip.memberId(member));
+			};
+
+			for (const member of members.values()) {
 				const silentMs = timeSource.nowMs() - member.aliveAtMs;
 				if (!member.isLeaving && !isAlive(member)) {
-					members.delete(name);
+					remove(member);
 					didChange.fire({kind: 'lost', member});
 				} else if (member.isLeaving && silentMs > leftMemberRetentionMs) {
-					members.delete(name);
+					remove(member);
 				}
 			}
 		},
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -3,6 +3,7 @@
  * region, prompt prefixes. Packed as arrays to keep them small, since a message is
  * sent several times a second.
  */
+import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as msgpackr from 'msgpackr';
 import * as zod from 'zod';
 import type * as promptCacheView from './prompt-cache-view.js';
@@ -53,7 +54,9 @@
 ]);
 
 /** Version of the layout of a message. */
-const messageVersion = 2;
+const messageVersion = 3;
+/** Unit of the ages of heartbeats, coarse so that they take one byte. */
+const heartbeatUnitMs = 50;
 
 const messageSchema = zod.tuple([
 	zod.literal(messageVersion),
@@ -75,17 +78,22 @@
 			zod.number(),
 		]),
 	),
-	/** Last part of a prompt prefix, the runner that was sent it, whether it comes from another failure domain. */
-	zod.array(zod.tuple([zod.string(), zod.string(), zod.boolean()])),
+	/** Last part of a prompt prefix, and the runner that was sent it. */
+	zod.array(zod.tuple([zod.string(), zod.string()])),
+	/** Whether a relay sends the message to its failure domain. */
+	zod.boolean(),
+	/** Member id and units since its last heartbeat, alternating. */
+	zod.array(zod.number()),
 ]);
 
 export type GossipMessage = {
 	sender: MemberRecord;
 	others: Array<{record: MemberRecord; ageMs: number}>;
 	/**
-	 * Requests by upstream: those of the sender in messages within its failure domain, the
-	 * sum of its failure domain in messages to other domains of the region. Undefined:
-	 * the last report still applies.
+	 * Requests by upstream: those of the sender in messages to the relays of its failure
+	 * domain, the sum of the region in messages of a relay to its failure domain, the sum
+	 * of its failure domain in messages to other domains of the region. Undefined: the
+	 * last report still applies.
 	 */
 	loads?: upstreamLoad.LoadByUpstream[];
 	outlooks: Array<{
@@ -96,13 +104,21 @@
 		otherMs: number;
 		ageMs: number;
 	}>;
-	promptPrefixes: GossipPromptPrefix[];
+	promptPrefixes: promptCacheView.SentPromptPrefix[];
+	/** Sent by a relay to its failure domain. */
+	isRelayed: boolean;
+	/** Members that are alive; their records are sent less often. */
+	heartbeats: Heartbeat[];
 };
 
-export type GossipPromptPrefix = promptCacheView.SentPromptPrefix & {
-	/** Received from another failure domain; forwarded within this one. */
-	isFromOtherDomain: boolean;
-};
+export type Heartbeat = {memberId: number; ageMs: number};
+
+/** Short id of one start of a member; two members of a deployment share one by a chance of about 1 in 100,000. */
+export const memberId = ({
+	name,
+	startedAtUnixMs,
+}: Pick<MemberRecord, 'name' | 'startedAtUnixMs'>): number =>
+	Math.round(hash.uniform(name, String(startedAtUnixMs)) * 2 ** 32) - 1;
 
 const packMember = (record: MemberRecord): zod.infer<typeof memberTupleSchema> => [
 	record.name,
@@ -158,18 +174,18 @@
 			packWait(outlook.otherMs),
 			Math.round(outlook.ageMs),
 		]),
-		message.promptPrefixes.map(({partId, runner, isFromOtherDomain}) => [
-			partId,
-			runner,
-			isFromOtherDomain,
+		message.promptPrefixes.map(({partId, runner}) => [partId, runner]),
+		message.isRelayed,
+		message.heartbeats.flatMap((heartbeat) => [
+			heartbeat.memberId,
+			Math.round(heartbeat.ageMs / heartbeatUnitMs),
 		]),
 	]);
 
 /** Unpacks a datagram. @throws Error for bytes that are no message of this version */
 export const decodeGossip = (bytes: Uint8Array): GossipMessage => {
-	const [, sender, others, loads, outlooks, promptPrefixes] = messageSchema.parse(
-		msgpackr.unpack(bytes),
-	);
+	const [, sender, others, loads, outlooks, promptPrefixes, isRelayed, heartbeats] =
+		messageSchema.parse(msgpackr.unpack(bytes));
 	return {
 		sender: unpackMember(sender),
 		others: others.map(([record, ageMs]) => ({record: unpackMember(record), ageMs})),
@@ -189,10 +205,11 @@
 			otherMs: otherMs ?? Number.POSITIVE_INFINITY,
 			ageMs,
 		})),
-		promptPrefixes: promptPrefixes.map(([partId, runner, isFromOtherDomain]) => ({
-			partId,
-			runner,
-			isFromOtherDomain,
+		promptPrefixes: promptPrefixes.map(([partId, runner]) => ({partId, runner})),
+		isRelayed,
+		heartbeats: Array.from({length: Math.floor(heartbeats.length / 2)}, (_, index) => ({
+			memberId: heartbeats[2 * index]!,
+			ageMs: heartbeats[2 * index + 1]! * heartbeatUnitMs,
 		})),
 	};
 };
--- a/packages/gateway/src/common/load-table.ts
+++ b/packages/gateway/src/common/load-table.ts
@@ -11,6 +11,10 @@
 	localLoads(): upstreamLoad.LoadByUpstream[];
 	/** Requests of the local failure domain by upstream, for the other domains of the region. */
 	domainLoads(): upstreamLoad.LoadByUpstream[];
+	/** Requests of the region by upstream, for the daemons of the local failure domain. */
+	regionLoads(): upstreamLoad.LoadByUpstream[];
+	/** Replaces the last sum of the region, which includes the requests of this daemon. */
+	noteRegionLoads(loads: readonly upstreamLoad.LoadByUpstream[]): void;
 	/** Replaces the last report of another daemon of the local failure domain. */
 	notePeerLoads(peer: string, loads: readonly upstreamLoad.LoadByUpstream[]): void;
 	/** Replaces the last report on another failure domain of the region. */
@@ -19,6 +23,9 @@
 	forget(upstreamId: string): void;
 };
 
+/** Name of the sum of a region among the reports on failure domains. */
+const regionSum = '*';
+
 type NoteShare = (load: upstreamLoad.UpstreamLoad, share: upstreamLoad.LoadShare) => void;
 
 /** Creates an empty table. */
@@ -86,6 +93,12 @@
 		of: loadOf,
 		localLoads: () => list((load) => load.local()),
 		domainLoads: () => list((load) => load.ofLocalDomain()),
+		regionLoads: () => list((load) => load.ofRegion()),
+		noteRegionLoads(reports) {
+			noteReport(reportedByDomain, regionSum, reports, (load, share) => {
+				load.noteDomain(regionSum, upstreamLoad.subtractShare(share, load.local()));
+			});
+		},
 		notePeerLoads(peer, reports) {
 			noteReport(reportedByPeer, peer, reports, (load, share) => {
 				load.notePeer(peer, share);
--- a/packages/gateway/src/common/prompt-cache-view.ts
+++ b/packages/gateway/src/common/prompt-cache-view.ts
@@ -43,6 +43,8 @@
 	/** Runners by the part that they were sent, with the time of the last send. */
 	const runnersByPart = new lruCache.LRUCache<string, Map<string, number>>({max: maxParts});
 	const ungossiped = new Map<string, SentPromptPrefix>();
+	/** Times at which prefixes were last given to gossip; peers expect them to be held for longer. */
+	const gossipedAtMs = new lruCache.LRUCache<string, number>({max: maxParts});
 
 	const note = (runner: string, partId: string) => {
 		let runners = runnersByPart.get(partId);
@@ -89,12 +91,14 @@
 			return {runners: [], tokens: 0};
 		},
 		noteSent(runner, parts) {
+			const partId = parts.at(-1)?.id;
+			const sentAtMs = partId === undefined ? undefined : gossipedAtMs.get(`${partId} ${runner}`);
 			for (const part of parts) {
 				note(runner, part.id);
 			}
 
-			const partId = parts.at(-1)?.id;
-			if (partId !== undefined) {
+			if (partId !== undefined && (sentAtMs === undefined || sentAtMs < nowMs() - heldMs / 3)) {
+				gossipedAtMs.set(`${partId} ${runner}`, nowMs());
 				ungossiped.delete(partId);
 				ungossiped.set(partId, {partId, runner});
 			}
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -38,6 +38,8 @@
 	local(): LoadShare;
 	/** Sum of the local failure domain. */
 	ofLocalDomain(): LoadShare;
+	/** Sum of the region. */
+	ofRegion(): LoadShare;
 	/** Requests of all daemons. */
 	requests(): number;
 	/** Expected time to the first event, or to the answer of a plain service. */
@@ -86,6 +88,14 @@
 	sum.memoryTokens += share.memoryTokens;
 };
 
+/** Removes a part from a sum that may be older than the part. */
+export const subtractShare = (sum: LoadShare, part: LoadShare): LoadShare => ({
+	requests: Math.max(0, sum.requests - part.requests),
+	urgentReadTokens: Math.max(0, sum.urgentReadTokens - part.urgentReadTokens),
+	otherReadTokens: Math.max(0, sum.otherReadTokens - part.otherReadTokens),
+	memoryTokens: Math.max(0, sum.memoryTokens - part.memoryTokens),
+});
+
 /**
  * Time between events of streams over all runners of a service. A daemon of a large
  * deployment has too few streams at one runner to estimate it for that runner alone.
@@ -282,6 +292,7 @@
 		},
 		local: () => ({...local}),
 		ofLocalDomain,
+		ofRegion: total,
 		requests: () => total().requests,
 		predictMs(work, readTokens, {slots, engine}) {
 			return engine
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -210,6 +210,7 @@
 			self,
 			localLoads: dispatch.localLoads,
 			domainLoads: dispatch.domainLoads,
+			regionLoads: dispatch.regionLoads,
 			localExpectedWaits,
 			remoteExpectedWaits,
 			takePromptPrefixes: dispatch.takeSentPromptPrefixes,
@@ -220,14 +221,22 @@
 					fleet.noteMember(record, ageMs);
 				}
 
+				fleet.noteHeartbeats(message.heartbeats);
 				for (const {region, service, ...regionWaits} of message.outlooks) {
 					if (region !== vm.region) {
 						fleet.noteRegionWaits(region, service, regionWaits);
 					}
 				}
 
-				if (message.loads && message.sender.failureDomain === vm.failureDomain) {
-					dispatch.notePeerLoads(message.sender.name, message.loads);
+				if (message.loads && message.isRelayed) {
+					// A relay has the reports of all daemons itself, and only a relay has them.
+					if (!gossip.isRelay()) {
+						dispatch.noteRegionLoads(message.loads);
+					}
+				} else if (message.loads && message.sender.failureDomain === vm.failureDomain) {
+					if (gossip.isRelay()) {
+						dispatch.notePeerLoads(message.sender.name, message.loads);
+					}
 				} else if (message.loads && message.sender.region === vm.region) {
 					dispatch.noteDomainLoads(message.sender.failureDomain, message.loads);
 				}
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -8,24 +8,27 @@
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as promptCacheView from '../common/prompt-cache-view.js';
+import * as relayElection from '../common/relay-election.js';
 import type * as upstreamLoad from '../common/upstream-load.js';
 
-/** Peers of this failure domain that receive each message. */
-const maxDomainPeers = 16;
 /** Ticks between messages to other regions. */
 const otherRegionEveryTicks = 2;
-/** Limit of prompt prefixes that one message sends to, or forwards from, other failure domains. */
-const maxOtherDomainPrefixes = 40;
-/** Members listed in one message, so that it fits into one packet. */
+/** Limit of prompt prefixes in one message. */
+const maxPrefixesPerMessage = 80;
+/** Members whose records are in one message, so that it fits into one packet. */
 const maxMembersPerMessage = 8;
-/** Ticks between messages to this failure domain that list other members. */
+/** Share of the ticks at which a daemon with live peers also sends to a seed. */
+const seedShare = 0.1;
+/** Ticks between messages to the relays that list other members. */
 const membersEveryTicks = 2;
 
 export type GossipNode = disposable.Disposable & {
 	/** Announces the planned stop to all members immediately. */
 	announceStop(): void;
-	/** Sends a message to this failure domain without waiting for the next tick. */
+	/** Sends a message to all of this failure domain without waiting for the next tick. */
 	sendToDomain(): void;
+	/** Whether this daemon was a relay of its failure domain at the last tick. */
+	isRelay(): boolean;
 };
 
 export type GossipOptions = {
@@ -41,6 +44,8 @@
 	localLoads(): upstreamLoad.LoadByUpstream[];
 	/** Requests of this failure domain by upstream. */
 	domainLoads(): upstreamLoad.LoadByUpstream[];
+	/** Requests of this region by upstream. */
+	regionLoads(): upstreamLoad.LoadByUpstream[];
 	/** Expected waits of this region; only sent to other regions, because each daemon of this region computes them itself. */
 	localExpectedWaits(): gossipMessage.GossipMessage['outlooks'];
 	/** Last reported expected waits of other regions. */
@@ -50,15 +55,30 @@
 	onMessage(message: gossipMessage.GossipMessage): void;
 };
 
-/** Starts the exchange of datagrams. */
+/**
+ * Starts the exchange of datagrams. At each tick a daemon reports to the relays of its
+ * failure domain. The relays take turns to send the sums of the region to all daemons
+ * of their failure domain, and only relays send to other failure domains.
+ */
 export const startGossip = (options: GossipOptions): GossipNode => {
 	const {clock, random, socket, fleet} = options;
 	const store = disposable.createDisposableStore();
 	let tick = 0;
-	/** Prompt prefixes of this daemon that were not yet sent to other failure domains. */
-	const unsentLocalPrefixes: gossipMessage.GossipPromptPrefix[] = [];
-	/** Prompt prefixes of other failure domains to forward within this one. */
-	const otherDomainPrefixes: gossipMessage.GossipPromptPrefix[] = [];
+	let isRelay = false;
+	/** Prompt prefixes of this failure domain that this relay has not sent to other ones. */
+	const domainPrefixes: promptCacheView.SentPromptPrefix[] = [];
+	/** Prompt prefixes that this relay has not sent within its failure domain. */
+	const relayedPrefixes: promptCacheView.SentPromptPrefix[] = [];
+	/** State of each member in the last message with its record. */
+	const sentStates = new Map<string, string>();
+
+	const keepNewest = (
+		prefixes: promptCacheView.SentPromptPrefix[],
+		added: readonly promptCacheView.SentPromptPrefix[],
+	) => {
+		prefixes.push(...added);
+		prefixes.splice(0, prefixes.length - maxPrefixesPerMessage);
+	};
 
 	const pickSome = <Item>(items: readonly Item[], count: number): Item[] => {
 		const left = [...items];
@@ -70,96 +90,174 @@
 		return picked;
 	};
 
+	const stateOf = (member: gossipMessage.MemberRecord): string =>
+		`${member.startedAtUnixMs} ${member.isReady} ${member.isLeaving} ${member.storeContact}`;
+
+	/** Members to list: those that have changed since they were listed, then any others. */
+	const pickMembers = (): fleetView.Member[] => {
+		const alive = fleet.alive();
+		const changed = alive.filter((member) => sentStates.get(member.name) !== stateOf(member));
+		const listed = pickSome(changed, maxMembersPerMessage);
+		if (listed.length < maxMembersPerMessage) {
+			const others = alive.filter((member) => !listed.includes(member));
+			listed.push(...pickSome(others, maxMembersPerMessage - listed.length));
+		}
+
+		for (const member of listed) {
+			sentStates.set(member.name, stateOf(member));
+		}
+
+		return listed;
+	};
+
+	const forgetLostMembers = () => {
+		for (const name of sentStates.keys()) {
+			if (!fleet.member(name)) {
+				sentStates.delete(name);
+			}
+		}
+	};
+
 	const buildMessage = (
-		content: Partial<Omit<gossipMessage.GossipMessage, 'sender' | 'others'>>,
-		includesMembers = true,
+		content: Partial<Omit<gossipMessage.GossipMessage, 'sender' | 'others' | 'heartbeats'>>,
+		listed: {records: readonly fleetView.Member[]; heartbeats: readonly fleetView.Member[]},
 	): Uint8Array => {
 		const nowMs = clock.nowMs();
-		const listed = includesMembers ? pickSome(fleet.alive(), maxMembersPerMessage) : [];
 		return gossipMessage.encodeGossip({
 			sender: options.self(),
-			others: listed.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
+			others: listed.records.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
+			heartbeats: listed.heartbeats.map((member) => ({
+				memberId: gossipMessage.memberId(member),
+				ageMs: nowMs - member.aliveAtMs,
+			})),
 			outlooks: [],
 			promptPrefixes: [],
+			isRelayed: false,
 			...content,
 		});
 	};
 
-	/** One member of each other failure domain. */
-	const otherDomainPeers = (self: gossipMessage.MemberRecord): fleetView.Member[] => {
-		const byDomain = new Map<string, fleetView.Member[]>();
-		for (const member of fleet.alive()) {
-			if (member.failureDomain !== self.failureDomain) {
-				const group = byDomain.get(member.failureDomain) ?? [];
-				group.push(member);
-				byDomain.set(member.failureDomain, group);
-			}
+	const send = (members: readonly gossipMessage.MemberRecord[], bytes: Uint8Array) => {
+		for (const member of members) {
+			socket.send(member.peerAddress, bytes);
+		}
+	};
+
+	const relaysOf = (failureDomain: string) =>
+		relayElection.electRelays<gossipMessage.MemberRecord>(failureDomain, [
+			options.self(),
+			...fleet.alive(),
+		]);
+
+	const domainPeers = (self: gossipMessage.MemberRecord) =>
+		fleet.alive().filter((member) => member.failureDomain === self.failureDomain);
+
+	/** Reports to the relays; one of them in turn gets the prompt prefixes and passes them on. */
+	const reportToRelays = (
+		self: gossipMessage.MemberRecord,
+		relays: gossipMessage.MemberRecord[],
+	) => {
+		const prefixes = options.takePromptPrefixes();
+		const target = relays[tick % relays.length];
+		const others = relays.filter((relay) => relay !== target && relay.name !== self.name);
+		const records = tick % membersEveryTicks === 0 ? pickSome(fleet.alive(), 2) : [];
+		const report = {loads: options.localLoads(), outlooks: []};
+		const listed = {records, heartbeats: []};
+		if (target?.name === self.name) {
+			keepNewest(domainPrefixes, prefixes);
+			keepNewest(relayedPrefixes, prefixes);
+		} else if (target) {
+			send([target], buildMessage({...report, promptPrefixes: prefixes}, listed));
 		}
 
-		return [...byDomain.values()].flatMap((group) => pickSome(group, 1));
+		if (others.length > 0) {
+			send(others, buildMessage(report, listed));
+		}
 	};
 
 	const sendWithinDomain = () => {
-		const self = options.self();
-		const domainPeers = fleet
-			.alive()
-			.filter((member) => member.failureDomain === self.failureDomain);
-		const localPrefixes = options
-			.takePromptPrefixes()
-			.map((prefix) => ({...prefix, isFromOtherDomain: false}));
-		unsentLocalPrefixes.push(...localPrefixes);
 		const bytes = buildMessage(
 			{
-				loads: options.localLoads(),
+				loads: options.regionLoads(),
 				outlooks: options.remoteExpectedWaits(),
-				promptPrefixes: [
-					...localPrefixes,
-					...otherDomainPrefixes.splice(0, maxOtherDomainPrefixes),
-				],
+				promptPrefixes: relayedPrefixes.splice(0),
+				isRelayed: true,
 			},
-			tick % membersEveryTicks === 0,
+			{records: pickMembers(), heartbeats: fleet.alive()},
 		);
-		for (const member of pickSome(domainPeers, maxDomainPeers)) {
-			socket.send(member.peerAddress, bytes);
-		}
+		send(domainPeers(options.self()), bytes);
 	};
 
-	const sendAll = () => {
-		tick++;
-		fleet.sweep();
-		sendWithinDomain();
-		const self = options.self();
+	/** One relay of each other failure domain. */
+	const otherDomainRelays = (self: gossipMessage.MemberRecord): gossipMessage.MemberRecord[] => {
+		const domains = new Set(fleet.alive().map(({failureDomain}) => failureDomain));
+		domains.delete(self.failureDomain);
+		return [...domains].flatMap((failureDomain) => pickSome(relaysOf(failureDomain), 1));
+	};
+
+	const sendToOtherDomains = (self: gossipMessage.MemberRecord) => {
 		const isOtherRegionTick = tick % otherRegionEveryTicks === 0;
-		const peers = otherDomainPeers(self);
+		const peers = otherDomainRelays(self);
 		const regionPeers = peers.filter(({region}) => region === self.region);
-		if (!isOtherRegionTick && regionPeers.length === 0) {
-			return;
-		}
-
-		const prefixes = isOtherRegionTick ? unsentLocalPrefixes.splice(-maxOtherDomainPrefixes) : [];
+		const prefixes = isOtherRegionTick ? domainPrefixes.splice(0) : [];
+		const listed = {
+			records: pickSome(fleet.alive(), maxMembersPerMessage),
+			heartbeats: domainPeers(self),
+		};
 		if (regionPeers.length > 0) {
-			const bytes = buildMessage({
+			const content = {
 				loads: options.domainLoads(),
 				outlooks: options.remoteExpectedWaits(),
 				promptPrefixes: prefixes,
-			});
-			for (const member of regionPeers) {
-				socket.send(member.peerAddress, bytes);
-			}
+			};
+			send(regionPeers, buildMessage(content, listed));
 		}
 
 		if (isOtherRegionTick) {
-			unsentLocalPrefixes.length = 0;
 			const outlooks = [...options.localExpectedWaits(), ...options.remoteExpectedWaits()];
-			const bytes = buildMessage({outlooks, promptPrefixes: prefixes});
-			for (const member of peers.filter(({region}) => region !== self.region)) {
-				socket.send(member.peerAddress, bytes);
+			const bytes = buildMessage({outlooks, promptPrefixes: prefixes}, listed);
+			send(
+				peers.filter(({region}) => region !== self.region),
+				bytes,
+			);
+		}
+	};
+
+	/** Seeds let a daemon find its first peers, and reconnect the two sides after a network partition. */
+	const sendToSeed = (self: gossipMessage.MemberRecord) => {
+		const seed = random.pick(options.seeds.filter((address) => address !== self.peerAddress));
+		const isNeeded = !fleet.hasLivePeers() || random.next() < seedShare;
+		if (seed && isNeeded && tick % otherRegionEveryTicks === 0) {
+			const records = pickSome(fleet.alive(), maxMembersPerMessage);
+			socket.send(seed, buildMessage({}, {records, heartbeats: []}));
+		}
+	};
+
+	const sendAll = () => {
+		tick++;
+		fleet.sweep();
+		forgetLostMembers();
+		const self = options.self();
+		const relays = relaysOf(self.failureDomain);
+		const turn = relays.findIndex(({name}) => name === self.name);
+		isRelay = turn !== -1;
+		reportToRelays(self, relays);
+		if (isRelay) {
+			if (tick % relays.length === turn) {
+				sendWithinDomain();
 			}
 
-			// Seeds let a daemon find its first peers, and reconnect the two sides after a network partition.
-			const seed = random.pick(options.seeds.filter((address) => address !== self.peerAddress));
-			if (seed && (!fleet.hasLivePeers() || random.next() < 0.1)) {
-				socket.send(seed, bytes);
+			sendToOtherDomains(self);
+		}
+
+		sendToSeed(self);
+	};
+
+	const collectPrefixes = (message: gossipMessage.GossipMessage) => {
+		if (!message.isRelayed) {
+			keepNewest(relayedPrefixes, message.promptPrefixes);
+			if (message.sender.failureDomain === options.self().failureDomain) {
+				keepNewest(domainPrefixes, message.promptPrefixes);
 			}
 		}
 	};
@@ -168,15 +266,7 @@
 		socket.onDidReceive(({peer, bytes}) => {
 			try {
 				const message = gossipMessage.decodeGossip(bytes);
-				if (message.sender.failureDomain !== options.self().failureDomain) {
-					const prefixes = message.promptPrefixes.map((prefix) => ({
-						...prefix,
-						isFromOtherDomain: true,
-					}));
-					otherDomainPrefixes.push(...prefixes);
-					otherDomainPrefixes.splice(0, otherDomainPrefixes.length - maxOtherDomainPrefixes);
-				}
-
+				collectPrefixes(message);
 				options.onMessage(message);
 			} catch (error) {
 				options.log.note({
@@ -191,9 +281,10 @@
 	sendAll();
 	return {
 		sendToDomain: sendWithinDomain,
+		isRelay: () => isRelay,
 		announceStop() {
 			fleet.noteLocalStop();
-			const bytes = buildMessage({});
+			const bytes = buildMessage({}, {records: [], heartbeats: []});
 			for (const member of fleet.alive()) {
 				socket.send(member.peerAddress, bytes);
 			}
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -104,7 +104,9 @@
 				ageMs: 5,
 			},
 		],
-		promptPrefixes: [{partId: 'p', runner: 'u1', isFromOtherDomain: true}],
+		promptPrefixes: [{partId: 'p', runner: 'u1'}],
+		isRelayed: true,
+		heartbeats: [{memberId: gossipMessage.memberId(fixtures.member('s1')), ageMs: 150}],
 	};
 	t.same(gossipMessage.decodeGossip(gossipMessage.encodeGossip(message)), message);
 	const withoutLoads = {...message, loads: undefined};
--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -12,6 +12,7 @@
 	readonly sockets = new Map<string, MemorySocket>();
 	readonly isolatedAddresses = new Set<string>();
 	bytes = 0;
+	readonly sentByAddress = new Map<string, number>();
 }
 
 class MemorySocket extends datagramSocket.DatagramSocket {
@@ -32,6 +33,8 @@
 
 	override send(peer: string, bytes: Uint8Array): void {
 		this.#network.bytes += bytes.length;
+		const sent = this.#network.sentByAddress.get(this.#address) ?? 0;
+		this.#network.sentByAddress.set(this.#address, sent + 1);
 		const isDropped =
 			this.#network.isolatedAddresses.has(peer) ||
 			this.#network.isolatedAddresses.has(this.#address);
@@ -71,6 +74,7 @@
 		self: () => state.record,
 		localLoads: () => [],
 		domainLoads: () => [],
+		regionLoads: () => [],
 		localExpectedWaits: () => [],
 		remoteExpectedWaits: () => [],
 		takePromptPrefixes: () => pendingPromptPrefixes.splice(0),
@@ -80,6 +84,8 @@
 			for (const {record: other, ageMs} of message.others) {
 				fleet.noteMember(other, ageMs);
 			}
+
+			fleet.noteHeartbeats(message.heartbeats);
 		},
 	});
 	return {
@@ -110,3 +116,26 @@
 	) as Record<'n1' | 'n2' | 's1' | 's2', ReturnType<typeof startNode>>;
 	return {clock, network, nodes};
 };
+
+/** Starts daemons in two failure domains of each of three regions; `n-a-0` and `s-a-0` are the seeds. */
+export const startLargeFleet = (daemonsPerDomain: number) => {
+	const clock = new manualClock.ManualClock();
+	const network = new Network();
+	const nodes = new Map<string, ReturnType<typeof startNode>>();
+	for (const failureDomain of ['n-a', 'n-b', 's-a', 's-b', 'w-a', 'w-b']) {
+		for (let index = 0; index < daemonsPerDomain; index++) {
+			const name = `${failureDomain}-${index}`;
+			const record = fixtures.member(name, {region: failureDomain[0]!, failureDomain});
+			nodes.set(name, startNode(clock, network, record, ['n-a-0:90', 's-a-0:90']));
+		}
+	}
+
+	// The list in the store makes all members known at the start.
+	for (const node of nodes.values()) {
+		for (const {state} of nodes.values()) {
+			node.fleet.noteStoreMember(state.record);
+		}
+	}
+
+	return {clock, network, nodes};
+};
