Register only relays in the store, and let relays watch it

Cause: each daemon registered itself (two writes a start), renewed its lease every 3 s and listed the members every 15 s, so calls of the platform grew with the daemons; after a power loss of all of them all writes came at once.

Change: a daemon registers while it is a relay of its failure domain or knows no live peer; others find their peers by the seeds, the first three readings and gossip, and read the list again only when no peer is alive.

--- a/packages/gateway/src/common/relay-election.ts
+++ b/packages/gateway/src/common/relay-election.ts
@@ -10,25 +10,35 @@
 
 export type RelayCandidate = {
 	name: string;
-	failureDomain: string;
 	/** Processor share; VMs with more of it are relays more often. */
 	capacity: number;
-	isLeaving: boolean;
 };
 
+/** Orders daemons of a failure domain by their preference as relays. */
+export const orderCandidates = <Candidate extends RelayCandidate>(
+	failureDomain: string,
+	candidates: readonly Candidate[],
+): Candidate[] =>
+	hash
+		.order(
+			`relay ${failureDomain}`,
+			candidates.map((candidate) => ({
+				name: candidate.name,
+				weight: candidate.capacity,
+				candidate,
+			})),
+		)
+		.map(({candidate}) => candidate);
+
 /** Relays of a failure domain among the members that are known to be alive. */
-export const electRelays = <Candidate extends RelayCandidate>(
+export const electRelays = <
+	Candidate extends RelayCandidate & {failureDomain: string; isLeaving: boolean},
+>(
 	failureDomain: string,
 	members: readonly Candidate[],
 ): Candidate[] => {
 	const candidates = members.filter(
 		(member) => member.failureDomain === failureDomain && !member.isLeaving,
 	);
-	return hash
-		.order(
-			`relay ${failureDomain}`,
-			candidates.map((member) => ({name: member.name, weight: member.capacity, member})),
-		)
-		.slice(0, relayCount)
-		.map(({member}) => member);
+	return orderCandidates(failureDomain, candidates).slice(0, relayCount);
 };
--- a/packages/gateway/src/common/store-watcher-election.ts
+++ b/packages/gateway/src/common/store-watcher-election.ts
@@ -1,10 +1,10 @@
 /**
- * Elects the daemons that watch the store. A few daemons of each failure domain
+ * Elects the daemons that watch the store, in the order of the relays. A few daemons of each failure domain
  * watch it and the others pull changes from them, so that the load on the store
  * grows with the number of failure domains and not with the number of daemons.
  */
-import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as zod from 'zod';
+import * as relayElection from './relay-election.js';
 
 /** Whether the store responds to a daemon that watches it; `none`: the daemon does not watch. */
 export const storeContactSchema = zod.enum(['reached', 'lost', 'none']);
@@ -12,6 +12,8 @@
 
 export type StoreWatcherCandidate = {
 	name: string;
+	/** Processor share. */
+	capacity: number;
 	lastContactAgeMs: number;
 	storeContact: StoreContact;
 };
@@ -35,10 +37,12 @@
 export const createStoreWatcherElection = (options: {
 	nowMs(): number;
 	daemonName: string;
+	/** Processor share of this daemon. */
+	capacity: number;
 	failureDomain: string;
 	watchers: number;
 }): StoreWatcherElection => {
-	const {nowMs, daemonName, failureDomain} = options;
+	const {nowMs, daemonName, capacity, failureDomain} = options;
 	let neededAtMs = nowMs();
 
 	/** A daemon that cannot reach the store keeps trying, but its peers do not elect it. */
@@ -47,8 +51,8 @@
 			({lastContactAgeMs, storeContact}) =>
 				lastContactAgeMs < peerTimeoutMs && storeContact !== 'lost',
 		);
-		return hash
-			.order(failureDomain, [{name: daemonName}, ...candidates.map(({name}) => ({name}))])
+		return relayElection
+			.orderCandidates(failureDomain, [{name: daemonName, capacity}, ...candidates])
 			.slice(0, options.watchers)
 			.some(({name}) => name === daemonName);
 	};
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -246,6 +246,7 @@
 		}),
 	);
 	disposables.add(cluster.onDidApplyStoreUpdate(gossip.sendToDomain));
+	let isWatching = true;
 	const members = membership.startMembership({
 		clock,
 		random: random.next,
@@ -255,6 +256,8 @@
 		fleet,
 		log,
 		self,
+		// Watchers are relays too, and a renewal shows them an outage before their watch ends.
+		isEntryPoint: () => gossip.isRelay() || !fleet.hasLivePeers(),
 		onStoreFailure() {
 			if (cluster.storeContact === 'reached') {
 				cluster.suspectStore();
@@ -265,18 +268,18 @@
 	const watcherElection = storeWatcherElection.createStoreWatcherElection({
 		nowMs,
 		daemonName: vm.name,
+		capacity: vm.processorShare,
 		failureDomain: vm.failureDomain,
 		watchers: current.store.watchersPerFailureDomain,
 	});
-	let isWatching = true;
-
 	const updateWatch = () => {
 		const alive = fleet.alive();
 		reachability.setReachedByPeers(alive.some(({storeContact}) => storeContact === 'reached'));
 		const domainPeers = alive
 			.filter(({failureDomain}) => failureDomain === vm.failureDomain)
-			.map(({name, aliveAtMs, storeContact}) => ({
+			.map(({name, capacity, aliveAtMs, storeContact}) => ({
 				name,
+				capacity,
 				lastContactAgeMs: nowMs() - aliveAtMs,
 				storeContact,
 			}));
--- a/packages/gateway/src/node/membership.ts
+++ b/packages/gateway/src/node/membership.ts
@@ -1,6 +1,7 @@
 /**
- * Discovery through the store: each daemon registers itself under a lease and reads the
- * list of members, often after its start and rarely later, when gossip reaches its peers.
+ * Discovery through the store: daemons that others must find register themselves under a
+ * lease, and each daemon reads the list of members after its start. Later only registered
+ * daemons and those without live peers read it, when gossip reaches the others.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -25,12 +26,16 @@
 	fleet: fleetView.FleetView;
 	log: gatewayEvent.EventLog;
 	self(): gossipMessage.MemberRecord;
+	/** Whether others must find this daemon in the store. */
+	isEntryPoint(): boolean;
 	/** A registration or renewal failed, which can reveal an outage of the store long before a pending watch does. */
 	onStoreFailure(): void;
 };
 
 /** Delays of the first reads; they are short because many daemons may start and register at the same time. */
 const earlyReadDelaysMs = [600, 1500, 3000];
+/** Time in which a daemon that starts finds peers by its seeds, before it knows whether others must find it. */
+const firstRegistrationDelayMs = 500;
 const laterReadDelayMs = 15_000;
 const retryDelayMs = 1000;
 const renewalsPerLease = 3;
@@ -54,11 +59,23 @@
 		lease = granted;
 	};
 
+	const unregister = async () => {
+		if (lease !== undefined) {
+			const ended = lease;
+			lease = undefined;
+			await store.endLease(ended);
+		}
+	};
+
 	const keepRegistered = async () => {
+		await clock.sleep(firstRegistrationDelayMs * (0.8 + options.random() * 0.4));
 		while (!abort.signal.aborted) {
 			let delayMs = options.leaseMs / renewalsPerLease;
 			try {
-				if (lease === undefined || !(await store.renewLease(lease))) {
+				if (!options.isEntryPoint()) {
+					await unregister();
+					delayMs = retryDelayMs;
+				} else if (lease === undefined || !(await store.renewLease(lease))) {
 					await register();
 				}
 			} catch (error) {
@@ -89,6 +106,11 @@
 		for (let round = 0; !abort.signal.aborted; round++) {
 			const delayMs = earlyReadDelaysMs[round] ?? laterReadDelayMs;
 			await clock.sleep(delayMs * (0.8 + options.random() * 0.4));
+			const isEarly = round < earlyReadDelaysMs.length;
+			if (!isEarly && !options.isEntryPoint() && fleet.hasLivePeers()) {
+				continue;
+			}
+
 			try {
 				await readMembers();
 			} catch (error) {
--- a/packages/gateway/src/test/store-watcher-election.test.ts
+++ b/packages/gateway/src/test/store-watcher-election.test.ts
@@ -17,6 +17,7 @@
 			storeWatcherElection.createStoreWatcherElection({
 				nowMs: () => clock.nowMs(),
 				daemonName: name,
+				capacity: 1,
 				failureDomain: 'north-a',
 				watchers: 2,
 			}),
@@ -37,6 +38,7 @@
 						lastContactAgeMs: silentDaemons.has(other)
 							? clock.nowMs() - silentSinceMs.get(other)!
 							: 100,
+						capacity: 1,
 						storeContact: contacts.get(other) ?? (watching.has(other) ? 'reached' : 'none'),
 					}));
 				if (!silentDaemons.has(name) && election.update(peers, behindMs)) {
