Send the sum of the region only as a relay

A daemon that watches the store sends to its failure domain after each change, also while it is no relay, as at its start. Its sum of the region lacked the reports that only relays get, and replaced the relays' sum at its peers until their next message. It sends no loads then. The test failed before the change.

--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -178,7 +178,7 @@
 	const sendWithinDomain = () => {
 		const bytes = buildMessage(
 			{
-				loads: options.regionLoads(),
+				loads: isRelay ? options.regionLoads() : undefined,
 				outlooks: options.remoteExpectedWaits(),
 				promptPrefixes: relayedPrefixes.splice(0),
 				isRelayed: true,
