Log endpoints that fail, and bound the heartbeats of a message

Found in the read-through: an error of a readiness, directory or metrics handler was answered with its text and not logged, and a message of a relay listed every member without a limit.

--- a/packages/base/src/node/get-server.ts
+++ b/packages/base/src/node/get-server.ts
@@ -4,7 +4,6 @@
  */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
-import * as errorText from '../common/error-text.js';
 
 export type GetResponse = {
 	status: number;
@@ -24,9 +23,13 @@
 	body: {contentType: 'application/json', text: JSON.stringify(value)},
 });
 
+/** Called with the path and the error of a handler that failed; the response has status 500. */
+export type HandlerErrorListener = (path: string, error: unknown) => void;
+
 const answer = async (
 	handlers: Readonly<Record<string, GetHandler>>,
 	request: http.IncomingMessage,
+	onError: HandlerErrorListener,
 ): Promise<GetResponse> => {
 	const [path = '', query = ''] = (request.url ?? '').split('?', 2);
 	const handler = request.method === 'GET' ? handlers[path] : undefined;
@@ -37,18 +40,19 @@
 	try {
 		return await handler(new URLSearchParams(query));
 	} catch (error) {
-		return {
-			status: errorStatus,
-			body: {contentType: 'text/plain', text: errorText.errorText(error)},
-		};
+		onError(path, error);
+		return {status: errorStatus};
 	}
 };
 
 /** Creates a server that is not listening yet. @param handlers handlers by path */
-export const createGetServer = (handlers: Readonly<Record<string, GetHandler>>): http.Server =>
+export const createGetServer = (
+	handlers: Readonly<Record<string, GetHandler>>,
+	onError: HandlerErrorListener,
+): http.Server =>
 	http.createServer((request, response) => {
 		void (async () => {
-			const {status, body} = await answer(handlers, request);
+			const {status, body} = await answer(handlers, request, onError);
 			response.writeHead(status, {
 				'content-length': body ? buffer.Buffer.byteLength(body.text) : 0,
 				...(body && {'content-type': body.contentType}),
--- /dev/null
+++ b/packages/base/src/test/get-server.test.ts
@@ -0,0 +1,59 @@
+// The small GET endpoints of a daemon.
+import type * as net from 'node:net';
+import * as tap from 'tap';
+import * as getServer from '../node/get-server.js';
+
+const start = async (t: tap.Test) => {
+	const failures: string[] = [];
+	const server = getServer.createGetServer(
+		{
+			'/echo': (query) => getServer.jsonResponse({name: query.get('name')}),
+			'/empty': () => ({status: 503}),
+			async '/broken'() {
+				throw new Error('out of order');
+			},
+		},
+		(path, error) => {
+			failures.push(`${path}: ${String(error)}`);
+		},
+	);
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const {port} = server.address() as net.AddressInfo;
+	return {base: `http://127.0.0.1:${port}`, failures};
+};
+
+tap.t.test('a handler gets the query and answers in JSON', async (t) => {
+	const {base} = await start(t);
+	const response = await fetch(`${base}/echo?name=demo.example&x=1`);
+	t.equal(response.headers.get('content-type'), 'application/json');
+	t.same(await response.json(), {name: 'demo.example'});
+	const empty = await fetch(`${base}/empty`);
+	t.equal(empty.status, 503);
+	t.equal(await empty.text(), '');
+});
+
+tap.t.test('other paths and methods are not found', async (t) => {
+	const {base} = await start(t);
+	const responses = await Promise.all([
+		fetch(`${base}/other`),
+		fetch(`${base}/constructor`),
+		fetch(`${base}/echo`, {method: 'POST', body: 'x'}),
+	]);
+	t.same(
+		responses.map(({status}) => status),
+		[404, 404, 404],
+	);
+});
+
+tap.t.test('a failed handler is reported and answers 500', async (t) => {
+	const {base, failures} = await start(t);
+	const {status} = await fetch(`${base}/broken`);
+	t.equal(status, 500);
+	t.same(failures, ['/broken: Error: out of order']);
+});
--- a/packages/decisions/src/common/hash.ts
+++ b/packages/decisions/src/common/hash.ts
@@ -6,9 +6,12 @@
 
 const twoTo32 = 2 ** 32;
 
+/** Whole number below 2^32, the same for the same text on every daemon. */
+export const hash32 = (text: string): number => murmurhash.default.v3(text);
+
 /** Uniform in (0, 1], the same for the same key and name on every daemon. */
 export const uniform = (key: string, name: string): number =>
-	(murmurhash.default.v3(`${key}\n${name}`) + 1) / twoTo32;
+	(hash32(`${key}\n${name}`) + 1) / twoTo32;
 
 /** Rank of a name for a key; the share of keys that a name wins is proportional to its weight. */
 export const rank = (key: string, name: string, weight = 1): number => {
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -141,6 +141,7 @@
 	| {kind: 'member'; change: string; member: string; region: string; ageMs: number}
 	| {kind: 'snapshot-pulled'; peer: string; configVersion: number; upstreamRevision: number}
 	| {kind: 'snapshot-pull-failed'; peer: string; detail: string}
+	| {kind: 'endpoint-failed'; path: string; detail: string}
 	| {kind: 'datagram-rejected'; peer: string; detail: string}
 	| {
 			kind: 'connections-closed';
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -113,12 +113,12 @@
 
 export type Heartbeat = {memberId: number; ageMs: number};
 
-/** Short id of one start of a member; two members of a deployment share one by a chance of about 1 in 100,000. */
+/** Short id of one start of a member; two members of a deployment share one with a chance of 1 in 50,000 at 400 members. */
 export const memberId = ({
 	name,
 	startedAtUnixMs,
 }: Pick<MemberRecord, 'name' | 'startedAtUnixMs'>): number =>
-	Math.round(hash.uniform(name, String(startedAtUnixMs)) * 2 ** 32) - 1;
+	hash.hash32(`${name}\n${startedAtUnixMs}`);
 
 const packMember = (record: MemberRecord): zod.infer<typeof memberTupleSchema> => [
 	record.name,
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -21,14 +21,19 @@
 
 type DaemonReference = () => gatewayDaemon.GatewayDaemon | undefined;
 
+type CreateServer = (
+	daemon: DaemonReference,
+	onError: getServer.HandlerErrorListener,
+) => http.Server;
+
 export type Deployment = {
 	/** Environment variable that names the settings file. */
 	settingsVariable: string;
 	wire: wireFormat.WireFormat;
 	layout: prefixStore.StoreLayout;
 	createStore(client: httpClient.HttpClient, address: string): prefixStore.PrefixStore;
-	createReadinessServer(daemon: DaemonReference): http.Server;
-	createDirectoryServer(daemon: DaemonReference): http.Server;
+	createReadinessServer: CreateServer;
+	createDirectoryServer: CreateServer;
 };
 
 /** Interval of checks for a settings file that changed without a signal. */
@@ -46,14 +51,21 @@
 	});
 };
 
-const createMetricsServer = (registry: metrics.Registry, daemon: DaemonReference): http.Server =>
-	getServer.createGetServer({
-		'/metrics': async () => ({
-			status: 200,
-			body: {contentType: registry.contentType, text: await registry.metrics()},
-		}),
-		'/debug/state': () => getServer.jsonResponse(daemon()?.dump() ?? {}),
-	});
+const createMetricsServer = (
+	registry: metrics.Registry,
+	daemon: DaemonReference,
+	onError: getServer.HandlerErrorListener,
+): http.Server =>
+	getServer.createGetServer(
+		{
+			'/metrics': async () => ({
+				status: 200,
+				body: {contentType: registry.contentType, text: await registry.metrics()},
+			}),
+			'/debug/state': () => getServer.jsonResponse(daemon()?.dump() ?? {}),
+		},
+		onError,
+	);
 
 /** Returns a function that reads the settings file again and applies it if it changed. */
 const createReload = (
@@ -91,10 +103,15 @@
 	const peers = settings.splitAddress(current.listen.peers);
 	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
 	const getDaemon = () => started.daemon;
+	const onError: getServer.HandlerErrorListener = (path, error) => {
+		const detail = errorText.errorText(error, errorText.maxLoggedLength);
+		log.note({kind: 'endpoint-failed', path, detail});
+	};
+
 	const servers = [
-		await listen(deployment.createReadinessServer(getDaemon), current.listen.readiness),
-		await listen(deployment.createDirectoryServer(getDaemon), current.listen.directory),
-		await listen(createMetricsServer(registry, getDaemon), current.listen.metrics),
+		await listen(deployment.createReadinessServer(getDaemon, onError), current.listen.readiness),
+		await listen(deployment.createDirectoryServer(getDaemon, onError), current.listen.directory),
+		await listen(createMetricsServer(registry, getDaemon, onError), current.listen.metrics),
 	];
 	const client = new undiciHttpClient.UndiciHttpClient();
 	const daemon = await gatewayDaemon.startGatewayDaemon({
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -15,6 +15,8 @@
 const otherRegionEveryTicks = 2;
 /** Limit of prompt prefixes in one message. */
 const maxPrefixesPerMessage = 80;
+/** Limit of heartbeats in one message; larger deployments take turns. */
+const maxHeartbeatsPerMessage = 512;
 /** Members whose records are in one message, so that it fits into one packet. */
 const maxMembersPerMessage = 8;
 /** Share of the ticks at which a daemon with live peers also sends to a seed. */
@@ -90,6 +92,11 @@
 		return picked;
 	};
 
+	const limitHeartbeats = (members: readonly fleetView.Member[]) =>
+		members.length <= maxHeartbeatsPerMessage
+			? members
+			: pickSome(members, maxHeartbeatsPerMessage);
+
 	const stateOf = (member: gossipMessage.MemberRecord): string =>
 		`${member.startedAtUnixMs} ${member.isReady} ${member.isLeaving} ${member.storeContact}`;
 
@@ -126,7 +133,7 @@
 		return gossipMessage.encodeGossip({
 			sender: options.self(),
 			others: listed.records.map((record) => ({record, ageMs: nowMs - record.aliveAtMs})),
-			heartbeats: listed.heartbeats.map((member) => ({
+			heartbeats: limitHeartbeats(listed.heartbeats).map((member) => ({
 				memberId: gossipMessage.memberId(member),
 				ageMs: nowMs - member.aliveAtMs,
 			})),
