Log the shared prompt parts of a request that is sent

The lines of a request could not be compared with those of others that a runner ended under. request-sent names the ids of the parts that other requests may share, eight at most.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -35,6 +35,8 @@
 			heldTokens?: number;
 			promptSource?: string;
 			streamingMs?: number;
+			/** Ids of the prompt parts that other requests may share; only the first ones of a long list. */
+			promptParts?: string[];
 			remainingMs: number;
 			resumeAfter?: string;
 	  }
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -47,6 +47,9 @@
 	ended(end: Pick<EndedEvent, 'outcome' | 'status' | 'reason'>, firstMs: number): void;
 };
 
+/** Prompt parts that one log line names. */
+const maxLoggedParts = 8;
+
 /** Creates the log of a request. */
 export const createRequestLog = (
 	time: clock.Clock,
@@ -55,6 +58,8 @@
 	state: () => RequestState,
 ): RequestLog => {
 	const subject = {request: facts.attemptId ?? '', route: route.name};
+	const sharedParts = facts.promptParts.slice(0, -1).slice(0, maxLoggedParts);
+	const promptParts = sharedParts.length > 0 ? sharedParts.map(({id}) => id) : undefined;
 	const remainingMs = () => Math.round(state().remainingMs);
 
 	return {
@@ -70,6 +75,7 @@
 				heldTokens: basis.heldTokens,
 				streamingMs: basis.streamingMs,
 				promptSource: promptSource?.entry.id,
+				promptParts,
 				remainingMs: remainingMs(),
 				resumeAfter: state().resumeAfter,
 			});
