--- /dev/null
+++ b/packages/gateway/src/test/crash-fleet.ts
@@ -0,0 +1,268 @@
+/**
+ * Daemons of two regions in front of runners that crash when they begin an answer to a
+ * prompt with a harmful part. Runs on a manual clock, without a network.
+ */
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as random from '@hawthornfront/base/common/random.js';
+import * as dispatcher from '../common/dispatcher.js';
+import * as fleetView from '../common/fleet-view.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as routeConfig from '../common/route-config.js';
+import * as requestEngine from '../common/request-engine.js';
+import * as sharedRetryBudget from '../common/shared-retry-budget.js';
+import * as upstreamRegistry from '../common/upstream-registry.js';
+import * as upstreamTransport from '../common/upstream-transport.js';
+import * as fakeTransport from './fake-transport.js';
+import * as fixtures from './fixtures.js';
+
+export const harmfulPart = 'harmful';
+
+const prefillMs = 300;
+/** From the head of an answer to the crash of the runner. */
+const crashAfterMs = 60;
+const eventIntervalMs = 50;
+const eventsPerAnswer = 10;
+/** From a crash to the end of the runner's entry, and from there to that of its replacement. */
+const entryExpiryMs = 3200;
+const replacementMs = 400;
+
+type Run = {attemptId: string; listener: upstreamTransport.TransportListener; isOver: boolean};
+
+type Runner = {id: string; failureDomain: string; address: string; runs: Set<Run>; isUp: boolean};
+
+/** A request that reached a runner. */
+export type Arrival = {atMs: number; attemptId: string; isHarmful: boolean; runner: string};
+
+type Prompt = {attemptId: string; parts: string[]};
+
+const encodePrompt = (prompt: Prompt): Uint8Array =>
+	new TextEncoder().encode(JSON.stringify(prompt));
+
+const decodePrompt = (bytes: Uint8Array): Prompt =>
+	JSON.parse(new TextDecoder().decode(bytes)) as Prompt;
+
+/** Runners of all regions; daemons reach them by address. */
+class RunnerPool extends upstreamTransport.UpstreamTransport {
+	readonly arrivals: Arrival[] = [];
+	readonly crashedAtMs: number[] = [];
+	/** Attempts whose answer has begun. */
+	readonly begun = new Set<string>();
+	onDidRegister: (runner: Runner) => void = () => undefined;
+	onDidExpire: (runner: Runner) => void = () => undefined;
+	readonly #clock: manualClock.ManualClock;
+	readonly #runners = new Map<string, Runner>();
+	#started = 0;
+
+	constructor(clock: manualClock.ManualClock) {
+		super();
+		this.#clock = clock;
+	}
+
+	start(failureDomain: string): void {
+		this.#started++;
+		const runner: Runner = {
+			id: `r${this.#started}`,
+			failureDomain,
+			address: `10.0.0.1:${4000 + this.#started}`,
+			runs: new Set(),
+			isUp: true,
+		};
+		this.#runners.set(runner.address, runner);
+		this.onDidRegister(runner);
+	}
+
+	override send(
+		request: upstreamTransport.TransportRequest,
+		listener: upstreamTransport.TransportListener,
+	): upstreamTransport.Exchange {
+		const runner = this.#runners.get(request.address);
+		const prompt = decodePrompt(request.body!);
+		const run: Run = {attemptId: prompt.attemptId, listener, isOver: false};
+		if (runner?.isUp) {
+			this.#begin(runner, run, prompt.parts.includes(harmfulPart));
+		} else {
+			this.#after(1, run, () => {
+				listener.onFailure({mayHaveBeenSent: false, detail: 'ECONNREFUSED'});
+			});
+		}
+
+		return {
+			cancel() {
+				run.isOver = true;
+				runner?.runs.delete(run);
+			},
+			pause: () => undefined,
+			resume: () => undefined,
+		};
+	}
+
+	#after(delayMs: number, run: Run, callback: () => void): void {
+		this.#clock.setTimer(() => {
+			if (!run.isOver) {
+				callback();
+			}
+		}, delayMs);
+	}
+
+	#begin(runner: Runner, run: Run, isHarmful: boolean): void {
+		runner.runs.add(run);
+		this.arrivals.push({
+			atMs: this.#clock.nowMs(),
+			attemptId: run.attemptId,
+			isHarmful,
+			runner: runner.id,
+		});
+		run.listener.onSent();
+		this.#after(prefillMs, run, () => {
+			this.begun.add(run.attemptId);
+			run.listener.onHead(200, {signed: '1'});
+			if (isHarmful) {
+				this.#after(crashAfterMs, run, () => {
+					this.#crash(runner);
+				});
+			} else {
+				this.#writeEvent(runner, run, 1);
+			}
+		});
+	}
+
+	#writeEvent(runner: Runner, run: Run, index: number): void {
+		this.#after(eventIntervalMs, run, () => {
+			run.listener.onData(new TextEncoder().encode(`id: ${index}\ndata: x\n\n`));
+			if (index < eventsPerAnswer) {
+				this.#writeEvent(runner, run, index + 1);
+			} else {
+				run.isOver = true;
+				runner.runs.delete(run);
+				run.listener.onEnd();
+			}
+		});
+	}
+
+	#crash(runner: Runner): void {
+		runner.isUp = false;
+		this.crashedAtMs.push(this.#clock.nowMs());
+		for (const run of runner.runs) {
+			run.isOver = true;
+			run.listener.onFailure({mayHaveBeenSent: true, detail: 'UND_ERR_SOCKET'});
+		}
+
+		this.#clock.setTimer(() => {
+			this.onDidExpire(runner);
+		}, entryExpiryMs);
+		this.#clock.setTimer(() => {
+			this.start(runner.failureDomain);
+		}, entryExpiryMs + replacementMs);
+	}
+}
+
+type CrashDaemon = {
+	registry: upstreamRegistry.UpstreamRegistry;
+	engine: requestEngine.RequestEngine;
+	events: gatewayEvent.GatewayEvent[];
+};
+
+const startDaemon = (
+	clock: manualClock.ManualClock,
+	transport: RunnerPool,
+	name: string,
+	failureDomain: string,
+): CrashDaemon => {
+	const region = fixtures.regionByDomain[failureDomain]!;
+	const events: gatewayEvent.GatewayEvent[] = [];
+	const registry = upstreamRegistry.createUpstreamRegistry(
+		clock,
+		(domain) => fixtures.regionByDomain[domain],
+		{unsettledMs: () => 0},
+	);
+	const fleet = fleetView.createFleetView(clock, name);
+	const engine = requestEngine.createRequestEngine({
+		clock,
+		wire: new fakeTransport.FakeWire(),
+		dispatcher: dispatcher.createDispatcher({
+			clock,
+			settings: fixtures.settings,
+			daemonName: name,
+			localRegion: region,
+			localFailureDomain: failureDomain,
+			regions: ['north', 'south'],
+			registry,
+			fleet,
+			isEvacuated: () => false,
+			random: random.createRandom(name.codePointAt(1)!).next,
+		}),
+		transport,
+		budget: sharedRetryBudget.createSharedRetryBudget(
+			() => clock.nowMs(),
+			() => ({share: 0.2, extraPerWindow: 54, windowMs: 10_000}),
+			() => 4,
+		),
+		log: {
+			note(event) {
+				events.push(event);
+			},
+		},
+		localRegion: region,
+		isReachable: fleet.isReachable,
+		versions: () => ({configVersion: 3, upstreamRevision: 1}),
+	});
+	return {registry, engine, events};
+};
+
+/** Starts four daemons and six runners. */
+export const startCrashFleet = () => {
+	const clock = new manualClock.ManualClock();
+	const runners = new RunnerPool(clock);
+	const daemons = [
+		startDaemon(clock, runners, 'n1', 'north-a'),
+		startDaemon(clock, runners, 'n2', 'north-a'),
+		startDaemon(clock, runners, 's1', 'south-a'),
+		startDaemon(clock, runners, 's2', 'south-a'),
+	];
+	runners.onDidRegister = ({id, address, failureDomain}) => {
+		for (const {registry} of daemons) {
+			registry.put(fixtures.upstream(id, {address, failureDomain, startedAtUnixMs: 1}), 1);
+		}
+	};
+
+	runners.onDidExpire = ({id}) => {
+		for (const {registry} of daemons) {
+			registry.remove(id, 1);
+		}
+	};
+
+	for (const failureDomain of ['north-a', 'north-a', 'north-a', 'south-a', 'south-a', 'south-a']) {
+		runners.start(failureDomain);
+	}
+
+	let requests = 0;
+	/** A caller sends a request to the next daemon. */
+	const send = (route: routeConfig.Route, sharedParts: string[]) => {
+		requests++;
+		const attemptId = `attempt-${requests}`;
+		const reply = new fakeTransport.FakeReply();
+		const parts = [...sharedParts, `own-${requests}`];
+		daemons[requests % daemons.length]!.engine.handle(
+			{
+				method: 'POST',
+				path: `${route.prefix}x`,
+				rawHeaders: [],
+				facts: fixtures.facts({
+					attemptId,
+					callerTimeoutMs: route.timeoutMs,
+					promptParts: parts.map((id) => ({id, tokens: 100})),
+				}),
+				body: encodePrompt({attemptId, parts}),
+				route,
+				service: fixtures.modelService,
+				arrivedAtMs: clock.nowMs(),
+				maxUpstreams: route.maxUpstreams,
+			},
+			reply,
+			() => undefined,
+		);
+		return {attemptId, reply, atMs: clock.nowMs()};
+	};
+
+	return {clock, runners, daemons, send};
+};
