--- a/packages/gateway/src/common/attempt-failover.ts
+++ b/packages/gateway/src/common/attempt-failover.ts
@@ -7,14 +7,14 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as attempt from './attempt.js';
-import type * as dispatcher from './dispatcher.js';
 import type * as stallDetector from './stall-detector.js';
+import type * as upstreamRegistry from './upstream-registry.js';
 
 /** How to start one of the two attempts. */
 export type AttemptPlan = {
 	target: attempt.AttemptTarget;
-	/** Records the upstream's load and failures; undefined for a relay. */
-	account: dispatcher.DispatchedRequest | undefined;
+	/** Undefined for a relay. */
+	upstream: upstreamRegistry.Upstream | undefined;
 	start(listener: attempt.AttemptListener): attempt.Attempt;
 };
 
--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request: sends it to an upstream or a daemon of another region and processes the answer. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as answerClassifier from './answer-classifier.js';
+import type * as crashDetector from './crash-detector.js';
 import type * as dispatcher from './dispatcher.js';
 import * as eventSplitter from './event-splitter.js';
 import type * as gatewayRequest from './gateway-request.js';
@@ -26,6 +27,8 @@
 	target: AttemptTarget;
 	/** Records the upstream's load and failures; undefined for a relay. */
 	account: dispatcher.DispatchedRequest | undefined;
+	/** Compares crashes of the upstream with the prompts there; undefined for a relay or without a prompt. */
+	observedRun: crashDetector.ObservedRun | undefined;
 	isIdempotent: boolean;
 	/** Whether a failed run may be retried, so that its failure is not passed to the caller. */
 	canRetry(): boolean;
@@ -47,6 +50,8 @@
 	silentMs: number;
 	/** Set when the attempt was cancelled because its peer stalled. */
 	stall?: stallDetector.Stall;
+	/** The connection broke after the head of an answer and before its first event. */
+	brokeAsItBegan: boolean;
 	/** Id of the last complete event that was passed to the caller. */
 	lastEventId?: string;
 };
@@ -99,7 +104,7 @@
 
 /** Sends the request. */
 export const startAttempt = (options: AttemptOptions, listener: AttemptListener): Attempt => {
-	const {clock, wire, request, target, account} = options;
+	const {clock, wire, request, target, account, observedRun} = options;
 	const {route} = request;
 	const isStream = route.work === 'stream';
 	const splitter = isStream ? eventSplitter.createEventSplitter() : undefined;
@@ -121,13 +126,18 @@
 		isOver = true;
 		detector?.dispose();
 		account?.end();
+		observedRun?.end();
 	};
 
 	const fail = (
 		outcome: answerClassifier.Outcome,
 		detail: string,
 		isHard: boolean,
-		more: {upstreamsUsed?: number; stall?: stallDetector.Stall} = {},
+		more: {
+			upstreamsUsed?: number;
+			stall?: stallDetector.Stall;
+			brokeAsItBegan?: boolean;
+		} = {},
 	) => {
 		if (isOver) {
 			return;
@@ -147,6 +157,7 @@
 			events: splitter?.events ?? 0,
 			silentMs: clock.nowMs() - progressAtMs,
 			lastEventId: lastEventId(),
+			brokeAsItBegan: false,
 			...more,
 		});
 	};
@@ -214,6 +225,7 @@
 		} else {
 			head = {status, headers};
 			step = 'first-token';
+			observedRun?.noteHead();
 		}
 	};
 
@@ -223,6 +235,7 @@
 		const complete = events.push(bytes);
 		if (events.events > eventsBefore) {
 			noteProgress();
+			observedRun?.noteEvents(events.events);
 			listener.onAnswering();
 		}
 
@@ -266,6 +279,10 @@
 			account?.noteSuccess();
 		}
 
+		if (status < 300) {
+			observedRun?.noteAnswer();
+		}
+
 		passBuffered();
 		const rest = splitter?.rest();
 		if (rest && rest.length > 0) {
@@ -306,7 +323,17 @@
 				}
 			},
 			onFailure({mayHaveBeenSent, detail}) {
-				fail(mayHaveBeenSent ? 'unknown' : 'not-run', detail, true);
+				if (isOver) {
+					return;
+				}
+
+				if (mayHaveBeenSent) {
+					observedRun?.noteBroken();
+				}
+
+				fail(mayHaveBeenSent ? 'unknown' : 'not-run', detail, true, {
+					brokeAsItBegan: head !== undefined && !isPassing && (splitter?.events ?? 0) === 0,
+				});
 			},
 		},
 	);
--- /dev/null
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -0,0 +1,203 @@
+/**
+ * Detects that an upstream crashed: the connections of its requests broke together, and
+ * it refuses new ones. Reports the parts of the prompts that it may have crashed on.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as hash from '@hawthornfront/decisions/common/hash.js';
+import type * as gatewayEvent from './gateway-event.js';
+import type * as promptQuarantine from './prompt-quarantine.js';
+import type * as upstreamRegistry from './upstream-registry.js';
+import type * as upstreamTransport from './upstream-transport.js';
+import type * as wireFormat from './wire-format.js';
+
+/** A request at an upstream. */
+export type ObservedRun = {
+	/** The upstream began its answer. */
+	noteHead(): void;
+	/** @param count events of a stream that the upstream has sent so far */
+	noteEvents(count: number): void;
+	/** The upstream sent the whole answer. */
+	noteAnswer(): void;
+	/** The connection broke after the request was sent. */
+	noteBroken(): void;
+	/** Call once when the request has left the upstream. */
+	end(): void;
+};
+
+export type CrashDetector = {
+	/** @param parts parts of the prompt that may crash the upstream; without any, the request is not observed */
+	begin(
+		upstream: upstreamRegistry.Upstream,
+		parts: readonly wireFormat.PromptPart[],
+	): ObservedRun | undefined;
+	/** Calls back when it is known whether the upstream crashed: at once unless a connection to it has just broken. */
+	whenDecided(upstream: upstreamRegistry.Upstream, callback: (hasCrashed: boolean) => void): void;
+};
+
+export type CrashDetectorOptions = {
+	clock: clock.Clock;
+	transport: Pick<upstreamTransport.UpstreamTransport, 'probe'>;
+	quarantine: Pick<promptQuarantine.PromptQuarantine, 'noteAnswer' | 'noteCrash'>;
+	log: gatewayEvent.EventLog;
+};
+
+/** Time in which the connections to a crashed upstream break. */
+const settleMs = 40;
+/** An upstream that has sent more events than this has survived the begin of its answer. */
+const maxEventsAtCrash = 1;
+
+type Run = {
+	parts: readonly wireFormat.PromptPart[];
+	sentAtMs: number;
+	hasHead: boolean;
+	events: number;
+};
+
+/** Requests at one start of an upstream. */
+type Watched = {
+	running: Set<Run>;
+	/** Requests whose connections broke, until it is known whether the upstream crashed. */
+	broken: Array<Run & {brokenAtMs: number}>;
+	waiting: Array<(hasCrashed: boolean) => void>;
+	isChecking: boolean;
+};
+
+/** Identifies one start of an upstream, since an upstream may start again under its id. */
+const keyOf = ({entry}: upstreamRegistry.Upstream): number =>
+	hash.hash32(`${entry.id}\n${entry.startedAtUnixMs ?? 0}`);
+
+/** Creates a detector without requests. */
+export const createCrashDetector = ({
+	clock: time,
+	transport,
+	quarantine,
+	log,
+}: CrashDetectorOptions): CrashDetector => {
+	const watchedByKey = new Map<number, Watched>();
+
+	const watchedOf = (key: number): Watched => {
+		let watched = watchedByKey.get(key);
+		if (!watched) {
+			watched = {running: new Set(), broken: [], waiting: [], isChecking: false};
+			watchedByKey.set(key, watched);
+		}
+
+		return watched;
+	};
+
+	const forgetIfIdle = (key: number, watched: Watched) => {
+		if (watched.running.size === 0 && !watched.isChecking) {
+			watchedByKey.delete(key);
+		}
+	};
+
+	const reportCrash = (upstream: upstreamRegistry.Upstream, watched: Watched) => {
+		const suspects = watched.broken.filter(({events}) => events <= maxEventsAtCrash);
+		const wasAnswering = (run: Run) => run.hasHead && run.events === 0;
+		log.note({
+			kind: 'upstream-crashed',
+			upstream: upstream.entry.id,
+			service: upstream.entry.service,
+			broken: watched.broken.length,
+			suspects: suspects.length,
+			answering: suspects.filter((run) => wasAnswering(run)).length,
+		});
+		for (const run of suspects) {
+			quarantine.noteCrash(upstream.entry.service, run.parts, {
+				upstreamKey: keyOf(upstream),
+				sentBeforeMs: run.brokenAtMs - run.sentAtMs,
+				wasAnswering: wasAnswering(run),
+			});
+		}
+	};
+
+	const decide = (upstream: upstreamRegistry.Upstream, watched: Watched, hasCrashed: boolean) => {
+		if (hasCrashed) {
+			reportCrash(upstream, watched);
+		}
+
+		watched.isChecking = false;
+		watched.broken.length = 0;
+		forgetIfIdle(keyOf(upstream), watched);
+		for (const callback of watched.waiting.splice(0)) {
+			callback(hasCrashed);
+		}
+	};
+
+	const check = (upstream: upstreamRegistry.Upstream, watched: Watched) => {
+		const firstBrokenAtMs = Math.min(...watched.broken.map(({brokenAtMs}) => brokenAtMs));
+		const hasSurvivor = [...watched.running].some(({sentAtMs}) => sentAtMs < firstBrokenAtMs);
+		if (hasSurvivor) {
+			decide(upstream, watched, false);
+			return;
+		}
+
+		transport.probe(upstream.entry.address, (result) => {
+			decide(upstream, watched, result === 'refused');
+		});
+	};
+
+	return {
+		begin(upstream, parts) {
+			if (parts.length === 0) {
+				return undefined;
+			}
+
+			const {service} = upstream.entry;
+			const key = keyOf(upstream);
+			const watched = watchedOf(key);
+			const run: Run = {parts, sentAtMs: time.nowMs(), hasHead: false, events: 0};
+			watched.running.add(run);
+
+			const leave = () => {
+				watched.running.delete(run);
+				forgetIfIdle(key, watched);
+			};
+
+			const noteAnswer = () => {
+				quarantine.noteAnswer(service, parts);
+			};
+
+			return {
+				noteHead() {
+					run.hasHead = true;
+				},
+				noteEvents(count) {
+					if (run.events <= maxEventsAtCrash && count > maxEventsAtCrash) {
+						noteAnswer();
+					}
+
+					run.events = count;
+				},
+				noteAnswer,
+				noteBroken() {
+					const brokenAtMs = time.nowMs();
+					watched.running.delete(run);
+					if (!watched.isChecking) {
+						// Requests that broke long before belong to another failure.
+						watched.broken = watched.broken.filter(
+							(other) => brokenAtMs - other.brokenAtMs < settleMs,
+						);
+					}
+
+					watched.broken.push({...run, brokenAtMs});
+					if (!watched.isChecking && run.events <= maxEventsAtCrash) {
+						watched.isChecking = true;
+						time.setTimer(() => {
+							check(upstream, watched);
+						}, settleMs);
+					}
+				},
+				end: leave,
+			};
+		},
+		whenDecided(upstream, callback) {
+			const watched = watchedByKey.get(keyOf(upstream));
+			if (watched?.isChecking) {
+				watched.waiting.push(callback);
+			} else {
+				callback(false);
+			}
+		},
+	};
+};
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -5,7 +5,13 @@
 
 /** Why a request is not sent again after an attempt. */
 export type ResendObstacle =
-	'not-idempotent' | 'partly-passed' | 'no-time' | 'upstreams-used' | 'budget';
+	| 'not-idempotent'
+	| 'partly-passed'
+	| 'no-time'
+	| 'upstreams-used'
+	| 'budget'
+	/** The prompt may have crashed the upstream. */
+	| 'suspected-prompt';
 
 /** Why no other upstream is tried beside a stalled one. */
 export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded';
@@ -22,6 +28,8 @@
 			remainingMs: number;
 			/** The caller has part of the answer already. */
 			hasStarted: boolean;
+			/** Prompt part that is quarantined. */
+			part?: string;
 			configVersion: number;
 			upstreamRevision: number;
 	  }
@@ -128,6 +136,29 @@
 			coldMs: number;
 			revision: number;
 	  }
+	| {
+			kind: 'upstream-crashed';
+			upstream: string;
+			service: string;
+			/** Requests of this daemon whose connections broke. */
+			broken: number;
+			/** Requests of them that had no event, or one. */
+			suspects: number;
+			/** Requests of them whose answer had begun without an event. */
+			answering: number;
+	  }
+	| {
+			kind: 'prompt-part';
+			change: 'suspected' | 'quarantined' | 'released';
+			service: string;
+			part: string;
+			/** Crashes during requests with the part since its last answer. */
+			crashes: number;
+			/** Rest of the quarantine. */
+			remainingMs: number;
+			/** `own`, `store`, or the daemon that reported the last crash or answer. */
+			source: string;
+	  }
 	| {kind: 'directory'; region: string; basis: string; named: number; addresses: string[]}
 	| {kind: 'store-watch'; isWatching: boolean; peers: number; behindMs: number}
 	| {
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -7,6 +7,7 @@
 import * as msgpackr from 'msgpackr';
 import * as zod from 'zod';
 import type * as promptCacheView from './prompt-cache-view.js';
+import type * as promptQuarantine from './prompt-quarantine.js';
 import type * as upstreamLoad from './upstream-load.js';
 import * as storeWatcherElection from './store-watcher-election.js';
 
@@ -54,7 +55,7 @@
 ]);
 
 /** Version of the layout of a message. */
-const messageVersion = 3;
+const messageVersion = 4;
 /** Unit of the ages of heartbeats, coarse so that they take one byte. */
 const heartbeatUnitMs = 50;
 
@@ -84,6 +85,16 @@
 	zod.boolean(),
 	/** Member id and units since its last heartbeat, alternating. */
 	zod.array(zod.number()),
+	/** Service, prompt part, time since its last answer, number of its quarantines, crashes. */
+	zod.array(
+		zod.tuple([
+			zod.string(),
+			zod.string(),
+			zod.number().nullable(),
+			zod.number(),
+			zod.array(zod.tuple([zod.number(), zod.number(), zod.number(), zod.boolean()])),
+		]),
+	),
 ]);
 
 export type GossipMessage = {
@@ -109,6 +120,8 @@
 	isRelayed: boolean;
 	/** Members that are alive; their records are sent less often. */
 	heartbeats: Heartbeat[];
+	/** Prompt parts that may crash upstreams. */
+	partReports: promptQuarantine.PartReport[];
 };
 
 export type Heartbeat = {memberId: number; ageMs: number};
@@ -180,11 +193,23 @@
 			heartbeat.memberId,
 			Math.round(heartbeat.ageMs / heartbeatUnitMs),
 		]),
+		message.partReports.map((report) => [
+			report.service,
+			report.partId,
+			report.answeredAgeMs === undefined ? null : Math.round(report.answeredAgeMs),
+			report.quarantines,
+			report.crashes.map((crash) => [
+				crash.upstreamKey,
+				Math.round(crash.ageMs),
+				Math.round(crash.sentBeforeMs),
+				crash.wasAnswering,
+			]),
+		]),
 	]);
 
 /** Unpacks a datagram. @throws Error for bytes that are no message of this version */
 export const decodeGossip = (bytes: Uint8Array): GossipMessage => {
-	const [, sender, others, loads, outlooks, promptPrefixes, isRelayed, heartbeats] =
+	const [, sender, others, loads, outlooks, promptPrefixes, isRelayed, heartbeats, partReports] =
 		messageSchema.parse(msgpackr.unpack(bytes));
 	return {
 		sender: unpackMember(sender),
@@ -211,5 +236,17 @@
 			memberId: heartbeats[2 * index]!,
 			ageMs: heartbeats[2 * index + 1]! * heartbeatUnitMs,
 		})),
+		partReports: partReports.map(([service, partId, answeredAgeMs, quarantines, crashes]) => ({
+			service,
+			partId,
+			answeredAgeMs: answeredAgeMs ?? undefined,
+			quarantines,
+			crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering]) => ({
+				upstreamKey,
+				ageMs,
+				sentBeforeMs,
+				wasAnswering,
+			})),
+		})),
 	};
 };
--- a/packages/gateway/src/common/prefix-store.ts
+++ b/packages/gateway/src/common/prefix-store.ts
@@ -44,6 +44,8 @@
 	abstract readonly configPrefix: string;
 	abstract readonly upstreamPrefix: string;
 	abstract readonly memberPrefix: string;
+	/** Reports on prompt parts that crash upstreams. */
+	abstract readonly quarantinePrefix: string;
 
 	/** Decodes a key under the prefix of the configuration. @throws Error for a value that cannot be used */
 	abstract decodeOperatorItem(key: string, value: Uint8Array): OperatorItem | undefined;
--- /dev/null
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -0,0 +1,344 @@
+/**
+ * Quarantine of prompt parts that crash upstreams. An upstream may crash whenever it
+ * begins an answer to a prompt with a certain part. Each crash implicates the parts of
+ * the requests in progress, and an answer clears those of its request. Requests with a
+ * part whose evidence suffices are refused.
+ *
+ * Evidence only grows, so daemons can merge the reports of others in any order.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as event from '@hawthornfront/base/common/event.js';
+import * as hash from '@hawthornfront/decisions/common/hash.js';
+import * as lruCache from 'lru-cache';
+import * as partEvidence from './part-evidence.js';
+import type * as wireFormat from './wire-format.js';
+
+/** What a daemon knows of a part, as sent to other daemons. */
+export type PartReport = {
+	service: string;
+	partId: string;
+	crashes: ReportedCrash[];
+	/** Time since the last answer to a prompt with the part; undefined if none is known. */
+	answeredAgeMs?: number;
+	/** How often it was quarantined. */
+	quarantines: number;
+};
+
+export type QuarantineReport = PartReport & {
+	/** The evidence suffices for a quarantine, which may be over. */
+	isHarmful: boolean;
+	remainingMs: number;
+};
+
+export type ReportedCrash = CrashFacts & {ageMs: number};
+
+export type CrashFacts = Pick<partEvidence.Crash, 'upstreamKey' | 'wasAnswering'> & {
+	/** Time from the send of the request to the crash. */
+	sentBeforeMs: number;
+};
+
+/** Source of evidence that this daemon has observed itself. */
+export const ownSource = 'own';
+
+export type PartChange = {
+	/** `suspected`: a further crash; `released`: an answer refuted the evidence. */
+	kind: 'suspected' | 'quarantined' | 'released';
+	service: string;
+	partId: string;
+	/** Crashes since the last answer. */
+	crashes: number;
+	/** Rest of the quarantine; 0 unless it is in force. */
+	remainingMs: number;
+	/** {@link ownSource}, or who reported the evidence. */
+	source: string;
+};
+
+type Parts = readonly wireFormat.PromptPart[];
+
+export type PromptQuarantine = {
+	readonly onDidChange: event.Event<PartChange>;
+	/** A quarantined part of a prompt and the rest of its quarantine. */
+	quarantinedPart(service: string, parts: Parts): {partId: string; remainingMs: number} | undefined;
+	/** Whether an upstream crashed as it began to answer a prompt with one of the parts, and none was ever answered. */
+	isSuspected(service: string, parts: Parts): boolean;
+	/** Whether no answer is known to a prompt with one of the parts. */
+	hasUnansweredPart(service: string, parts: Parts): boolean;
+	noteAnswer(service: string, parts: Parts): void;
+	noteCrash(service: string, parts: Parts, crash: CrashFacts): void;
+	/** Counts a request that is sent, until it is disposed: one at a time tries parts again after their quarantine. */
+	beginTrial(service: string, parts: Parts): disposable.Disposable;
+	/** Merges a report of another daemon. */
+	merge(report: PartReport, source: string): void;
+	/** Reports for the next message: parts that have just changed, and some of the others in turn. */
+	takeReports(): PartReport[];
+	/** Reports on all parts that are or were quarantined. */
+	quarantineReports(): QuarantineReport[];
+	/** Forgets old evidence; call it at regular intervals. */
+	sweep(): void;
+};
+
+export type QuarantineSettings = {
+	/** Duration of the first quarantine of a part; each further one lasts twice as long. */
+	firstMs: number;
+	maxMs: number;
+};
+
+/** Evidence on parts that are or were quarantined is kept for this long. */
+const quarantineMemoryMs = 3_600_000;
+const suspicionMemoryMs = 600_000;
+/** Refuted suspicions are kept for as long as other daemons may report the crash. */
+const refutedMemoryMs = 10_000;
+/** Retry delay while another request tries a part again. */
+const trialRetryMs = 1000;
+const maxRecords = 400;
+const maxAnsweredParts = 20_000;
+const maxPartIdLength = 64;
+/** Reports in one message, and those of them that have not just changed. */
+const maxReports = 8;
+const maxOlderReports = 2;
+const recentMs = 3000;
+
+type PartRecord = partEvidence.PartEvidence & {
+	service: string;
+	partId: string;
+	quarantines: number;
+	/** The evidence suffices, also after the quarantine is over. */
+	isHarmful: boolean;
+	changedAtMs: number;
+	/** Requests in progress that try the part again. */
+	trials: number;
+};
+
+/** Callers choose the ids, so their length is bounded. */
+const boundedId = (partId: string): string =>
+	partId.length <= maxPartIdLength ? partId : `#${hash.hash32(partId)}`;
+
+const keyOf = (service: string, partId: string): string => `${service}\n${boundedId(partId)}`;
+
+/** Creates a quarantine without evidence. */
+export const createPromptQuarantine = (
+	timeSource: Pick<clock.Clock, 'nowMs'>,
+	settings: () => QuarantineSettings,
+): PromptQuarantine => {
+	const records = new Map<string, PartRecord>();
+	const answeredAtMs = new lruCache.LRUCache<string, number>({max: maxAnsweredParts});
+	const didChange = event.createEmitter<PartChange>();
+	let reportTurn = 0;
+
+	const nowMs = () => timeSource.nowMs();
+
+	const remainingMs = (record: PartRecord): number => {
+		if (!record.isHarmful) {
+			return 0;
+		}
+
+		const {firstMs, maxMs} = settings();
+		const durationMs = Math.min(maxMs, firstMs * 2 ** Math.max(0, record.quarantines - 1));
+		return Math.max(0, partEvidence.lastCrashAtMs(record) + durationMs - nowMs());
+	};
+
+	const notify = (kind: PartChange['kind'], record: PartRecord, source: string) => {
+		const {service, partId} = record;
+		const crashes = partEvidence.crashesSinceAnswer(record).length;
+		didChange.fire({kind, service, partId, crashes, remainingMs: remainingMs(record), source});
+	};
+
+	/** Applies new evidence, and decides on the quarantine of the part. */
+	const update = (record: PartRecord, source: string, apply: () => boolean) => {
+		const wasInForce = remainingMs(record) > 0;
+		const wasHarmful = record.isHarmful;
+		if (!apply()) {
+			return;
+		}
+
+		record.changedAtMs = nowMs();
+		record.isHarmful = partEvidence.isSufficient(record);
+		if (record.isHarmful && !wasInForce) {
+			record.quarantines =
+				source === ownSource ? record.quarantines + 1 : Math.max(1, record.quarantines);
+			notify('quarantined', record, source);
+		} else if (wasHarmful && !record.isHarmful) {
+			notify('released', record, source);
+		} else if (!record.isHarmful && partEvidence.crashesSinceAnswer(record).length > 0) {
+			notify('suspected', record, source);
+		}
+	};
+
+	/** Orders parts by how likely they crash upstreams, then by the time of their last change. */
+	const byImportance = (a: PartRecord, b: PartRecord): number =>
+		Number(b.isHarmful) - Number(a.isHarmful) ||
+		partEvidence.suspicion(b) - partEvidence.suspicion(a) ||
+		b.changedAtMs - a.changedAtMs;
+
+	const dropLeastImportant = () => {
+		const least = [...records.values()].sort(byImportance).at(-1);
+		if (least) {
+			records.delete(keyOf(least.service, least.partId));
+		}
+	};
+
+	const recordOf = (service: string, partId: string): PartRecord => {
+		const key = keyOf(service, partId);
+		const known = records.get(key);
+		if (known) {
+			return known;
+		}
+
+		const record: PartRecord = {
+			service,
+			partId: boundedId(partId),
+			crashes: [],
+			answeredAtMs: answeredAtMs.get(key) ?? Number.NEGATIVE_INFINITY,
+			quarantines: 0,
+			isHarmful: false,
+			changedAtMs: nowMs(),
+			trials: 0,
+		};
+		if (records.size >= maxRecords) {
+			dropLeastImportant();
+		}
+
+		records.set(key, record);
+		return record;
+	};
+
+	const recordsFor = (service: string, parts: Parts): PartRecord[] =>
+		records.size === 0
+			? []
+			: parts
+					.map(({id}) => records.get(keyOf(service, id)))
+					.filter((record) => record !== undefined);
+
+	const reportOf = (record: PartRecord): PartReport => ({
+		service: record.service,
+		partId: record.partId,
+		crashes: record.crashes.map(({upstreamKey, atMs, sentAtMs, wasAnswering}) => ({
+			upstreamKey,
+			ageMs: nowMs() - atMs,
+			sentBeforeMs: atMs - sentAtMs,
+			wasAnswering,
+		})),
+		answeredAgeMs: partEvidence.wasAnswered(record) ? nowMs() - record.answeredAtMs : undefined,
+		quarantines: record.quarantines,
+	});
+
+	const memoryMs = (record: PartRecord): number => {
+		if (record.quarantines > 0) {
+			return quarantineMemoryMs;
+		}
+
+		return partEvidence.crashesSinceAnswer(record).length > 0 ? suspicionMemoryMs : refutedMemoryMs;
+	};
+
+	return {
+		onDidChange: didChange.event,
+		quarantinedPart(service, parts) {
+			for (const record of recordsFor(service, parts)) {
+				const waitMs = remainingMs(record);
+				if (waitMs > 0 || (record.isHarmful && record.trials > 0)) {
+					return {partId: record.partId, remainingMs: Math.max(waitMs, trialRetryMs)};
+				}
+			}
+
+			return undefined;
+		},
+		isSuspected: (service, parts) =>
+			recordsFor(service, parts).some(
+				(record) =>
+					!partEvidence.wasAnswered(record) &&
+					record.crashes.some(({wasAnswering}) => wasAnswering),
+			),
+		hasUnansweredPart: (service, parts) =>
+			parts.some(({id}) => !answeredAtMs.has(keyOf(service, id))),
+		noteAnswer(service, parts) {
+			for (const {id} of parts) {
+				answeredAtMs.set(keyOf(service, id), nowMs());
+			}
+
+			for (const record of recordsFor(service, parts)) {
+				update(record, ownSource, () => {
+					const isRefuted = partEvidence.crashesSinceAnswer(record).length > 0;
+					record.answeredAtMs = nowMs();
+					return isRefuted;
+				});
+			}
+		},
+		noteCrash(service, parts, {upstreamKey, sentBeforeMs, wasAnswering}) {
+			const atMs = nowMs();
+			for (const {id} of parts) {
+				// Requests that wait are many, and most of their parts are sound.
+				if (wasAnswering || !answeredAtMs.has(keyOf(service, id))) {
+					const record = recordOf(service, id);
+					const crash = {upstreamKey, atMs, sentAtMs: atMs - sentBeforeMs, wasAnswering};
+					update(record, ownSource, () => partEvidence.addCrash(record, crash));
+				}
+			}
+		},
+		beginTrial(service, parts) {
+			const tried = recordsFor(service, parts).filter(({isHarmful}) => isHarmful);
+			for (const record of tried) {
+				record.trials++;
+			}
+
+			return disposable.toDisposable(() => {
+				for (const record of tried) {
+					record.trials--;
+				}
+			});
+		},
+		merge(report, source) {
+			if (report.crashes.length === 0) {
+				return;
+			}
+
+			const record = recordOf(report.service, report.partId);
+			update(record, source, () => {
+				const reportedAtMs = nowMs() - (report.answeredAgeMs ?? Number.POSITIVE_INFINITY);
+				const isRefuted = partEvidence
+					.crashesSinceAnswer(record)
+					.some(({atMs}) => atMs <= reportedAtMs);
+				record.answeredAtMs = Math.max(record.answeredAtMs, reportedAtMs);
+				record.quarantines = Math.max(record.quarantines, report.quarantines);
+				const stronger = report.crashes.filter(
+					({upstreamKey, ageMs, sentBeforeMs, wasAnswering}) => {
+						const atMs = nowMs() - ageMs;
+						const sentAtMs = atMs - sentBeforeMs;
+						return partEvidence.addCrash(record, {upstreamKey, atMs, sentAtMs, wasAnswering});
+					},
+				);
+				return isRefuted || stronger.length > 0;
+			});
+		},
+		takeReports() {
+			const all = [...records.values()];
+			const isRecent = (record: PartRecord) => record.changedAtMs >= nowMs() - recentMs;
+			const chosen = all
+				.filter((record) => isRecent(record))
+				.sort(byImportance)
+				.slice(0, maxReports);
+			const older = all.filter((record) => !isRecent(record) && memoryMs(record) > refutedMemoryMs);
+			const olderCount = Math.min(maxOlderReports, older.length, maxReports - chosen.length);
+			for (let count = 0; count < olderCount; count++) {
+				chosen.push(older[reportTurn++ % older.length]!);
+			}
+
+			return chosen.map((record) => reportOf(record));
+		},
+		quarantineReports: () =>
+			[...records.values()]
+				.filter(({quarantines}) => quarantines > 0)
+				.map((record) => ({
+					...reportOf(record),
+					isHarmful: record.isHarmful,
+					remainingMs: remainingMs(record),
+				})),
+		sweep() {
+			for (const [key, record] of records) {
+				if (partEvidence.lastCrashAtMs(record) < nowMs() - memoryMs(record)) {
+					records.delete(key);
+				}
+			}
+		},
+	};
+};
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -4,17 +4,20 @@
  * ran.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
-import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as answerClassifier from './answer-classifier.js';
 import * as attempt from './attempt.js';
 import * as attemptFailover from './attempt-failover.js';
+import type * as crashDetector from './crash-detector.js';
 import type * as dispatcher from './dispatcher.js';
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as relayHeaders from './relay-headers.js';
+import type * as promptQuarantine from './prompt-quarantine.js';
 import * as requestLogs from './request-log.js';
 import type * as sharedRetryBudget from './shared-retry-budget.js';
 import * as routeConfig from './route-config.js';
+import type * as upstreamRegistry from './upstream-registry.js';
 import type * as upstreamTransport from './upstream-transport.js';
 import type * as wireFormat from './wire-format.js';
 import * as workEstimate from './work-estimate.js';
@@ -25,6 +28,8 @@
 	dispatcher: dispatcher.Dispatcher;
 	transport: upstreamTransport.UpstreamTransport;
 	budget: sharedRetryBudget.SharedRetryBudget;
+	quarantine: promptQuarantine.PromptQuarantine;
+	crashes: crashDetector.CrashDetector;
 	log: gatewayEvent.EventLog;
 	localRegion: string;
 	/** Whether a daemon of another region is alive and its region not partitioned. */
@@ -59,6 +64,9 @@
 /** Retry delay for callers when an upstream refused and no other is left to try. */
 const refusedRetryMs = 200;
 
+/** Reason of a request that is refused because a part of its prompt is quarantined. */
+const quarantinedReason = 'quarantined-prompt';
+
 /** Runner priorities range from 0 to 9; the most urgent rank has the first priority, each further rank one step more. */
 const firstPriority = 2;
 const priorityStep = 3;
@@ -91,6 +99,8 @@
 	const failedUpstreams = new Set<string>();
 	const triedRegions = new Set<string>();
 	const timers = new Set<disposable.Disposable>();
+	/** Released when the request ends. */
+	const resources = disposable.createDisposableStore();
 
 	let sends = 0;
 	let upstreamsThatRan = 0;
@@ -128,6 +138,7 @@
 		}
 
 		timers.clear();
+		resources.dispose();
 		requestLog.ended({outcome, status, reason}, firstMs);
 		onEnd();
 	};
@@ -169,6 +180,33 @@
 		failWith(status, reason, status === 503 ? waitMs : undefined);
 	};
 
+	/** Refuses the request because of a quarantined part of its prompt; returns whether it did. */
+	const refuseQuarantined = (): boolean => {
+		const found = services.quarantine.quarantinedPart(service.name, work.sharedParts);
+		if (!found) {
+			return false;
+		}
+
+		const status = hasStarted || mayHaveRun ? 502 : 503;
+		const decision = {reason: quarantinedReason, status, hasStarted, part: found.partId};
+		requestLog.refused({...decision, ...services.versions()}, found.remainingMs, undefined);
+		failWith(status, quarantinedReason, status === 503 ? found.remainingMs : undefined);
+		return true;
+	};
+
+	/** Ends a request in progress whose prompt would crash its upstream. */
+	const onQuarantine = ({service: name, partId}: promptQuarantine.PartChange) => {
+		const hasPart =
+			name === service.name &&
+			services.quarantine.quarantinedPart(name, work.sharedParts)?.partId === partId;
+		if (hasPart && !hasEnded && !hasStarted) {
+			failover.cancel();
+			// The upstream may have begun to run the request.
+			mayHaveRun ||= sends > 0;
+			refuseQuarantined();
+		}
+	};
+
 	const onDeadline = () => {
 		// After a failed run, the request may be waiting for another upstream.
 		const reason = sends > 0 && !failover.isRunning ? 'no-upstream' : 'deadline';
@@ -184,12 +222,19 @@
 
 	/** Why the request may not be sent again after an attempt; undefined if it may, which uses one retry of the budget. */
 	const obstacleToResend = (
-		outcome: answerClassifier.Outcome,
+		{outcome, detail}: attempt.AttemptFailure,
+		hasCrashed: boolean,
 	): gatewayEvent.ResendObstacle | undefined => {
 		if (outcome !== 'not-run' && !isIdempotent) {
 			return 'not-idempotent';
 		}
 
+		const mayBeHarmful =
+			hasCrashed && services.quarantine.hasUnansweredPart(service.name, work.sharedParts);
+		if (mayBeHarmful || detail === quarantinedReason) {
+			return 'suspected-prompt';
+		}
+
 		if (isPartlyPassed) {
 			return 'partly-passed';
 		}
@@ -226,9 +271,12 @@
 	};
 
 	/** Decides what follows an attempt that did not answer the caller. */
-	const afterFailure = (target: attempt.AttemptTarget, failure: attempt.AttemptFailure) => {
-		noteFailed(target, failure);
-		const obstacle = obstacleToResend(failure.outcome);
+	const decideResend = (
+		target: attempt.AttemptTarget,
+		failure: attempt.AttemptFailure,
+		hasCrashed: boolean,
+	) => {
+		const obstacle = obstacleToResend(failure, hasCrashed);
 		requestLog.failed(target, failure, obstacle ? 'give-up' : 'resend', obstacle);
 		if (!obstacle) {
 			next();
@@ -239,6 +287,24 @@
 		}
 	};
 
+	const afterFailure = (
+		{target, upstream}: attemptFailover.AttemptPlan,
+		failure: attempt.AttemptFailure,
+	) => {
+		noteFailed(target, failure);
+		if (!failure.brokeAsItBegan || !upstream || !isIdempotent) {
+			decideResend(target, failure, false);
+			return;
+		}
+
+		// A prompt that crashed this upstream would crash the next one too.
+		services.crashes.whenDecided(upstream, (hasCrashed) => {
+			if (!hasEnded) {
+				decideResend(target, failure, hasCrashed);
+			}
+		});
+	};
+
 	const passToCaller = (bytes: Uint8Array, flow: attempt.Flow | undefined) => {
 		if (firstMs < 0) {
 			firstMs = clock.nowMs() - request.arrivedAtMs;
@@ -270,6 +336,10 @@
 			return 'relayed';
 		}
 
+		if (services.quarantine.isSuspected(service.name, work.sharedParts)) {
+			return 'suspected-prompt';
+		}
+
 		// A relay to a partitioned region counts as one upstream.
 		if (upstreamsThatRan + 1 >= request.maxUpstreams) {
 			return 'upstreams-used';
@@ -340,9 +410,7 @@
 				reply.end();
 				finish('answered', status);
 			},
-			onFailed({target}, failure) {
-				afterFailure(target, failure);
-			},
+			onFailed: afterFailure,
 			onSilent,
 			onSuccessorFailed({target}, failure) {
 				noteFailed(target, failure);
@@ -372,10 +440,10 @@
 	/** Describes an attempt that the failover starts. */
 	const createPlan = (
 		target: attempt.AttemptTarget,
-		account: dispatcher.DispatchedRequest | undefined,
+		local?: {upstream: upstreamRegistry.Upstream; account: dispatcher.DispatchedRequest},
 	): attemptFailover.AttemptPlan => ({
 		target,
-		account,
+		upstream: local?.upstream,
 		start: (listener) =>
 			attempt.startAttempt(
 				{
@@ -384,7 +452,8 @@
 					transport: services.transport,
 					request,
 					target,
-					account,
+					account: local?.account,
+					observedRun: local && services.crashes.begin(local.upstream, work.sharedParts),
 					isIdempotent,
 					canRetry: () =>
 						failover.hasSuccessor ||
@@ -415,7 +484,7 @@
 		});
 		return createPlan(
 			{peer: id, address, headers, isRelay: false, expectedMs: basis.expectedMs},
-			services.dispatcher.dispatch(choice, dispatchRequest()),
+			{upstream, account: services.dispatcher.dispatch(choice, dispatchRequest())},
 		);
 	};
 
@@ -433,16 +502,13 @@
 			relayHeaders.upstreamsLeftHeader,
 			String(request.maxUpstreams - upstreamsThatRan - (failover.isRunning ? 1 : 0)),
 		);
-		return createPlan(
-			{
-				peer: member.name,
-				address: member.peerAddress,
-				headers,
-				isRelay: true,
-				expectedMs: basis.expectedMs,
-			},
-			undefined,
-		);
+		return createPlan({
+			peer: member.name,
+			address: member.peerAddress,
+			headers,
+			isRelay: true,
+			expectedMs: basis.expectedMs,
+		});
 	};
 
 	/** Logs and counts the send. */
@@ -473,8 +539,16 @@
 			return;
 		}
 
+		if (refuseQuarantined()) {
+			return;
+		}
+
 		const choice = services.dispatcher.choose(dispatchRequest());
 		if (choice.kind !== 'refuse') {
+			if (sends === 0) {
+				resources.add(services.quarantine.beginTrial(service.name, work.sharedParts));
+			}
+
 			failover.startFirst(planFor(choice));
 		} else if (choice.reason === 'no-upstream' && (hasStarted || mayWaitForUpstream())) {
 			waitedMs += waitStepMs;
@@ -485,6 +559,16 @@
 	};
 
 	services.budget.noteRequest(service.name);
+	if (work.sharedParts.length > 0) {
+		resources.add(
+			services.quarantine.onDidChange((change) => {
+				if (change.kind === 'quarantined') {
+					onQuarantine(change);
+				}
+			}),
+		);
+	}
+
 	runAfter(Math.max(0, remainingMs()), onDeadline);
 	next();
 	const stop = (outcome: requestLogs.EndedEvent['outcome'], reason?: string) => {
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -38,7 +38,7 @@
 	refused(
 		refusal: Pick<
 			gatewayEvent.RequestEvent & {kind: 'request-refused'},
-			'reason' | 'status' | 'hasStarted' | 'configVersion' | 'upstreamRevision'
+			'reason' | 'status' | 'hasStarted' | 'part' | 'configVersion' | 'upstreamRevision'
 		>,
 		retryAfterMs: number,
 		basis: dispatcher.ChoiceBasis | undefined,
--- a/packages/gateway/src/common/upstream-transport.ts
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -38,8 +38,14 @@
 	resume(): void;
 };
 
+/** Result of a probe; `unknown`: no response in time. */
+export type ProbeResult = 'open' | 'refused' | 'unknown';
+
 export abstract class UpstreamTransport {
 	abstract send(request: TransportRequest, listener: TransportListener): Exchange;
+
+	/** Tries to open a connection and closes it without a request. */
+	abstract probe(address: string, callback: (result: ProbeResult) => void): void;
 }
 
 /** Response to a caller. */
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -16,6 +16,7 @@
 import * as upstreamEntry from '../common/upstream-entry.js';
 import type * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as storeWatcherElection from '../common/store-watcher-election.js';
+import * as feedLog from './feed-log.js';
 
 /** Longest error text in an `entry-rejected` log line; schema errors are long. */
 const maxEntryDetailLength = 300;
@@ -177,7 +178,7 @@
 
 				didApplyStoreUpdate.fire();
 			},
-			...feedLog(log, 'operator'),
+			...feedLog.createFeedLog(log, 'operator'),
 			onDidChangeContact: () => undefined,
 		},
 	});
@@ -217,7 +218,7 @@
 
 				didApplyStoreUpdate.fire();
 			},
-			...feedLog(log, 'upstreams'),
+			...feedLog.createFeedLog(log, 'upstreams'),
 			// Entries expire in the store that this feed reads, so its contact decides on missing ones.
 			onDidChangeContact: reachability.setOwnContact,
 		},
@@ -297,19 +298,3 @@
  */
 const lastRevisionOf = (changes: ReadonlyArray<{revision: number}>): number =>
 	Math.max(0, ...changes.map(({revision}) => revision));
-
-const feedLog = (log: gatewayEvent.EventLog, feed: string) => ({
-	onLost(error: Error) {
-		log.note({
-			kind: 'store-lost',
-			feed,
-			detail: errorText.errorText(error, errorText.maxLoggedLength),
-		});
-	},
-	onRegained(awayMs: number, revision: number) {
-		log.note({kind: 'store-regained', feed, awayMs: Math.round(awayMs), revision});
-	},
-	onHistoryLost(revision: number) {
-		log.note({kind: 'store-history-lost', feed, revision});
-	},
-});
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -16,6 +16,7 @@
 	/** Requests with `needsRecentConnection` only reuse connections that were idle for at most this time. */
 	maxRecentIdleMs: number;
 	maxIdlePerPeer: number;
+	probeTimeoutMs: number;
 };
 
 export const defaultPoolSettings: PoolSettings = {
@@ -23,6 +24,7 @@
 	idleTimeoutMs: 4000,
 	maxRecentIdleMs: 600,
 	maxIdlePerPeer: 64,
+	probeTimeoutMs: 300,
 };
 
 type Connection = {
@@ -242,6 +244,30 @@
 		};
 	}
 
+	override probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
+		const [host, port] = address.split(':');
+		const socket = net.connect({host, port: Number(port)});
+		let isDecided = false;
+		const decide = (result: upstreamTransport.ProbeResult) => {
+			if (!isDecided) {
+				isDecided = true;
+				clearTimeout(timer);
+				socket.destroy();
+				callback(result);
+			}
+		};
+
+		const timer = setTimeout(() => {
+			decide('unknown');
+		}, this.#settings.probeTimeoutMs);
+		socket.once('connect', () => {
+			decide('open');
+		});
+		socket.on('error', () => {
+			decide('refused');
+		});
+	}
+
 	/** Closes connections past their idle timeout; call it at regular intervals. */
 	sweep(): void {
 		const oldestMs = this.#nowMs() - this.#settings.idleTimeoutMs;
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -5,11 +5,13 @@
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as crashDetector from '../common/crash-detector.js';
 import * as directory from '../common/directory.js';
 import * as dispatcher from '../common/dispatcher.js';
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import type * as prefixStore from '../common/prefix-store.js';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
@@ -25,12 +27,13 @@
 import * as membership from './membership.js';
 import * as peerCatchUp from './peer-catch-up.js';
 import * as plannedStop from './planned-stop.js';
+import * as quarantineStore from './quarantine-store.js';
 import * as requestAdmission from './request-admission.js';
 import * as settings from './settings.js';
 
 export type GatewayDaemon = {
 	readonly isReady: boolean;
-	/** Applies the settings that can change at run time: `resends`, `stop` and `directory`. */
+	/** Applies the settings that can change at run time: `resends`, `stop`, `quarantine` and `directory`. */
 	applySettings(next: settings.GatewaySettings): void;
 	answerDirectory(query: directory.DirectoryQuery): directory.DirectoryAnswer;
 	/** State for debugging. */
@@ -124,12 +127,19 @@
 		configVersion: cluster.configVersion,
 		upstreamRevision: registry.revision,
 	});
+	const quarantine = promptQuarantine.createPromptQuarantine(clock, () => ({
+		firstMs: current.quarantine.firstS * 1000,
+		maxMs: current.quarantine.maxS * 1000,
+	}));
+	const crashes = crashDetector.createCrashDetector({clock, transport: pool, quarantine, log});
 	const engine = requestEngine.createRequestEngine({
 		clock,
 		wire,
 		dispatcher: dispatch,
 		transport: pool,
 		budget,
+		quarantine,
+		crashes,
 		log,
 		localRegion: vm.region,
 		isReachable: fleet.isReachable,
@@ -214,7 +224,12 @@
 			localExpectedWaits,
 			remoteExpectedWaits,
 			takePromptPrefixes: dispatch.takeSentPromptPrefixes,
+			takePartReports: quarantine.takeReports,
 			onMessage(message) {
+				for (const report of message.partReports) {
+					quarantine.merge(report, message.sender.name);
+				}
+
 				dispatch.notePeerPromptPrefixes(message.promptPrefixes);
 				fleet.noteMember(message.sender, 0);
 				for (const {record, ageMs} of message.others) {
@@ -246,6 +261,37 @@
 		}),
 	);
 	disposables.add(cluster.onDidApplyStoreUpdate(gossip.sendToDomain));
+	disposables.add(
+		quarantine.onDidChange(({kind, partId, source, ...change}) => {
+			const isOwn = source === promptQuarantine.ownSource;
+			if (isOwn || kind !== 'suspected') {
+				const remainingMs = Math.round(change.remainingMs);
+				log.note({kind: 'prompt-part', change: kind, part: partId, source, ...change, remainingMs});
+			}
+
+			// Relays pass on what others report.
+			if (isOwn || gossip.isRelay()) {
+				gossip.sendPartReports();
+			}
+		}),
+	);
+	const storedQuarantine = disposables.add(
+		quarantineStore.startQuarantineStore({
+			clock,
+			random: random.next,
+			store: options.store,
+			prefix: options.layout.quarantinePrefix,
+			watchWaitMs: current.store.watchWaitMs,
+			quarantine,
+			log,
+			daemonName: vm.name,
+			otherWatchers: () =>
+				fleet
+					.alive()
+					.filter(({storeContact}) => storeContact === 'reached')
+					.map(({name}) => name),
+		}),
+	);
 	let isWatching = true;
 	const members = membership.startMembership({
 		clock,
@@ -288,6 +334,7 @@
 		if (next !== isWatching) {
 			isWatching = next;
 			cluster.setWatching(next);
+			storedQuarantine.setWatching(next);
 			log.note({kind: 'store-watch', isWatching, peers: domainPeers.length, behindMs});
 		}
 	};
@@ -346,6 +393,7 @@
 	disposables.add(
 		clock.setPeriodicTimer(() => {
 			pool.sweep();
+			quarantine.sweep();
 			noteReadiness();
 			callerCloseLog.flush();
 			peerCloseLog.flush();
@@ -367,7 +415,14 @@
 			return isReady();
 		},
 		applySettings(next) {
-			current = {...current, resends: next.resends, stop: next.stop, directory: next.directory};
+			const {resends, stop, quarantine: quarantineSettings, directory: directorySettings} = next;
+			current = {
+				...current,
+				resends,
+				stop,
+				quarantine: quarantineSettings,
+				directory: directorySettings,
+			};
 		},
 		answerDirectory(query) {
 			const answer = directory.answerDirectory(
@@ -388,6 +443,7 @@
 			members: fleet.alive(),
 			outlooks: [...localExpectedWaits(), ...remoteExpectedWaits()],
 			loads: dispatch.localLoads(),
+			quarantine: quarantine.quarantineReports(),
 			inFlight: inFlight(),
 		}),
 		async stop() {
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -8,6 +8,7 @@
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as promptCacheView from '../common/prompt-cache-view.js';
+import type * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as relayElection from '../common/relay-election.js';
 import type * as upstreamLoad from '../common/upstream-load.js';
 
@@ -23,12 +24,16 @@
 const seedShare = 0.1;
 /** Ticks between messages to the relays that list other members. */
 const membersEveryTicks = 2;
+/** Delay that collects changed reports on prompt parts in one message. */
+const partReportDelayMs = 20;
 
 export type GossipNode = disposable.Disposable & {
 	/** Announces the planned stop to all members immediately. */
 	announceStop(): void;
 	/** Sends a message to all of this failure domain without waiting for the next tick. */
 	sendToDomain(): void;
+	/** Sends reports on prompt parts that have changed, without waiting for the next tick. */
+	sendPartReports(): void;
 	/** Whether this daemon was a relay of its failure domain at the last tick. */
 	isRelay(): boolean;
 };
@@ -54,6 +59,8 @@
 	remoteExpectedWaits(): gossipMessage.GossipMessage['outlooks'];
 	/** Prompt prefixes that this daemon has sent to runners since the last call. */
 	takePromptPrefixes(): promptCacheView.SentPromptPrefix[];
+	/** Reports on prompt parts for the next message. */
+	takePartReports(): promptQuarantine.PartReport[];
 	onMessage(message: gossipMessage.GossipMessage): void;
 };
 
@@ -67,6 +74,7 @@
 	const store = disposable.createDisposableStore();
 	let tick = 0;
 	let isRelay = false;
+	let partReportTimer: disposable.Disposable | undefined;
 	/** Prompt prefixes of this failure domain that this relay has not sent to other ones. */
 	const domainPrefixes: promptCacheView.SentPromptPrefix[] = [];
 	/** Prompt prefixes that this relay has not sent within its failure domain. */
@@ -140,6 +148,7 @@
 			outlooks: [],
 			promptPrefixes: [],
 			isRelayed: false,
+			partReports: options.takePartReports(),
 			...content,
 		});
 	};
@@ -230,6 +239,32 @@
 		}
 	};
 
+	/** The relays of this failure domain and one of each other one, and for a relay its failure domain. */
+	const sendPartReports = () => {
+		const self = options.self();
+		const targets = new Map<string, gossipMessage.MemberRecord>();
+		const peers = [
+			...relaysOf(self.failureDomain),
+			...otherDomainRelays(self),
+			...(isRelay ? domainPeers(self) : []),
+		];
+		for (const peer of peers) {
+			if (peer.name !== self.name) {
+				targets.set(peer.name, peer);
+			}
+		}
+
+		send([...targets.values()], buildMessage({}, {records: [], heartbeats: []}));
+	};
+
+	/** Sends once for changes that come together. */
+	const scheduleSendOfPartReports = () => {
+		partReportTimer ??= clock.setTimer(() => {
+			partReportTimer = undefined;
+			sendPartReports();
+		}, partReportDelayMs);
+	};
+
 	/** Seeds let a daemon find its first peers, and reconnect the two sides after a network partition. */
 	const sendToSeed = (self: gossipMessage.MemberRecord) => {
 		const seed = random.pick(options.seeds.filter((address) => address !== self.peerAddress));
@@ -288,6 +323,7 @@
 	sendAll();
 	return {
 		sendToDomain: sendWithinDomain,
+		sendPartReports: scheduleSendOfPartReports,
 		isRelay: () => isRelay,
 		announceStop() {
 			fleet.noteLocalStop();
@@ -297,6 +333,7 @@
 			}
 		},
 		dispose() {
+			partReportTimer?.dispose();
 			store.dispose();
 		},
 	};
--- /dev/null
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -0,0 +1,219 @@
+/**
+ * Keeps quarantined prompt parts in the store, so that they survive a stop of all
+ * daemons and reach daemons without peers. Daemons that watch the store read the parts,
+ * and one of them writes each part.
+ */
+import type * as clock from '@hawthornfront/base/common/clock.js';
+import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as errorText from '@hawthornfront/base/common/error-text.js';
+import * as hash from '@hawthornfront/decisions/common/hash.js';
+import * as zod from 'zod';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as prefixStore from '../common/prefix-store.js';
+import type * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as storeFeed from '../common/store-feed.js';
+import * as feedLog from './feed-log.js';
+
+/** Source of the evidence in the log. */
+const storeSource = 'store';
+const checkIntervalMs = 500;
+/** Delay of each further daemon that may write a part, in which the write of an earlier one becomes visible. */
+const turnMs = 2000;
+/** Stored parts outlive their quarantine by this time, so that a crash after it counts as a repetition. */
+const leaseMarginMs = 60_000;
+/** Longest lease of the store. */
+const maxLeaseMs = 600_000;
+
+/** A report with Unix times, since its reader does not know the age of the value. */
+const storedReportSchema = zod.object({
+	service: zod.string(),
+	partId: zod.string(),
+	answeredAtUnixMs: zod.number().optional(),
+	quarantines: zod.number(),
+	crashes: zod
+		.array(
+			zod.object({
+				upstreamKey: zod.number(),
+				atUnixMs: zod.number(),
+				sentBeforeMs: zod.number(),
+				wasAnswering: zod.boolean(),
+			}),
+		)
+		.min(1, 'expected a crash'),
+});
+type StoredReport = zod.infer<typeof storedReportSchema>;
+
+/** State of a part as far as other daemons must read it: the number of its quarantine, 0 if an answer released it. */
+type StoredState = number;
+
+export type QuarantineStore = disposable.Disposable & {
+	/** Starts or stops watching the store. */
+	setWatching(isWatching: boolean): void;
+};
+
+export type QuarantineStoreOptions = {
+	clock: clock.Clock;
+	random(): number;
+	store: prefixStore.PrefixStore;
+	prefix: string;
+	watchWaitMs: number;
+	quarantine: promptQuarantine.PromptQuarantine;
+	log: gatewayEvent.EventLog;
+	daemonName: string;
+	/** Names of other daemons that watch the store. */
+	otherWatchers(): readonly string[];
+};
+
+/** Starts to read and write the quarantined parts. */
+export const startQuarantineStore = (options: QuarantineStoreOptions): QuarantineStore => {
+	const {clock, store, prefix, quarantine, log, daemonName} = options;
+	const disposables = disposable.createDisposableStore();
+	const storedStates = new Map<string, StoredState>();
+	/** Since when the state of a part differs from the stored one. */
+	const unsavedSinceMs = new Map<string, number>();
+	let isSaving = false;
+
+	const noteError = (error: unknown) => {
+		const detail = errorText.errorText(error, errorText.maxLoggedLength);
+		log.note({kind: 'store-lost', feed: 'quarantine', detail});
+	};
+
+	const keyOf = ({service, partId}: promptQuarantine.PartReport) =>
+		`${prefix}${hash.hash32(`${service}\n${partId}`)}`;
+
+	const encode = (report: promptQuarantine.PartReport): Uint8Array => {
+		const {answeredAgeMs, crashes, ...rest} = report;
+		const unixMs = (ageMs: number) => Math.round(clock.wallMs() - ageMs);
+		const stored: StoredReport = {
+			...rest,
+			answeredAtUnixMs: answeredAgeMs === undefined ? undefined : unixMs(answeredAgeMs),
+			crashes: crashes.map(({ageMs, ...crash}) => ({...crash, atUnixMs: unixMs(ageMs)})),
+		};
+		return new TextEncoder().encode(JSON.stringify(stored));
+	};
+
+	const decode = (value: Uint8Array): promptQuarantine.PartReport => {
+		const {answeredAtUnixMs, crashes, ...rest} = storedReportSchema.parse(
+			JSON.parse(new TextDecoder().decode(value)),
+		);
+		// The clocks of two VMs differ, but evidence is never from the future.
+		const ageMs = (unixMs: number) => Math.max(0, clock.wallMs() - unixMs);
+		return {
+			...rest,
+			answeredAgeMs: answeredAtUnixMs === undefined ? undefined : ageMs(answeredAtUnixMs),
+			crashes: crashes.map(({atUnixMs, ...crash}) => ({...crash, ageMs: ageMs(atUnixMs)})),
+		};
+	};
+
+	const apply = (key: string, value: Uint8Array, revision: number) => {
+		try {
+			const report = decode(value);
+			const lastCrashAgeMs = Math.min(...report.crashes.map(({ageMs}) => ageMs));
+			const isReleased = (report.answeredAgeMs ?? Number.POSITIVE_INFINITY) < lastCrashAgeMs;
+			storedStates.set(key, isReleased ? 0 : report.quarantines);
+			quarantine.merge(report, storeSource);
+		} catch (error) {
+			const detail = errorText.errorText(error, errorText.maxLoggedLength);
+			log.note({kind: 'entry-rejected', key, revision, detail});
+		}
+	};
+
+	const feed = disposables.add(
+		storeFeed.startStoreFeed({
+			clock,
+			store,
+			prefix,
+			watchWaitMs: options.watchWaitMs,
+			random: options.random,
+			handler: {
+				onListing({items}) {
+					storedStates.clear();
+					for (const {key, value, revision} of items) {
+						apply(key, value, revision);
+					}
+				},
+				onEvents(events) {
+					for (const {key, value, revision} of events) {
+						if (value) {
+							apply(key, value, revision);
+						} else {
+							storedStates.delete(key);
+						}
+					}
+				},
+				...feedLog.createFeedLog(log, 'quarantine'),
+				onDidChangeContact: () => undefined,
+			},
+		}),
+	);
+
+	/** Position of this daemon in the order of those that may write a part. */
+	const turnOf = (key: string): number =>
+		hash
+			.order(
+				key,
+				[daemonName, ...options.otherWatchers()].map((name) => ({name})),
+			)
+			.findIndex(({name}) => name === daemonName);
+
+	const isUnsaved = (key: string, report: promptQuarantine.QuarantineReport): boolean => {
+		const stored = storedStates.get(key);
+		return report.isHarmful
+			? report.remainingMs > 0 && stored !== report.quarantines
+			: stored !== undefined && stored !== 0;
+	};
+
+	const save = async (key: string, report: promptQuarantine.QuarantineReport) => {
+		const {remainingMs, isHarmful, ...rest} = report;
+		const lease = await store.grantLease(Math.min(maxLeaseMs, remainingMs + leaseMarginMs));
+		await store.putLeased(key, encode(rest), lease);
+		storedStates.set(key, isHarmful ? report.quarantines : 0);
+		unsavedSinceMs.delete(key);
+	};
+
+	/** Writes parts that differ from the stored ones, when it is the turn of this daemon. */
+	const saveChanges = async () => {
+		const reports = quarantine.quarantineReports();
+		const unsaved = new Map(
+			reports
+				.map((report) => [keyOf(report), report] as const)
+				.filter(([key, report]) => isUnsaved(key, report)),
+		);
+		for (const key of unsavedSinceMs.keys()) {
+			if (!unsaved.has(key)) {
+				unsavedSinceMs.delete(key);
+			}
+		}
+
+		for (const [key, report] of unsaved) {
+			const sinceMs = unsavedSinceMs.get(key) ?? clock.nowMs();
+			unsavedSinceMs.set(key, sinceMs);
+			if (clock.nowMs() - sinceMs >= turnOf(key) * turnMs) {
+				await save(key, report);
+			}
+		}
+	};
+
+	disposables.add(
+		clock.setPeriodicTimer(() => {
+			if (isSaving || feed.contact !== 'reached') {
+				return;
+			}
+
+			isSaving = true;
+			saveChanges()
+				.catch(noteError)
+				.finally(() => {
+					isSaving = false;
+				});
+		}, checkIntervalMs),
+	);
+	return {
+		setWatching(isWatching) {
+			feed.setFollowing(isWatching);
+		},
+		dispose() {
+			disposables.dispose();
+		},
+	};
+};
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -46,6 +46,14 @@
 		extraPerWindow: setting.number(54, 0, 1_000_000),
 		windowS: setting.number(10, 0.1, 600),
 	}),
+	quarantine: zod
+		.strictObject({
+			/** Duration of the first quarantine of a prompt part that crashes upstreams; each further one is twice as long. */
+			firstS: setting.number(120, 1, 86_400),
+			/** Longest duration; at most the longest lease of the store. */
+			maxS: setting.number(600, 1, 600),
+		})
+		.default({firstS: 120, maxS: 600}),
 	directory: zod.strictObject({
 		/** Time for which callers may cache a directory answer. */
 		timeToLiveS: setting.number(2, 0.1, 60),
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -228,3 +228,23 @@
 	await pause();
 	t.same(ends, ['ECONNRESET']);
 });
+
+tap.t.test('a probe tells an upstream that runs from one that does not', async (t) => {
+	const {address, connections} = await startServer(t, () => undefined);
+	const pool = new connectionPool.ConnectionPool(() => 0);
+	const probe = async (peer: string) =>
+		new Promise((resolve) => {
+			pool.probe(peer, resolve);
+		});
+	t.equal(await probe(address), 'open');
+	t.equal(connections(), 1);
+	const free = net.createServer();
+	await new Promise<void>((resolve) => {
+		free.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = free.address() as net.AddressInfo;
+	await new Promise((resolve) => {
+		free.close(resolve);
+	});
+	t.equal(await probe(`127.0.0.1:${port}`), 'refused');
+});
--- /dev/null
+++ b/packages/gateway/src/test/crash-detector.test.ts
@@ -0,0 +1,103 @@
+// Whether broken connections mean that an upstream crashed, on a manual clock.
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as tap from 'tap';
+import * as crashDetector from '../common/crash-detector.js';
+import type * as promptQuarantine from '../common/prompt-quarantine.js';
+import type * as upstreamTransport from '../common/upstream-transport.js';
+import * as fixtures from './fixtures.js';
+
+const upstream = {
+	entry: fixtures.upstream('u1', {startedAtUnixMs: 5}),
+	region: 'north',
+	coldUntilMs: 0,
+};
+const parts = (id: string) => [{id, tokens: 100}];
+
+const create = (probeResult: upstreamTransport.ProbeResult) => {
+	const clock = new manualClock.ManualClock();
+	const crashes: Array<{partId: string} & promptQuarantine.CrashFacts> = [];
+	const answered: string[] = [];
+	let probes = 0;
+	const subject = crashDetector.createCrashDetector({
+		clock,
+		transport: {
+			probe(_address, callback) {
+				probes++;
+				callback(probeResult);
+			},
+		},
+		quarantine: {
+			noteAnswer(_service, [part]) {
+				answered.push(part!.id);
+			},
+			noteCrash(_service, [part], facts) {
+				crashes.push({partId: part!.id, ...facts});
+			},
+		},
+		log: {note: () => undefined},
+	});
+	const begin = (id: string) => subject.begin(upstream, parts(id))!;
+	return {clock, subject, crashes, answered, begin, probes: () => probes};
+};
+
+tap.t.test('a crash names the requests without events, and which answer had begun', async (t) => {
+	const {clock, crashes, begin, answered} = create('refused');
+	const runs = ['harmful', 'waiting', 'sound'].map((id) => begin(id));
+	const [harmful, , sound] = runs;
+	harmful!.noteHead();
+	sound!.noteHead();
+	sound!.noteEvents(2);
+	await clock.advance(300);
+	for (const run of runs) {
+		run.noteBroken();
+		run.end();
+	}
+
+	await clock.advance(100);
+	t.same(
+		crashes.map(({partId, wasAnswering, sentBeforeMs}) => [partId, wasAnswering, sentBeforeMs]),
+		[
+			['harmful', true, 300],
+			['waiting', false, 300],
+		],
+	);
+	t.same(answered, ['sound']);
+});
+
+// Guards against blaming prompts for connections that break while the upstream is sound.
+tap.t.test('an upstream with other requests in progress has not crashed', async (t) => {
+	const {clock, subject, crashes, begin, probes} = create('refused');
+	const broken = begin('topic');
+	begin('other');
+	await clock.advance(300);
+	broken.noteHead();
+	broken.noteBroken();
+	broken.end();
+	const decisions: boolean[] = [];
+	subject.whenDecided(upstream, (hasCrashed) => decisions.push(hasCrashed));
+	t.same(decisions, []);
+	await clock.advance(100);
+	t.same([crashes, probes(), decisions], [[], 0, [false]]);
+});
+
+for (const result of ['open', 'unknown'] as const) {
+	tap.t.test(`an upstream whose probe is ${result} has not crashed`, async (t) => {
+		const {clock, crashes, begin, probes} = create(result);
+		const broken = begin('topic');
+		broken.noteBroken();
+		broken.end();
+		await clock.advance(100);
+		t.same([crashes, probes()], [[], 1]);
+	});
+}
+
+tap.t.test('streams that broke midway need no probe', async (t) => {
+	const {clock, subject, begin, probes} = create('refused');
+	const run = begin('topic');
+	run.noteEvents(4);
+	run.noteBroken();
+	run.end();
+	await clock.advance(100);
+	t.equal(probes(), 0);
+	t.equal(subject.begin(upstream, []), undefined, 'nor do requests without a prompt');
+});
--- a/packages/gateway/src/test/crash-fleet.ts
+++ b/packages/gateway/src/test/crash-fleet.ts
@@ -4,9 +4,10 @@
  */
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
+import * as crashDetector from '../common/crash-detector.js';
 import * as dispatcher from '../common/dispatcher.js';
-import * as fleetView from '../common/fleet-view.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as promptQuarantine from '../common/prompt-quarantine.js';
 import type * as routeConfig from '../common/route-config.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
@@ -14,6 +15,7 @@
 import * as upstreamTransport from '../common/upstream-transport.js';
 import * as fakeTransport from './fake-transport.js';
 import * as fixtures from './fixtures.js';
+import * as memoryFleet from './memory-fleet.js';
 
 export const harmfulPart = 'harmful';
 
@@ -96,6 +98,13 @@
 		};
 	}
 
+	override probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
+		const isUp = this.#runners.get(address)?.isUp ?? false;
+		this.#clock.setTimer(() => {
+			callback(isUp ? 'open' : 'refused');
+		}, 1);
+	}
+
 	#after(delayMs: number, run: Run, callback: () => void): void {
 		this.#clock.setTimer(() => {
 			if (!run.isOver) {
@@ -160,6 +169,7 @@
 	registry: upstreamRegistry.UpstreamRegistry;
 	engine: requestEngine.RequestEngine;
 	events: gatewayEvent.GatewayEvent[];
+	quarantine: promptQuarantine.PromptQuarantine;
 };
 
 const startDaemon = (
@@ -167,15 +177,22 @@
 	transport: RunnerPool,
 	name: string,
 	failureDomain: string,
+	network: memoryFleet.Network,
 ): CrashDaemon => {
 	const region = fixtures.regionByDomain[failureDomain]!;
 	const events: gatewayEvent.GatewayEvent[] = [];
+	const log: gatewayEvent.EventLog = {
+		note(event) {
+			events.push(event);
+		},
+	};
+	const record = fixtures.member(name, {region, failureDomain});
+	const {fleet, quarantine} = memoryFleet.startNode(clock, network, record, ['n1:90', 's1:90']);
 	const registry = upstreamRegistry.createUpstreamRegistry(
 		clock,
 		(domain) => fixtures.regionByDomain[domain],
 		{unsettledMs: () => 0},
 	);
-	const fleet = fleetView.createFleetView(clock, name);
 	const engine = requestEngine.createRequestEngine({
 		clock,
 		wire: new fakeTransport.FakeWire(),
@@ -197,27 +214,26 @@
 			() => ({share: 0.2, extraPerWindow: 54, windowMs: 10_000}),
 			() => 4,
 		),
-		log: {
-			note(event) {
-				events.push(event);
-			},
-		},
+		quarantine,
+		crashes: crashDetector.createCrashDetector({clock, transport, quarantine, log}),
+		log,
 		localRegion: region,
 		isReachable: fleet.isReachable,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
 	});
-	return {registry, engine, events};
+	return {registry, engine, events, quarantine};
 };
 
 /** Starts four daemons and six runners. */
 export const startCrashFleet = () => {
 	const clock = new manualClock.ManualClock();
 	const runners = new RunnerPool(clock);
+	const network = new memoryFleet.Network();
 	const daemons = [
-		startDaemon(clock, runners, 'n1', 'north-a'),
-		startDaemon(clock, runners, 'n2', 'north-a'),
-		startDaemon(clock, runners, 's1', 'south-a'),
-		startDaemon(clock, runners, 's2', 'south-a'),
+		startDaemon(clock, runners, 'n1', 'north-a', network),
+		startDaemon(clock, runners, 'n2', 'north-a', network),
+		startDaemon(clock, runners, 's1', 'south-a', network),
+		startDaemon(clock, runners, 's2', 'south-a', network),
 	];
 	runners.onDidRegister = ({id, address, failureDomain}) => {
 		for (const {registry} of daemons) {
@@ -264,5 +280,5 @@
 		return {attemptId, reply, atMs: clock.nowMs()};
 	};
 
-	return {clock, runners, daemons, send};
+	return {clock, network, runners, daemons, send};
 };
--- a/packages/gateway/src/test/crashing-prompts.test.ts
+++ b/packages/gateway/src/test/crashing-prompts.test.ts
@@ -57,7 +57,9 @@
 				runners.begun,
 			);
 			t.ok(beside >= before / 2, `sound requests begun: ${beside}, before the crashes ${before}`);
-			t.match(harmful.at(-1)!.reply, {status: 503, ending: 'complete', text: /not-run/u});
+			const {reply} = harmful.at(-1)!;
+			t.match(reply, {status: 503, ending: 'complete', text: /not-run/u});
+			t.ok(Number(reply.headers['retry-after']) > 60, 'after the quarantine');
 		},
 	);
 }
--- a/packages/gateway/src/test/endless-forwarding.test.ts
+++ b/packages/gateway/src/test/endless-forwarding.test.ts
@@ -20,6 +20,7 @@
 		route.targets[0]!.service === 'model' ? fixtures.modelService : fixtures.deskService;
 	registry.put(fixtures.upstream('u1', {service: service.name, address}), 1);
 	const transport = new connectionPool.ConnectionPool(() => clock.nowMs());
+	const log = {note: () => undefined};
 	const engine = requestEngine.createRequestEngine({
 		clock,
 		wire: new fakeTransport.FakeWire(),
@@ -30,7 +31,8 @@
 			() => ({share: 0.2, extraPerWindow: 20, windowMs: 10_000}),
 			() => 1,
 		),
-		log: {note: () => undefined},
+		...fixtures.createCrashServices(clock, transport, log),
+		log,
 		localRegion: 'north',
 		isReachable: () => true,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -62,17 +62,21 @@
 		() => ({share: 0, extraPerWindow: (options.resends ?? 16) / 0.8, windowMs: 10_000}),
 		() => 1,
 	);
+	const engineClock = options.engineClock?.(clock) ?? clock;
+	const log: gatewayEvent.EventLog = {
+		note(event) {
+			events.push(event);
+		},
+	};
+	const crashServices = fixtures.createCrashServices(engineClock, transport, log);
 	const engine = requestEngine.createRequestEngine({
-		clock: options.engineClock?.(clock) ?? clock,
+		clock: engineClock,
 		wire: new fakeTransport.FakeWire(),
 		dispatcher: subject,
 		transport,
 		budget,
-		log: {
-			note(event) {
-				events.push(event);
-			},
-		},
+		...crashServices,
+		log,
 		localRegion: 'north',
 		isReachable: fleet.isReachable,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
@@ -101,7 +105,16 @@
 		},
 	);
 	const endEvent = () => events.find((event) => event.kind === 'request-ended');
-	return {...deployment, transport, reply, events, execution, endEvent, endCount: () => endCount};
+	return {
+		...deployment,
+		...crashServices,
+		transport,
+		reply,
+		events,
+		execution,
+		endEvent,
+		endCount: () => endCount,
+	};
 };
 
 /** Value of a request header. */
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -11,6 +11,8 @@
 
 export class FakeTransport extends upstreamTransport.UpstreamTransport {
 	readonly sent: SentRequest[] = [];
+	/** Probes that wait for their result. */
+	readonly probes: Array<(result: upstreamTransport.ProbeResult) => void> = [];
 	/** Reports each request as sent at once; otherwise the test calls `onSent`. */
 	shouldConnectAtOnce = true;
 
@@ -40,6 +42,13 @@
 			},
 		};
 	}
+
+	override probe(
+		_address: string,
+		callback: (result: upstreamTransport.ProbeResult) => void,
+	): void {
+		this.probes.push(callback);
+	}
 }
 
 export class FakeReply extends upstreamTransport.CallerReply {
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -1,13 +1,18 @@
 /** A small deployment of two regions. */
+import type * as clockService from '@hawthornfront/base/common/clock.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
+import * as crashDetector from '../common/crash-detector.js';
 import * as dispatcher from '../common/dispatcher.js';
 import * as fleetView from '../common/fleet-view.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as loadSettings from '../common/load-settings.js';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
 import type * as routeConfig from '../common/route-config.js';
 import type * as upstreamEntry from '../common/upstream-entry.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
+import type * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as workEstimate from '../common/work-estimate.js';
 
@@ -130,6 +135,24 @@
 
 export const settings = loadSettings.loadSettingsSchema.parse({});
 
+export const quarantineSettings: promptQuarantine.QuarantineSettings = {
+	firstMs: 120_000,
+	maxMs: 600_000,
+};
+
+/** Creates the services of an engine that watch prompts for crashes of upstreams. */
+export const createCrashServices = (
+	clock: clockService.Clock,
+	transport: upstreamTransport.UpstreamTransport,
+	log: gatewayEvent.EventLog,
+) => {
+	const quarantine = promptQuarantine.createPromptQuarantine(clock, () => quarantineSettings);
+	return {
+		quarantine,
+		crashes: crashDetector.createCrashDetector({clock, transport, quarantine, log}),
+	};
+};
+
 /** Creates the dispatcher of a daemon in `north-a` with its clock, registry and fleet view. */
 export const createDeployment = (daemonName = 'n1') => {
 	const clock = new manualClock.ManualClock();
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -107,6 +107,15 @@
 		promptPrefixes: [{partId: 'p', runner: 'u1'}],
 		isRelayed: true,
 		heartbeats: [{memberId: gossipMessage.memberId(fixtures.member('s1')), ageMs: 150}],
+		partReports: [
+			{
+				service: 'model',
+				partId: 'p',
+				answeredAgeMs: undefined,
+				quarantines: 1,
+				crashes: [{upstreamKey: 7, ageMs: 20, sentBeforeMs: 300, wasAnswering: true}],
+			},
+		],
 	};
 	t.same(gossipMessage.decodeGossip(gossipMessage.encodeGossip(message)), message);
 	const withoutLoads = {...message, loads: undefined};
--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -5,10 +5,12 @@
 import * as random from '@hawthornfront/base/common/random.js';
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as gossipNode from '../node/gossip-node.js';
 import * as fixtures from './fixtures.js';
 
-class Network {
+/** The network between the daemons. */
+export class Network {
 	readonly sockets = new Map<string, MemorySocket>();
 	readonly isolatedAddresses = new Set<string>();
 	bytes = 0;
@@ -52,7 +54,8 @@
 	}
 }
 
-const startNode = (
+/** Starts the gossip of a daemon. */
+export const startNode = (
 	clock: manualClock.ManualClock,
 	network: Network,
 	record: gossipMessage.MemberRecord,
@@ -62,6 +65,10 @@
 	const receivedMessages: gossipMessage.GossipMessage[] = [];
 	const pendingPromptPrefixes: Array<{partId: string; runner: string}> = [];
 	const state = {record};
+	const quarantine = promptQuarantine.createPromptQuarantine(
+		clock,
+		() => fixtures.quarantineSettings,
+	);
 	const socket = new MemorySocket(network, record.peerAddress);
 	const node = gossipNode.startGossip({
 		clock,
@@ -78,7 +85,12 @@
 		localExpectedWaits: () => [],
 		remoteExpectedWaits: () => [],
 		takePromptPrefixes: () => pendingPromptPrefixes.splice(0),
+		takePartReports: quarantine.takeReports,
 		onMessage(message) {
+			for (const report of message.partReports) {
+				quarantine.merge(report, message.sender.name);
+			}
+
 			receivedMessages.push(message);
 			fleet.noteMember(message.sender, 0);
 			for (const {record: other, ageMs} of message.others) {
@@ -88,8 +100,14 @@
 			fleet.noteHeartbeats(message.heartbeats);
 		},
 	});
+	quarantine.onDidChange(({source}) => {
+		if (source === promptQuarantine.ownSource || node.isRelay()) {
+			node.sendPartReports();
+		}
+	});
 	return {
 		fleet,
+		quarantine,
 		receivedMessages,
 		pendingPromptPrefixes,
 		state,
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -167,6 +167,7 @@
 	override readonly configPrefix = 'ops/';
 	override readonly upstreamPrefix = 'servers/';
 	override readonly memberPrefix = 'hf/members/';
+	override readonly quarantinePrefix = 'hf/quarantine/';
 
 	override decodeOperatorItem(
 		key: string,
--- /dev/null
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -0,0 +1,164 @@
+// Evidence against prompt parts and their quarantine, on a manual clock.
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as tap from 'tap';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as fixtures from './fixtures.js';
+
+const service = 'model';
+const parts = (...ids: string[]) => ids.map((id) => ({id, tokens: 100}));
+const answering = {sentBeforeMs: 300, wasAnswering: true};
+const waiting = {sentBeforeMs: 300, wasAnswering: false};
+
+const create = (clock = new manualClock.ManualClock()) => {
+	const changes: string[] = [];
+	const subject = promptQuarantine.createPromptQuarantine(clock, () => fixtures.quarantineSettings);
+	subject.onDidChange(({kind, partId}) => changes.push(`${kind} ${partId}`));
+	/** Each crash hits another upstream. */
+	let upstreams = 0;
+	const crash = (ids: string[], facts = answering) => {
+		upstreams++;
+		subject.noteCrash(service, parts(...ids), {upstreamKey: upstreams, ...facts});
+	};
+
+	const isRefused = (...ids: string[]) =>
+		subject.quarantinedPart(service, parts(...ids)) !== undefined;
+	return {clock, subject, changes, crash, isRefused};
+};
+
+tap.t.test('two crashes as answers began quarantine the part that they share', (t) => {
+	const {subject, crash, isRefused} = create();
+	subject.noteAnswer(service, parts('caller', 'topic-1'));
+	crash(['caller', 'topic-1', 'harmful']);
+	t.notOk(isRefused('caller', 'harmful'), 'one crash proves nothing');
+	t.ok(subject.isSuspected(service, parts('harmful')));
+	crash(['caller', 'topic-2', 'harmful']);
+	t.match(subject.quarantinedPart(service, parts('topic-3', 'harmful')), {partId: 'harmful'});
+	t.notOk(isRefused('caller', 'topic-1'));
+	t.notOk(isRefused('topic-2'));
+	t.notOk(
+		subject.quarantinedPart('other-service', parts('harmful')),
+		'another service may answer it',
+	);
+	t.end();
+});
+
+tap.t.test('requests that waited are weaker evidence', (t) => {
+	const {crash, isRefused} = create();
+	for (let count = 0; count < 3; count++) {
+		crash(['harmful'], waiting);
+	}
+
+	t.notOk(isRefused('harmful'));
+	crash(['harmful'], waiting);
+	t.ok(isRefused('harmful'));
+	t.end();
+});
+
+// Guards against refusing all requests of a caller after many upstreams failed together.
+tap.t.test('upstreams that fail together do not quarantine a part that was answered', async (t) => {
+	const {clock, subject, crash, isRefused} = create();
+	subject.noteAnswer(service, parts('caller'));
+	await clock.advance(1000);
+	for (let count = 0; count < 20; count++) {
+		crash(['caller']);
+	}
+
+	t.notOk(isRefused('caller'));
+	await clock.advance(1000);
+	crash(['caller']);
+	t.notOk(isRefused('caller'), 'a second round');
+	await clock.advance(1000);
+	crash(['caller']);
+	t.ok(isRefused('caller'), 'a third round without an answer in between');
+});
+
+tap.t.test('an answer refutes the evidence and ends the quarantine', async (t) => {
+	const {clock, subject, changes, crash, isRefused} = create();
+	crash(['topic']);
+	await clock.advance(10);
+	subject.noteAnswer(service, parts('topic'));
+	await clock.advance(10);
+	crash(['topic']);
+	t.notOk(isRefused('topic'));
+	crash(['harmful']);
+	crash(['harmful']);
+	t.ok(isRefused('harmful'));
+	subject.noteAnswer(service, parts('harmful'));
+	t.notOk(isRefused('harmful'));
+	t.same(changes.slice(-2), ['quarantined harmful', 'released harmful']);
+});
+
+tap.t.test(
+	'after a quarantine one request tries the part, and a crash doubles the time',
+	async (t) => {
+		const {clock, subject, crash, isRefused} = create();
+		const {firstMs} = fixtures.quarantineSettings;
+		crash(['harmful']);
+		crash(['harmful']);
+		await clock.advance(firstMs - 1);
+		t.ok(isRefused('harmful'));
+		await clock.advance(1);
+		t.notOk(isRefused('harmful'));
+		const trial = subject.beginTrial(service, parts('harmful'));
+		t.ok(isRefused('harmful'), 'while another request tries it');
+		crash(['harmful']);
+		trial.dispose();
+		await clock.advance(2 * firstMs - 1);
+		t.ok(isRefused('harmful'));
+		await clock.advance(1);
+		t.notOk(isRefused('harmful'));
+		t.equal(subject.quarantineReports()[0]?.quarantines, 2);
+	},
+);
+
+// Guards against daemons that each see too few crashes to refuse the part.
+tap.t.test('daemons combine their crashes, and agree in any order', (t) => {
+	const [a, b, c] = [create(), create(), create()];
+	a.subject.noteCrash(service, parts('harmful'), {upstreamKey: 1, ...answering});
+	b.subject.noteCrash(service, parts('harmful'), {upstreamKey: 2, ...answering});
+	const [fromA, fromB] = [a.subject.takeReports(), b.subject.takeReports()];
+	c.subject.merge(fromA[0]!, 'a');
+	c.subject.merge(fromA[0]!, 'a');
+	t.notOk(c.isRefused('harmful'), 'the same crash counts once');
+	c.subject.merge(fromB[0]!, 'b');
+	a.subject.merge(fromB[0]!, 'b');
+	b.subject.merge(fromA[0]!, 'a');
+	t.same(
+		[a, b, c].map(({isRefused}) => isRefused('harmful')),
+		[true, true, true],
+	);
+	c.subject.noteAnswer(service, parts('harmful'));
+	for (const report of c.subject.takeReports()) {
+		a.subject.merge(report, 'c');
+		b.subject.merge(report, 'c');
+	}
+
+	t.same(
+		[a, b, c].map(({isRefused}) => isRefused('harmful')),
+		[false, false, false],
+	);
+	t.end();
+});
+
+tap.t.test('evidence and reports are bounded', async (t) => {
+	const {clock, subject, crash, isRefused} = create();
+	const longId = 'x'.repeat(5000);
+	crash(['harmful', longId]);
+	crash(['harmful', longId]);
+	for (let count = 0; count < 2000; count++) {
+		crash([`topic-${count}`], waiting);
+	}
+
+	t.ok(isRefused('harmful'), 'a quarantined part is kept');
+	t.ok(isRefused(longId));
+	const reports = subject.takeReports();
+	t.ok(reports.length <= 8);
+	t.ok(
+		reports.some(({partId}) => partId === 'harmful'),
+		'the likeliest parts come first',
+	);
+	t.ok(reports.every(({partId}) => partId.length <= 64));
+	await clock.advance(4_000_000);
+	subject.sweep();
+	t.same(subject.takeReports(), []);
+});
--- /dev/null
+++ b/packages/gateway/src/test/quarantine-store.test.ts
@@ -0,0 +1,134 @@
+// Quarantined prompt parts in the store, on a manual clock.
+import type * as clockService from '@hawthornfront/base/common/clock.js';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as tap from 'tap';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as quarantineStore from '../node/quarantine-store.js';
+import * as fixtures from './fixtures.js';
+import * as memoryStore from './memory-store.js';
+
+const service = 'model';
+const parts = [{id: 'harmful', tokens: 100}];
+
+const startDaemon = (
+	clock: clockService.Clock,
+	store: memoryStore.MemoryPrefixStore,
+	daemonName: string,
+	otherWatchers: string[] = [],
+) => {
+	const events: gatewayEvent.GatewayEvent[] = [];
+	const quarantine = promptQuarantine.createPromptQuarantine(
+		clock,
+		() => fixtures.quarantineSettings,
+	);
+	const subject = quarantineStore.startQuarantineStore({
+		clock,
+		random: () => 0.5,
+		store,
+		prefix: 'hf/quarantine/',
+		watchWaitMs: 5000,
+		quarantine,
+		log: {
+			note(event) {
+				events.push(event);
+			},
+		},
+		daemonName,
+		otherWatchers: () => otherWatchers,
+	});
+	const crashTwice = () => {
+		for (const upstreamKey of [1, 2]) {
+			const facts = {upstreamKey, sentBeforeMs: 300, wasAnswering: true};
+			quarantine.noteCrash(service, parts, facts);
+		}
+	};
+
+	const isRefused = () => quarantine.quarantinedPart(service, parts) !== undefined;
+	return {quarantine, subject, events, crashTwice, isRefused};
+};
+
+const start = () => {
+	const clock = new manualClock.ManualClock();
+	return {clock, store: new memoryStore.MemoryPrefixStore(clock)};
+};
+
+// Guards against prompts that crash upstreams again after all daemons lost their memory.
+tap.t.test('a quarantine survives a restart of all daemons', async (t) => {
+	const {clock, store} = start();
+	const first = startDaemon(clock, store, 'n1');
+	await clock.advance(1000);
+	first.crashTwice();
+	await clock.advance(1000);
+	first.subject.dispose();
+	await clock.advance(5000);
+	const second = startDaemon(clock, store, 'n1');
+	await clock.advance(500);
+	const found = second.quarantine.quarantinedPart(service, parts);
+	t.match(found, {partId: 'harmful'});
+	t.ok(
+		found!.remainingMs <= fixtures.quarantineSettings.firstMs - 6000,
+		`${found!.remainingMs} ms`,
+	);
+	second.subject.dispose();
+});
+
+tap.t.test('one of several daemons writes, another one if it does not', async (t) => {
+	const {clock, store} = start();
+	const daemons = ['n1', 'n2'].map((name, index, names) =>
+		startDaemon(clock, store, name, [names[1 - index]!]),
+	);
+	await clock.advance(1000);
+	for (const {crashTwice} of daemons) {
+		crashTwice();
+	}
+
+	const {calls} = store;
+	await clock.advance(3000);
+	t.ok(store.calls - calls <= 6, `${store.calls - calls} calls, of these a lease and a write`);
+	const {items} = await store.list('hf/quarantine/');
+	t.equal(items.length, 1);
+	for (const {subject} of daemons) {
+		subject.dispose();
+	}
+
+	const alone = start();
+	const daemon = startDaemon(alone.clock, alone.store, 'n1', ['silent-1', 'silent-2']);
+	await alone.clock.advance(1000);
+	daemon.crashTwice();
+	await alone.clock.advance(6000);
+	const listing = await alone.store.list('hf/quarantine/');
+	t.equal(listing.items.length, 1);
+	daemon.subject.dispose();
+});
+
+tap.t.test('a release is written, and read after an outage', async (t) => {
+	const {clock, store} = start();
+	const first = startDaemon(clock, store, 'n1');
+	const second = startDaemon(clock, store, 'n2', ['n1']);
+	await clock.advance(1000);
+	first.crashTwice();
+	await clock.advance(2000);
+	t.ok(second.isRefused());
+	store.isUnavailable = true;
+	await clock.advance(6000);
+	first.quarantine.noteAnswer(service, parts);
+	await clock.advance(2000);
+	t.ok(second.isRefused());
+	store.isUnavailable = false;
+	await clock.advance(8000);
+	t.notOk(second.isRefused());
+	t.ok(first.events.some(({kind}) => kind === 'store-lost'));
+	first.subject.dispose();
+	second.subject.dispose();
+});
+
+tap.t.test('a broken entry is rejected with a log line', async (t) => {
+	const {clock, store} = start();
+	store.write('hf/quarantine/1', {service, crashes: []});
+	const {events, subject, isRefused} = startDaemon(clock, store, 'n1');
+	await clock.advance(1000);
+	t.notOk(isRefused());
+	t.match(events, [{kind: 'entry-rejected', key: 'hf/quarantine/1'}]);
+	subject.dispose();
+});
