Fail streams without length that end inside an event

A stream with neither a length nor chunks ends with its connection. One that the upstream broke off inside an event, or before its first one, reached the caller as a complete answer; it would also have counted as an answer that clears a prompt part. The transport now says that the end of the connection ended the answer, and such a stream is resumed after its last whole event or breaks the caller's answer. Streams with a length or chunks may still end without an empty line.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -102,6 +102,10 @@
 /** The daemon that a request is relayed to retries first, so the relaying daemon waits longer. */
 const relayStallFactor = 2;
 
+/** Whether a stream whose connection ended was broken off: an upstream that breaks off an answer without length ends the connection too. */
+const isBrokenOff = ({events, rest}: eventSplitter.EventSplitter): boolean =>
+	events === 0 || rest().length > 0;
+
 /** Sends the request. */
 export const startAttempt = (options: AttemptOptions, listener: AttemptListener): Attempt => {
 	const {clock, wire, request, target, account, observedRun} = options;
@@ -268,10 +272,23 @@
 		}
 	};
 
-	const onAnswerEnd = () => {
+	/** Fails the attempt because the connection broke after the request was sent. */
+	const failBroken = (detail: string) => {
+		observedRun?.noteBroken();
+		fail('unknown', detail, true, {
+			brokeAsItBegan: head !== undefined && !isPassing && (splitter?.events ?? 0) === 0,
+		});
+	};
+
+	const onAnswerEnd = (endedBy: 'connection' | undefined) => {
+		const {status} = head!;
+		if (splitter && status < 300 && endedBy === 'connection' && isBrokenOff(splitter)) {
+			failBroken('ended-inside-event');
+			return;
+		}
+
 		step = 'last-token';
 		account?.noteFirstEvent();
-		const {status} = head!;
 		close();
 		if (status >= 500) {
 			account?.noteFailure(false);
@@ -317,9 +334,9 @@
 					onData(bytes);
 				}
 			},
-			onEnd() {
+			onEnd(endedBy) {
 				if (!isOver && head) {
-					onAnswerEnd();
+					onAnswerEnd(endedBy);
 				}
 			},
 			onFailure({mayHaveBeenSent, detail}) {
@@ -328,12 +345,10 @@
 				}
 
 				if (mayHaveBeenSent) {
-					observedRun?.noteBroken();
+					failBroken(detail);
+				} else {
+					fail('not-run', detail, true);
 				}
-
-				fail(mayHaveBeenSent ? 'unknown' : 'not-run', detail, true, {
-					brokeAsItBegan: head !== undefined && !isPassing && (splitter?.events ?? 0) === 0,
-				});
 			},
 		},
 	);
--- a/packages/gateway/src/common/upstream-transport.ts
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -26,8 +26,12 @@
 	onSent(): void;
 	onHead(status: number, headers: wireFormat.Headers): void;
 	onData(bytes: Uint8Array): void;
-	/** The answer is complete. */
-	onEnd(): void;
+	/**
+	 * The answer is complete.
+	 *
+	 * @param endedBy `connection`: the answer has no length, so the end of the connection is its end
+	 */
+	onEnd(endedBy?: 'connection'): void;
 	onFailure(failure: TransportFailure): void;
 };
 
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -152,7 +152,7 @@
 			connection.controller = undefined;
 			this.#release(connection);
 			if (!isCancelled) {
-				listener.onEnd();
+				listener.onEnd(isFramed ? undefined : 'connection');
 			}
 		};
 
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -8,6 +8,7 @@
 	body: string;
 	end: 'complete' | 'failed';
 	mayHaveBeenSent: boolean;
+	endedBy?: 'connection';
 };
 
 const startServer = async (
@@ -56,8 +57,8 @@
 				onData(bytes) {
 					seen.body += new TextDecoder().decode(bytes);
 				},
-				onEnd() {
-					resolve({...seen, end: 'complete'});
+				onEnd(endedBy) {
+					resolve({...seen, end: 'complete', endedBy});
 				},
 				onFailure({mayHaveBeenSent}) {
 					resolve({...seen, end: 'failed', mayHaveBeenSent});
@@ -80,7 +81,8 @@
 	const server = await startServer(t, (socket) => socket.write(wholeAnswer));
 	const pool = createPool(t);
 	for (let count = 0; count < 3; count++) {
-		t.match(await sendRequest(pool, server.address), {status: 200, body: 'body', end: 'complete'});
+		const result = await sendRequest(pool, server.address);
+		t.match(result, {status: 200, body: 'body', end: 'complete', endedBy: undefined});
 	}
 
 	t.equal(server.connections(), 1);
@@ -104,7 +106,8 @@
 	const server = await startServer(t, (socket) => {
 		socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbody');
 	});
-	t.match(await sendRequest(createPool(t), server.address), {body: 'body', end: 'complete'});
+	const result = await sendRequest(createPool(t), server.address);
+	t.match(result, {body: 'body', end: 'complete', endedBy: 'connection'});
 });
 
 tap.t.test('a reset fails an answer without a length', async (t) => {
