Log the rate limits that upstreams name

The logs could not show what limit an upstream named and when each daemon knew it. The adapter decodes the header, and upstream-limit is written at each change. No decision uses the limit yet.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -209,10 +209,15 @@
 	};
 
 	const onHead = (status: number, headers: wireFormat.Headers) => {
+		const answer = wire.readAnswer(status, headers);
+		if (answer.isSigned || answer.requestsPerS !== undefined) {
+			account?.noteRateLimit(answer.requestsPerS);
+		}
+
 		const classification = answerClassifier.classifyAnswer(
 			status,
 			headers,
-			wire.readAnswer(status, headers),
+			answer,
 			request.facts.attemptId,
 			options.canRetry() && !options.isResumption(),
 		);
--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -10,6 +10,7 @@
 import type * as loadSettings from './load-settings.js';
 import * as promptCacheView from './prompt-cache-view.js';
 import * as routeConfig from './route-config.js';
+import type * as upstreamRateLimits from './upstream-rate-limits.js';
 import type * as upstreamRegistry from './upstream-registry.js';
 import type * as workEstimate from './work-estimate.js';
 
@@ -66,6 +67,8 @@
 	/** Another upstream now uses the address. */
 	noteReplaced(): void;
 	noteEvent(): void;
+	/** An answer of the upstream named a rate limit, or none. */
+	noteRateLimit(requestsPerS: number | undefined): void;
 	end(): void;
 };
 
@@ -100,6 +103,7 @@
 	regions: readonly string[];
 	registry: upstreamRegistry.UpstreamRegistry;
 	fleet: fleetView.FleetView;
+	rateLimits: upstreamRateLimits.UpstreamRateLimits;
 	/** Failure domains to which nothing may be sent. */
 	isEvacuated(failureDomain: string): boolean;
 	/** Uniform in [0, 1). */
@@ -461,6 +465,7 @@
 			}
 
 			cache.noteSent(id, request.work.sharedParts);
+			const sentAtMs = nowMs();
 			const item = loads.of(id).add(request.work, readTokens, basis.expectedMs);
 			return {
 				noteFirstEvent() {
@@ -478,6 +483,9 @@
 				noteEvent() {
 					item.noteEvent();
 				},
+				noteRateLimit(requestsPerS) {
+					options.rateLimits.noteAnswer(id, requestsPerS, sentAtMs);
+				},
 				end() {
 					item.end();
 				},
@@ -503,6 +511,7 @@
 			failureRecords.delete(upstreamId);
 			cache.forget(upstreamId);
 			coldLimiter.forget(upstreamId);
+			options.rateLimits.forget(upstreamId);
 		},
 	};
 };
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -136,6 +136,13 @@
 			coldMs: number;
 			revision: number;
 	  }
+	| {
+			kind: 'upstream-limit';
+			upstream: string;
+			/** Requests a second of all daemons together; undefined when it no longer names a limit. */
+			requestsPerS: number | undefined;
+			source: string;
+	  }
 	| {
 			kind: 'upstream-crashed';
 			upstream: string;
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -14,6 +14,7 @@
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
+import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as storeReachability from '../common/store-reachability.js';
 import * as storeWatcherElection from '../common/store-watcher-election.js';
@@ -101,6 +102,7 @@
 			random: random.next,
 		}),
 	);
+	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
 	const dispatch = dispatcher.createDispatcher({
 		clock,
 		settings: current.decisions,
@@ -110,6 +112,7 @@
 		regions,
 		registry,
 		fleet,
+		rateLimits,
 		isEvacuated: cluster.isEvacuated,
 		random: random.next,
 	});
@@ -275,6 +278,11 @@
 			}
 		}),
 	);
+	disposables.add(
+		rateLimits.onDidChange(({upstreamId, requestsPerS, source}) => {
+			log.note({kind: 'upstream-limit', upstream: upstreamId, requestsPerS, source});
+		}),
+	);
 	const storedQuarantine = disposables.add(
 		quarantineStore.startQuarantineStore({
 			clock,
--- a/packages/gateway/src/test/crash-fleet.ts
+++ b/packages/gateway/src/test/crash-fleet.ts
@@ -11,6 +11,7 @@
 import type * as routeConfig from '../common/route-config.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
+import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 import * as fakeTransport from './fake-transport.js';
@@ -205,6 +206,7 @@
 			regions: ['north', 'south'],
 			registry,
 			fleet,
+			rateLimits: upstreamRateLimits.createUpstreamRateLimits(clock),
 			isEvacuated: () => false,
 			random: random.createRandom(name.codePointAt(1)!).next,
 		}),
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -117,6 +117,7 @@
 			attemptId: headers.attempt as string | undefined,
 			isSigned: headers.signed !== undefined,
 			isEncoded: headers.encoded !== undefined,
+			requestsPerS: headers.limit === undefined ? undefined : Number(headers.limit),
 		};
 	}
 
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -11,6 +11,7 @@
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import type * as routeConfig from '../common/route-config.js';
 import type * as upstreamEntry from '../common/upstream-entry.js';
+import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
@@ -161,6 +162,7 @@
 	});
 	const fleet = fleetView.createFleetView(clock, daemonName);
 	const evacuated = new Set<string>();
+	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
 	const subject = dispatcher.createDispatcher({
 		clock,
 		settings,
@@ -170,10 +172,11 @@
 		regions: ['north', 'south'],
 		registry,
 		fleet,
+		rateLimits,
 		isEvacuated: (name) => evacuated.has(name),
 		random: random.createRandom(7).next,
 	});
-	return {clock, registry, fleet, evacuated, subject};
+	return {clock, registry, fleet, evacuated, rateLimits, subject};
 };
 
 /** Creates the dispatcher's input for one request. */
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -11,6 +11,7 @@
 import * as fleetView from '@hawthornfront/gateway/common/fleet-view.js';
 import * as loadSettings from '@hawthornfront/gateway/common/load-settings.js';
 import type * as routeConfig from '@hawthornfront/gateway/common/route-config.js';
+import * as upstreamRateLimits from '@hawthornfront/gateway/common/upstream-rate-limits.js';
 import * as upstreamRegistry from '@hawthornfront/gateway/common/upstream-registry.js';
 import * as workEstimate from '@hawthornfront/gateway/common/work-estimate.js';
 import * as engineModel from './engine-model.js';
@@ -177,6 +178,7 @@
 				regions: [region],
 				registry,
 				fleet: fleetView.createFleetView(clock, name),
+				rateLimits: upstreamRateLimits.createUpstreamRateLimits(clock),
 				isEvacuated: () => false,
 				random: numbers.fork().next,
 			});
