--- a/packages/gateway/src/test/crashing-prompts.test.ts
+++ b/packages/gateway/src/test/crashing-prompts.test.ts
@@ -1,7 +1,7 @@
 // Prompts with one part crashed runner after runner, because no crash was compared with the prompts of the requests in progress.
 import * as tap from 'tap';
 import type * as routeConfig from '../common/route-config.js';
-import * as crashFleet from './crash-fleet.js';
+import * as runnerFleet from './runner-fleet.js';
 import * as fixtures from './fixtures.js';
 
 /** Time after the fifth crash within which all daemons must know the harmful part. */
@@ -11,18 +11,18 @@
 const quietMs = 5000;
 const harmMs = 25_000;
 
-type Sent = ReturnType<ReturnType<typeof crashFleet.startCrashFleet>['send']>;
+type Sent = ReturnType<ReturnType<typeof runnerFleet.startRunnerFleet>['send']>;
 
 /** Sound requests of one caller, and after a while one in 20 with a harmful part beside them. */
 const playDay = async (route: routeConfig.Route) => {
-	const fleet = crashFleet.startCrashFleet();
+	const fleet = runnerFleet.startRunnerFleet();
 	const {clock, send} = fleet;
 	const sound: Sent[] = [];
 	const harmful: Sent[] = [];
 	for (let step = 0; clock.nowMs() < quietMs + harmMs; step++) {
 		sound.push(send(route, ['caller', `topic-${step % 40}`]));
 		if (clock.nowMs() >= quietMs && step % 20 === 0) {
-			harmful.push(send(route, ['caller', `topic-${step % 40}`, crashFleet.harmfulPart]));
+			harmful.push(send(route, ['caller', `topic-${step % 40}`, runnerFleet.harmfulPart]));
 		}
 
 		await clock.advance(50);
--- a/packages/gateway/src/test/crash-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -1,6 +1,7 @@
 /**
  * Daemons of two regions in front of runners that crash when they begin an answer to a
- * prompt with a harmful part. Runs on a manual clock, without a network.
+ * prompt with a harmful part, and that may name a rate limit. Runs on a manual clock,
+ * without a network.
  */
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
@@ -14,6 +15,7 @@
 import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
+import type * as wireFormat from '../common/wire-format.js';
 import * as fakeTransport from './fake-transport.js';
 import * as fixtures from './fixtures.js';
 import * as memoryFleet from './memory-fleet.js';
@@ -29,12 +31,33 @@
 const entryExpiryMs = 3200;
 const replacementMs = 400;
 
-type Run = {attemptId: string; listener: upstreamTransport.TransportListener; isOver: boolean};
+type Run = {
+	attemptId: string;
+	daemon: string;
+	listener: upstreamTransport.TransportListener;
+	isOver: boolean;
+};
 
-type Runner = {id: string; failureDomain: string; address: string; runs: Set<Run>; isUp: boolean};
+type Runner = {
+	id: string;
+	failureDomain: string;
+	address: string;
+	runs: Set<Run>;
+	isUp: boolean;
+	/** Rate limit that it names in its answers. */
+	requestsPerS?: number;
+	/** When each daemon first got an answer with a limit. */
+	toldAtMs: Map<string, number>;
+};
 
 /** A request that reached a runner. */
-export type Arrival = {atMs: number; attemptId: string; isHarmful: boolean; runner: string};
+export type Arrival = {
+	atMs: number;
+	attemptId: string;
+	isHarmful: boolean;
+	runner: string;
+	daemon: string;
+};
 
 type Prompt = {attemptId: string; parts: string[]};
 
@@ -45,7 +68,7 @@
 	JSON.parse(new TextDecoder().decode(bytes)) as Prompt;
 
 /** Runners of all regions; daemons reach them by address. */
-class RunnerPool extends upstreamTransport.UpstreamTransport {
+class RunnerPool {
 	readonly arrivals: Arrival[] = [];
 	readonly crashedAtMs: number[] = [];
 	/** Attempts whose answer has begun. */
@@ -57,10 +80,13 @@
 	#started = 0;
 
 	constructor(clock: manualClock.ManualClock) {
-		super();
 		this.#clock = clock;
 	}
 
+	runner(id: string): Runner {
+		return [...this.#runners.values()].find((runner) => runner.id === id)!;
+	}
+
 	start(failureDomain: string): void {
 		this.#started++;
 		const runner: Runner = {
@@ -69,18 +95,20 @@
 			address: `10.0.0.1:${4000 + this.#started}`,
 			runs: new Set(),
 			isUp: true,
+			toldAtMs: new Map(),
 		};
 		this.#runners.set(runner.address, runner);
 		this.onDidRegister(runner);
 	}
 
-	override send(
+	send(
+		daemon: string,
 		request: upstreamTransport.TransportRequest,
 		listener: upstreamTransport.TransportListener,
 	): upstreamTransport.Exchange {
 		const runner = this.#runners.get(request.address);
 		const prompt = decodePrompt(request.body!);
-		const run: Run = {attemptId: prompt.attemptId, listener, isOver: false};
+		const run: Run = {attemptId: prompt.attemptId, daemon, listener, isOver: false};
 		if (runner?.isUp) {
 			this.#begin(runner, run, prompt.parts.includes(harmfulPart));
 		} else {
@@ -99,7 +127,7 @@
 		};
 	}
 
-	override probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
+	probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
 		const isUp = this.#runners.get(address)?.isUp ?? false;
 		this.#clock.setTimer(() => {
 			callback(isUp ? 'open' : 'refused');
@@ -121,11 +149,12 @@
 			attemptId: run.attemptId,
 			isHarmful,
 			runner: runner.id,
+			daemon: run.daemon,
 		});
 		run.listener.onSent();
 		this.#after(prefillMs, run, () => {
 			this.begun.add(run.attemptId);
-			run.listener.onHead(200, {signed: '1'});
+			run.listener.onHead(200, this.#answerHeaders(runner, run));
 			if (isHarmful) {
 				this.#after(crashAfterMs, run, () => {
 					this.#crash(runner);
@@ -136,6 +165,18 @@
 		});
 	}
 
+	#answerHeaders({requestsPerS, toldAtMs}: Runner, {daemon}: Run): wireFormat.Headers {
+		if (requestsPerS === undefined) {
+			return {signed: '1'};
+		}
+
+		if (!toldAtMs.has(daemon)) {
+			toldAtMs.set(daemon, this.#clock.nowMs());
+		}
+
+		return {signed: '1', limit: String(requestsPerS)};
+	}
+
 	#writeEvent(runner: Runner, run: Run, index: number): void {
 		this.#after(eventIntervalMs, run, () => {
 			run.listener.onData(new TextEncoder().encode(`id: ${index}\ndata: x\n\n`));
@@ -166,7 +207,30 @@
 	}
 }
 
-type CrashDaemon = {
+/** The way of one daemon to the runners. */
+class DaemonTransport extends upstreamTransport.UpstreamTransport {
+	readonly #daemon: string;
+	readonly #runners: RunnerPool;
+
+	constructor(daemon: string, runners: RunnerPool) {
+		super();
+		this.#daemon = daemon;
+		this.#runners = runners;
+	}
+
+	override send(
+		request: upstreamTransport.TransportRequest,
+		listener: upstreamTransport.TransportListener,
+	): upstreamTransport.Exchange {
+		return this.#runners.send(this.#daemon, request, listener);
+	}
+
+	override probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
+		this.#runners.probe(address, callback);
+	}
+}
+
+type FleetDaemon = {
 	registry: upstreamRegistry.UpstreamRegistry;
 	engine: requestEngine.RequestEngine;
 	events: gatewayEvent.GatewayEvent[];
@@ -175,12 +239,13 @@
 
 const startDaemon = (
 	clock: manualClock.ManualClock,
-	transport: RunnerPool,
+	runners: RunnerPool,
 	name: string,
 	failureDomain: string,
 	network: memoryFleet.Network,
-): CrashDaemon => {
+): FleetDaemon => {
 	const region = fixtures.regionByDomain[failureDomain]!;
+	const transport = new DaemonTransport(name, runners);
 	const events: gatewayEvent.GatewayEvent[] = [];
 	const log: gatewayEvent.EventLog = {
 		note(event) {
@@ -226,14 +291,15 @@
 	return {registry, engine, events, quarantine};
 };
 
-/** Starts four daemons and six runners. */
-export const startCrashFleet = () => {
+/** Starts five daemons and six runners: `r1` to `r3` in the region north of three daemons. */
+export const startRunnerFleet = () => {
 	const clock = new manualClock.ManualClock();
 	const runners = new RunnerPool(clock);
 	const network = new memoryFleet.Network();
 	const daemons = [
 		startDaemon(clock, runners, 'n1', 'north-a', network),
 		startDaemon(clock, runners, 'n2', 'north-a', network),
+		startDaemon(clock, runners, 'n3', 'north-a', network),
 		startDaemon(clock, runners, 's1', 'south-a', network),
 		startDaemon(clock, runners, 's2', 'south-a', network),
 	];
