Share the rate limits that upstreams name between daemons

An upstream in need that named a rate for all daemons together got its usual load: 80 requests in 4 s where 20 were allowed, 38 of them first sends of one daemon. Ruled out: resends. Keeping the limit at each daemon alone would still exceed it, times the daemons of the region.

Daemons now learn the limit from answers and from reports of their region, and rendezvous hashing gives shares of at least one request a second to some of them; the others send elsewhere. An answer to a later request without the limit ends it.

All tests pass.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -9,6 +9,7 @@
 import * as loadTable from './load-table.js';
 import type * as loadSettings from './load-settings.js';
 import * as promptCacheView from './prompt-cache-view.js';
+import * as rateLimitShares from './rate-limit-shares.js';
 import * as routeConfig from './route-config.js';
 import type * as upstreamRateLimits from './upstream-rate-limits.js';
 import type * as upstreamRegistry from './upstream-registry.js';
@@ -148,16 +149,25 @@
 
 /** Creates a dispatcher without any load. */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {clock, settings, registry, fleet} = options;
+	const {clock, settings, registry, fleet, rateLimits} = options;
 	let decisionMs: number | undefined;
 	const nowMs = () => decisionMs ?? clock.nowMs();
 	const loads = loadTable.createLoadTable(nowMs, settings, registry);
 	const failureRecords = new Map<string, failureRecord.FailureRecord>();
 	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
+	const regionMembers = () => [
+		options.daemonName,
+		...fleet.aliveIn(options.localRegion).map((member) => member.name),
+	];
 	const coldLimiter = coldUpstreamLimiter.createColdUpstreamLimiter(
 		nowMs,
 		options.daemonName,
-		() => [options.daemonName, ...fleet.aliveIn(options.localRegion).map((member) => member.name)],
+		regionMembers,
+	);
+	const limitShares = rateLimitShares.createRateLimitShares(
+		nowMs,
+		options.daemonName,
+		regionMembers,
 	);
 
 	/** Reads the clock once for each decision, since a decision uses the time hundreds of times. */
@@ -189,13 +199,19 @@
 	const isUsable = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service): boolean =>
 		!failuresOf(upstream.entry.id).isSuspended(nowMs()) && mayBeSentTo(upstream, service);
 
-	/** Whether evacuation and cold limits allow a send, whatever the upstream's failures. */
+	const isWithinRateLimit = (upstreamId: string): boolean => {
+		const requestsPerS = rateLimits.limitOf(upstreamId);
+		return requestsPerS === undefined || limitShares.mayUse(upstreamId, requestsPerS);
+	};
+
+	/** Whether evacuation, cold limits and named limits allow a send, whatever the upstream's failures. */
 	const mayBeSentTo = (
 		upstream: upstreamRegistry.Upstream,
 		service: routeConfig.Service,
 	): boolean =>
 		!options.isEvacuated(upstream.entry.failureDomain) &&
-		(!isCold(upstream, service) || coldLimiter.mayUse(upstream.entry.id, service.coldRatePerS));
+		(!isCold(upstream, service) || coldLimiter.mayUse(upstream.entry.id, service.coldRatePerS)) &&
+		isWithinRateLimit(upstream.entry.id);
 
 	const sharedTokensOf = (work: workEstimate.WorkEstimate) =>
 		work.sharedParts.reduce((sum, part) => sum + part.tokens, 0);
@@ -464,6 +480,11 @@
 				coldLimiter.noteUse(id, request.service.coldRatePerS);
 			}
 
+			const requestsPerS = rateLimits.limitOf(id);
+			if (requestsPerS !== undefined) {
+				limitShares.noteUse(id, requestsPerS);
+			}
+
 			cache.noteSent(id, request.work.sharedParts);
 			const sentAtMs = nowMs();
 			const item = loads.of(id).add(request.work, readTokens, basis.expectedMs);
@@ -483,8 +504,8 @@
 				noteEvent() {
 					item.noteEvent();
 				},
-				noteRateLimit(requestsPerS) {
-					options.rateLimits.noteAnswer(id, requestsPerS, sentAtMs);
+				noteRateLimit(namedPerS) {
+					rateLimits.noteAnswer(id, namedPerS, sentAtMs);
 				},
 				end() {
 					item.end();
@@ -511,7 +532,8 @@
 			failureRecords.delete(upstreamId);
 			cache.forget(upstreamId);
 			coldLimiter.forget(upstreamId);
-			options.rateLimits.forget(upstreamId);
+			rateLimits.forget(upstreamId);
+			limitShares.forget(upstreamId);
 		},
 	};
 };
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -9,6 +9,7 @@
 import type * as promptCacheView from './prompt-cache-view.js';
 import type * as promptQuarantine from './prompt-quarantine.js';
 import type * as upstreamLoad from './upstream-load.js';
+import type * as upstreamRateLimits from './upstream-rate-limits.js';
 import * as storeWatcherElection from './store-watcher-election.js';
 
 export const memberRecordSchema = zod.object({
@@ -55,7 +56,7 @@
 ]);
 
 /** Version of the layout of a message. */
-const messageVersion = 4;
+const messageVersion = 5;
 /** Unit of the ages of heartbeats, coarse so that they take one byte. */
 const heartbeatUnitMs = 50;
 
@@ -95,6 +96,8 @@
 			zod.array(zod.tuple([zod.number(), zod.number(), zod.number(), zod.boolean()])),
 		]),
 	),
+	/** Upstream id, requests a second (null: no limit any more), age. */
+	zod.array(zod.tuple([zod.string(), zod.number().nullable(), zod.number()])),
 ]);
 
 export type GossipMessage = {
@@ -122,6 +125,8 @@
 	heartbeats: Heartbeat[];
 	/** Prompt parts that may crash upstreams. */
 	partReports: promptQuarantine.PartReport[];
+	/** Rate limits that upstreams of the sender's region name. */
+	rateLimits: upstreamRateLimits.RateLimitReport[];
 };
 
 export type Heartbeat = {memberId: number; ageMs: number};
@@ -205,12 +210,27 @@
 				crash.wasAnswering,
 			]),
 		]),
+		message.rateLimits.map(({upstreamId, requestsPerS, ageMs}) => [
+			upstreamId,
+			requestsPerS ?? null,
+			Math.round(ageMs),
+		]),
 	]);
 
 /** Unpacks a datagram. @throws Error for bytes that are no message of this version */
 export const decodeGossip = (bytes: Uint8Array): GossipMessage => {
-	const [, sender, others, loads, outlooks, promptPrefixes, isRelayed, heartbeats, partReports] =
-		messageSchema.parse(msgpackr.unpack(bytes));
+	const [
+		,
+		sender,
+		others,
+		loads,
+		outlooks,
+		promptPrefixes,
+		isRelayed,
+		heartbeats,
+		partReports,
+		rateLimits,
+	] = messageSchema.parse(msgpackr.unpack(bytes));
 	return {
 		sender: unpackMember(sender),
 		others: others.map(([record, ageMs]) => ({record: unpackMember(record), ageMs})),
@@ -248,5 +268,10 @@
 				wasAnswering,
 			})),
 		})),
+		rateLimits: rateLimits.map(([upstreamId, requestsPerS, ageMs]) => ({
+			upstreamId,
+			requestsPerS: requestsPerS ?? undefined,
+			ageMs,
+		})),
 	};
 };
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -228,12 +228,20 @@
 			remoteExpectedWaits,
 			takePromptPrefixes: dispatch.takeSentPromptPrefixes,
 			takePartReports: quarantine.takeReports,
+			takeRateLimits: rateLimits.takeReports,
 			onMessage(message) {
 				for (const report of message.partReports) {
 					quarantine.merge(report, message.sender.name);
 				}
 
 				dispatch.notePeerPromptPrefixes(message.promptPrefixes);
+				for (const report of message.rateLimits) {
+					// Only daemons of its region send to an upstream.
+					if (registry.get(report.upstreamId)?.region === vm.region) {
+						rateLimits.merge(report, message.sender.name);
+					}
+				}
+
 				fleet.noteMember(message.sender, 0);
 				for (const {record, ageMs} of message.others) {
 					fleet.noteMember(record, ageMs);
@@ -274,13 +282,16 @@
 
 			// Relays pass on what others report.
 			if (isOwn || gossip.isRelay()) {
-				gossip.sendPartReports();
+				gossip.sendReports();
 			}
 		}),
 	);
 	disposables.add(
 		rateLimits.onDidChange(({upstreamId, requestsPerS, source}) => {
 			log.note({kind: 'upstream-limit', upstream: upstreamId, requestsPerS, source});
+			if (source === upstreamRateLimits.ownSource || gossip.isRelay()) {
+				gossip.sendReports();
+			}
 		}),
 	);
 	const storedQuarantine = disposables.add(
@@ -452,6 +463,7 @@
 			outlooks: [...localExpectedWaits(), ...remoteExpectedWaits()],
 			loads: dispatch.localLoads(),
 			quarantine: quarantine.quarantineReports(),
+			rateLimits: rateLimits.takeReports(),
 			inFlight: inFlight(),
 		}),
 		async stop() {
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -11,6 +11,7 @@
 import type * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as relayElection from '../common/relay-election.js';
 import type * as upstreamLoad from '../common/upstream-load.js';
+import type * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 
 /** Ticks between messages to other regions. */
 const otherRegionEveryTicks = 2;
@@ -24,16 +25,16 @@
 const seedShare = 0.1;
 /** Ticks between messages to the relays that list other members. */
 const membersEveryTicks = 2;
-/** Delay that collects changed reports on prompt parts in one message. */
-const partReportDelayMs = 20;
+/** Delay that collects changed reports in one message. */
+const reportDelayMs = 20;
 
 export type GossipNode = disposable.Disposable & {
 	/** Announces the planned stop to all members immediately. */
 	announceStop(): void;
 	/** Sends a message to all of this failure domain without waiting for the next tick. */
 	sendToDomain(): void;
-	/** Sends reports on prompt parts that have changed, without waiting for the next tick. */
-	sendPartReports(): void;
+	/** Sends changed reports on prompt parts and rate limits, without waiting for the next tick. */
+	sendReports(): void;
 	/** Whether this daemon was a relay of its failure domain at the last tick. */
 	isRelay(): boolean;
 };
@@ -61,6 +62,8 @@
 	takePromptPrefixes(): promptCacheView.SentPromptPrefix[];
 	/** Reports on prompt parts for the next message. */
 	takePartReports(): promptQuarantine.PartReport[];
+	/** Rate limits of upstreams of this region for the next message. */
+	takeRateLimits(): upstreamRateLimits.RateLimitReport[];
 	onMessage(message: gossipMessage.GossipMessage): void;
 };
 
@@ -74,7 +77,7 @@
 	const store = disposable.createDisposableStore();
 	let tick = 0;
 	let isRelay = false;
-	let partReportTimer: disposable.Disposable | undefined;
+	let reportTimer: disposable.Disposable | undefined;
 	/** Prompt prefixes of this failure domain that this relay has not sent to other ones. */
 	const domainPrefixes: promptCacheView.SentPromptPrefix[] = [];
 	/** Prompt prefixes that this relay has not sent within its failure domain. */
@@ -149,6 +152,7 @@
 			promptPrefixes: [],
 			isRelayed: false,
 			partReports: options.takePartReports(),
+			rateLimits: options.takeRateLimits(),
 			...content,
 		});
 	};
@@ -240,7 +244,7 @@
 	};
 
 	/** The relays of this failure domain and one of each other one, and for a relay its failure domain. */
-	const sendPartReports = () => {
+	const sendReports = () => {
 		const self = options.self();
 		const targets = new Map<string, gossipMessage.MemberRecord>();
 		const peers = [
@@ -258,11 +262,11 @@
 	};
 
 	/** Sends once for changes that come together. */
-	const scheduleSendOfPartReports = () => {
-		partReportTimer ??= clock.setTimer(() => {
-			partReportTimer = undefined;
-			sendPartReports();
-		}, partReportDelayMs);
+	const scheduleReports = () => {
+		reportTimer ??= clock.setTimer(() => {
+			reportTimer = undefined;
+			sendReports();
+		}, reportDelayMs);
 	};
 
 	/** Seeds let a daemon find its first peers, and reconnect the two sides after a network partition. */
@@ -323,7 +327,7 @@
 	sendAll();
 	return {
 		sendToDomain: sendWithinDomain,
-		sendPartReports: scheduleSendOfPartReports,
+		sendReports: scheduleReports,
 		isRelay: () => isRelay,
 		announceStop() {
 			fleet.noteLocalStop();
@@ -333,7 +337,7 @@
 			}
 		},
 		dispose() {
-			partReportTimer?.dispose();
+			reportTimer?.dispose();
 			store.dispose();
 		},
 	};
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -116,6 +116,10 @@
 				crashes: [{upstreamKey: 7, ageMs: 20, sentBeforeMs: 300, wasAnswering: true}],
 			},
 		],
+		rateLimits: [
+			{upstreamId: 'u1', requestsPerS: 2.5, ageMs: 30},
+			{upstreamId: 'u2', requestsPerS: undefined, ageMs: 40},
+		],
 	};
 	t.same(gossipMessage.decodeGossip(gossipMessage.encodeGossip(message)), message);
 	const withoutLoads = {...message, loads: undefined};
--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -6,6 +6,7 @@
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as gossipNode from '../node/gossip-node.js';
 import * as fixtures from './fixtures.js';
 
@@ -69,6 +70,7 @@
 		clock,
 		() => fixtures.quarantineSettings,
 	);
+	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
 	const socket = new MemorySocket(network, record.peerAddress);
 	const node = gossipNode.startGossip({
 		clock,
@@ -86,7 +88,12 @@
 		remoteExpectedWaits: () => [],
 		takePromptPrefixes: () => pendingPromptPrefixes.splice(0),
 		takePartReports: quarantine.takeReports,
+		takeRateLimits: rateLimits.takeReports,
 		onMessage(message) {
+			for (const report of message.rateLimits) {
+				rateLimits.merge(report, message.sender.name);
+			}
+
 			for (const report of message.partReports) {
 				quarantine.merge(report, message.sender.name);
 			}
@@ -102,12 +109,13 @@
 	});
 	quarantine.onDidChange(({source}) => {
 		if (source === promptQuarantine.ownSource || node.isRelay()) {
-			node.sendPartReports();
+			node.sendReports();
 		}
 	});
 	return {
 		fleet,
 		quarantine,
+		rateLimits,
 		receivedMessages,
 		pendingPromptPrefixes,
 		state,
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -12,7 +12,6 @@
 import type * as routeConfig from '../common/route-config.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
-import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
@@ -253,7 +252,10 @@
 		},
 	};
 	const record = fixtures.member(name, {region, failureDomain});
-	const {fleet, quarantine} = memoryFleet.startNode(clock, network, record, ['n1:90', 's1:90']);
+	const {fleet, quarantine, rateLimits} = memoryFleet.startNode(clock, network, record, [
+		'n1:90',
+		's1:90',
+	]);
 	const registry = upstreamRegistry.createUpstreamRegistry(
 		clock,
 		(domain) => fixtures.regionByDomain[domain],
@@ -271,7 +273,7 @@
 			regions: ['north', 'south'],
 			registry,
 			fleet,
-			rateLimits: upstreamRateLimits.createUpstreamRateLimits(clock),
+			rateLimits,
 			isEvacuated: () => false,
 			random: random.createRandom(name.codePointAt(1)!).next,
 		}),
