--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -40,16 +40,24 @@
 	store: prefixStore.PrefixStore;
 	prefix: string;
 	watchWaitMs: number;
+	/** Lists may be some seconds old, which costs the store less; the watch continues from their revision. */
+	mayListStale?: boolean;
+	/** Whether it follows the prefix at first; it does by default. */
+	isFollowing?: boolean;
 	random(): number;
 	handler: StoreFeedHandler;
 }): StoreFeed => {
 	const {clock, store, prefix, handler} = options;
 	const abort = new AbortController();
 	let watchAbort = new AbortController();
-	const followState = {isFollowing: true, resume: (): void => undefined};
+	const followState = {
+		isFollowing: options.isFollowing ?? true,
+		resume: (): void => undefined,
+	};
 	let lostAtMs: number | undefined;
 	let contact: storeWatcherElection.StoreContact = 'none';
 	let retries = 0;
+	let mayListStale = options.mayListStale ?? false;
 
 	const setContact = (next: storeWatcherElection.StoreContact) => {
 		if (next !== contact) {
@@ -83,7 +91,8 @@
 	};
 
 	const follow = async (): Promise<void> => {
-		const listing = await store.list(prefix, false, abort.signal);
+		const listing = await store.list(prefix, mayListStale, abort.signal);
+		mayListStale = options.mayListStale ?? false;
 		noteResponse(listing.revision);
 		handler.onListing(listing);
 		let {revision} = listing;
@@ -97,6 +106,8 @@
 			);
 			if (changes.kind === 'history-lost') {
 				handler.onHistoryLost(revision);
+				// An old listing would end before the history begins again.
+				mayListStale = false;
 				return;
 			}
 
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -62,6 +62,8 @@
 const housekeepingIntervalMs = 1000;
 /** Time to deliver the responses that are written when the grace period is over. */
 const finalResponsesMs = 100;
+/** Quarantined prompt parts reach the other daemons by gossip too, so one reader is enough. */
+const quarantineReadersPerFailureDomain = 1;
 /** Interval between decisions on whether this daemon watches the store. */
 const watchDecisionIntervalMs = 500;
 
@@ -300,7 +302,6 @@
 			random: random.next,
 			store: options.store,
 			prefix: options.layout.quarantinePrefix,
-			watchWaitMs: current.store.watchWaitMs,
 			quarantine,
 			log,
 			daemonName: vm.name,
@@ -337,6 +338,13 @@
 		failureDomain: vm.failureDomain,
 		watchers: current.store.watchersPerFailureDomain,
 	});
+	const quarantineReaderElection = storeWatcherElection.createStoreWatcherElection({
+		nowMs,
+		daemonName: vm.name,
+		capacity: vm.processorShare,
+		failureDomain: vm.failureDomain,
+		watchers: quarantineReadersPerFailureDomain,
+	});
 	const updateWatch = () => {
 		const alive = fleet.alive();
 		reachability.setReachedByPeers(alive.some(({storeContact}) => storeContact === 'reached'));
@@ -350,10 +358,12 @@
 			}));
 		const behindMs = catchUp.behindMs();
 		const next = watcherElection.update(domainPeers, behindMs) || !cluster.isComplete;
+		// The other feeds find out whether the store responds.
+		const canRead = next && cluster.storeContact === 'reached';
+		storedQuarantine.setWatching(canRead && quarantineReaderElection.update(domainPeers, behindMs));
 		if (next !== isWatching) {
 			isWatching = next;
 			cluster.setWatching(next);
-			storedQuarantine.setWatching(next);
 			log.note({kind: 'store-watch', isWatching, peers: domainPeers.length, behindMs});
 		}
 	};
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -17,8 +17,11 @@
 /** Source of the evidence in the log. */
 const storeSource = 'store';
 const checkIntervalMs = 500;
+/** Longest wait of one watch that the store allows, since changes are rare. */
+const watchWaitMs = 30_000;
+const firstReadRetryMs = 1000;
 /** Delay of each further daemon that may write a part, in which the write of an earlier one becomes visible. */
-const turnMs = 2000;
+const turnMs = 1000;
 /** Stored parts outlive their quarantine by this time, so that a crash after it counts as a repetition. */
 const leaseMarginMs = 60_000;
 /** Longest lease of the store. */
@@ -47,7 +50,7 @@
 type StoredState = number;
 
 export type QuarantineStore = disposable.Disposable & {
-	/** Starts or stops watching the store. */
+	/** Starts or stops watching the store; at first, it is only read once. */
 	setWatching(isWatching: boolean): void;
 };
 
@@ -56,7 +59,6 @@
 	random(): number;
 	store: prefixStore.PrefixStore;
 	prefix: string;
-	watchWaitMs: number;
 	quarantine: promptQuarantine.PromptQuarantine;
 	log: gatewayEvent.EventLog;
 	daemonName: string;
@@ -123,7 +125,9 @@
 			clock,
 			store,
 			prefix,
-			watchWaitMs: options.watchWaitMs,
+			watchWaitMs,
+			mayListStale: true,
+			isFollowing: false,
 			random: options.random,
 			handler: {
 				onListing({items}) {
@@ -147,6 +151,23 @@
 		}),
 	);
 
+	/** Reads the parts once, also in a daemon that will not watch the store. */
+	const readOnce = async () => {
+		while (!disposables.isDisposed && feed.contact === 'none') {
+			try {
+				const {items} = await store.list(prefix, true);
+				for (const {key, value, revision} of items) {
+					apply(key, value, revision);
+				}
+
+				return;
+			} catch (error) {
+				noteError(error);
+				await clock.sleep(firstReadRetryMs * (0.5 + options.random()));
+			}
+		}
+	};
+
 	/** Position of this daemon in the order of those that may write a part. */
 	const turnOf = (key: string): number =>
 		hash
@@ -165,7 +186,9 @@
 
 	const save = async (key: string, report: promptQuarantine.QuarantineReport) => {
 		const {remainingMs, isHarmful, ...rest} = report;
-		const lease = await store.grantLease(Math.min(maxLeaseMs, remainingMs + leaseMarginMs));
+		const lease = await store.grantLease(
+			Math.min(maxLeaseMs, Math.ceil(remainingMs) + leaseMarginMs),
+		);
 		await store.putLeased(key, encode(rest), lease);
 		storedStates.set(key, isHarmful ? report.quarantines : 0);
 		unsavedSinceMs.delete(key);
@@ -208,6 +231,7 @@
 				});
 		}, checkIntervalMs),
 	);
+	void readOnce();
 	return {
 		setWatching(isWatching) {
 			feed.setFollowing(isWatching);
--- a/packages/gateway/src/test/quarantine-store.test.ts
+++ b/packages/gateway/src/test/quarantine-store.test.ts
@@ -16,6 +16,7 @@
 	store: memoryStore.MemoryPrefixStore,
 	daemonName: string,
 	otherWatchers: string[] = [],
+	isWatching = true,
 ) => {
 	const events: gatewayEvent.GatewayEvent[] = [];
 	const quarantine = promptQuarantine.createPromptQuarantine(
@@ -27,7 +28,6 @@
 		random: () => 0.5,
 		store,
 		prefix: 'hf/quarantine/',
-		watchWaitMs: 5000,
 		quarantine,
 		log: {
 			note(event) {
@@ -37,6 +37,7 @@
 		daemonName,
 		otherWatchers: () => otherWatchers,
 	});
+	subject.setWatching(isWatching);
 	const crashTwice = () => {
 		for (const upstreamKey of [1, 2]) {
 			const facts = {upstreamKey, sentBeforeMs: 300, wasAnswering: true};
@@ -73,6 +74,29 @@
 	second.subject.dispose();
 });
 
+tap.t.test(
+	'a daemon that does not watch the store reads it once, also after an outage',
+	async (t) => {
+		const {clock, store} = start();
+		const watcher = startDaemon(clock, store, 'n1');
+		await clock.advance(1000);
+		watcher.crashTwice();
+		await clock.advance(2000);
+		watcher.subject.dispose();
+		store.isUnavailable = true;
+		const reader = startDaemon(clock, store, 'n2', [], false);
+		await clock.advance(3000);
+		t.notOk(reader.isRefused());
+		store.isUnavailable = false;
+		await clock.advance(2000);
+		t.ok(reader.isRefused());
+		const {calls} = store;
+		await clock.advance(20_000);
+		t.equal(store.calls, calls, 'no further calls');
+		reader.subject.dispose();
+	},
+);
+
 tap.t.test('one of several daemons writes, another one if it does not', async (t) => {
 	const {clock, store} = start();
 	const daemons = ['n1', 'n2'].map((name, index, names) =>
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -6,6 +6,8 @@
 
 class ManualStore extends prefixStore.PrefixStore {
 	listCalls = 0;
+	/** Whether each listing may be old. */
+	readonly staleLists: boolean[] = [];
 	isUnavailable = false;
 	listing: prefixStore.StoreListing = {items: [], revision: 1};
 	readonly #waiting: Array<{
@@ -13,8 +15,9 @@
 		reject(error: Error): void;
 	}> = [];
 
-	override async list(): Promise<prefixStore.StoreListing> {
+	override async list(_prefix: string, mayBeStale: boolean): Promise<prefixStore.StoreListing> {
 		this.listCalls++;
+		this.staleLists.push(mayBeStale);
 		if (this.isUnavailable) {
 			throw new Error('unavailable');
 		}
@@ -61,7 +64,7 @@
 	}
 }
 
-const start = async (t: tap.Test) => {
+const start = async (t: tap.Test, options: {mayListStale?: boolean} = {}) => {
 	const clock = new manualClock.ManualClock();
 	const store = new ManualStore();
 	const calls: string[] = [];
@@ -70,6 +73,7 @@
 		store,
 		prefix: 'p/',
 		watchWaitMs: 1000,
+		...options,
 		random: () => 0.5,
 		handler: {
 			onListing({revision}) {
@@ -130,6 +134,16 @@
 	t.same(calls, ['listing 1', 'history lost', 'listing 50']);
 });
 
+// Guards against a loop of old listings whose history the store has dropped.
+tap.t.test('the listing after a lost history is not an old one', async (t) => {
+	const {clock, store} = await start(t, {mayListStale: true});
+	store.answerWatch({kind: 'history-lost'});
+	await clock.advance(1);
+	store.answerWatch({kind: 'history-lost'});
+	await clock.advance(1);
+	t.same(store.staleLists, [true, false, false]);
+});
+
 tap.t.test('a prefix that is not followed causes no calls', async (t) => {
 	const {clock, store, calls, feed} = await start(t);
 	feed.setFollowing(false);
