Share named rate limits between more daemons

With shares of at least one request a second, a limit of 2.5 has two owners, and requests at the third daemon of the region cannot use it. Shares of half a request a second give it to all three. The bound holds: shares and their bursts add up to six times the limit in 4 s at most, where 1.5 times 4 s plus 5 are allowed (rate-limits.test.ts, also with lists of members that differ).

--- a/packages/gateway/src/common/rate-limit-shares.ts
+++ b/packages/gateway/src/common/rate-limit-shares.ts
@@ -15,7 +15,7 @@
 };
 
 /** Smallest share; a limit has no more shares than allow it. */
-const minSharePerS = 1;
+const minSharePerS = 0.5;
 /** Only the answers of an upstream show that its limit has ended, so it always gets a request now and then. */
 const minRatePerS = 0.2;
 const burstRequests = 1;
