Log the eras of the store

The logs of the restored store did not show on which side of a restore a revision stands. Each response names the era in a header; a daemon logs when it rises, and once each text that is no era. Listings and changes carry the era of their response; nothing decides by it yet.

--- a/packages/base/src/node/text-request.ts
+++ b/packages/base/src/node/text-request.ts
@@ -21,7 +21,7 @@
 	client: httpClient.HttpClient,
 	request: httpClient.HttpRequest,
 	limits: BodyLimits,
-): Promise<{status: number; text: string}> => {
+): Promise<{status: number; headers: Record<string, string>; text: string}> => {
 	const controller = new AbortController();
 	const {signal} = request;
 	const cancel = () => {
@@ -41,7 +41,8 @@
 		};
 
 		timer = pauseTolerantTimer.setPauseTolerantTimer(clock, onTimeout, limits.timeoutMs);
-		return {status: answer.status, text: await httpClient.readText(answer.body, limits.maxBytes)};
+		const text = await httpClient.readText(answer.body, limits.maxBytes);
+		return {status: answer.status, headers: answer.headers, text};
 	} finally {
 		timer?.dispose();
 		signal?.removeEventListener('abort', cancel);
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -176,6 +176,9 @@
 			isReachedByPeers: boolean;
 	  }
 	| {kind: 'store-lost'; feed: string; detail: string}
+	/** The store was restored from a copy since an earlier response. */
+	| {kind: 'store-era'; era: number; previous: number}
+	| {kind: 'store-era-ignored'; text: string; current: number | undefined}
 	| {kind: 'store-regained'; feed: string; awayMs: number; revision: number}
 	| {kind: 'store-history-lost'; feed: string; revision: number}
 	| {kind: 'member'; change: string; member: string; region: string; ageMs: number}
--- a/packages/gateway/src/common/prefix-store.ts
+++ b/packages/gateway/src/common/prefix-store.ts
@@ -1,5 +1,6 @@
 /** Access to the platform's store by key prefix. */
 import type * as routeConfig from './route-config.js';
+import * as storeEra from './store-era.js';
 import type * as upstreamEntry from './upstream-entry.js';
 
 export type StoreItem = {key: string; value: Uint8Array; revision: number};
@@ -8,15 +9,23 @@
 export type StoreEvent = {key: string; revision: number; value?: Uint8Array};
 
 /** All keys of a prefix, not necessarily a consistent snapshot, and the revision to watch from. */
-export type StoreListing = {items: StoreItem[]; revision: number};
+export type StoreListing = {
+	items: StoreItem[];
+	revision: number;
+	/** Era in which the revisions were given out; undefined if the store names none. */
+	era?: number;
+};
 
 export type StoreChanges =
-	| {kind: 'events'; events: StoreEvent[]; revision: number}
+	| {kind: 'events'; events: StoreEvent[]; revision: number; era?: number}
 	/** The store no longer has the history; the prefix must be listed again. */
 	| {kind: 'history-lost'};
 
 /** The operations of the platform's store that the gateway uses. All methods throw PlatformError. */
 export abstract class PrefixStore {
+	/** Era of the store, as its responses name it. */
+	readonly era = storeEra.createStoreEra();
+
 	/** @param mayBeStale allows a listing that is some seconds old, which costs the store less */
 	abstract list(prefix: string, mayBeStale: boolean, signal?: AbortSignal): Promise<StoreListing>;
 
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -85,6 +85,16 @@
 	let wasReady = false;
 
 	log.note({kind: 'started', name: vm.name, region: vm.region, startedAtUnixMs});
+	disposables.add(
+		options.store.era.onDidRise((change) => {
+			log.note({kind: 'store-era', ...change});
+		}),
+	);
+	disposables.add(
+		options.store.era.onDidIgnore((ignored) => {
+			log.note({kind: 'store-era-ignored', ...ignored});
+		}),
+	);
 	const reachability = storeReachability.createStoreReachability(nowMs);
 	const registry = upstreamRegistry.createUpstreamRegistry(
 		clock,
--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -18,6 +18,8 @@
 	body?: unknown;
 	signal?: AbortSignal;
 	timeoutMs?: number;
+	/** Called with the headers of each response, also of one that is an error. Their names are in lower case. */
+	onHeaders?(headers: Record<string, string>): void;
 };
 
 /** @throws PlatformError; the call may have taken effect unless it was not sent or the service refused it. */
@@ -41,6 +43,7 @@
 			},
 			bodyLimits,
 		);
+		call.onHeaders?.(answer.headers);
 		if (answer.status !== 200) {
 			throw new keyValueStore.PlatformError(service, `status ${answer.status}`, false, {
 				status: answer.status,
