Reproduce daemons that ignore changes after a restore of the store (fails)

Two daemons on a manual clock: one that stopped watching with a revision from before the restore pulls neither an evacuation nor an upstream, and a watch that no error cuts misses what was written while the revisions passed its old one.

--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -1,21 +1,32 @@
-/** In-memory store with outages and lost history, whose values are the gateway's own types. */
+/** In-memory store with outages, lost history and restores, whose values are the gateway's own types. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as prefixStore from '../common/prefix-store.js';
 import * as routeConfig from '../common/route-config.js';
 import * as upstreamEntry from '../common/upstream-entry.js';
 
 type Value = {value: Uint8Array; revision: number; lease?: string};
+type Lease = {endsAtMs: number; ttlMs: number};
+
+/** Content of the store at one moment. */
+export type StoreCopy = {
+	values: ReadonlyMap<string, Value>;
+	leases: ReadonlyMap<string, Lease>;
+	leaseCount: number;
+	revision: number;
+};
 
 export class MemoryPrefixStore extends prefixStore.PrefixStore {
 	isUnavailable = false;
 	calls = 0;
 	readonly #clock: clock.Clock;
 	readonly #values = new Map<string, Value>();
-	readonly #leases = new Map<string, {endsAtMs: number; ttlMs: number}>();
+	readonly #leases = new Map<string, Lease>();
 	readonly #wakeCallbacks = new Set<() => void>();
 	#events: prefixStore.StoreEvent[] = [];
 	#oldestRevision = 0;
 	#revision = 1;
+	#leaseCount = 0;
+	#era = 1;
 
 	constructor(timeSource: clock.Clock) {
 		super();
@@ -48,13 +59,40 @@
 		}
 	}
 
+	copy(): StoreCopy {
+		return {
+			values: new Map(this.#values),
+			leases: new Map([...this.#leases].map(([id, lease]) => [id, {...lease}])),
+			leaseCount: this.#leaseCount,
+			revision: this.#revision,
+		};
+	}
+
+	/** Returns to a copy; revisions and leases are given out again. Watches that wait are not cut. */
+	restore(copy: StoreCopy): void {
+		this.#era++;
+		this.#values.clear();
+		for (const [key, value] of copy.values) {
+			this.#values.set(key, value);
+		}
+
+		this.#leases.clear();
+		for (const [id, lease] of copy.leases) {
+			this.#leases.set(id, {...lease});
+		}
+
+		this.#leaseCount = copy.leaseCount;
+		this.#revision = copy.revision;
+		this.#events = this.#events.filter(({revision}) => revision <= copy.revision);
+	}
+
 	override async list(prefix: string): Promise<prefixStore.StoreListing> {
 		this.#beginCall();
 		this.#expireLeases();
 		const items = [...this.#values]
 			.filter(([key]) => key.startsWith(prefix))
 			.map(([key, {value, revision}]) => ({key, value, revision}));
-		return {items, revision: this.#revision};
+		return {items, revision: this.#revision, era: this.era.note(String(this.#era))};
 	}
 
 	override async watch(
@@ -71,7 +109,8 @@
 				throw new Error('unavailable');
 			}
 
-			if (afterRevision < this.#oldestRevision) {
+			const era = this.era.note(String(this.#era));
+			if (afterRevision < this.#oldestRevision || afterRevision > this.#revision) {
 				return {kind: 'history-lost'};
 			}
 
@@ -79,7 +118,7 @@
 				(event) => event.key.startsWith(prefix) && event.revision > afterRevision,
 			);
 			if (events.length > 0 || this.#clock.nowMs() >= untilMs) {
-				return {kind: 'events', events, revision: this.#revision};
+				return {kind: 'events', events, revision: this.#revision, era};
 			}
 
 			await this.#nextChange(untilMs);
@@ -93,7 +132,7 @@
 
 	override async grantLease(ttlMs: number): Promise<string> {
 		this.#beginCall();
-		const lease = String(this.#leases.size + 1);
+		const lease = String(++this.#leaseCount);
 		this.#leases.set(lease, {endsAtMs: this.#clock.nowMs() + ttlMs, ttlMs});
 		return lease;
 	}
@@ -119,6 +158,8 @@
 		if (this.isUnavailable) {
 			throw new Error('unavailable');
 		}
+
+		this.era.note(String(this.#era));
 	}
 
 	#notifyWatchers(event: prefixStore.StoreEvent): void {
