Compare positions in the store by era and revision

Cause: revisions were compared as if they only grew. The logs show era 2 at all seven daemons by 14.7 s and the one that stopped watching at 16.9 s without a pull after it; the others were right.

A position is an era and a revision in one number, so that its order is that of the history, member records keep their layout, and daemons of the version before compare it as a revision. A feed lists again when the era rises, and also when a peer knows of a restore first; it does not apply a late response of an earlier era, nor join pages of two. The quarantine is written again after a restore, since its feed lists too.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -182,7 +182,13 @@
 	| {kind: 'store-regained'; feed: string; awayMs: number; revision: number}
 	| {kind: 'store-history-lost'; feed: string; revision: number}
 	| {kind: 'member'; change: string; member: string; region: string; ageMs: number}
-	| {kind: 'snapshot-pulled'; peer: string; configVersion: number; upstreamRevision: number}
+	| {
+			kind: 'snapshot-pulled';
+			peer: string;
+			configVersion: number;
+			upstreamRevision: number;
+			era: number | undefined;
+	  }
 	| {kind: 'snapshot-pull-failed'; peer: string; detail: string}
 	| {kind: 'endpoint-failed'; path: string; detail: string}
 	| {kind: 'datagram-rejected'; peer: string; detail: string}
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -10,6 +10,7 @@
 import type * as promptQuarantine from './prompt-quarantine.js';
 import type * as upstreamLoad from './upstream-load.js';
 import type * as upstreamRateLimits from './upstream-rate-limits.js';
+import * as storePosition from './store-position.js';
 import * as storeWatcherElection from './store-watcher-election.js';
 
 export const memberRecordSchema = zod.object({
@@ -28,10 +29,10 @@
 	isLeaving: zod.boolean(),
 	/** Version of its route configuration; 0 without one. */
 	configVersion: zod.number(),
-	/** Store revision up to which it has applied changes of upstreams. */
-	upstreamRevision: zod.number(),
-	/** Store revision up to which it has applied changes of configuration and evacuations. */
-	operatorRevision: zod.number(),
+	/** Position in the store up to which it has applied changes of upstreams. */
+	upstreamRevision: storePosition.storePositionSchema,
+	/** Position in the store up to which it has applied changes of configuration and evacuations. */
+	operatorRevision: storePosition.storePositionSchema,
 	/** Whether it watches the store and the store responds. */
 	storeContact: storeWatcherElection.storeContactSchema,
 	/** Processor share of its machine, for the directory's choice. */
--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -1,16 +1,18 @@
 /**
  * Follows one prefix of the store: a listing, then a watch for changes. After a failure
- * it lists again, since a successful listing shows that the store is back. While
+ * it lists again, since a successful listing shows that the store is back. It also lists
+ * again after a restore, since the revisions of a watch are given out again. While
  * another daemon follows the prefix instead, it makes no calls.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as prefixStore from './prefix-store.js';
+import * as storePosition from './store-position.js';
 import type * as storeWatcherElection from './store-watcher-election.js';
 
 export type StoreFeedHandler = {
 	onListing(listing: prefixStore.StoreListing): void;
-	onEvents(events: prefixStore.StoreEvent[], revision: number): void;
+	onEvents(events: prefixStore.StoreEvent[], position: storePosition.StorePosition): void;
 	/** The store did not respond, or refused. Called once per outage. */
 	onLost(error: Error): void;
 	/** The store responded again; called before `onListing`. */
@@ -27,6 +29,8 @@
 	setFollowing(isFollowing: boolean): void;
 	/** Ends a pending watch because another call to the store failed; the feed lists again. */
 	suspect(): void;
+	/** Ends a pending watch and lists the prefix again, without an outage. */
+	refresh(): void;
 };
 
 const firstRetryMs = 150;
@@ -52,13 +56,14 @@
 	let watchAbort = new AbortController();
 	const followState = {
 		isFollowing: options.isFollowing ?? true,
+		/** A pending watch may miss changes. */
+		isOutdated: false,
 		resume: (): void => undefined,
 	};
 	let lostAtMs: number | undefined;
 	let contact: storeWatcherElection.StoreContact = 'none';
 	let retries = 0;
 	let mayListStale = options.mayListStale ?? false;
-
 	const setContact = (next: storeWatcherElection.StoreContact) => {
 		if (next !== contact) {
 			contact = next;
@@ -90,13 +95,29 @@
 		retries++;
 	};
 
+	/** @throws Error for a late response of an earlier era */
+	const checkEra = (era: number | undefined) => {
+		if (era !== undefined && era < (store.era.current ?? era)) {
+			throw new Error(`response of era ${era} after one of era ${store.era.current}`);
+		}
+	};
+
+	const refresh = () => {
+		followState.isOutdated = true;
+		watchAbort.abort(new Error('the prefix must be listed again'));
+	};
+
 	const follow = async (): Promise<void> => {
+		followState.isOutdated = false;
 		const listing = await store.list(prefix, mayListStale, abort.signal);
+		checkEra(listing.era);
+		// The listing itself may have been the first response of its era.
+		followState.isOutdated = false;
 		mayListStale = options.mayListStale ?? false;
 		noteResponse(listing.revision);
 		handler.onListing(listing);
 		let {revision} = listing;
-		while (followState.isFollowing && !abort.signal.aborted) {
+		while (followState.isFollowing && !abort.signal.aborted && !followState.isOutdated) {
 			watchAbort = new AbortController();
 			const changes = await store.watch(
 				prefix,
@@ -111,9 +132,15 @@
 				return;
 			}
 
+			checkEra(changes.era);
+			if (changes.era !== listing.era) {
+				mayListStale = false;
+				return;
+			}
+
 			revision = Math.max(revision, changes.revision);
 			if (changes.events.length > 0) {
-				handler.onEvents(changes.events, revision);
+				handler.onEvents(changes.events, storePosition.create(changes.era, revision));
 				await clock.sleep(pauseAfterEventsMs);
 			}
 		}
@@ -138,7 +165,7 @@
 					return;
 				}
 
-				if (!followState.isFollowing) {
+				if (!followState.isFollowing || followState.isOutdated) {
 					continue;
 				}
 
@@ -149,6 +176,7 @@
 		}
 	};
 
+	const eraSubscription = store.era.onDidRise(refresh);
 	void run();
 	return {
 		get contact() {
@@ -172,7 +200,9 @@
 		suspect() {
 			watchAbort.abort(new Error('another call of the store failed'));
 		},
+		refresh,
 		dispose() {
+			eraSubscription.dispose();
 			abort.abort(new Error('stopped'));
 			followState.resume();
 		},
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -5,6 +5,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as event from '@hawthornfront/base/common/event.js';
+import * as storePosition from './store-position.js';
 import * as storeReachability from './store-reachability.js';
 import type * as upstreamEntry from './upstream-entry.js';
 
@@ -29,27 +30,30 @@
 	/**
 	 * Replaces all entries with a listing.
 	 *
-	 * @param revision revision of the listing, used when entries were removed
-	 * @param lastChange revision of the last change in the listing, used otherwise
+	 * @param listedAt position of the listing, used when entries were removed
+	 * @param lastChange position of the last change in the listing, used otherwise
 	 */
 	replaceAll(
 		entries: readonly upstreamEntry.UpstreamEntry[],
-		revision: number,
-		lastChange?: number,
+		listedAt: storePosition.StorePosition,
+		lastChange?: storePosition.StorePosition,
 	): void;
 	/** Replaces all entries with those that a peer reports. A missing entry that is unknown here has been dropped before. */
-	replaceFromPeer(reports: readonly upstreamEntry.ReportedUpstream[], revision: number): void;
+	replaceFromPeer(
+		reports: readonly upstreamEntry.ReportedUpstream[],
+		at: storePosition.StorePosition,
+	): void;
 	/** All entries, to be sent to a peer. */
 	reportAll(): upstreamEntry.ReportedUpstream[];
-	put(entry: upstreamEntry.UpstreamEntry, revision: number): void;
-	remove(id: string, revision: number): void;
+	put(entry: upstreamEntry.UpstreamEntry, at: storePosition.StorePosition): void;
+	remove(id: string, at: storePosition.StorePosition): void;
 	get(id: string): Upstream | undefined;
 	/** Upstreams of a service in a region that accept new work. */
 	usable(service: string, region: string): readonly Upstream[];
 	/** All upstreams, including draining and missing ones. */
 	all(): readonly Upstream[];
-	/** Revision of the last change. */
-	readonly revision: number;
+	/** Position of the last change. */
+	readonly position: storePosition.StorePosition;
 	/** Whether a listing was ever applied. */
 	readonly isLoaded: boolean;
 };
@@ -66,15 +70,19 @@
 	const upstreams = new Map<string, Upstream>();
 	const didChange = event.createEmitter<UpstreamChange>();
 	let groups: Map<string, Upstream[]> | undefined;
-	let revision = 0;
+	let position = storePosition.start;
 	let isLoaded = false;
 
-	const note = (kind: UpstreamChange['kind'], upstream: Upstream, at: number) => {
+	const note = (
+		kind: UpstreamChange['kind'],
+		upstream: Upstream,
+		at: storePosition.StorePosition,
+	) => {
 		groups = undefined;
-		didChange.fire({kind, upstream, revision: at});
+		didChange.fire({kind, upstream, revision: storePosition.revisionOf(at)});
 	};
 
-	const drop = (upstream: Upstream, at: number) => {
+	const drop = (upstream: Upstream, at: storePosition.StorePosition) => {
 		upstreams.delete(upstream.entry.id);
 		note('gone', upstream, at);
 	};
@@ -91,21 +99,21 @@
 				if (reachability.unsettledMs() > 0) {
 					scheduleDrop(id);
 				} else {
-					drop(upstream, 0);
+					drop(upstream, storePosition.start);
 				}
 			},
 			Math.max(1, delayMs),
 		);
 	};
 
-	const markMissing = (upstream: Upstream, at: number) => {
+	const markMissing = (upstream: Upstream, at: storePosition.StorePosition) => {
 		const missing = {...upstream, missingSinceMs: timeSource.nowMs()};
 		upstreams.set(upstream.entry.id, missing);
 		note('missing', missing, at);
 		scheduleDrop(upstream.entry.id);
 	};
 
-	const removeEntry = (id: string, at: number) => {
+	const removeEntry = (id: string, at: storePosition.StorePosition) => {
 		const upstream = upstreams.get(id);
 		if (!upstream) {
 			return;
@@ -144,7 +152,7 @@
 
 	const put = (
 		entry: upstreamEntry.UpstreamEntry,
-		at: number,
+		at: storePosition.StorePosition,
 		source: {isListed: boolean; coldLeftMs?: number},
 	) => {
 		const region = regionOf(entry.failureDomain);
@@ -196,7 +204,7 @@
 	};
 
 	/** Returns whether there were any. */
-	const removeOthers = (ids: ReadonlySet<string>, at: number): boolean => {
+	const removeOthers = (ids: ReadonlySet<string>, at: storePosition.StorePosition): boolean => {
 		const others = [...upstreams.keys()].filter((id) => !ids.has(id));
 		for (const id of others) {
 			removeEntry(id, at);
@@ -205,8 +213,8 @@
 		return others.length > 0;
 	};
 
-	const finishReplacement = (at: number) => {
-		revision = Math.max(revision, at);
+	const finishReplacement = (at: storePosition.StorePosition) => {
+		position = storePosition.latest(position, at);
 		isLoaded = true;
 	};
 
@@ -247,11 +255,11 @@
 			})),
 		put(entry, at) {
 			put(entry, at, {isListed: false});
-			revision = Math.max(revision, at);
+			position = storePosition.latest(position, at);
 		},
 		remove(id, at) {
 			removeEntry(id, at);
-			revision = Math.max(revision, at);
+			position = storePosition.latest(position, at);
 		},
 		get: (id) => upstreams.get(id),
 		usable(service, region) {
@@ -259,8 +267,8 @@
 			return groups.get(groupKey(service, region)) ?? [];
 		},
 		all: () => [...upstreams.values()],
-		get revision() {
-			return revision;
+		get position() {
+			return position;
 		},
 		get isLoaded() {
 			return isLoaded;
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -1,6 +1,7 @@
 /**
  * The configuration, evacuations and upstreams in force at this daemon. They come from
- * the store while this daemon watches it, otherwise from peers. Versions never decrease.
+ * the store while this daemon watches it, otherwise from peers. Versions and positions in
+ * the store never decrease.
  */
 import * as util from 'node:util';
 import type * as clock from '@hawthornfront/base/common/clock.js';
@@ -12,6 +13,7 @@
 import type * as prefixStore from '../common/prefix-store.js';
 import * as routeConfig from '../common/route-config.js';
 import * as storeFeed from '../common/store-feed.js';
+import * as storePosition from '../common/store-position.js';
 import type * as storeReachability from '../common/store-reachability.js';
 import * as upstreamEntry from '../common/upstream-entry.js';
 import type * as upstreamRegistry from '../common/upstream-registry.js';
@@ -25,10 +27,11 @@
 export const snapshotSchema = zod.object({
 	config: routeConfig.routeConfigSchema.optional(),
 	evacuated: zod.array(zod.string()),
-	/** Store revision of the last change of the configuration or the evacuations. */
-	operatorRevision: zod.number(),
+	/** Position of the last change of the configuration or the evacuations. */
+	operatorRevision: storePosition.storePositionSchema,
 	upstreams: zod.array(upstreamEntry.reportedUpstreamSchema),
-	upstreamRevision: zod.number(),
+	/** Position of the last change of the upstreams. */
+	upstreamRevision: storePosition.storePositionSchema,
 });
 export type Snapshot = zod.infer<typeof snapshotSchema>;
 
@@ -39,13 +42,15 @@
 	readonly routeTable: routeConfig.RouteTable | undefined;
 	readonly configVersion: number;
 	readonly isComplete: boolean;
-	/** Store revision of the last applied change of the configuration or the evacuations. */
-	readonly operatorRevision: number;
+	/** Position of the last applied change of the configuration or the evacuations. */
+	readonly operatorPosition: storePosition.StorePosition;
 	readonly storeContact: storeWatcherElection.StoreContact;
 	/** Starts or stops watching the store. Without a watch, the state comes from the snapshots of peers. */
 	setWatching(isWatching: boolean): void;
 	/** Makes both feeds check the store again, because another store call failed. */
 	suspectStore(): void;
+	/** Makes both feeds list the store again, because a peer knows of a restore. */
+	refresh(): void;
 	isEvacuated(failureDomain: string): boolean;
 	evacuatedDomains(): readonly string[];
 	/** @param knownConfigVersion version that the requesting peer holds; a configuration that is not newer is omitted */
@@ -73,7 +78,7 @@
 	const didApplyStoreUpdate = event.createEmitter<void>();
 	const evacuated = new Set<string>();
 	let table: routeConfig.RouteTable | undefined;
-	let operatorRevision = 0;
+	let operatorPosition = storePosition.start;
 
 	const applyConfig = (config: routeConfig.RouteConfig, source: string) => {
 		const current = table?.config.version ?? 0;
@@ -140,7 +145,7 @@
 		watchWaitMs: options.watchWaitMs,
 		random: options.random,
 		handler: {
-			onListing({items, revision}) {
+			onListing({items, revision, era}) {
 				const listed = new Set<string>();
 				let hasRemovals = false;
 				for (const item of items) {
@@ -159,11 +164,18 @@
 				}
 
 				const changedAt = hasRemovals ? revision : lastRevisionOf(items);
-				operatorRevision = Math.max(operatorRevision, changedAt);
+				operatorPosition = storePosition.latest(
+					operatorPosition,
+					storePosition.create(era, changedAt),
+				);
 				didApplyStoreUpdate.fire();
 			},
-			onEvents(events) {
-				operatorRevision = Math.max(operatorRevision, lastRevisionOf(events));
+			onEvents(events, position) {
+				const changedAt = storePosition.create(
+					storePosition.eraOf(position),
+					lastRevisionOf(events),
+				);
+				operatorPosition = storePosition.latest(operatorPosition, changedAt);
 				for (const {key, revision, value} of events) {
 					if (value) {
 						applyOperatorItem(key, value, revision);
@@ -199,20 +211,26 @@
 		watchWaitMs: options.watchWaitMs,
 		random: options.random,
 		handler: {
-			onListing({items, revision}) {
+			onListing({items, revision, era}) {
 				const entries = items
 					.map((item) => decodeUpstream(item.key, item.value, item.revision))
 					.filter((entry) => entry !== undefined);
-				registry.replaceAll(entries, revision, lastRevisionOf(items));
+				registry.replaceAll(
+					entries,
+					storePosition.create(era, revision),
+					storePosition.create(era, lastRevisionOf(items)),
+				);
 				didApplyStoreUpdate.fire();
 			},
-			onEvents(events) {
+			onEvents(events, position) {
+				const era = storePosition.eraOf(position);
 				for (const {key, revision, value} of events) {
+					const changedAt = storePosition.create(era, revision);
 					const entry = value && decodeUpstream(key, value, revision);
 					if (entry) {
-						registry.put(entry, revision);
+						registry.put(entry, changedAt);
 					} else if (!value) {
-						registry.remove(layout.upstreamIdOf(key), revision);
+						registry.remove(layout.upstreamIdOf(key), changedAt);
 					}
 				}
 
@@ -239,8 +257,8 @@
 		get isComplete() {
 			return table !== undefined && registry.isLoaded;
 		},
-		get operatorRevision() {
-			return operatorRevision;
+		get operatorPosition() {
+			return operatorPosition;
 		},
 		get storeContact() {
 			if (feeds.some((feed) => feed.contact === 'lost')) {
@@ -259,14 +277,19 @@
 				feed.suspect();
 			}
 		},
+		refresh() {
+			for (const feed of feeds) {
+				feed.refresh();
+			}
+		},
 		isEvacuated: (failureDomain) => evacuated.has(failureDomain),
 		evacuatedDomains: () => [...evacuated],
 		snapshot: (knownConfigVersion) => ({
 			config: table && table.config.version > knownConfigVersion ? table.config : undefined,
 			evacuated: [...evacuated],
-			operatorRevision,
+			operatorRevision: operatorPosition,
 			upstreams: registry.reportAll(),
-			upstreamRevision: registry.revision,
+			upstreamRevision: registry.position,
 		}),
 		merge(snapshot, peer) {
 			if (snapshot.config) {
@@ -274,15 +297,19 @@
 			}
 
 			// While the store is watched and responds, it is more current than any snapshot.
-			if (upstreamFeed.contact !== 'reached' && snapshot.upstreamRevision > registry.revision) {
+			const hasNewerUpstreams = storePosition.isAfter(snapshot.upstreamRevision, registry.position);
+			if (upstreamFeed.contact !== 'reached' && hasNewerUpstreams) {
 				registry.replaceFromPeer(snapshot.upstreams, snapshot.upstreamRevision);
 			}
 
-			if (operatorFeed.contact !== 'reached' && snapshot.operatorRevision > operatorRevision) {
-				operatorRevision = snapshot.operatorRevision;
+			const {operatorRevision} = snapshot;
+			const hasNewerKeys = storePosition.isAfter(operatorRevision, operatorPosition);
+			if (operatorFeed.contact !== 'reached' && hasNewerKeys) {
+				operatorPosition = storePosition.latest(operatorPosition, operatorRevision);
+				const revision = storePosition.revisionOf(operatorPosition);
 				for (const failureDomain of new Set([...snapshot.evacuated, ...evacuated])) {
 					const isEvacuated = snapshot.evacuated.includes(failureDomain);
-					setEvacuated(failureDomain, isEvacuated, operatorRevision);
+					setEvacuated(failureDomain, isEvacuated, revision);
 				}
 			}
 		},
@@ -293,7 +320,7 @@
 };
 
 /**
- * Revision of the last change, by which daemons compare their states. The revision of a
+ * Revision of the last change, by which daemons of one era compare their states. The revision of a
  * listing is unsuitable, because it also grows when nothing under the prefix changes.
  */
 const lastRevisionOf = (changes: ReadonlyArray<{revision: number}>): number =>
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -16,6 +16,7 @@
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
 import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
+import * as storePosition from '../common/store-position.js';
 import * as storeReachability from '../common/store-reachability.js';
 import * as storeWatcherElection from '../common/store-watcher-election.js';
 import type * as wireFormat from '../common/wire-format.js';
@@ -140,7 +141,7 @@
 	);
 	const versions = () => ({
 		configVersion: cluster.configVersion,
-		upstreamRevision: registry.revision,
+		upstreamRevision: storePosition.revisionOf(registry.position),
 	});
 	const quarantine = promptQuarantine.createPromptQuarantine(clock, () => ({
 		firstMs: current.quarantine.firstS * 1000,
@@ -173,8 +174,8 @@
 		isReady: isReady(),
 		isLeaving: stopping !== undefined,
 		configVersion: cluster.configVersion,
-		upstreamRevision: registry.revision,
-		operatorRevision: cluster.operatorRevision,
+		upstreamRevision: registry.position,
+		operatorRevision: cluster.operatorPosition,
 		storeContact: cluster.storeContact,
 		capacity: vm.processorShare,
 	});
@@ -219,7 +220,7 @@
 		client: options.client,
 		cluster,
 		localFailureDomain: vm.failureDomain,
-		upstreamRevision: () => registry.revision,
+		upstreamPosition: () => registry.position,
 		log,
 	});
 
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -5,6 +5,7 @@
 import * as textRequest from '@hawthornfront/base/node/text-request.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as gossipMessage from '../common/gossip-message.js';
+import * as storePosition from '../common/store-position.js';
 import * as clusterState from './cluster-state.js';
 import * as requestAdmission from './request-admission.js';
 
@@ -20,7 +21,7 @@
 	client: httpClient.HttpClient;
 	cluster: clusterState.ClusterState;
 	localFailureDomain: string;
-	upstreamRevision(): number;
+	upstreamPosition(): storePosition.StorePosition;
 	log: gatewayEvent.EventLog;
 };
 
@@ -37,6 +38,7 @@
 	let isPulling = false;
 	let pulledAtMs = Number.NEGATIVE_INFINITY;
 	let behindSinceMs: number | undefined;
+	let refreshedEra: number | undefined;
 
 	const pullFrom = async (peer: gossipMessage.MemberRecord) => {
 		isPulling = true;
@@ -60,7 +62,8 @@
 				kind: 'snapshot-pulled',
 				peer: peer.name,
 				configVersion: cluster.configVersion,
-				upstreamRevision: snapshot.upstreamRevision,
+				upstreamRevision: storePosition.revisionOf(snapshot.upstreamRevision),
+				era: storePosition.eraOf(snapshot.upstreamRevision),
 			});
 		} catch (error) {
 			const detail = errorText.errorText(error, errorText.maxLoggedLength);
@@ -73,18 +76,29 @@
 	const isInLocalDomain = (peer: gossipMessage.MemberRecord) =>
 		peer.failureDomain === options.localFailureDomain;
 
-	const hasNewerRevision = (peer: gossipMessage.MemberRecord) =>
-		peer.upstreamRevision > options.upstreamRevision() ||
-		peer.operatorRevision > cluster.operatorRevision;
+	const hasNewerChanges = (peer: gossipMessage.MemberRecord) =>
+		storePosition.isAfter(peer.upstreamRevision, options.upstreamPosition()) ||
+		storePosition.isAfter(peer.operatorRevision, cluster.operatorPosition);
 
 	const isAhead = (peer: gossipMessage.MemberRecord): boolean =>
 		peer.configVersion > cluster.configVersion ||
-		(cluster.storeContact !== 'reached' && hasNewerRevision(peer));
+		(cluster.storeContact !== 'reached' && hasNewerChanges(peer));
+
+	/** Lists the store again once for each restore that a peer knows of before this daemon's own watch. */
+	const noteRestore = (peer: gossipMessage.MemberRecord) => {
+		const isRestored = storePosition.isRestored(options.upstreamPosition(), peer.upstreamRevision);
+		const era = storePosition.eraOf(peer.upstreamRevision);
+		if (isRestored && cluster.storeContact === 'reached' && era !== refreshedEra) {
+			refreshedEra = era;
+			cluster.refresh();
+		}
+	};
 
 	const behindMs = () => (behindSinceMs === undefined ? 0 : clock.nowMs() - behindSinceMs);
 
 	return {
 		notePeer(peer) {
+			noteRestore(peer);
 			if (!isAhead(peer)) {
 				return;
 			}
--- a/packages/gateway/src/test/cluster-state.test.ts
+++ b/packages/gateway/src/test/cluster-state.test.ts
@@ -185,15 +185,15 @@
 	store.write('ops/leave/north-a', {});
 	store.write('servers/u1', fixtures.upstream('u1'));
 	await clock.advance(2000);
-	const [operatorRevision, upstreamRevision] = [subject.operatorRevision, registry.revision];
+	const [operatorRevision, upstreamRevision] = [subject.operatorPosition, registry.position];
 	t.ok(operatorRevision > 0 && upstreamRevision > operatorRevision);
 	subject.setWatching(false);
 	store.write('elsewhere/x', {});
 	await clock.advance(2000);
 	subject.setWatching(true);
 	await clock.advance(2000);
-	t.equal(subject.operatorRevision, operatorRevision, 'a listing without changes');
-	t.equal(registry.revision, upstreamRevision);
+	t.equal(subject.operatorPosition, operatorRevision, 'a listing without changes');
+	t.equal(registry.position, upstreamRevision);
 	subject.setWatching(false);
 	await clock.advance(2000);
 	store.remove('ops/leave/north-a');
@@ -201,8 +201,8 @@
 	await clock.advance(2000);
 	subject.setWatching(true);
 	await clock.advance(2000);
-	t.ok(subject.operatorRevision > operatorRevision, 'a listing that lacks a removed key');
-	t.ok(registry.revision > upstreamRevision);
+	t.ok(subject.operatorPosition > operatorRevision, 'a listing that lacks a removed key');
+	t.ok(registry.position > upstreamRevision);
 });
 
 tap.t.test('a snapshot omits a configuration that the peer has', async (t) => {
--- a/packages/gateway/src/test/peer-catch-up.test.ts
+++ b/packages/gateway/src/test/peer-catch-up.test.ts
@@ -73,7 +73,7 @@
 		client: new PeerClient(),
 		cluster,
 		localFailureDomain: 'north-a',
-		upstreamRevision: () => registry.revision,
+		upstreamPosition: () => registry.position,
 		log: {note: () => undefined},
 	});
 	const announcePeer = async (options: Partial<gossipMessage.MemberRecord>) => {
--- a/packages/gateway/src/test/quarantine-store.test.ts
+++ b/packages/gateway/src/test/quarantine-store.test.ts
@@ -146,6 +146,23 @@
 	second.subject.dispose();
 });
 
+// Guards against parts that count as saved although a restore of the store has lost them.
+tap.t.test('a quarantine that a restore has lost is written again', async (t) => {
+	const {clock, store} = start();
+	const daemon = startDaemon(clock, store, 'n1');
+	await clock.advance(1000);
+	const copy = store.copy();
+	daemon.crashTwice();
+	await clock.advance(2000);
+	store.restore(copy);
+	const {items: lost} = await store.list('hf/quarantine/');
+	t.same(lost, []);
+	await clock.advance(3000);
+	const {items} = await store.list('hf/quarantine/');
+	t.equal(items.length, 1);
+	daemon.subject.dispose();
+});
+
 tap.t.test('a broken entry is rejected with a log line', async (t) => {
 	const {clock, store} = start();
 	store.write('hf/quarantine/1', {service, crashes: []});
--- a/packages/gateway/src/test/restored-store.test.ts
+++ b/packages/gateway/src/test/restored-store.test.ts
@@ -2,6 +2,7 @@
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as tap from 'tap';
+import * as storePosition from '../common/store-position.js';
 import * as storeReachability from '../common/store-reachability.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as clusterState from '../node/cluster-state.js';
@@ -66,14 +67,14 @@
 			client: new PeerClient(),
 			cluster,
 			localFailureDomain: 'north-a',
-			upstreamRevision: () => registry.revision,
+			upstreamPosition: () => registry.position,
 			log: {note: () => undefined},
 		});
 		const record = () =>
 			fixtures.member(name, {
 				configVersion: cluster.configVersion,
-				upstreamRevision: registry.revision,
-				operatorRevision: cluster.operatorRevision,
+				upstreamRevision: registry.position,
+				operatorRevision: cluster.operatorPosition,
 				storeContact: cluster.storeContact,
 			});
 		const ids = () => registry.all().map(({entry}) => entry.id);
@@ -154,3 +155,60 @@
 	t.ok(cluster.isEvacuated('north-b'));
 	t.same(ids(), ['u1', 'u2']);
 });
+
+// Guards against old changes that a daemon without contact brings back.
+tap.t.test(
+	'a daemon cut off since before two restores follows, and brings nothing back',
+	async (t) => {
+		const {clock, store, cutOff, daemons} = startDomain(t, ['n1', 'n2']);
+		const [watcher, isolated] = [daemons[0]!, daemons[1]!];
+		store.write('ops/routes', config(5));
+		store.write('servers/u1', fixtures.upstream('u1'));
+		await clock.advance(2000);
+		const copy = store.copy();
+		writeElsewhere(store, 30);
+		store.write('servers/u2', fixtures.upstream('u2'));
+		store.write('ops/leave/south-a', {});
+		await clock.advance(2000);
+		cutOff.add('n2');
+		isolated.cluster.setWatching(false);
+		for (let count = 0; count < 2; count++) {
+			store.restore(copy);
+			await clock.advance(700);
+		}
+
+		store.write('ops/leave/north-b', {});
+		await clock.advance(2 * configMs);
+		cutOff.clear();
+		await clock.advance(configMs);
+		for (const {name, cluster, ids} of [watcher, isolated]) {
+			t.same([...cluster.evacuatedDomains()], ['north-b'], name);
+			t.same(ids(), ['u1'], name);
+		}
+	},
+);
+
+// Guards against daemons of a version without eras that no daemon with eras pulls from.
+tap.t.test('daemons that report no era are compared by revision', (t) => {
+	const {create, isAfter, latest} = storePosition;
+	for (const [position, other, expected] of [
+		[create(undefined, 30), create(undefined, 20), true],
+		[create(undefined, 30), create(2, 20), true],
+		[create(undefined, 10), create(2, 20), false],
+		[create(2, 10), create(undefined, 20), true],
+		[create(2, 10), create(1, 20), true],
+		[create(1, 30), create(2, 10), false],
+		[create(2, 10), create(2, 10), false],
+		[create(0, 0), create(undefined, 0), true],
+	] as const) {
+		t.equal(isAfter(position, other), expected, `${position} after ${other}`);
+	}
+
+	t.equal(latest(create(2, 10), create(undefined, 20)), create(2, 20), 'a known era is kept');
+	t.equal(latest(create(undefined, 20), create(2, 10)), create(2, 10));
+	const last = create(storePosition.maxEra, 2 ** 40 - 1);
+	t.ok(Number.isSafeInteger(last));
+	t.equal(storePosition.eraOf(last), storePosition.maxEra);
+	t.equal(storePosition.revisionOf(last), 2 ** 40 - 1);
+	t.end();
+});
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -182,3 +182,33 @@
 	await clock.advance(2000);
 	t.same(calls, ['listing 1', 'lost', 'regained', 'listing 1']);
 });
+
+// Guards against changes that a watch misses when the store is restored.
+tap.t.test('a change of era leads to a new listing without an outage', async (t) => {
+	const {clock, store, calls, feed} = await start(t);
+	store.era.note('1');
+	store.listing = {items: [], revision: 3, era: 2};
+	store.era.note('2');
+	await clock.advance(1);
+	t.same(calls, ['listing 1', 'listing 3']);
+	store.listing = {items: [], revision: 4, era: 3};
+	store.answerWatch({kind: 'events', events: [], revision: 9, era: 3});
+	store.answerWatch({kind: 'events', events: [{key: 'p/a', revision: 9}], revision: 9, era: 3});
+	await clock.advance(1);
+	t.same(calls, ['listing 1', 'listing 3', 'listing 4']);
+	t.equal(feed.contact, 'reached');
+});
+
+// Guards against a late response that brings an earlier era back.
+tap.t.test('a response of an earlier era is not applied', async (t) => {
+	const {clock, store, calls, feed} = await start(t);
+	store.era.note('1');
+	store.listing = {items: [], revision: 50, era: 1};
+	store.era.note('2');
+	await clock.advance(1);
+	t.same(calls, ['listing 1', 'lost']);
+	store.listing = {items: [], revision: 20, era: 2};
+	await clock.advance(2000);
+	t.match(calls, ['listing 1', 'lost', 'regained']);
+	t.equal(feed.contact, 'reached');
+});
--- a/packages/gateway/src/test/upstream-registry.test.ts
+++ b/packages/gateway/src/test/upstream-registry.test.ts
@@ -32,7 +32,7 @@
 	subject.remove('u1', 6);
 	t.same(usableIds(subject), ['u2']);
 	t.same(changes, ['seen u1', 'seen u2', 'gone u1']);
-	t.equal(subject.revision, 6);
+	t.equal(subject.position, 6);
 });
 
 tap.t.test('entries that expire in an outage stay usable for a grace period', async (t) => {
