Keep what is known of upstreams and evacuations after a restore

A copy that a store was restored from is older than what daemons know. Taken at its word, an upstream that drains or left in the lost seconds gets work again, one that registered then counts as gone at once, a cold one counts as warm, and an evacuation ends until the operator has written it again.

Draining ends only with a new start.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -126,6 +126,8 @@
 	| {kind: 'config-ignored'; version: number; current: number; source: string}
 	| {kind: 'entry-rejected'; key: string; revision: number; detail: string}
 	| {kind: 'evacuation'; failureDomain: string; isEvacuated: boolean; revision: number}
+	/** A restored store lacks an evacuation that was in force. */
+	| {kind: 'evacuation-kept'; failureDomain: string; revision: number}
 	| {
 			kind: 'upstream';
 			change: string;
--- a/packages/gateway/src/common/store-reachability.ts
+++ b/packages/gateway/src/common/store-reachability.ts
@@ -1,15 +1,15 @@
 /**
  * Whether the store is reachable, by this daemon's own watch or by a peer. It is derived
  * from the current state of both, so it does not depend on the order of their changes.
- * After a time without the store, entries may be missing until their upstreams have
- * registered again.
+ * After a time without the store, and after its restore from a copy, entries may be
+ * missing until their upstreams have registered again.
  */
 import * as event from '@hawthornfront/base/common/event.js';
 import type * as storeWatcherElection from './store-watcher-election.js';
 
 /**
- * Time for which an entry that went missing during an outage of the store is kept
- * after the store is back. The platform restores entries within 2 s.
+ * Time for which an entry that went missing during an outage or a restore of the store
+ * is kept after the store is back. The platform restores entries within 2 s.
  */
 export const missingEntryGraceMs = 2200;
 
@@ -28,6 +28,8 @@
 	setOwnContact(contact: storeWatcherElection.StoreContact): void;
 	/** Sets whether any peer reaches the store. */
 	setReachedByPeers(isReached: boolean): void;
+	/** Notes that the store was restored from a copy, which may lack entries. */
+	noteRestore(): void;
 	/** Time until a missing entry counts as removed; infinite while the store is not reachable. */
 	unsettledMs(): number;
 };
@@ -60,6 +62,9 @@
 			isReachedByPeers = isReached;
 			update();
 		},
+		noteRestore() {
+			reachableSinceMs = reachableSinceMs === undefined ? undefined : nowMs();
+		},
 		unsettledMs: () =>
 			reachableSinceMs === undefined
 				? Number.POSITIVE_INFINITY
--- a/packages/gateway/src/common/upstream-entry.ts
+++ b/packages/gateway/src/common/upstream-entry.ts
@@ -27,5 +27,7 @@
 	coldLeftMs: zod.number(),
 	/** Its entry went missing around an outage of the store. */
 	isMissing: zod.boolean(),
+	/** A restored store has it although the upstream had left; it may expire again. */
+	isHeldBack: zod.boolean().optional(),
 });
 export type ReportedUpstream = zod.infer<typeof reportedUpstreamSchema>;
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -1,10 +1,13 @@
 /**
  * Registry of upstreams, from the entries that they register in the store. An entry
  * that is missing right after an outage of the store is kept for a grace period,
- * since upstreams may need that long to register again.
+ * since upstreams may need that long to register again. After a restore of the store
+ * from a copy, its entries may be older than what is known of their upstreams.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as event from '@hawthornfront/base/common/event.js';
+import * as lruCache from 'lru-cache';
 import * as storePosition from './store-position.js';
 import * as storeReachability from './store-reachability.js';
 import type * as upstreamEntry from './upstream-entry.js';
@@ -19,7 +22,8 @@
 };
 
 export type UpstreamChange = {
-	kind: 'seen' | 'restarted' | 'draining' | 'gone' | 'missing' | 'back';
+	/** `held-back`: a restored entry is not applied, since its upstream had left or restarted. */
+	kind: 'seen' | 'restarted' | 'draining' | 'gone' | 'missing' | 'back' | 'held-back';
 	upstream: Upstream;
 	/** Store revision of the change; 0 for a change by timeout. */
 	revision: number;
@@ -58,6 +62,24 @@
 	readonly isLoaded: boolean;
 };
 
+/** A restored entry of an upstream that had left expires again within three check-ins of upstreams. */
+const restoredEntryGraceMs = 6000;
+/** Upstreams that left are remembered for this long, which exceeds the age of a copy. */
+const leftMemoryMs = 60_000;
+const maxLeftUpstreams = 1000;
+
+/** Whether two entries of one id are from the same start; without start times, from one address. */
+const isSameStart = (entry: upstreamEntry.UpstreamEntry, other: upstreamEntry.UpstreamEntry) =>
+	entry.startedAtUnixMs === other.startedAtUnixMs && entry.address === other.address;
+
+/** How an entry became known. */
+type EntrySource = {
+	isListed: boolean;
+	coldLeftMs?: number;
+	/** The first listing after a restore of the store. */
+	isRestored?: boolean;
+};
+
 /**
  * @param regionOf region of a failure domain; undefined for an unknown one, whose upstreams are not used
  * @param reachability decides whether a missing entry may return
@@ -72,6 +94,14 @@
 	let groups: Map<string, Upstream[]> | undefined;
 	let position = storePosition.start;
 	let isLoaded = false;
+	const left = new lruCache.LRUCache<string, {entry: upstreamEntry.UpstreamEntry; atMs: number}>({
+		max: maxLeftUpstreams,
+	});
+	/** Restored entries of upstreams that had left or restarted, and the timers that apply them. */
+	const heldBack = new Map<
+		string,
+		{entry: upstreamEntry.UpstreamEntry; timer: disposable.Disposable}
+	>();
 
 	const note = (
 		kind: UpstreamChange['kind'],
@@ -84,6 +114,7 @@
 
 	const drop = (upstream: Upstream, at: storePosition.StorePosition) => {
 		upstreams.delete(upstream.entry.id);
+		left.set(upstream.entry.id, {entry: upstream.entry, atMs: timeSource.nowMs()});
 		note('gone', upstream, at);
 	};
 
@@ -113,7 +144,13 @@
 		scheduleDrop(upstream.entry.id);
 	};
 
+	const release = (id: string) => {
+		heldBack.get(id)?.timer.dispose();
+		heldBack.delete(id);
+	};
+
 	const removeEntry = (id: string, at: storePosition.StorePosition) => {
+		release(id);
 		const upstream = upstreams.get(id);
 		if (!upstream) {
 			return;
@@ -150,31 +187,43 @@
 
 	const coldUntil = (coldLeftMs: number) => (coldLeftMs > 0 ? timeSource.nowMs() + coldLeftMs : 0);
 
-	const put = (
+	const coldUntilOf = (
 		entry: upstreamEntry.UpstreamEntry,
+		current: Upstream | undefined,
+		{isListed, coldLeftMs, isRestored}: EntrySource,
+	): number => {
+		const readUntilMs = coldUntil(coldLeftMs ?? entry.coldLeftMs);
+		if (!current || !isListed || !isSameStart(current.entry, entry)) {
+			return readUntilMs;
+		}
+
+		// A listing may repeat an entry that was written long ago, so its cold time has partly passed.
+		const isRepeated = current.entry.coldLeftMs === entry.coldLeftMs;
+		const keptUntilMs = isRepeated ? current.coldUntilMs : readUntilMs;
+		return isRestored ? Math.max(keptUntilMs, current.coldUntilMs) : keptUntilMs;
+	};
+
+	const put = (
+		listed: upstreamEntry.UpstreamEntry,
 		at: storePosition.StorePosition,
-		source: {isListed: boolean; coldLeftMs?: number},
+		source: EntrySource,
 	) => {
-		const region = regionOf(entry.failureDomain);
+		const region = regionOf(listed.failureDomain);
 		if (region === undefined) {
 			return;
 		}
 
-		const nowMs = timeSource.nowMs();
-		const current = upstreams.get(entry.id);
-		const isRestart =
-			current !== undefined &&
-			(current.entry.startedAtUnixMs !== entry.startedAtUnixMs ||
-				current.entry.address !== entry.address);
-		// A listing may repeat an entry that was written long ago, so its cold time has partly passed.
-		const isRepeated =
-			source.isListed && !isRestart && current?.entry.coldLeftMs === entry.coldLeftMs;
+		release(listed.id);
+		const current = upstreams.get(listed.id);
+		const isRestart = current !== undefined && !isSameStart(current.entry, listed);
+		// An upstream drains until its end, so an entry that says otherwise is an older one.
+		const isStillDraining =
+			current?.entry.isDraining && !isRestart && listed.startedAtUnixMs !== undefined;
+		const entry = isStillDraining ? {...listed, isDraining: true} : listed;
 		const upstream: Upstream = {
 			entry,
 			region,
-			coldUntilMs: isRepeated
-				? current.coldUntilMs
-				: coldUntil(source.coldLeftMs ?? entry.coldLeftMs),
+			coldUntilMs: coldUntilOf(entry, current, source),
 		};
 		upstreams.set(entry.id, upstream);
 		groups = undefined;
@@ -184,6 +233,51 @@
 		}
 	};
 
+	const hasLeft = (entry: upstreamEntry.UpstreamEntry): boolean => {
+		const last = left.get(entry.id);
+		return (
+			last !== undefined &&
+			isSameStart(last.entry, entry) &&
+			timeSource.nowMs() - last.atMs < leftMemoryMs
+		);
+	};
+
+	/** Whether a restored entry is older than what is known of its upstream. */
+	const isOutdated = (entry: upstreamEntry.UpstreamEntry): boolean => {
+		const current = upstreams.get(entry.id)?.entry;
+		return current === undefined
+			? hasLeft(entry)
+			: (entry.startedAtUnixMs ?? 0) < (current.startedAtUnixMs ?? 0);
+	};
+
+	/** Applies an entry only if nothing replaces it in time. */
+	const holdBack = (entry: upstreamEntry.UpstreamEntry, at: storePosition.StorePosition) => {
+		const region = regionOf(entry.failureDomain);
+		if (heldBack.has(entry.id) || region === undefined) {
+			return;
+		}
+
+		note('held-back', {entry, region, coldUntilMs: 0}, at);
+		const timer = timeSource.setTimer(() => {
+			put(entry, at, {isListed: true});
+		}, restoredEntryGraceMs);
+		heldBack.set(entry.id, {entry, timer});
+	};
+
+	/** Applies an entry of a listing, unless it is outdated. */
+	const putListed = (
+		entry: upstreamEntry.UpstreamEntry,
+		at: storePosition.StorePosition,
+		source: EntrySource,
+	) => {
+		const isDoubtful = source.isRestored === true || heldBack.has(entry.id);
+		if (isDoubtful && isOutdated(entry)) {
+			holdBack(entry, at);
+		} else {
+			put(entry, at, source);
+		}
+	};
+
 	const groupKey = (service: string, region: string) => `${service}\n${region}`;
 
 	const buildGroups = () => {
@@ -203,6 +297,12 @@
 		return next;
 	};
 
+	const releaseOthers = (ids: ReadonlySet<string>) => {
+		for (const id of [...heldBack.keys()].filter((heldId) => !ids.has(heldId))) {
+			release(id);
+		}
+	};
+
 	/** Returns whether there were any. */
 	const removeOthers = (ids: ReadonlySet<string>, at: storePosition.StorePosition): boolean => {
 		const others = [...upstreams.keys()].filter((id) => !ids.has(id));
@@ -221,24 +321,37 @@
 	return {
 		onDidChange: didChange.event,
 		replaceAll(entries, listedAt, lastChange = listedAt) {
-			const hasRemovals = removeOthers(new Set(entries.map((entry) => entry.id)), listedAt);
+			const isRestored = storePosition.isRestored(position, listedAt);
+			const ids = new Set(entries.map((entry) => entry.id));
+			releaseOthers(ids);
+			const hasRemovals = removeOthers(ids, listedAt);
 			const at = hasRemovals ? listedAt : lastChange;
 			for (const entry of entries) {
-				put(entry, at, {isListed: true});
+				putListed(entry, at, {isListed: true, isRestored});
 			}
 
 			finishReplacement(at);
 		},
 		replaceFromPeer(reports, at) {
-			removeOthers(new Set(reports.map(({entry}) => entry.id)), at);
-			for (const {entry, coldLeftMs, isMissing} of reports) {
+			const isRestored = storePosition.isRestored(position, at);
+			const held = reports.filter(({isHeldBack}) => isHeldBack);
+			const listed = reports.filter(({isHeldBack}) => !isHeldBack);
+			releaseOthers(new Set(reports.map(({entry}) => entry.id)));
+			removeOthers(new Set(listed.map(({entry}) => entry.id)), at);
+			for (const {entry} of held) {
+				holdBack(entry, at);
+			}
+
+			for (const {entry, coldLeftMs, isMissing} of listed) {
 				const before = upstreams.get(entry.id);
 				const isDropped = before === undefined && isLoaded;
 				if (isMissing && (isDropped || before?.missingSinceMs !== undefined)) {
 					continue;
 				}
 
-				put(entry, at, {isListed: true, coldLeftMs});
+				// Later reports of the peer include only entries that it has seen written again.
+				const apply = isRestored ? putListed : put;
+				apply(entry, at, {isListed: true, coldLeftMs, isRestored});
 				const upstream = upstreams.get(entry.id);
 				if (isMissing && upstream) {
 					markMissing(upstream, at);
@@ -247,12 +360,16 @@
 
 			finishReplacement(at);
 		},
-		reportAll: () =>
-			[...upstreams.values()].map((upstream) => ({
+		reportAll: () => [
+			...[...upstreams.values()].map((upstream) => ({
 				entry: upstream.entry,
 				coldLeftMs: Math.max(0, Math.round(upstream.coldUntilMs - timeSource.nowMs())),
 				isMissing: upstream.missingSinceMs !== undefined,
 			})),
+			...[...heldBack.values()]
+				.filter(({entry}) => !upstreams.has(entry.id))
+				.map(({entry}) => ({entry, coldLeftMs: 0, isMissing: false, isHeldBack: true})),
+		],
 		put(entry, at) {
 			put(entry, at, {isListed: false});
 			position = storePosition.latest(position, at);
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -14,7 +14,7 @@
 import * as routeConfig from '../common/route-config.js';
 import * as storeFeed from '../common/store-feed.js';
 import * as storePosition from '../common/store-position.js';
-import type * as storeReachability from '../common/store-reachability.js';
+import * as storeReachability from '../common/store-reachability.js';
 import * as upstreamEntry from '../common/upstream-entry.js';
 import type * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as storeWatcherElection from '../common/store-watcher-election.js';
@@ -79,6 +79,8 @@
 	const evacuated = new Set<string>();
 	let table: routeConfig.RouteTable | undefined;
 	let operatorPosition = storePosition.start;
+	/** Evacuations that a restored store lacks, until the operator has written them again or the time is over. */
+	const keptEvacuations = new Map<string, disposable.Disposable>();
 
 	const applyConfig = (config: routeConfig.RouteConfig, source: string) => {
 		const current = table?.config.version ?? 0;
@@ -107,6 +109,8 @@
 	};
 
 	const setEvacuated = (failureDomain: string, isEvacuated: boolean, revision: number) => {
+		keptEvacuations.get(failureDomain)?.dispose();
+		keptEvacuations.delete(failureDomain);
 		if (evacuated.has(failureDomain) === isEvacuated) {
 			return;
 		}
@@ -120,6 +124,24 @@
 		log.note({kind: 'evacuation', failureDomain, isEvacuated, revision});
 	};
 
+	/** Ends an evacuation that a listing or a snapshot lacks, after a restore only if it is not written again. */
+	const noteMissingEvacuation = (failureDomain: string, revision: number, isRestored: boolean) => {
+		if (keptEvacuations.has(failureDomain)) {
+			return;
+		}
+
+		if (!isRestored) {
+			setEvacuated(failureDomain, false, revision);
+			return;
+		}
+
+		const timer = clock.setTimer(() => {
+			setEvacuated(failureDomain, false, revision);
+		}, storeReachability.missingEntryGraceMs);
+		keptEvacuations.set(failureDomain, timer);
+		log.note({kind: 'evacuation-kept', failureDomain, revision});
+	};
+
 	const rejectEntry = (key: string, revision: number, error: unknown) => {
 		const detail = errorText.errorText(error, maxEntryDetailLength);
 		log.note({kind: 'entry-rejected', key, revision, detail});
@@ -146,6 +168,10 @@
 		random: options.random,
 		handler: {
 			onListing({items, revision, era}) {
+				const isRestored = storePosition.isRestored(
+					operatorPosition,
+					storePosition.create(era, revision),
+				);
 				const listed = new Set<string>();
 				let hasRemovals = false;
 				for (const item of items) {
@@ -159,7 +185,7 @@
 				for (const failureDomain of evacuated) {
 					if (!listed.has(failureDomain)) {
 						hasRemovals = true;
-						setEvacuated(failureDomain, false, revision);
+						noteMissingEvacuation(failureDomain, revision, isRestored);
 					}
 				}
 
@@ -204,6 +230,12 @@
 		}
 	};
 
+	const noteUpstreamsAt = (position: storePosition.StorePosition) => {
+		if (storePosition.isRestored(registry.position, position)) {
+			reachability.noteRestore();
+		}
+	};
+
 	const upstreamFeed = storeFeed.startStoreFeed({
 		clock,
 		store,
@@ -215,11 +247,10 @@
 				const entries = items
 					.map((item) => decodeUpstream(item.key, item.value, item.revision))
 					.filter((entry) => entry !== undefined);
-				registry.replaceAll(
-					entries,
-					storePosition.create(era, revision),
-					storePosition.create(era, lastRevisionOf(items)),
-				);
+				const listedAt = storePosition.create(era, revision);
+				noteUpstreamsAt(listedAt);
+				const lastChange = storePosition.create(era, lastRevisionOf(items));
+				registry.replaceAll(entries, listedAt, lastChange);
 				didApplyStoreUpdate.fire();
 			},
 			onEvents(events, position) {
@@ -286,7 +317,7 @@
 		evacuatedDomains: () => [...evacuated],
 		snapshot: (knownConfigVersion) => ({
 			config: table && table.config.version > knownConfigVersion ? table.config : undefined,
-			evacuated: [...evacuated],
+			evacuated: [...evacuated].filter((name) => !keptEvacuations.has(name)),
 			operatorRevision: operatorPosition,
 			upstreams: registry.reportAll(),
 			upstreamRevision: registry.position,
@@ -299,21 +330,32 @@
 			// While the store is watched and responds, it is more current than any snapshot.
 			const hasNewerUpstreams = storePosition.isAfter(snapshot.upstreamRevision, registry.position);
 			if (upstreamFeed.contact !== 'reached' && hasNewerUpstreams) {
+				noteUpstreamsAt(snapshot.upstreamRevision);
 				registry.replaceFromPeer(snapshot.upstreams, snapshot.upstreamRevision);
 			}
 
 			const {operatorRevision} = snapshot;
 			const hasNewerKeys = storePosition.isAfter(operatorRevision, operatorPosition);
 			if (operatorFeed.contact !== 'reached' && hasNewerKeys) {
+				const isRestored = storePosition.isRestored(operatorPosition, operatorRevision);
 				operatorPosition = storePosition.latest(operatorPosition, operatorRevision);
 				const revision = storePosition.revisionOf(operatorPosition);
-				for (const failureDomain of new Set([...snapshot.evacuated, ...evacuated])) {
-					const isEvacuated = snapshot.evacuated.includes(failureDomain);
-					setEvacuated(failureDomain, isEvacuated, revision);
+				for (const failureDomain of snapshot.evacuated) {
+					setEvacuated(failureDomain, true, revision);
+				}
+
+				for (const failureDomain of evacuated) {
+					if (!snapshot.evacuated.includes(failureDomain)) {
+						noteMissingEvacuation(failureDomain, revision, isRestored);
+					}
 				}
 			}
 		},
 		dispose() {
+			for (const timer of keptEvacuations.values()) {
+				timer.dispose();
+			}
+
 			disposables.dispose();
 		},
 	};
--- a/packages/gateway/src/test/restored-store.test.ts
+++ b/packages/gateway/src/test/restored-store.test.ts
@@ -212,3 +212,126 @@
 	t.equal(storePosition.revisionOf(last), 2 ** 40 - 1);
 	t.end();
 });
+
+/** A daemon that knows changes which a copy of the store lacks. */
+const startWithLostChanges = async (
+	t: tap.Test,
+	change: (store: memoryStore.MemoryPrefixStore) => void,
+) => {
+	const domain = startDomain(t, ['n1', 'n2']);
+	const {clock, store, daemons} = domain;
+	daemons[1]!.cluster.setWatching(false);
+	store.write('ops/routes', config(5));
+	for (const id of ['u1', 'u2']) {
+		store.write(`servers/${id}`, fixtures.upstream(id, {startedAtUnixMs: 1}));
+	}
+
+	await clock.advance(5000);
+	const copy = store.copy();
+	change(store);
+	await clock.advance(1500);
+	store.restore(copy);
+	await clock.advance(1500);
+	const usable = () =>
+		daemons.map(({registry}) =>
+			registry
+				.usable('model', 'north')
+				.map(({entry}) => entry.id)
+				.join(' '),
+		);
+	return {...domain, usable};
+};
+
+// Guards against upstreams that leave and get work again because a copy still calls them ready.
+tap.t.test('a draining upstream stays draining after a restore', async (t) => {
+	const {clock, store, usable} = await startWithLostChanges(t, (lost) => {
+		lost.write('servers/u2', fixtures.upstream('u2', {startedAtUnixMs: 1, isDraining: true}));
+	});
+	t.same(usable(), ['u1', 'u1']);
+	await clock.advance(10_000);
+	t.same(usable(), ['u1', 'u1']);
+	store.write('servers/u2', fixtures.upstream('u2', {startedAtUnixMs: 2}));
+	await clock.advance(configMs);
+	t.same(usable(), ['u1 u2', 'u1 u2'], 'until it starts again');
+});
+
+// Guards against upstreams that left and get work again because a copy still has them.
+tap.t.test('an upstream that left is not used after a restore', async (t) => {
+	const left = (lost: memoryStore.MemoryPrefixStore) => {
+		lost.remove('servers/u2');
+	};
+
+	const expiring = await startWithLostChanges(t, left);
+	t.same(expiring.usable(), ['u1', 'u1']);
+	expiring.store.remove('servers/u2');
+	await expiring.clock.advance(10_000);
+	t.same(expiring.usable(), ['u1', 'u1'], 'its restored entry expired');
+
+	const registered = await startWithLostChanges(t, left);
+	t.same(registered.usable(), ['u1', 'u1']);
+	registered.store.write('servers/u2', fixtures.upstream('u2', {startedAtUnixMs: 1}));
+	await registered.clock.advance(configMs);
+	t.same(registered.usable(), ['u1 u2', 'u1 u2'], 'it registers again');
+
+	const silent = await startWithLostChanges(t, left);
+	await silent.clock.advance(10_000);
+	t.same(silent.usable(), ['u1 u2', 'u1 u2'], 'an entry that does not expire is used');
+});
+
+// Guards against upstreams that a copy lacks and that count as gone.
+tap.t.test('an upstream that a copy lacks is kept until it has registered again', async (t) => {
+	const add = (lost: memoryStore.MemoryPrefixStore) => {
+		lost.write('servers/u3', fixtures.upstream('u3', {startedAtUnixMs: 1}));
+	};
+
+	const {clock, usable} = await startWithLostChanges(t, add);
+	t.same(usable(), ['u1 u2 u3', 'u1 u2 u3']);
+	await clock.advance(configMs);
+	t.same(usable(), ['u1 u2', 'u1 u2'], 'it does not');
+	const again = await startWithLostChanges(t, add);
+	add(again.store);
+	await again.clock.advance(10_000);
+	t.same(again.usable(), ['u1 u2 u3', 'u1 u2 u3']);
+});
+
+// Guards against a cold upstream that gets full load because a copy calls it warm.
+tap.t.test('a cold upstream stays cold after a restore, also one that restarted', async (t) => {
+	const {clock, daemons, store, usable} = await startWithLostChanges(t, (lost) => {
+		lost.write('servers/u1', fixtures.upstream('u1', {startedAtUnixMs: 1, coldLeftMs: 60_000}));
+		lost.write('servers/u2', fixtures.upstream('u2', {startedAtUnixMs: 2, coldLeftMs: 60_000}));
+	});
+	for (const {name, registry} of daemons) {
+		for (const id of ['u1', 'u2']) {
+			t.ok(registry.get(id)!.coldUntilMs > clock.nowMs() + 50_000, `${id} at ${name}`);
+		}
+	}
+
+	store.write('servers/u2', fixtures.upstream('u2', {startedAtUnixMs: 2}));
+	await clock.advance(configMs);
+	t.same(usable(), ['u1 u2', 'u1 u2']);
+	t.equal(daemons[0]!.registry.get('u2')!.coldUntilMs, 0, 'a new entry counts');
+});
+
+// Guards against requests to a failure domain whose evacuation a copy lacks.
+tap.t.test('an evacuation that a copy lacks holds until it is written again', async (t) => {
+	const evacuate = (lost: memoryStore.MemoryPrefixStore) => {
+		lost.write('ops/leave/north-b', {});
+	};
+
+	const {clock, store, daemons} = await startWithLostChanges(t, evacuate);
+	const evacuated = () => daemons.map(({cluster}) => cluster.isEvacuated('north-b'));
+	t.same(evacuated(), [true, true]);
+	evacuate(store);
+	await clock.advance(10_000);
+	t.same(evacuated(), [true, true]);
+	store.remove('ops/leave/north-b');
+	await clock.advance(configMs);
+	t.same(evacuated(), [false, false]);
+	const withdrawn = await startWithLostChanges(t, evacuate);
+	await withdrawn.clock.advance(configMs);
+	t.same(
+		withdrawn.daemons.map(({cluster}) => cluster.evacuatedDomains()),
+		[[], []],
+		'it is not written again',
+	);
+});
