Do not take another daemon's lease for one that a restore has lost

After a restore of the store from a copy, ids of leases are given out again. A daemon that had registered in the lost seconds renewed the lease of another daemon and was not listed itself, or ended that lease when it left the list. Leases now belong to the era in which they were granted: one of an earlier era counts as ended, so the daemon registers again, and is left to expire.

--- a/packages/gateway/src/node/membership.ts
+++ b/packages/gateway/src/node/membership.ts
@@ -10,6 +10,7 @@
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as prefixStore from '../common/prefix-store.js';
+import * as storeLease from '../common/store-lease.js';
 
 export type Membership = {
 	/** Removes this daemon from the list of members. */
@@ -44,7 +45,7 @@
 export const startMembership = (options: MembershipOptions): Membership => {
 	const {clock, store, fleet, log} = options;
 	const abort = new AbortController();
-	let lease: string | undefined;
+	let lease: storeLease.StoreLease | undefined;
 
 	const noteFailure = (error: unknown) => {
 		const detail = errorText.errorText(error, errorText.maxLoggedLength);
@@ -52,10 +53,10 @@
 	};
 
 	const register = async () => {
-		const granted = await store.grantLease(options.leaseMs);
+		const granted = await storeLease.grantStoreLease(store, options.leaseMs);
 		const self = options.self();
 		const value = new TextEncoder().encode(JSON.stringify(self));
-		await store.putLeased(`${options.prefix}${self.name}`, value, granted);
+		await granted.put(`${options.prefix}${self.name}`, value);
 		lease = granted;
 	};
 
@@ -63,7 +64,7 @@
 		if (lease !== undefined) {
 			const ended = lease;
 			lease = undefined;
-			await store.endLease(ended);
+			await ended.end();
 		}
 	};
 
@@ -75,7 +76,7 @@
 				if (!options.isEntryPoint()) {
 					await unregister();
 					delayMs = retryDelayMs;
-				} else if (lease === undefined || !(await store.renewLease(lease))) {
+				} else if (lease === undefined || !(await lease.renew())) {
 					await register();
 				}
 			} catch (error) {
@@ -131,7 +132,7 @@
 			lifetime.dispose();
 			if (lease !== undefined) {
 				try {
-					await store.endLease(lease);
+					await lease.end();
 				} catch (error) {
 					// The lease expires on its own.
 					noteFailure(error);
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -11,6 +11,7 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import type * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as storeLease from '../common/store-lease.js';
 import * as storeFeed from '../common/store-feed.js';
 import * as feedLog from './feed-log.js';
 
@@ -187,10 +188,11 @@
 
 	const save = async (key: string, report: promptQuarantine.QuarantineReport) => {
 		const {remainingMs, ...rest} = report;
-		const lease = await store.grantLease(
+		const lease = await storeLease.grantStoreLease(
+			store,
 			Math.min(maxLeaseMs, Math.ceil(remainingMs) + leaseMarginMs),
 		);
-		await store.putLeased(key, encode(rest), lease);
+		await lease.put(key, encode(rest));
 		storedStates.set(key, report.isHarmful ? report.quarantines : 0);
 		unsavedSinceMs.delete(key);
 	};
--- a/packages/gateway/src/test/membership.test.ts
+++ b/packages/gateway/src/test/membership.test.ts
@@ -90,3 +90,21 @@
 	t.same(await listed(), ['members/n1']);
 	subject.dispose();
 });
+
+// Guards against a daemon that renews or ends the lease of another one, and is not listed itself.
+tap.t.test('a lease that a restore has lost is not mistaken for another one', async (t) => {
+	for (const change of ['renewal', 'end'] as const) {
+		const {store, state, listed, passWithPeer, subject} = start({isEntryPoint: true});
+		const copy = store.copy();
+		await passWithPeer(2);
+		t.same(await listed(), ['members/n1']);
+		store.restore(copy);
+		const lease = await store.grantLease(60_000);
+		await store.putLeased('members/n7', new Uint8Array([1]), lease);
+		state.isEntryPoint = change === 'renewal';
+		await passWithPeer(8);
+		const expected = change === 'renewal' ? ['members/n7', 'members/n1'] : ['members/n7'];
+		t.same(await listed(), expected, change);
+		subject.dispose();
+	}
+});
