Name only daemons with a heartbeat in the directory

A daemon that the list of members in the store has counted as alive for 4 s, was named to callers and passed on to peers, although its process may have ended: the list shows it until its lease ends, and a restore of the store from a copy brings a lease back that had ended. Daemons that only the list has are contacted as before, and named once they answer.

--- a/packages/gateway/src/common/directory.ts
+++ b/packages/gateway/src/common/directory.ts
@@ -23,7 +23,7 @@
 const maxTrackedCallers = 500;
 
 /**
- * Returns the ready daemons of the caller's region. If there are none, returns those
+ * Returns the ready daemons of the caller's region, by their heartbeats, since the store may list daemons that have ended. If there are none, returns those
  * of the region that is a home of most of the host's bound routes, so that few bound
  * requests enter a region that must forward them. A daemon that is leaving returns an
  * empty list, since it receives no gossip any more; callers then query the next daemon.
@@ -41,7 +41,9 @@
 		return {addresses: [], basis: 'leaving', timeToLiveMs};
 	}
 
-	const ready = [self, ...fleet.alive()].filter((member) => member.isReady && !member.isLeaving);
+	const ready = [self, ...fleet.confirmed()].filter(
+		(member) => member.isReady && !member.isLeaving,
+	);
 	const inRegion = ready.filter((member) => member.region === query.region);
 	const coverageOf = (member: gossipMessage.MemberRecord) => homeCoverage.get(member.region) ?? 0;
 	const bestCoverage = Math.max(0, ...ready.map((member) => coverageOf(member)));
--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -21,6 +21,8 @@
 export type Member = gossip.MemberRecord & {
 	/** Monotonic time at which it was last known to be alive. */
 	readonly aliveAtMs: number;
+	/** Only the store lists it, so its process may have ended. */
+	readonly isUnconfirmed: boolean;
 };
 
 export type MemberChange = {kind: 'joined' | 'restarted' | 'left' | 'lost'; member: Member};
@@ -38,6 +40,8 @@
 	noteRegionWaits(region: string, service: string, waits: RegionWaits): void;
 	/** Members that are alive and not leaving, without this daemon. */
 	alive(): readonly Member[];
+	/** Members that are alive by a heartbeat, without those that only the store lists. */
+	confirmed(): readonly Member[];
 	/** Records that this daemon is stopping. Peers no longer send gossip to it, so missing heartbeats are ignored. */
 	noteLocalStop(): void;
 	aliveIn(region: string): readonly Member[];
@@ -66,9 +70,9 @@
 	const isAlive = (member: Member) =>
 		!member.isLeaving && timeSource.nowMs() - member.aliveAtMs < memberLostAfterMs;
 
-	const put = (record: gossip.MemberRecord, aliveAtMs: number) => {
+	const put = (record: gossip.MemberRecord, aliveAtMs: number, isUnconfirmed = false) => {
 		const current = members.get(record.name);
-		const member: Member = {...record, aliveAtMs};
+		const member: Member = {...record, aliveAtMs, isUnconfirmed};
 		members.set(record.name, member);
 		if (current?.startedAtUnixMs !== record.startedAtUnixMs) {
 			if (current) {
@@ -95,7 +99,8 @@
 			return current.startedAtUnixMs < record.startedAtUnixMs;
 		}
 
-		return current.isLeaving ? false : record.isLeaving || current.aliveAtMs < aliveAtMs;
+		const isNews = current.isUnconfirmed || record.isLeaving || current.aliveAtMs < aliveAtMs;
+		return !current.isLeaving && isNews;
 	};
 
 	const waitsAgeMs = (waits: ReceivedWaits) => timeSource.nowMs() - waits.atMs;
@@ -114,7 +119,8 @@
 			for (const {memberId, ageMs} of heartbeats) {
 				const name = namesById.get(memberId);
 				const member = name === undefined ? undefined : members.get(name);
-				if (member && !member.isLeaving && member.aliveAtMs < nowMs - ageMs) {
+				const isNews = member?.isUnconfirmed ?? false;
+				if (member && !member.isLeaving && (isNews || member.aliveAtMs < nowMs - ageMs)) {
 					put(member, nowMs - ageMs);
 				}
 			}
@@ -128,7 +134,7 @@
 				return;
 			}
 
-			put(record, timeSource.nowMs() - memberLostAfterMs + storeMemberAliveMs);
+			put(record, timeSource.nowMs() - memberLostAfterMs + storeMemberAliveMs, true);
 		},
 		noteRegionWaits(region, service, {urgentMs, otherMs, ageMs}) {
 			const atMs = timeSource.nowMs() - ageMs;
@@ -140,6 +146,7 @@
 			}
 		},
 		alive: () => [...members.values()].filter((member) => isAlive(member)),
+		confirmed: () => view.alive().filter(({isUnconfirmed}) => !isUnconfirmed),
 		noteLocalStop() {
 			isStopping = true;
 		},
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -113,7 +113,7 @@
 
 	/** Members to list: those that have changed since they were listed, then any others. */
 	const pickMembers = (): fleetView.Member[] => {
-		const alive = fleet.alive();
+		const alive = fleet.confirmed();
 		const changed = alive.filter((member) => sentStates.get(member.name) !== stateOf(member));
 		const listed = pickSome(changed, maxMembersPerMessage);
 		if (listed.length < maxMembersPerMessage) {
@@ -180,7 +180,7 @@
 		const prefixes = options.takePromptPrefixes();
 		const target = relays[tick % relays.length];
 		const others = relays.filter((relay) => relay !== target && relay.name !== self.name);
-		const records = tick % membersEveryTicks === 0 ? pickSome(fleet.alive(), 2) : [];
+		const records = tick % membersEveryTicks === 0 ? pickSome(fleet.confirmed(), 2) : [];
 		const report = {loads: options.localLoads(), outlooks: []};
 		const listed = {records, heartbeats: []};
 		if (target?.name === self.name) {
@@ -203,7 +203,7 @@
 				promptPrefixes: relayedPrefixes.splice(0),
 				isRelayed: true,
 			},
-			{records: pickMembers(), heartbeats: fleet.alive()},
+			{records: pickMembers(), heartbeats: fleet.confirmed()},
 		);
 		send(domainPeers(options.self()), bytes);
 	};
@@ -221,8 +221,8 @@
 		const regionPeers = peers.filter(({region}) => region === self.region);
 		const prefixes = isOtherRegionTick ? domainPrefixes.splice(0) : [];
 		const listed = {
-			records: pickSome(fleet.alive(), maxMembersPerMessage),
-			heartbeats: domainPeers(self),
+			records: pickSome(fleet.confirmed(), maxMembersPerMessage),
+			heartbeats: domainPeers(self).filter(({isUnconfirmed}) => !isUnconfirmed),
 		};
 		if (regionPeers.length > 0) {
 			const content = {
@@ -274,7 +274,7 @@
 		const seed = random.pick(options.seeds.filter((address) => address !== self.peerAddress));
 		const isNeeded = !fleet.hasLivePeers() || random.next() < seedShare;
 		if (seed && isNeeded && tick % otherRegionEveryTicks === 0) {
-			const records = pickSome(fleet.alive(), maxMembersPerMessage);
+			const records = pickSome(fleet.confirmed(), maxMembersPerMessage);
 			socket.send(seed, buildMessage({}, {records, heartbeats: []}));
 		}
 	};
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -57,6 +57,35 @@
 	t.same(changes, ['joined', 'restarted']);
 });
 
+// Guards against daemons that ended and that a restored store lists again, under a lease that had ended.
+tap.t.test('a daemon that only the store lists is contacted, but not named', async (t) => {
+	const {clock, network, nodes} = memoryFleet.startFleet();
+	await clock.advance(4000);
+	const named = (fleet: fleetView.FleetView) =>
+		directory
+			.answerDirectory({region: 'south'}, fixtures.member('x'), fleet, new Map(), 2000)
+			.addresses.join(' ');
+	t.equal(named(nodes.n1.fleet), 's1:80 s2:80');
+	const ended = nodes.s2.state.record;
+	nodes.s2.stop();
+	await clock.advance(10_000);
+	t.equal(named(nodes.n1.fleet), 's1:80');
+	nodes.n1.fleet.noteStoreMember(ended);
+	for (let second = 0; second < 5; second++) {
+		for (const {fleet} of [nodes.n1, nodes.n2, nodes.s1]) {
+			t.notMatch(named(fleet), /s2/u);
+		}
+
+		await clock.advance(1000);
+	}
+
+	const returned = memoryFleet.startNode(clock, network, ended, []);
+	nodes.n1.fleet.noteStoreMember(ended);
+	await clock.advance(3000);
+	t.equal(named(nodes.n1.fleet), 's1:80 s2:80', 'once it answers');
+	returned.stop();
+});
+
 tap.t.test('prompt prefixes that one daemon sent reach all failure domains', async (t) => {
 	const {clock, nodes} = memoryFleet.startFleet();
 	await clock.advance(4000);
