--- a/packages/gateway/src/common/crash-detector.ts
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -86,7 +86,8 @@
 	};
 
 	const forgetIfIdle = (key: number, watched: Watched) => {
-		if (watched.running.size === 0 && !watched.isChecking) {
+		const isIdle = watched.running.size === 0 && !watched.isChecking;
+		if (isIdle && watchedByKey.get(key) === watched) {
 			watchedByKey.delete(key);
 		}
 	};
--- a/packages/gateway/src/test/crash-detector.test.ts
+++ b/packages/gateway/src/test/crash-detector.test.ts
@@ -105,3 +105,21 @@
 	t.equal(probes(), 0);
 	t.equal(subject.begin(upstream, []), undefined, 'nor do requests without a prompt');
 });
+
+// Guards against a request that ends late and makes the detector forget later requests of its upstream.
+tap.t.test('a request that ends after a crash does not hide the next one', async (t) => {
+	const {clock, subject, crashes, begin} = create('refused');
+	const first = begin('first');
+	first.noteBroken();
+	await clock.advance(100);
+	const second = begin('second');
+	first.end();
+	second.noteBroken();
+	let hasCrashed: boolean | undefined;
+	subject.whenDecided(upstream, (result) => {
+		hasCrashed = result;
+	});
+	await clock.advance(100);
+	t.equal(hasCrashed, true);
+	t.equal(crashes.length, 2);
+});
