--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -55,7 +55,11 @@
 export const crashesSinceAnswer = ({crashes, answeredAtMs}: PartEvidence): Crash[] =>
 	crashes.filter(({atMs}) => atMs > answeredAtMs);
 
-/** Whether the crashes suffice to refuse requests with the part. @param explained upstream keys of crashes with a likelier cause */
+/**
+ * Whether the crashes suffice to refuse requests with the part.
+ *
+ * @param explained upstream keys of crashes with a likelier cause
+ */
 const isSufficient = (evidence: PartEvidence, explained: ReadonlySet<number>): boolean => {
 	const crashes = crashesSinceAnswer(evidence).filter(
 		({upstreamKey}) => !explained.has(upstreamKey),
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -92,6 +92,8 @@
 const suspicionMemoryMs = 600_000;
 /** Refuted suspicions are kept for as long as other daemons may report the crash. */
 const refutedMemoryMs = 10_000;
+/** Share of these times after which reports of other daemons are ignored. */
+const reportedMemoryShare = 0.5;
 /** Retry delay while another request tries a part again. */
 const trialRetryMs = 1000;
 const maxRecords = 400;
@@ -121,6 +123,18 @@
 
 const keyOf = (service: string, partId: string): string => `${service}\n${boundedId(partId)}`;
 
+/** Whether an answer has refuted all crashes of a part. */
+const isCleared = (record: PartRecord): boolean =>
+	partEvidence.crashesSinceAnswer(record).length === 0;
+
+const memoryMs = (wasQuarantined: boolean, isRefuted: boolean): number => {
+	if (wasQuarantined) {
+		return quarantineMemoryMs;
+	}
+
+	return isRefuted ? refutedMemoryMs : suspicionMemoryMs;
+};
+
 const changeOf = (
 	record: PartRecord,
 	before: {isHarmful: boolean; isInForce: boolean},
@@ -135,8 +149,7 @@
 		return 'released';
 	}
 
-	const isSuspected = hasNewEvidence && partEvidence.crashesSinceAnswer(record).length > 0;
-	return isSuspected ? 'suspected' : undefined;
+	return hasNewEvidence && !isCleared(record) ? 'suspected' : undefined;
 };
 
 /** Creates a quarantine without evidence. */
@@ -182,7 +195,11 @@
 		}
 	};
 
-	/** Applies new evidence, and decides on quarantines. @param apply returns the parts with new evidence */
+	/**
+	 * Applies new evidence, and decides on quarantines.
+	 *
+	 * @param apply returns the parts with new evidence
+	 */
 	const update = (source: string, apply: () => readonly PartRecord[]) => {
 		const before = new Map(
 			[...records.values()].map((record) => [
@@ -270,15 +287,23 @@
 		return record;
 	};
 
+	/** Old reports are ignored, since daemons that have forgotten a part would learn of it from each other again and again. */
+	const isCurrent = ({crashes, answeredAgeMs, quarantines}: PartReport): boolean => {
+		const lastCrashAgeMs = Math.min(...crashes.map(({ageMs}) => ageMs));
+		const isRefuted = (answeredAgeMs ?? Number.POSITIVE_INFINITY) <= lastCrashAgeMs;
+		const retentionMs = memoryMs(quarantines > 0, isRefuted);
+		return lastCrashAgeMs < retentionMs * reportedMemoryShare;
+	};
+
 	/** Returns the part if the report has new evidence on it. */
 	const mergeReport = (report: PartReport): PartRecord | undefined => {
 		const record = recordOf(report.service, report.partId);
 		const answeredMs = nowMs() - (report.answeredAgeMs ?? Number.POSITIVE_INFINITY);
-		const isRefuted = partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs);
+		const hasAnswer = partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs);
 		record.answeredAtMs = Math.max(record.answeredAtMs, answeredMs);
 		record.quarantines = Math.max(record.quarantines, report.quarantines);
 		const stronger = report.crashes.filter((crash) => addCrash(record, crash));
-		return isRefuted || stronger.length > 0 ? record : undefined;
+		return hasAnswer || stronger.length > 0 ? record : undefined;
 	};
 
 	const recordsFor = (service: string, parts: Parts): PartRecord[] =>
@@ -301,14 +326,6 @@
 		quarantines: record.quarantines,
 	});
 
-	const memoryMs = (record: PartRecord): number => {
-		if (record.quarantines > 0) {
-			return quarantineMemoryMs;
-		}
-
-		return partEvidence.crashesSinceAnswer(record).length > 0 ? suspicionMemoryMs : refutedMemoryMs;
-	};
-
 	return {
 		onDidChange: didChange.event,
 		quarantinedPart(service, parts) {
@@ -337,9 +354,7 @@
 				answeredAtMs.set(keyOf(service, id), nowMs());
 			}
 
-			const refuted = recordsFor(service, parts).filter(
-				(record) => partEvidence.crashesSinceAnswer(record).length > 0,
-			);
+			const refuted = recordsFor(service, parts).filter((record) => !isCleared(record));
 			if (refuted.length > 0) {
 				update(ownSource, () => {
 					for (const record of refuted) {
@@ -374,10 +389,10 @@
 			});
 		},
 		merge(reports, source) {
-			const withCrashes = reports.filter(({crashes}) => crashes.length > 0);
-			if (withCrashes.length > 0) {
+			const current = reports.filter((report) => isCurrent(report));
+			if (current.length > 0) {
 				update(source, () =>
-					withCrashes.map((report) => mergeReport(report)).filter((record) => record !== undefined),
+					current.map((report) => mergeReport(report)).filter((record) => record !== undefined),
 				);
 			}
 		},
@@ -388,7 +403,9 @@
 				.filter((record) => isRecent(record))
 				.sort(byImportance)
 				.slice(0, maxReports);
-			const older = all.filter((record) => !isRecent(record) && memoryMs(record) > refutedMemoryMs);
+			const older = all.filter(
+				(record) => !isRecent(record) && (record.quarantines > 0 || !isCleared(record)),
+			);
 			const olderCount = Math.min(maxOlderReports, older.length, maxReports - chosen.length);
 			for (let count = 0; count < olderCount; count++) {
 				chosen.push(older[reportTurn++ % older.length]!);
@@ -406,7 +423,8 @@
 				})),
 		sweep() {
 			for (const [key, record] of records) {
-				if (partEvidence.lastCrashAtMs(record) < nowMs() - memoryMs(record)) {
+				const retentionMs = memoryMs(record.quarantines > 0, isCleared(record));
+				if (partEvidence.lastCrashAtMs(record) < nowMs() - retentionMs) {
 					records.delete(key);
 				}
 			}
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps quarantined prompt parts in the store, so that they survive a stop of all
- * daemons and reach daemons without peers. Daemons that watch the store read the parts,
- * and one of them writes each part.
+ * daemons and reach daemons without peers. Each daemon reads the parts when it starts.
+ * Some daemons watch the parts, and one of these writes each part.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -66,7 +66,7 @@
 	quarantine: promptQuarantine.PromptQuarantine;
 	log: gatewayEvent.EventLog;
 	daemonName: string;
-	/** Names of other daemons that watch the store. */
+	/** Names of other daemons that may watch the parts. */
 	otherWatchers(): readonly string[];
 };
 
--- a/packages/gateway/src/test/prompt-quarantine.test.ts
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -173,6 +173,31 @@
 	t.end();
 });
 
+// Guards against evidence that daemons which have forgotten it report to each other for ever.
+tap.t.test('reports of evidence that is soon forgotten are ignored', (t) => {
+	const report = (ageMs: number, more: Partial<promptQuarantine.PartReport>) => ({
+		service,
+		partId: 'topic',
+		crashes: [{upstreamKey: 1, ageMs, ...answering}],
+		quarantines: 0,
+		...more,
+	});
+	for (const [ageMs, more, isKept] of [
+		[1000, {answeredAgeMs: 500}, true],
+		[8000, {answeredAgeMs: 500}, false],
+		[8000, {}, true],
+		[400_000, {}, false],
+		[400_000, {quarantines: 1}, true],
+		[3_000_000, {quarantines: 1}, false],
+	] as const) {
+		const {subject} = create();
+		subject.merge([report(ageMs, more)], 'n2');
+		t.equal(subject.takeReports().length > 0, isKept, `${ageMs} ms ${JSON.stringify(more)}`);
+	}
+
+	t.end();
+});
+
 tap.t.test('evidence and reports are bounded', async (t) => {
 	const {clock, subject, crash, isRefused} = create();
 	const longId = 'x'.repeat(5000);
