Log the requests that an upstream may have crashed on

The logs name prompt parts but no requests at a crash, so they cannot tell whether one request that comes again stands at several crashes.

--- a/packages/gateway/src/common/crash-detector.ts
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -10,6 +10,15 @@
 import type * as upstreamTransport from './upstream-transport.js';
 import type * as wireFormat from './wire-format.js';
 
+/** What may have crashed an upstream. */
+export type ObservedRequest = {
+	/** Names one attempt of the caller. */
+	attemptId?: string;
+	/** Parts of the prompt that other requests may share. */
+	parts: readonly wireFormat.PromptPart[];
+	digest(): string;
+};
+
 /** A request at an upstream. */
 export type ObservedRun = {
 	/** The upstream began its answer. */
@@ -25,11 +34,8 @@
 };
 
 export type CrashDetector = {
-	/** @param parts parts of the prompt that may crash the upstream; without any, the request is not observed */
-	begin(
-		upstream: upstreamRegistry.Upstream,
-		parts: readonly wireFormat.PromptPart[],
-	): ObservedRun | undefined;
+	/** Begins to observe a request; one without shared parts is not observed. */
+	begin(upstream: upstreamRegistry.Upstream, request: ObservedRequest): ObservedRun | undefined;
 	/** Calls back when it is known whether the upstream crashed: at once unless a connection to it has just broken. */
 	whenDecided(upstream: upstreamRegistry.Upstream, callback: (hasCrashed: boolean) => void): void;
 };
@@ -46,8 +52,11 @@
 /** An upstream that has sent more events than this has survived the begin of its answer. */
 const maxEventsAtCrash = 1;
 
+/** Limit of the log lines on the requests that one crash may be due to. */
+const maxLoggedSuspects = 8;
+
 type Run = {
-	parts: readonly wireFormat.PromptPart[];
+	request: ObservedRequest;
 	sentAtMs: number;
 	hasHead: boolean;
 	events: number;
@@ -103,11 +112,22 @@
 			suspects: suspects.length,
 			answering: suspects.filter((run) => wasAnswering(run)).length,
 		});
+		const byLikelihood = (a: Run, b: Run) => Number(wasAnswering(b)) - Number(wasAnswering(a));
+		for (const run of [...suspects].sort(byLikelihood).slice(0, maxLoggedSuspects)) {
+			log.note({
+				kind: 'crash-suspect',
+				upstream: upstream.entry.id,
+				request: run.request.attemptId ?? '',
+				digest: run.request.digest(),
+				wasAnswering: wasAnswering(run),
+			});
+		}
+
 		quarantine.noteCrash(
 			upstream.entry.service,
 			keyOf(upstream),
 			suspects.map((run) => ({
-				parts: run.parts,
+				parts: run.request.parts,
 				sentBeforeMs: run.brokenAtMs - run.sentAtMs,
 				wasAnswering: wasAnswering(run),
 			})),
@@ -141,7 +161,8 @@
 	};
 
 	return {
-		begin(upstream, parts) {
+		begin(upstream, request) {
+			const {parts} = request;
 			if (parts.length === 0) {
 				return undefined;
 			}
@@ -149,7 +170,7 @@
 			const {service} = upstream.entry;
 			const key = keyOf(upstream);
 			const watched = watchedOf(key);
-			const run: Run = {parts, sentAtMs: time.nowMs(), hasHead: false, events: 0};
+			const run: Run = {request, sentAtMs: time.nowMs(), hasHead: false, events: 0};
 			watched.running.add(run);
 
 			const leave = () => {
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -156,6 +156,16 @@
 			/** Requests of them whose answer had begun without an event. */
 			answering: number;
 	  }
+	/** A request that an upstream may have crashed on; only the likeliest ones of many. */
+	| {
+			kind: 'crash-suspect';
+			upstream: string;
+			request: string;
+			/** Equal for requests that repeat the same method, path and body. */
+			digest: string;
+			/** Its answer had begun without an event. */
+			wasAnswering: boolean;
+	  }
 	| {
 			kind: 'prompt-part';
 			change: 'suspected' | 'quarantined' | 'released';
--- a/packages/gateway/src/common/gateway-request.ts
+++ b/packages/gateway/src/common/gateway-request.ts
@@ -8,6 +8,8 @@
 	rawHeaders: readonly string[];
 	facts: wireFormat.RequestFacts;
 	body?: Uint8Array;
+	/** Equal for requests that repeat the same method, path and body; computed at the first call. */
+	digest(): string;
 	route: routeConfig.Route;
 	service: routeConfig.Service;
 	/** Monotonic time at which the head arrived. */
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -92,6 +92,11 @@
 	const {clock, wire} = services;
 	const {route, facts, service} = request;
 	const work = workEstimate.estimateWork(facts, route);
+	const observed: crashDetector.ObservedRequest = {
+		attemptId: facts.attemptId,
+		parts: work.sharedParts,
+		digest: request.digest,
+	};
 	const isIdempotent = routeConfig.isIdempotent(route);
 	const limitMs = Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
 	const deadlineMs = request.arrivedAtMs + limitMs;
@@ -452,7 +457,7 @@
 					request,
 					target,
 					account: local?.account,
-					observedRun: local && services.crashes.begin(local.upstream, work.sharedParts),
+					observedRun: local && services.crashes.begin(local.upstream, observed),
 					isIdempotent,
 					canRetry: () =>
 						failover.hasSuccessor ||
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -8,6 +8,7 @@
 import type * as clusterState from './cluster-state.js';
 import type * as callerServer from './caller-server.js';
 import * as plannedStop from './planned-stop.js';
+import * as requestDigest from './request-digest.js';
 
 /** Path on the peer port that serves the daemon's cluster state. */
 const snapshotPath = '/hawthornfront/snapshot?knownConfig=';
@@ -73,14 +74,19 @@
 		const relayedFrom = peerHeaders[relayHeaders.relayedFromHeader];
 		return {
 			kind: 'accept',
-			run: (body, reply, onEnd) =>
-				engine.handle(
+			run(body, reply, onEnd) {
+				let digest: string | undefined;
+				return engine.handle(
 					{
 						method: head.method,
 						path: head.path,
 						rawHeaders: head.rawHeaders,
 						facts,
 						body,
+						digest() {
+							digest ??= requestDigest.digestRequest(head.method, head.path, body);
+							return digest;
+						},
 						route,
 						service,
 						arrivedAtMs: head.arrivedAtMs,
@@ -89,7 +95,8 @@
 					},
 					reply,
 					onEnd,
-				),
+				);
+			},
 		};
 	};
 
--- a/packages/gateway/src/test/crash-detector.test.ts
+++ b/packages/gateway/src/test/crash-detector.test.ts
@@ -36,7 +36,7 @@
 		},
 		log: {note: () => undefined},
 	});
-	const begin = (id: string) => subject.begin(upstream, parts(id))!;
+	const begin = (id: string) => subject.begin(upstream, {parts: parts(id), digest: () => id})!;
 	return {clock, subject, crashes, answered, begin, probes: () => probes};
 };
 
@@ -103,7 +103,11 @@
 	run.end();
 	await clock.advance(100);
 	t.equal(probes(), 0);
-	t.equal(subject.begin(upstream, []), undefined, 'nor do requests without a prompt');
+	t.equal(
+		subject.begin(upstream, {parts: [], digest: () => ''}),
+		undefined,
+		'nor do requests without a prompt',
+	);
 });
 
 // Guards against a request that ends late and makes the detector forget later requests of its upstream.
--- a/packages/gateway/src/test/endless-forwarding.test.ts
+++ b/packages/gateway/src/test/endless-forwarding.test.ts
@@ -47,6 +47,7 @@
 						method,
 						path,
 						rawHeaders,
+						digest: () => 'digest',
 						body,
 						facts: fixtures.facts({promptTokens: 0, promptParts: []}),
 						route,
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -88,6 +88,7 @@
 			method: 'POST',
 			path: `${route.prefix}x`,
 			rawHeaders: [],
+			digest: () => 'digest',
 			facts: fixtures.facts(
 				isModel
 					? {callerTimeoutMs: 3000}
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -333,6 +333,7 @@
 				method: 'POST',
 				path: `${route.prefix}x`,
 				rawHeaders: [],
+				digest: () => attemptId,
 				facts: fixtures.facts({
 					attemptId,
 					callerTimeoutMs: route.timeoutMs,
