Reproduce a request that crashes runner after runner (fails)

Five daemons and six runners on a manual clock, one request that comes every 0.5 s beside sound ones that share its prompt parts. On plain and streaming routes up to 16 of 26 arrivals reach runners later than 5 s after the third crash, where 3 are allowed; on resumable ones a shared part is quarantined and sound requests are refused.

--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -1,7 +1,7 @@
 /**
  * Daemons of two regions in front of runners that crash when they begin an answer to a
- * prompt with a harmful part, and that may name a rate limit. Runs on a manual clock,
- * without a network.
+ * prompt with a harmful part or to a certain request, and that may name a rate limit.
+ * Runs on a manual clock, without a network.
  */
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
@@ -26,6 +26,8 @@
 const crashAfterMs = 60;
 const eventIntervalMs = 50;
 const eventsPerAnswer = 10;
+/** Duration of a plain request. */
+const plainMs = 85;
 /** From a crash to the end of the runner's entry, and from there to that of its replacement. */
 const entryExpiryMs = 3200;
 const replacementMs = 400;
@@ -58,7 +60,7 @@
 	daemon: string;
 };
 
-type Prompt = {attemptId: string; parts: string[]};
+type Prompt = {attemptId: string; parts: string[]; isDeadly: boolean; isPlain: boolean};
 
 const encodePrompt = (prompt: Prompt): Uint8Array =>
 	new TextEncoder().encode(JSON.stringify(prompt));
@@ -109,7 +111,7 @@
 		const prompt = decodePrompt(request.body!);
 		const run: Run = {attemptId: prompt.attemptId, daemon, listener, isOver: false};
 		if (runner?.isUp) {
-			this.#begin(runner, run, prompt.parts.includes(harmfulPart));
+			this.#begin(runner, run, prompt);
 		} else {
 			this.#after(1, run, () => {
 				listener.onFailure({mayHaveBeenSent: false, detail: 'ECONNREFUSED'});
@@ -141,7 +143,8 @@
 		}, delayMs);
 	}
 
-	#begin(runner: Runner, run: Run, isHarmful: boolean): void {
+	#begin(runner: Runner, run: Run, prompt: Prompt): void {
+		const isHarmful = prompt.isDeadly || prompt.parts.includes(harmfulPart);
 		runner.runs.add(run);
 		this.arrivals.push({
 			atMs: this.#clock.nowMs(),
@@ -151,6 +154,11 @@
 			daemon: run.daemon,
 		});
 		run.listener.onSent();
+		if (prompt.isPlain) {
+			this.#runPlain(runner, run, isHarmful);
+			return;
+		}
+
 		this.#after(prefillMs, run, () => {
 			this.begun.add(run.attemptId);
 			run.listener.onHead(200, this.#answerHeaders(runner, run));
@@ -164,6 +172,22 @@
 		});
 	}
 
+	#runPlain(runner: Runner, run: Run, isHarmful: boolean): void {
+		this.#after(plainMs, run, () => {
+			if (isHarmful) {
+				this.#crash(runner);
+				return;
+			}
+
+			this.begun.add(run.attemptId);
+			run.isOver = true;
+			runner.runs.delete(run);
+			run.listener.onHead(200, this.#answerHeaders(runner, run));
+			run.listener.onData(new TextEncoder().encode('done'));
+			run.listener.onEnd();
+		});
+	}
+
 	#answerHeaders({requestsPerS, toldAtMs}: Runner, {daemon}: Run): wireFormat.Headers {
 		if (requestsPerS === undefined) {
 			return {signed: '1'};
@@ -293,8 +317,8 @@
 	return {registry, engine, events, quarantine};
 };
 
-/** Starts five daemons and six runners: `r1` to `r3` in the region north of three daemons. */
-export const startRunnerFleet = () => {
+/** Starts five daemons and six runners of a service: `r1` to `r3` in the region north of three daemons. */
+export const startRunnerFleet = (service: routeConfig.Service = fixtures.modelService) => {
 	const clock = new manualClock.ManualClock();
 	const runners = new RunnerPool(clock);
 	const network = new memoryFleet.Network();
@@ -307,7 +331,15 @@
 	];
 	runners.onDidRegister = ({id, address, failureDomain}) => {
 		for (const {registry} of daemons) {
-			registry.put(fixtures.upstream(id, {address, failureDomain, startedAtUnixMs: 1}), 1);
+			registry.put(
+				fixtures.upstream(id, {
+					service: service.name,
+					address,
+					failureDomain,
+					startedAtUnixMs: 1,
+				}),
+				1,
+			);
 		}
 	};
 
@@ -322,26 +354,38 @@
 	}
 
 	let requests = 0;
-	/** A caller sends a request to the next daemon. */
-	const send = (route: routeConfig.Route, sharedParts: string[]) => {
+	/**
+	 * A caller sends a request to the next daemon.
+	 *
+	 * @param options.name names a request that comes again with the same path and body
+	 * @param options.isDeadly each runner that runs the request crashes
+	 */
+	const send = (
+		route: routeConfig.Route,
+		sharedParts: string[],
+		options: {name?: string; isDeadly?: boolean} = {},
+	) => {
 		requests++;
 		const attemptId = `attempt-${requests}`;
 		const reply = new fakeTransport.FakeReply();
-		const parts = [...sharedParts, `own-${requests}`];
+		const name = options.name ?? `request-${requests}`;
+		const parts = [...sharedParts, `own-${name}`];
+		const isPlain = route.work !== 'stream';
 		daemons[requests % daemons.length]!.engine.handle(
 			{
 				method: 'POST',
 				path: `${route.prefix}x`,
 				rawHeaders: [],
-				digest: () => attemptId,
+				digest: () => name,
 				facts: fixtures.facts({
 					attemptId,
 					callerTimeoutMs: route.timeoutMs,
-					promptParts: parts.map((id) => ({id, tokens: 100})),
+					...(isPlain ? {promptTokens: 0} : {}),
+					promptParts: isPlain ? [] : parts.map((id) => ({id, tokens: 100})),
 				}),
-				body: encodePrompt({attemptId, parts}),
+				body: encodePrompt({attemptId, parts, isDeadly: options.isDeadly ?? false, isPlain}),
 				route,
-				service: fixtures.modelService,
+				service,
 				arrivedAtMs: clock.nowMs(),
 				maxUpstreams: route.maxUpstreams,
 			},
