Quarantine requests that crash upstreams

Cause: crashes were compared by prompt parts only, which sound requests share and answers clear, and plain requests were not observed at all. All 33 crashes with logged suspects have one digest in common.

A request now counts as a further part of itself, named by its digest: two crashes as its answer began, or four in turn for a plain request, quarantine it, by the evidence of all daemons. No crash tells two requests apart for certain, so the one at most crashes is blamed first and explains them; at a tie the request is, since its refusal harms fewer callers than that of a part. After one crash, a daemon sends one copy at a time. Digests are computed only after a crash.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -50,7 +50,7 @@
 	silentMs: number;
 	/** Set when the attempt was cancelled because its peer stalled. */
 	stall?: stallDetector.Stall;
-	/** The connection broke after the head of an answer and before its first event. */
+	/** The connection broke after the head of a stream and before its first event. */
 	brokeAsItBegan: boolean;
 	/** Id of the last complete event that was passed to the caller. */
 	lastEventId?: string;
@@ -281,7 +281,7 @@
 	const failBroken = (detail: string) => {
 		observedRun?.noteBroken();
 		fail('unknown', detail, true, {
-			brokeAsItBegan: head !== undefined && !isPassing && (splitter?.events ?? 0) === 0,
+			brokeAsItBegan: head !== undefined && !isPassing && splitter?.events === 0,
 		});
 	};
 
--- a/packages/gateway/src/common/crash-detector.ts
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -1,6 +1,6 @@
 /**
  * Detects that an upstream crashed: the connections of its requests broke together, and
- * it refuses new ones. Reports the parts of the prompts that it may have crashed on.
+ * it refuses new ones. Reports the requests that it may have crashed on.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as hash from '@hawthornfront/decisions/common/hash.js';
@@ -8,15 +8,11 @@
 import type * as promptQuarantine from './prompt-quarantine.js';
 import type * as upstreamRegistry from './upstream-registry.js';
 import type * as upstreamTransport from './upstream-transport.js';
-import type * as wireFormat from './wire-format.js';
 
 /** What may have crashed an upstream. */
-export type ObservedRequest = {
+export type ObservedRequest = promptQuarantine.JudgedRequest & {
 	/** Names one attempt of the caller. */
 	attemptId?: string;
-	/** Parts of the prompt that other requests may share. */
-	parts: readonly wireFormat.PromptPart[];
-	digest(): string;
 };
 
 /** A request at an upstream. */
@@ -34,8 +30,8 @@
 };
 
 export type CrashDetector = {
-	/** Begins to observe a request; one without shared parts is not observed. */
-	begin(upstream: upstreamRegistry.Upstream, request: ObservedRequest): ObservedRun | undefined;
+	/** Begins to observe a request. */
+	begin(upstream: upstreamRegistry.Upstream, request: ObservedRequest): ObservedRun;
 	/** Calls back when it is known whether the upstream crashed: at once unless a connection to it has just broken. */
 	whenDecided(upstream: upstreamRegistry.Upstream, callback: (hasCrashed: boolean) => void): void;
 };
@@ -127,7 +123,7 @@
 			upstream.entry.service,
 			keyOf(upstream),
 			suspects.map((run) => ({
-				parts: run.request.parts,
+				request: run.request,
 				sentBeforeMs: run.brokenAtMs - run.sentAtMs,
 				wasAnswering: wasAnswering(run),
 			})),
@@ -162,11 +158,6 @@
 
 	return {
 		begin(upstream, request) {
-			const {parts} = request;
-			if (parts.length === 0) {
-				return undefined;
-			}
-
 			const {service} = upstream.entry;
 			const key = keyOf(upstream);
 			const watched = watchedOf(key);
@@ -179,7 +170,7 @@
 			};
 
 			const noteAnswer = () => {
-				quarantine.noteAnswer(service, parts);
+				quarantine.noteAnswer(service, request);
 			};
 
 			return {
--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -1,6 +1,6 @@
 /**
- * Evidence that a prompt part crashes upstreams: the crashes during requests with the
- * part, and the time of the last answer to one.
+ * Evidence that a prompt part, or a request that comes again, crashes upstreams: the
+ * crashes during requests with the part, and the time of the last answer to one.
  */
 
 /** A crash of an upstream during a request with the part, in monotonic time of this daemon. */
@@ -19,6 +19,9 @@
 	crashes: Crash[];
 	/** Negative infinity if no answer is known. */
 	answeredAtMs: number;
+	partId: string;
+	/** It is a whole request, which stands at a crash alone. */
+	isRequest: boolean;
 };
 
 const answeringWeight = 2;
@@ -64,9 +67,14 @@
 	const crashes = crashesSinceAnswer(evidence).filter(
 		({upstreamKey}) => !explained.has(upstreamKey),
 	);
-	return wasAnswered(evidence)
-		? sumWeights(inSequence(crashes)) >= sufficientWeightAfterAnswer
-		: crashes.length > 1 && sumWeights(crashes) >= sufficientWeight;
+	if (wasAnswered(evidence)) {
+		return sumWeights(inSequence(crashes)) >= sufficientWeightAfterAnswer;
+	}
+
+	// Without an answer that began, sound requests that are sent again look the same.
+	const isWaiting = evidence.isRequest && !crashes.some(({wasAnswering}) => wasAnswering);
+	const counted = isWaiting ? inSequence(crashes) : crashes;
+	return counted.length > 1 && sumWeights(counted) >= sufficientWeight;
 };
 
 const answeringKeys = (evidence: PartEvidence): number[] =>
@@ -74,8 +82,12 @@
 		.filter(({wasAnswering}) => wasAnswering)
 		.map(({upstreamKey}) => upstreamKey);
 
-/** Equal for parts that no crash tells apart: they were in the same prompts whose answers had begun. */
+/** Equal for parts that no crash tells apart: they were in the same prompts whose answers had begun. A request is told apart by itself. */
 const signatureOf = (evidence: PartEvidence): string => {
+	if (evidence.isRequest) {
+		return evidence.partId;
+	}
+
 	const answering = answeringKeys(evidence);
 	const all = crashesSinceAnswer(evidence).map(({upstreamKey}) => upstreamKey);
 	const keys = answering.length > 0 ? answering : all;
@@ -85,7 +97,9 @@
 const byLikelihood = (a: PartEvidence, b: PartEvidence): number =>
 	Number(wasAnswered(a)) - Number(wasAnswered(b)) ||
 	answeringKeys(b).length - answeringKeys(a).length ||
-	sumWeights(crashesSinceAnswer(b)) - sumWeights(crashesSinceAnswer(a));
+	sumWeights(crashesSinceAnswer(b)) - sumWeights(crashesSinceAnswer(a)) ||
+	// Refusing one request harms fewer callers than refusing a part.
+	Number(b.isRequest) - Number(a.isRequest);
 
 /**
  * Groups of parts that crash upstreams. Harmful prompts share other parts with sound
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -1,8 +1,10 @@
 /**
- * Quarantine of prompt parts that crash upstreams. An upstream may crash whenever it
- * begins an answer to a prompt with a certain part. Each crash implicates the parts of
- * the requests in progress, and an answer clears those of its request. Requests with a
- * part whose evidence suffices are refused.
+ * Quarantine of prompt parts and requests that crash upstreams. An upstream may crash
+ * whenever it begins an answer to a prompt with a certain part, or whenever it runs a
+ * certain request, which comes again. Each crash implicates the requests in progress and
+ * their parts, and an answer clears those of its request. Requests whose evidence, or
+ * that of one of their parts, suffices are refused. A request counts as a further part
+ * of itself, named by its digest.
  *
  * Evidence only grows, so daemons can merge the reports of others in any order.
  */
@@ -38,8 +40,17 @@
 	sentBeforeMs: number;
 };
 
+/** What may have crashed an upstream. */
+export type JudgedRequest = {
+	/** Parts of the prompt that other requests may share. */
+	parts: readonly wireFormat.PromptPart[];
+	/** Equal for requests that repeat each other; called only after a crash. */
+	digest(): string;
+	isStream: boolean;
+};
+
 /** A request that was at an upstream when it crashed. */
-export type CrashVictim = Omit<CrashFacts, 'upstreamKey'> & {parts: Parts};
+export type CrashVictim = Omit<CrashFacts, 'upstreamKey'> & {request: JudgedRequest};
 
 /** Source of evidence that this daemon has observed itself. */
 export const ownSource = 'own';
@@ -57,20 +68,25 @@
 	source: string;
 };
 
-type Parts = readonly wireFormat.PromptPart[];
-
 export type PromptQuarantine = {
 	readonly onDidChange: event.Event<PartChange>;
-	/** A quarantined part of a prompt and the rest of its quarantine; undefined if the prompt may be sent. */
-	quarantinedPart(service: string, parts: Parts): {partId: string; remainingMs: number} | undefined;
-	/** Whether an upstream crashed as it began to answer a prompt with one of the parts, and none was ever answered. */
-	isSuspected(service: string, parts: Parts): boolean;
-	/** Whether no answer is known to a prompt with one of the parts. */
-	hasUnansweredPart(service: string, parts: Parts): boolean;
-	noteAnswer(service: string, parts: Parts): void;
+	/** A quarantined part of a request and the rest of its quarantine; undefined if the request may be sent. */
+	quarantinedPart(
+		service: string,
+		request: JudgedRequest,
+	): {partId: string; remainingMs: number} | undefined;
+	/**
+	 * Whether an upstream crashed as it began to answer a prompt with one of the parts, and
+	 * none was ever answered; or whether one crashed during the request since its last answer.
+	 */
+	isSuspected(service: string, request: JudgedRequest): boolean;
+	noteAnswer(service: string, request: JudgedRequest): void;
 	noteCrash(service: string, upstreamKey: number, victims: readonly CrashVictim[]): void;
-	/** Counts a request that is sent, until it is disposed: one at a time tries parts again after their quarantine. */
-	beginTrial(service: string, parts: Parts): disposable.Disposable;
+	/**
+	 * Counts a request that is sent, until it is disposed: one at a time tries parts again
+	 * after their quarantine, and one at a time of the same request after a crash during it.
+	 */
+	beginTrial(service: string, request: JudgedRequest): disposable.Disposable;
 	/** Merges the reports of another daemon. */
 	merge(reports: readonly PartReport[], source: string): void;
 	/** Reports for the next message: parts that have just changed, and some of the others in turn. */
@@ -99,6 +115,8 @@
 const maxRecords = 400;
 const maxAnsweredParts = 20_000;
 const maxPartIdLength = 64;
+/** Begins the part ids of requests. */
+const requestPrefix = 'request:';
 /** Reports in one message, and those of them that have not just changed. */
 const maxReports = 8;
 const maxOlderReports = 2;
@@ -117,6 +135,8 @@
 	trials: number;
 };
 
+const requestPartId = ({digest}: JudgedRequest): string => requestPrefix + digest();
+
 /** Callers choose the ids, so their length is bounded. */
 const boundedId = (partId: string): string =>
 	partId.length <= maxPartIdLength ? partId : `#${hash.hash32(partId)}`;
@@ -161,6 +181,8 @@
 	const answeredAtMs = new lruCache.LRUCache<string, number>({max: maxAnsweredParts});
 	const didChange = event.createEmitter<PartChange>();
 	let reportTurn = 0;
+	/** Records of requests; without any, no digest is computed. */
+	let requestRecords = 0;
 
 	const nowMs = () => timeSource.nowMs();
 
@@ -254,10 +276,16 @@
 		partEvidence.suspicion(b) - partEvidence.suspicion(a) ||
 		b.changedAtMs - a.changedAtMs;
 
+	const forget = (record: PartRecord) => {
+		if (records.delete(keyOf(record.service, record.partId)) && record.isRequest) {
+			requestRecords--;
+		}
+	};
+
 	const dropLeastImportant = () => {
 		const least = [...records.values()].sort(byImportance).at(-1);
 		if (least) {
-			records.delete(keyOf(least.service, least.partId));
+			forget(least);
 		}
 	};
 
@@ -271,6 +299,7 @@
 		const record: PartRecord = {
 			service,
 			partId: boundedId(partId),
+			isRequest: partId.startsWith(requestPrefix),
 			crashes: [],
 			answeredAtMs: answeredAtMs.get(key) ?? Number.NEGATIVE_INFINITY,
 			quarantines: 0,
@@ -284,6 +313,7 @@
 		}
 
 		records.set(key, record);
+		requestRecords += record.isRequest ? 1 : 0;
 		return record;
 	};
 
@@ -306,12 +336,34 @@
 		return hasAnswer || stronger.length > 0 ? record : undefined;
 	};
 
-	const recordsFor = (service: string, parts: Parts): PartRecord[] =>
-		records.size === 0
-			? []
-			: parts
-					.map(({id}) => records.get(keyOf(service, id)))
-					.filter((record) => record !== undefined);
+	const recordsFor = (service: string, request: JudgedRequest): PartRecord[] => {
+		if (records.size === 0) {
+			return [];
+		}
+
+		const ids = request.parts.map(({id}) => id);
+		if (requestRecords > 0) {
+			ids.push(requestPartId(request));
+		}
+
+		return ids
+			.map((id) => records.get(keyOf(service, id)))
+			.filter((record) => record !== undefined);
+	};
+
+	/** Ids of the parts, and of the request, to which a crash may be due. */
+	const suspectIds = (service: string, {request, wasAnswering}: CrashVictim): string[] => {
+		const ids = request.parts
+			.map(({id}) => id)
+			// Requests that wait are many, and most of their parts are sound.
+			.filter((id) => wasAnswering || !answeredAtMs.has(keyOf(service, id)));
+		// A stream begins its answer when it begins to run; of other requests nothing is known until their end.
+		return wasAnswering || !request.isStream ? [...ids, requestPartId(request)] : ids;
+	};
+
+	/** Whether only one request with the part may be in progress. */
+	const isTried = (record: PartRecord): boolean =>
+		record.isHarmful || (record.isRequest && !isCleared(record));
 
 	const reportOf = (record: PartRecord): PartReport => ({
 		service: record.service,
@@ -328,12 +380,12 @@
 
 	return {
 		onDidChange: didChange.event,
-		quarantinedPart(service, parts) {
-			const found = recordsFor(service, parts);
+		quarantinedPart(service, request) {
+			const found = recordsFor(service, request);
 			const ids = new Set(found.map(({partId}) => partId));
 			for (const record of found) {
 				const waitMs = remainingMs(record);
-				const isRefused = waitMs > 0 || (record.isHarmful && record.trials > 0);
+				const isRefused = waitMs > 0 || (isTried(record) && record.trials > 0);
 				if (isRefused && record.companions.every((partId) => ids.has(partId))) {
 					return {partId: record.partId, remainingMs: Math.max(waitMs, trialRetryMs)};
 				}
@@ -341,20 +393,19 @@
 
 			return undefined;
 		},
-		isSuspected: (service, parts) =>
-			recordsFor(service, parts).some(
-				(record) =>
-					!partEvidence.wasAnswered(record) &&
-					record.crashes.some(({wasAnswering}) => wasAnswering),
+		isSuspected: (service, request) =>
+			recordsFor(service, request).some((record) =>
+				record.isRequest
+					? !isCleared(record)
+					: !partEvidence.wasAnswered(record) &&
+						record.crashes.some(({wasAnswering}) => wasAnswering),
 			),
-		hasUnansweredPart: (service, parts) =>
-			parts.some(({id}) => !answeredAtMs.has(keyOf(service, id))),
-		noteAnswer(service, parts) {
-			for (const {id} of parts) {
+		noteAnswer(service, request) {
+			for (const {id} of request.parts) {
 				answeredAtMs.set(keyOf(service, id), nowMs());
 			}
 
-			const refuted = recordsFor(service, parts).filter((record) => !isCleared(record));
+			const refuted = recordsFor(service, request).filter((record) => !isCleared(record));
 			if (refuted.length > 0) {
 				update(ownSource, () => {
 					for (const record of refuted) {
@@ -367,17 +418,18 @@
 		},
 		noteCrash(service, upstreamKey, victims) {
 			update(ownSource, () =>
-				victims.flatMap(({parts, ...victim}) =>
-					parts
-						// Requests that wait are many, and most of their parts are sound.
-						.filter(({id}) => victim.wasAnswering || !answeredAtMs.has(keyOf(service, id)))
-						.map(({id}) => recordOf(service, id))
-						.filter((record) => addCrash(record, {upstreamKey, ageMs: 0, ...victim})),
-				),
+				victims.flatMap((victim) => {
+					const {sentBeforeMs, wasAnswering} = victim;
+					return suspectIds(service, victim)
+						.map((id) => recordOf(service, id))
+						.filter((record) =>
+							addCrash(record, {upstreamKey, ageMs: 0, sentBeforeMs, wasAnswering}),
+						);
+				}),
 			);
 		},
-		beginTrial(service, parts) {
-			const tried = recordsFor(service, parts).filter(({isHarmful}) => isHarmful);
+		beginTrial(service, request) {
+			const tried = recordsFor(service, request).filter((record) => isTried(record));
 			for (const record of tried) {
 				record.trials++;
 			}
@@ -422,10 +474,10 @@
 					remainingMs: remainingMs(record),
 				})),
 		sweep() {
-			for (const [key, record] of records) {
+			for (const record of records.values()) {
 				const retentionMs = memoryMs(record.quarantines > 0, isCleared(record));
 				if (partEvidence.lastCrashAtMs(record) < nowMs() - retentionMs) {
-					records.delete(key);
+					forget(record);
 				}
 			}
 		},
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -64,7 +64,7 @@
 /** Retry delay for callers when an upstream refused and no other is left to try. */
 const refusedRetryMs = 200;
 
-/** Reason of a request that is refused because a part of its prompt is quarantined. */
+/** Reason of a request that is refused because it, or a part of its prompt, is quarantined. */
 const quarantinedReason = 'quarantined-prompt';
 
 /** Runner priorities range from 0 to 9; the most urgent rank has the first priority, each further rank one step more. */
@@ -96,6 +96,7 @@
 		attemptId: facts.attemptId,
 		parts: work.sharedParts,
 		digest: request.digest,
+		isStream: route.work === 'stream',
 	};
 	const isIdempotent = routeConfig.isIdempotent(route);
 	const limitMs = Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -185,9 +186,9 @@
 		failWith(status, reason, status === 503 ? waitMs : undefined);
 	};
 
-	/** Refuses the request because of a quarantined part of its prompt; returns whether it did. */
+	/** Refuses the request because it, or a part of its prompt, is quarantined; returns whether it did. */
 	const refuseQuarantined = (): boolean => {
-		const found = services.quarantine.quarantinedPart(service.name, work.sharedParts);
+		const found = services.quarantine.quarantinedPart(service.name, observed);
 		if (!found) {
 			return false;
 		}
@@ -199,10 +200,9 @@
 		return true;
 	};
 
-	/** Ends a request in progress whose prompt would crash its upstream. */
+	/** Ends a request in progress that would crash its upstream. */
 	const onQuarantine = () => {
-		const isAffected =
-			services.quarantine.quarantinedPart(service.name, work.sharedParts) !== undefined;
+		const isAffected = services.quarantine.quarantinedPart(service.name, observed) !== undefined;
 		if (isAffected && !hasEnded && !hasStarted) {
 			failover.cancel();
 			// The upstream may have begun to run the request.
@@ -233,9 +233,7 @@
 			return 'not-idempotent';
 		}
 
-		const mayBeHarmful =
-			hasCrashed && services.quarantine.hasUnansweredPart(service.name, work.sharedParts);
-		if (mayBeHarmful || detail === quarantinedReason) {
+		if (hasCrashed || detail === quarantinedReason) {
 			return 'suspected-prompt';
 		}
 
@@ -296,12 +294,15 @@
 		failure: attempt.AttemptFailure,
 	) => {
 		noteFailed(target, failure);
-		if (!failure.brokeAsItBegan || !upstream || !isIdempotent) {
+		const mayHaveCrashed =
+			failure.brokeAsItBegan ||
+			(failure.outcome === 'unknown' && services.quarantine.isSuspected(service.name, observed));
+		if (!mayHaveCrashed || !upstream || !isIdempotent) {
 			decideResend(target, failure, false);
 			return;
 		}
 
-		// A prompt that crashed this upstream would crash the next one too.
+		// A request that crashed this upstream would crash the next one too.
 		services.crashes.whenDecided(upstream, (hasCrashed) => {
 			if (!hasEnded) {
 				decideResend(target, failure, hasCrashed);
@@ -340,7 +341,7 @@
 			return 'relayed';
 		}
 
-		if (services.quarantine.isSuspected(service.name, work.sharedParts)) {
+		if (services.quarantine.isSuspected(service.name, observed)) {
 			return 'suspected-prompt';
 		}
 
@@ -550,7 +551,7 @@
 		const choice = services.dispatcher.choose(dispatchRequest());
 		if (choice.kind !== 'refuse') {
 			if (sends === 0) {
-				resources.add(services.quarantine.beginTrial(service.name, work.sharedParts));
+				resources.add(services.quarantine.beginTrial(service.name, observed));
 			}
 
 			failover.startFirst(planFor(choice));
@@ -563,15 +564,13 @@
 	};
 
 	services.budget.noteRequest(service.name);
-	if (work.sharedParts.length > 0) {
-		resources.add(
-			services.quarantine.onDidChange((change) => {
-				if (change.kind === 'quarantined' && change.service === service.name) {
-					onQuarantine();
-				}
-			}),
-		);
-	}
+	resources.add(
+		services.quarantine.onDidChange((change) => {
+			if (change.kind === 'quarantined' && change.service === service.name) {
+				onQuarantine();
+			}
+		}),
+	);
 
 	runAfter(Math.max(0, remainingMs()), onDeadline);
 	next();
