Continue a stream with events of another upstream only

Operators of similar systems report that clients found the text of an error, or its head, in the middle of a stream, or that the stream ended as if it were complete. Here an answer with another status never continued a stream, but one with status 200 did: a text in place of events was passed on at its end, and blocks without events at once. An answer that continues a stream must now have its media type, consist of fields and comments with an event before the first pause between blocks, and end at the end of an event.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -32,8 +32,8 @@
 	isIdempotent: boolean;
 	/** Whether a failed run may be retried, so that its failure is not passed to the caller. */
 	canRetry(): boolean;
-	/** Whether the caller has part of the answer already. */
-	isResumption(): boolean;
+	/** Head of the answer of which the caller has a part already; undefined if it has none. */
+	begunHeaders(): wireFormat.Headers | undefined;
 };
 
 export type AttemptFailure = {
@@ -106,6 +106,12 @@
 const isBrokenOff = ({events, rest}: eventSplitter.EventSplitter): boolean =>
 	events === 0 || rest().length > 0;
 
+const mediaTypeOf = (headers: wireFormat.Headers): string =>
+	String(headers['content-type'] ?? '')
+		.split(';', 1)[0]!
+		.trim()
+		.toLowerCase();
+
 /** Sends the request. */
 export const startAttempt = (options: AttemptOptions, listener: AttemptListener): Attempt => {
 	const {clock, wire, request, target, account, observedRun} = options;
@@ -117,6 +123,8 @@
 	let bufferedBytes = 0;
 	let step = 'sent-in-full';
 	let isPassing = false;
+	/** The answer continues one of which the caller has a part. */
+	let isContinuation = false;
 	let isOver = false;
 	let head: {status: number; headers: wireFormat.Headers} | undefined;
 	let detector: stallDetector.StallDetector | undefined;
@@ -209,6 +217,7 @@
 	};
 
 	const onHead = (status: number, headers: wireFormat.Headers) => {
+		const begun = options.begunHeaders();
 		const answer = wire.readAnswer(status, headers);
 		if (answer.isSigned || answer.requestsPerS !== undefined) {
 			account?.noteRateLimit(answer.requestsPerS);
@@ -219,7 +228,7 @@
 			headers,
 			answer,
 			request.facts.attemptId,
-			options.canRetry() && !options.isResumption(),
+			options.canRetry() && !begun,
 		);
 		if (classification.kind === 'fail') {
 			if (classification.isReplaced) {
@@ -229,19 +238,35 @@
 			fail(classification.outcome, classification.detail, classification.isHard, {
 				upstreamsUsed: classification.upstreamsUsed,
 			});
-		} else if (options.isResumption() && status !== 200) {
+		} else if (begun && status !== 200) {
 			fail('unknown', `resume-${status}`, false);
+		} else if (begun && mediaTypeOf(begun) !== mediaTypeOf(headers)) {
+			fail('unknown', 'resume-not-a-stream', true);
 		} else {
+			isContinuation = begun !== undefined;
 			head = {status, headers};
 			step = 'first-token';
 			observedRun?.noteHead();
 		}
 	};
 
+	/** Fails the attempt because the connection broke after the request was sent. */
+	const failBroken = (detail: string) => {
+		observedRun?.noteBroken();
+		fail('unknown', detail, true, {
+			brokeAsItBegan: head !== undefined && !isPassing && splitter?.events === 0,
+		});
+	};
+
 	/** Only complete events are progress: a faulty runner may send other bytes without end. */
 	const passEvents = (events: eventSplitter.EventSplitter, bytes: Uint8Array) => {
 		const eventsBefore = events.events;
 		const complete = events.push(bytes);
+		if (isContinuation && (events.hasOtherText || (complete && events.events === 0))) {
+			failBroken('not-events');
+			return;
+		}
+
 		if (events.events > eventsBefore) {
 			noteProgress();
 			observedRun?.noteEvents(events.events);
@@ -277,17 +302,14 @@
 		}
 	};
 
-	/** Fails the attempt because the connection broke after the request was sent. */
-	const failBroken = (detail: string) => {
-		observedRun?.noteBroken();
-		fail('unknown', detail, true, {
-			brokeAsItBegan: head !== undefined && !isPassing && splitter?.events === 0,
-		});
-	};
-
 	const onAnswerEnd = (endedBy: 'connection' | undefined) => {
 		const {status} = head!;
-		if (splitter && status < 300 && endedBy === 'connection' && isBrokenOff(splitter)) {
+		const isBroken =
+			splitter !== undefined &&
+			status < 300 &&
+			((endedBy === 'connection' && isBrokenOff(splitter)) ||
+				(isContinuation && splitter.rest().length > 0));
+		if (isBroken) {
 			failBroken('ended-inside-event');
 			return;
 		}
--- a/packages/gateway/src/common/event-splitter.ts
+++ b/packages/gateway/src/common/event-splitter.ts
@@ -14,6 +14,8 @@
 	readonly lastEventId: string | undefined;
 	/** Complete events so far. */
 	readonly events: number;
+	/** Some line is neither a field nor a comment. */
+	readonly hasOtherText: boolean;
 	/** More than {@link maxEventBytes} arrived since the last complete event. */
 	readonly isOverlong: boolean;
 };
@@ -26,6 +28,8 @@
 const idField = /^id: ?(.*?)\r?$/u;
 /** Comments and empty lines make no event. */
 const eventField = /^(?:data|id)(?:[:\r]|$)/u;
+/** Fields of any name, since runners add their own, and comments. */
+const anyField = /^(?:[a-z][\w-]*)?(?:[:\r]|$)/iu;
 /** An empty line and the line end before it are at most three bytes, so two may lie before new bytes. */
 const precedingByteCount = 2;
 
@@ -57,6 +61,7 @@
 	let lastEventId: string | undefined;
 	let events = 0;
 	let sinceEventBytes = 0;
+	let hasOtherText = false;
 
 	const readEvents = (bytes: Uint8Array) => {
 		const text = new TextDecoder('latin1').decode(bytes);
@@ -69,6 +74,7 @@
 				continue;
 			}
 
+			hasOtherText ||= !anyField.test(line);
 			isInEvent ||= eventField.test(line);
 			lastEventId = idField.exec(line)?.[1] ?? lastEventId;
 		}
@@ -104,6 +110,9 @@
 		get events() {
 			return events;
 		},
+		get hasOtherText() {
+			return hasOtherText;
+		},
 		get isOverlong() {
 			return sinceEventBytes > maxEventBytes;
 		},
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -112,6 +112,8 @@
 	let upstreamsThatRan = 0;
 	let mayHaveRun = false;
 	let hasStarted = false;
+	/** Head of the upstream's answer that was passed to the caller. */
+	let begunHeaders: wireFormat.Headers | undefined;
 	/** The caller has part of an answer that no other run can continue. */
 	let isPartlyPassed = false;
 	let hasEnded = false;
@@ -406,6 +408,7 @@
 			onHead(status, headers) {
 				if (!hasStarted) {
 					hasStarted = true;
+					begunHeaders = headers;
 					isPartlyPassed = status >= 300 || !routeConfig.mayResume(route);
 					reply.start(status, wire.answerHeaders(headers));
 				}
@@ -466,7 +469,7 @@
 							!target.isRelay &&
 							upstreamsThatRan + 1 < request.maxUpstreams &&
 							services.budget.canRetry(service.name)),
-					isResumption: () => hasStarted,
+					begunHeaders: () => begunHeaders,
 				},
 				listener,
 			),
