Take a refusal as proof only with the id of the request

Operators of similar systems report that a runner wrote an earlier refusal once more on a kept connection, and that callers were told 'not run' for work that a runner had run. Here a refusal of another request was told apart by its id, but one without an id was a proof.

--- a/packages/gateway/src/common/answer-classifier.ts
+++ b/packages/gateway/src/common/answer-classifier.ts
@@ -57,6 +57,12 @@
 		return classifyRelayFailure(relayed.data, headers);
 	}
 
+	// A refusal without the id of the request may be an earlier one that was written again.
+	const isProof = answer.attemptId === attemptId;
+	if (!isProof && (answer.isWrongUpstream || answer.isNotRun)) {
+		return fail('unknown', `unproven-${status}`, {isHard: true});
+	}
+
 	if (answer.isWrongUpstream) {
 		return fail('not-run', 'wrong-upstream', {isReplaced: true});
 	}
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -11,6 +11,9 @@
 
 export const bytes = (text: string) => new TextEncoder().encode(text);
 export const signed = {signed: '1', attempt: 'attempt-1'};
+/** Heads of answers that prove that the request of the harness has not run. */
+export const refused = {refused: '1', attempt: 'attempt-1'};
+export const wrongUpstream = {attempt: 'attempt-1'};
 
 export type RunOptions = {
 	relayedFrom?: string;
