--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -62,6 +62,8 @@
 	'ECONNREFUSED',
 	'UND_ERR_CONNECT_TIMEOUT',
 	lostBeforeSendCode,
+	// The client does not accept a header.
+	'UND_ERR_INVALID_ARG',
 ]);
 
 /**
@@ -94,6 +96,23 @@
 const detailOf = (error: Error): string =>
 	'code' in error && typeof error.code === 'string' ? error.code : error.message;
 
+/** Fails an exchange of which no byte was sent. */
+const failLater = (
+	listener: upstreamTransport.TransportListener,
+	error: Error,
+): upstreamTransport.Exchange => {
+	const timer = setImmediate(() => {
+		listener.onFailure({mayHaveBeenSent: false, detail: detailOf(error)});
+	});
+	return {
+		cancel() {
+			clearImmediate(timer);
+		},
+		pause: () => undefined,
+		resume: () => undefined,
+	};
+};
+
 /** Upstream transport on undici. */
 export class ConnectionPool extends upstreamTransport.UpstreamTransport {
 	readonly #settings: PoolSettings;
@@ -116,7 +135,86 @@
 		request: upstreamTransport.TransportRequest,
 		listener: upstreamTransport.TransportListener,
 	): upstreamTransport.Exchange {
-		const connection = this.#acquire(request);
+		try {
+			return this.#send(this.#acquire(request), request, listener);
+		} catch (error) {
+			// An address or a header that the client does not accept.
+			return failLater(listener, error instanceof Error ? error : new Error(String(error)));
+		}
+	}
+
+	override probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
+		const [host, port] = address.split(':');
+		let socket: net.Socket;
+		try {
+			socket = net.connect({host, port: Number(port)});
+		} catch {
+			// The address is impossible, so nothing is known of an upstream there.
+			setImmediate(callback, 'unknown');
+			return;
+		}
+
+		let isDecided = false;
+		const decide = (result: upstreamTransport.ProbeResult) => {
+			if (!isDecided) {
+				isDecided = true;
+				clearTimeout(timer);
+				socket.destroy();
+				callback(result);
+			}
+		};
+
+		const timer = setTimeout(() => {
+			decide('unknown');
+		}, this.#settings.probeTimeoutMs);
+		socket.once('connect', () => {
+			decide('open');
+		});
+		socket.on('error', () => {
+			decide('refused');
+		});
+	}
+
+	/** Closes connections past their idle timeout; call it at regular intervals. */
+	sweep(): void {
+		const oldestMs = this.#nowMs() - this.#settings.idleTimeoutMs;
+		for (const [address, connections] of this.#idle) {
+			const kept = connections.filter((connection) => {
+				if (connection.lastUsedMs < oldestMs || connection.isClosed) {
+					this.#close(connection);
+					return false;
+				}
+
+				return true;
+			});
+			if (kept.length === 0) {
+				this.#idle.delete(address);
+			} else {
+				this.#idle.set(address, kept);
+			}
+		}
+	}
+
+	/** Closes the idle connections to a peer that has stopped. */
+	drop(address: string): void {
+		for (const connection of this.#idle.get(address) ?? []) {
+			this.#close(connection);
+		}
+
+		this.#idle.delete(address);
+	}
+
+	dispose(): void {
+		for (const address of this.#idle.keys()) {
+			this.drop(address);
+		}
+	}
+
+	#send(
+		connection: Connection,
+		request: upstreamTransport.TransportRequest,
+		listener: upstreamTransport.TransportListener,
+	): upstreamTransport.Exchange {
 		const meter = framingMeter.createFramingMeter();
 		let isCancelled = false;
 		let isFramed = true;
@@ -244,65 +342,6 @@
 		};
 	}
 
-	override probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
-		const [host, port] = address.split(':');
-		const socket = net.connect({host, port: Number(port)});
-		let isDecided = false;
-		const decide = (result: upstreamTransport.ProbeResult) => {
-			if (!isDecided) {
-				isDecided = true;
-				clearTimeout(timer);
-				socket.destroy();
-				callback(result);
-			}
-		};
-
-		const timer = setTimeout(() => {
-			decide('unknown');
-		}, this.#settings.probeTimeoutMs);
-		socket.once('connect', () => {
-			decide('open');
-		});
-		socket.on('error', () => {
-			decide('refused');
-		});
-	}
-
-	/** Closes connections past their idle timeout; call it at regular intervals. */
-	sweep(): void {
-		const oldestMs = this.#nowMs() - this.#settings.idleTimeoutMs;
-		for (const [address, connections] of this.#idle) {
-			const kept = connections.filter((connection) => {
-				if (connection.lastUsedMs < oldestMs || connection.isClosed) {
-					this.#close(connection);
-					return false;
-				}
-
-				return true;
-			});
-			if (kept.length === 0) {
-				this.#idle.delete(address);
-			} else {
-				this.#idle.set(address, kept);
-			}
-		}
-	}
-
-	/** Closes the idle connections to a peer that has stopped. */
-	drop(address: string): void {
-		for (const connection of this.#idle.get(address) ?? []) {
-			this.#close(connection);
-		}
-
-		this.#idle.delete(address);
-	}
-
-	dispose(): void {
-		for (const address of this.#idle.keys()) {
-			this.drop(address);
-		}
-	}
-
 	#acquire(request: upstreamTransport.TransportRequest): Connection {
 		const idle = this.#idle.get(request.address) ?? [];
 		for (let connection = idle.at(-1); connection; connection = idle.at(-1)) {
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -44,11 +44,12 @@
 	pool: connectionPool.ConnectionPool,
 	address: string,
 	needsRecentConnection = false,
+	headers = ['Host', 'a'],
 ): Promise<ExchangeResult> =>
 	new Promise((resolve) => {
 		const seen: ExchangeResult = {status: 0, body: '', end: 'failed', mayHaveBeenSent: false};
 		pool.send(
-			{address, method: 'GET', path: '/x', headers: ['Host', 'a'], needsRecentConnection},
+			{address, method: 'GET', path: '/x', headers, needsRecentConnection},
 			{
 				onSent: () => undefined,
 				onHead(status) {
@@ -251,3 +252,32 @@
 	});
 	t.equal(await probe(`127.0.0.1:${port}`), 'refused');
 });
+
+// Guards against a daemon that ends because an upstream has an address that cannot exist.
+tap.t.test('a request to an impossible address fails, and so does a probe', async (t) => {
+	for (const address of ['127.0.0.1:65536', '127.0.0.1:x', '127.0.0.1', '', '...:80', 'a b:80']) {
+		const pool = createPool(t);
+		t.match(
+			await sendRequest(pool, address),
+			{end: 'failed', mayHaveBeenSent: false},
+			`'${address}'`,
+		);
+		const result = await new Promise((resolve) => {
+			pool.probe(address, resolve);
+		});
+		t.not(result, 'open');
+		pool.drop(address);
+	}
+});
+
+// Guards against a daemon that ends because a header cannot be written.
+tap.t.test('a request with a header that cannot be written fails', async (t) => {
+	const server = await startServer(t, (socket) => {
+		socket.write(wholeAnswer);
+	});
+	const pool = createPool(t);
+	t.match(await sendRequest(pool, server.address, false, ['x', 'a\r\nb']), {
+		end: 'failed',
+		mayHaveBeenSent: false,
+	});
+});
