Believe a runner that says in an answer that it leaves

The header was not read. Only an answer to the request itself counts, from the start that it was sent to; one of another upstream at the address, of another request or of another daemon does not. Each change of an upstream is logged with its source.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -219,6 +219,11 @@
 	const onHead = (status: number, headers: wireFormat.Headers) => {
 		const begun = options.begunHeaders();
 		const answer = wire.readAnswer(status, headers);
+		const isOwnAnswer = answer.attemptId === request.facts.attemptId && !answer.isWrongUpstream;
+		if (answer.isLeaving && isOwnAnswer) {
+			account?.noteLeaving();
+		}
+
 		if (answer.isSigned || answer.requestsPerS !== undefined) {
 			account?.noteRateLimit(answer.requestsPerS);
 		}
--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -70,6 +70,8 @@
 	noteEvent(): void;
 	/** An answer of the upstream named a rate limit, or none. */
 	noteRateLimit(requestsPerS: number | undefined): void;
+	/** The upstream said that it leaves. */
+	noteLeaving(): void;
 	end(): void;
 };
 
@@ -507,6 +509,9 @@
 				noteRateLimit(namedPerS) {
 					rateLimits.noteAnswer(id, namedPerS, sentAtMs);
 				},
+				noteLeaving() {
+					registry.noteLeaving(upstream);
+				},
 				end() {
 					item.end();
 				},
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -137,6 +137,8 @@
 			failureDomain: string;
 			coldMs: number;
 			revision: number;
+			/** `store`, `answer` of the upstream, `timeout`, or the peer that reported the change. */
+			source: string;
 	  }
 	| {
 			kind: 'upstream-limit';
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -19,14 +19,23 @@
 	readonly coldUntilMs: number;
 	/** When its entry went missing during or right after an outage of the store. */
 	readonly missingSinceMs?: number;
+	/** It said in an answer that it leaves. */
+	readonly hasSaidLeaving?: boolean;
 };
 
+/** Source of a change that an answer of the upstream has shown. */
+export const answerSource = 'answer';
+const storeSource = 'store';
+const timeoutSource = 'timeout';
+
 export type UpstreamChange = {
 	/** `held-back`: a restored entry is not applied, since its upstream had left or restarted. */
 	kind: 'seen' | 'restarted' | 'draining' | 'gone' | 'missing' | 'back' | 'held-back';
 	upstream: Upstream;
-	/** Store revision of the change; 0 for a change by timeout. */
+	/** Store revision of the change; 0 for a change by timeout or by an answer. */
 	revision: number;
+	/** `store`, {@link answerSource}, `timeout`, or the peer that reported it. */
+	source: string;
 };
 
 export type UpstreamRegistry = {
@@ -46,7 +55,10 @@
 	replaceFromPeer(
 		reports: readonly upstreamEntry.ReportedUpstream[],
 		at: storePosition.StorePosition,
+		peer: string,
 	): void;
+	/** Notes that an upstream said in an answer that it leaves; ignored for another start of it. */
+	noteLeaving(upstream: Upstream): void;
 	/** All entries, to be sent to a peer. */
 	reportAll(): upstreamEntry.ReportedUpstream[];
 	put(entry: upstreamEntry.UpstreamEntry, at: storePosition.StorePosition): void;
@@ -73,7 +85,7 @@
 	entry.startedAtUnixMs === other.startedAtUnixMs && entry.address === other.address;
 
 /** How an entry became known. */
-type EntrySource = {
+type EntryOrigin = {
 	isListed: boolean;
 	coldLeftMs?: number;
 	/** The first listing after a restore of the store. */
@@ -94,6 +106,8 @@
 	let groups: Map<string, Upstream[]> | undefined;
 	let position = storePosition.start;
 	let isLoaded = false;
+	/** Source of the changes that are being applied. */
+	let source = storeSource;
 	const left = new lruCache.LRUCache<string, {entry: upstreamEntry.UpstreamEntry; atMs: number}>({
 		max: maxLeftUpstreams,
 	});
@@ -109,7 +123,7 @@
 		at: storePosition.StorePosition,
 	) => {
 		groups = undefined;
-		didChange.fire({kind, upstream, revision: storePosition.revisionOf(at)});
+		didChange.fire({kind, upstream, revision: storePosition.revisionOf(at), source});
 	};
 
 	const drop = (upstream: Upstream, at: storePosition.StorePosition) => {
@@ -122,6 +136,7 @@
 		const delayMs = Math.min(reachability.unsettledMs(), storeReachability.missingEntryGraceMs);
 		timeSource.setTimer(
 			() => {
+				source = timeoutSource;
 				const upstream = upstreams.get(id);
 				if (upstream?.missingSinceMs === undefined) {
 					return;
@@ -190,7 +205,7 @@
 	const coldUntilOf = (
 		entry: upstreamEntry.UpstreamEntry,
 		current: Upstream | undefined,
-		{isListed, coldLeftMs, isRestored}: EntrySource,
+		{isListed, coldLeftMs, isRestored}: EntryOrigin,
 	): number => {
 		const readUntilMs = coldUntil(coldLeftMs ?? entry.coldLeftMs);
 		if (!current || !isListed || !isSameStart(current.entry, entry)) {
@@ -203,10 +218,28 @@
 		return isRestored ? Math.max(keptUntilMs, current.coldUntilMs) : keptUntilMs;
 	};
 
+	/** Entry of an upstream that left recently. */
+	const lastEntryOf = (id: string): upstreamEntry.UpstreamEntry | undefined => {
+		const last = left.get(id);
+		return last && timeSource.nowMs() - last.atMs < leftMemoryMs ? last.entry : undefined;
+	};
+
+	/** Without a start time, only the upstream's own word tells an older entry from a new start. */
+	const isKnownToDrain = (listed: upstreamEntry.UpstreamEntry): boolean => {
+		const current = upstreams.get(listed.id);
+		const known = current?.entry ?? lastEntryOf(listed.id);
+		return (
+			known !== undefined &&
+			known.isDraining &&
+			isSameStart(known, listed) &&
+			(listed.startedAtUnixMs !== undefined || current?.hasSaidLeaving === true)
+		);
+	};
+
 	const put = (
 		listed: upstreamEntry.UpstreamEntry,
 		at: storePosition.StorePosition,
-		source: EntrySource,
+		origin: EntryOrigin,
 	) => {
 		const region = regionOf(listed.failureDomain);
 		if (region === undefined) {
@@ -217,13 +250,12 @@
 		const current = upstreams.get(listed.id);
 		const isRestart = current !== undefined && !isSameStart(current.entry, listed);
 		// An upstream drains until its end, so an entry that says otherwise is an older one.
-		const isStillDraining =
-			current?.entry.isDraining && !isRestart && listed.startedAtUnixMs !== undefined;
-		const entry = isStillDraining ? {...listed, isDraining: true} : listed;
+		const entry = isKnownToDrain(listed) ? {...listed, isDraining: true} : listed;
 		const upstream: Upstream = {
 			entry,
 			region,
-			coldUntilMs: coldUntilOf(entry, current, source),
+			coldUntilMs: coldUntilOf(entry, current, origin),
+			hasSaidLeaving: isRestart ? undefined : current?.hasSaidLeaving,
 		};
 		upstreams.set(entry.id, upstream);
 		groups = undefined;
@@ -234,12 +266,8 @@
 	};
 
 	const hasLeft = (entry: upstreamEntry.UpstreamEntry): boolean => {
-		const last = left.get(entry.id);
-		return (
-			last !== undefined &&
-			isSameStart(last.entry, entry) &&
-			timeSource.nowMs() - last.atMs < leftMemoryMs
-		);
+		const last = lastEntryOf(entry.id);
+		return last !== undefined && isSameStart(last, entry);
 	};
 
 	/** Whether a restored entry is older than what is known of its upstream. */
@@ -259,6 +287,7 @@
 
 		note('held-back', {entry, region, coldUntilMs: 0}, at);
 		const timer = timeSource.setTimer(() => {
+			source = timeoutSource;
 			put(entry, at, {isListed: true});
 		}, restoredEntryGraceMs);
 		heldBack.set(entry.id, {entry, timer});
@@ -268,13 +297,13 @@
 	const putListed = (
 		entry: upstreamEntry.UpstreamEntry,
 		at: storePosition.StorePosition,
-		source: EntrySource,
+		origin: EntryOrigin,
 	) => {
-		const isDoubtful = source.isRestored === true || heldBack.has(entry.id);
+		const isDoubtful = origin.isRestored === true || heldBack.has(entry.id);
 		if (isDoubtful && isOutdated(entry)) {
 			holdBack(entry, at);
 		} else {
-			put(entry, at, source);
+			put(entry, at, origin);
 		}
 	};
 
@@ -321,6 +350,7 @@
 	return {
 		onDidChange: didChange.event,
 		replaceAll(entries, listedAt, lastChange = listedAt) {
+			source = storeSource;
 			const isRestored = storePosition.isRestored(position, listedAt);
 			const ids = new Set(entries.map((entry) => entry.id));
 			releaseOthers(ids);
@@ -332,7 +362,8 @@
 
 			finishReplacement(at);
 		},
-		replaceFromPeer(reports, at) {
+		replaceFromPeer(reports, at, peer) {
+			source = peer;
 			const isRestored = storePosition.isRestored(position, at);
 			const held = reports.filter(({isHeldBack}) => isHeldBack);
 			const listed = reports.filter(({isHeldBack}) => !isHeldBack);
@@ -360,6 +391,23 @@
 
 			finishReplacement(at);
 		},
+		noteLeaving({entry}) {
+			source = answerSource;
+			const current = upstreams.get(entry.id);
+			if (current && isSameStart(current.entry, entry)) {
+				const leaving = {
+					...current,
+					entry: {...current.entry, isDraining: true},
+					hasSaidLeaving: true,
+				};
+				upstreams.set(entry.id, leaving);
+				if (!current.entry.isDraining) {
+					note('draining', leaving, storePosition.start);
+				}
+			} else if (!current && hasLeft(entry)) {
+				left.set(entry.id, {entry: {...entry, isDraining: true}, atMs: timeSource.nowMs()});
+			}
+		},
 		reportAll: () => [
 			...[...upstreams.values()].map((upstream) => ({
 				entry: upstream.entry,
@@ -371,10 +419,12 @@
 				.map(({entry}) => ({entry, coldLeftMs: 0, isMissing: false, isHeldBack: true})),
 		],
 		put(entry, at) {
+			source = storeSource;
 			put(entry, at, {isListed: false});
 			position = storePosition.latest(position, at);
 		},
 		remove(id, at) {
+			source = storeSource;
 			removeEntry(id, at);
 			position = storePosition.latest(position, at);
 		},
--- a/packages/gateway/src/common/wire-format.ts
+++ b/packages/gateway/src/common/wire-format.ts
@@ -47,6 +47,8 @@
 	isSigned: boolean;
 	/** The body has a content encoding, so its bytes are not the upstream's own. */
 	isEncoded: boolean;
+	/** The upstream leaves and will take no more work. */
+	isLeaving: boolean;
 	/** Rate limit that the upstream names, in requests a second of all daemons together. */
 	requestsPerS?: number;
 };
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -331,7 +331,7 @@
 			const hasNewerUpstreams = storePosition.isAfter(snapshot.upstreamRevision, registry.position);
 			if (upstreamFeed.contact !== 'reached' && hasNewerUpstreams) {
 				noteUpstreamsAt(snapshot.upstreamRevision);
-				registry.replaceFromPeer(snapshot.upstreams, snapshot.upstreamRevision);
+				registry.replaceFromPeer(snapshot.upstreams, snapshot.upstreamRevision, peer);
 			}
 
 			const {operatorRevision} = snapshot;
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -388,7 +388,7 @@
 	};
 
 	disposables.add(
-		registry.onDidChange(({kind, upstream, revision}) => {
+		registry.onDidChange(({kind, upstream, revision, source}) => {
 			const {entry} = upstream;
 			log.note({
 				kind: 'upstream',
@@ -399,6 +399,7 @@
 				failureDomain: entry.failureDomain,
 				coldMs: Math.max(0, Math.round(upstream.coldUntilMs - nowMs())),
 				revision,
+				source,
 			});
 			if (kind === 'gone' || kind === 'restarted') {
 				dispatch.forget(entry.id);
--- a/packages/gateway/src/test/upstream-registry.test.ts
+++ b/packages/gateway/src/test/upstream-registry.test.ts
@@ -106,7 +106,7 @@
 		{entry: fixtures.upstream('u1'), coldLeftMs: 0, isMissing: true},
 		{entry: fixtures.upstream('u2'), coldLeftMs: 0, isMissing: false},
 	];
-	subject.replaceFromPeer(reports, 9);
+	subject.replaceFromPeer(reports, 9, 'n2');
 	t.same(usableIds(subject), ['u2']);
 	t.same(changes, ['seen u1', 'seen u2', 'gone u1']);
 });
@@ -115,7 +115,7 @@
 	const {clock, subject, reachability} = await create();
 	reachability.setOwnContact('lost');
 	const entry = fixtures.upstream('u1');
-	subject.replaceFromPeer([{entry, coldLeftMs: 0, isMissing: true}], 9);
+	subject.replaceFromPeer([{entry, coldLeftMs: 0, isMissing: true}], 9, 'n2');
 	t.same(usableIds(subject), ['u1']);
 	reachability.setOwnContact('reached');
 	await clock.advance(storeReachability.missingEntryGraceMs + 1);
