Keep the pauses that upstreams ask for

The upstream is now no candidate for this daemon until the end, and up to half of the time longer at random, so that daemons do not resume together: not for first sends, resends, successors, relayed work or trials. Requests that wait for their connection to it go elsewhere. Fractions count; what is no time is ignored with a log line; a pause ends after 5 minutes at most, so that a wrong value does not take an upstream out of use for good; the longest pause counts. Other daemons are not told: each that sends gets its own answer, and an upstream that one daemon found busy is not idle for all. When all upstreams pause, a request waits only if the first is back within the time that it may wait, and is otherwise refused at once with the end of that pause as Retry-After.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a request: sends it to an upstream or a daemon of another region and processes the answer. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as answerClassifier from './answer-classifier.js';
 import type * as crashDetector from './crash-detector.js';
 import type * as dispatcher from './dispatcher.js';
@@ -91,6 +92,9 @@
 	cancel(): void;
 };
 
+/** Status with which an upstream turns a request away and may ask for a pause. */
+const busyStatus = 503;
+const pausedReason = 'upstream-paused';
 /** Answers of plain services up to this size are buffered until they are complete. */
 const maxBufferedAnswerBytes = 262_144;
 /** An idempotent request without a first event counts as stalled after this multiple of the expected time. */
@@ -126,8 +130,10 @@
 	/** The answer continues one of which the caller has a part. */
 	let isContinuation = false;
 	let isOver = false;
+	let wasSent = false;
 	let head: {status: number; headers: wireFormat.Headers} | undefined;
 	let detector: stallDetector.StallDetector | undefined;
+	let pauseSubscription: disposable.Disposable | undefined;
 	let progressAtMs = startedAtMs;
 	const running: {exchange?: upstreamTransport.Exchange} = {};
 
@@ -136,6 +142,7 @@
 
 	const close = () => {
 		isOver = true;
+		pauseSubscription?.dispose();
 		detector?.dispose();
 		account?.end();
 		observedRun?.end();
@@ -224,6 +231,10 @@
 			account?.noteLeaving();
 		}
 
+		if (status === busyStatus && answer.pause && isOwnAnswer) {
+			account?.notePause(answer.pause);
+		}
+
 		if (answer.isSigned || answer.requestsPerS !== undefined) {
 			account?.noteRateLimit(answer.requestsPerS);
 		}
@@ -352,6 +363,7 @@
 		},
 		{
 			onSent() {
+				wasSent = true;
 				if (!isOver) {
 					listener.onSent();
 				}
@@ -384,6 +396,15 @@
 			},
 		},
 	);
+	// A request that waits for its connection would reach the upstream in its pause.
+	if (!wasSent && !isOver) {
+		pauseSubscription = account?.onDidPause(() => {
+			if (!wasSent) {
+				fail('not-run', pausedReason, false);
+			}
+		});
+	}
+
 	if (options.isIdempotent && !isOver) {
 		detector = stallDetector.createStallDetector(
 			clock,
--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -3,6 +3,7 @@
  * it, by comparing expected times to the first event.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
+import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as coldUpstreamLimiter from './cold-upstream-limiter.js';
 import * as failureRecord from './failure-record.js';
 import type * as fleetView from './fleet-view.js';
@@ -11,6 +12,7 @@
 import * as promptCacheView from './prompt-cache-view.js';
 import * as rateLimitShares from './rate-limit-shares.js';
 import * as routeConfig from './route-config.js';
+import type * as upstreamPauses from './upstream-pauses.js';
 import type * as upstreamRateLimits from './upstream-rate-limits.js';
 import type * as upstreamRegistry from './upstream-registry.js';
 import type * as workEstimate from './work-estimate.js';
@@ -55,8 +57,11 @@
 	| {kind: 'region'; region: string; member: fleetView.Member; basis: ChoiceBasis}
 	| {
 			kind: 'refuse';
-			reason: 'no-upstream' | 'overloaded';
+			/** `paused`: an upstream will accept work after its pause. */
+			reason: 'no-upstream' | 'overloaded' | 'paused';
 			retryAfterMs: number;
+			/** Time until the first pause ends, for `paused`. */
+			pauseMs?: number;
 			basis: ChoiceBasis;
 	  };
 
@@ -72,6 +77,10 @@
 	noteRateLimit(requestsPerS: number | undefined): void;
 	/** The upstream said that it leaves. */
 	noteLeaving(): void;
+	/** The upstream turned a request away and said when it wants work again. */
+	notePause(pause: upstreamPauses.NamedPause): void;
+	/** Fires when the upstream asks for a pause. */
+	onDidPause(listener: () => void): disposable.Disposable;
 	end(): void;
 };
 
@@ -107,6 +116,7 @@
 	registry: upstreamRegistry.UpstreamRegistry;
 	fleet: fleetView.FleetView;
 	rateLimits: upstreamRateLimits.UpstreamRateLimits;
+	pauses: upstreamPauses.UpstreamPauses;
 	/** Failure domains to which nothing may be sent. */
 	isEvacuated(failureDomain: string): boolean;
 	/** Uniform in [0, 1). */
@@ -151,7 +161,7 @@
 
 /** Creates a dispatcher without any load. */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {clock, settings, registry, fleet, rateLimits} = options;
+	const {clock, settings, registry, fleet, rateLimits, pauses} = options;
 	let decisionMs: number | undefined;
 	const nowMs = () => decisionMs ?? clock.nowMs();
 	const loads = loadTable.createLoadTable(nowMs, settings, registry);
@@ -206,12 +216,13 @@
 		return requestsPerS === undefined || limitShares.mayUse(upstreamId, requestsPerS);
 	};
 
-	/** Whether evacuation, cold limits and named limits allow a send, whatever the upstream's failures. */
+	/** Whether evacuation, pauses, cold limits and named limits allow a send, whatever the upstream's failures. */
 	const mayBeSentTo = (
 		upstream: upstreamRegistry.Upstream,
 		service: routeConfig.Service,
 	): boolean =>
 		!options.isEvacuated(upstream.entry.failureDomain) &&
+		pauses.remainingMs(upstream.entry.id) === 0 &&
 		(!isCold(upstream, service) || coldLimiter.mayUse(upstream.entry.id, service.coldRatePerS)) &&
 		isWithinRateLimit(upstream.entry.id);
 
@@ -390,7 +401,7 @@
 		localMs > remoteMs + settings.otherRegionMarginMs;
 
 	const refuse = (
-		reason: 'no-upstream' | 'overloaded',
+		reason: 'no-upstream' | 'overloaded' | 'paused',
 		basis: ChoiceBasis,
 		waitMs: number,
 	): Choice => ({
@@ -401,6 +412,35 @@
 		basis,
 	});
 
+	/** Shortest pause of the upstreams that may be sent to but for their pauses; undefined without any. */
+	const shortestPauseMs = (request: DispatchRequest): number | undefined => {
+		const pausesMs = registry
+			.usable(request.service.name, options.localRegion)
+			.filter(({entry}) => !options.isEvacuated(entry.failureDomain))
+			.map(({entry}) => pauses.remainingMs(entry.id))
+			.filter((pauseMs) => pauseMs > 0);
+		return pausesMs.length === 0 ? undefined : Math.min(...pausesMs);
+	};
+
+	/** Refuses a request for which there is no upstream now. */
+	const refuseWithout = (
+		request: DispatchRequest,
+		basis: ChoiceBasis,
+		isLocalAllowed: boolean,
+	): Choice => {
+		const pauseMs = isLocalAllowed ? shortestPauseMs(request) : undefined;
+		return pauseMs === undefined
+			? refuse('no-upstream', basis, noUpstreamRetryMs)
+			: {
+					kind: 'refuse',
+					reason: 'paused',
+					pauseMs,
+					// Never shorter than the pause.
+					retryAfterMs: pauseMs + noUpstreamRetryMs * options.random() * retryJitter,
+					basis,
+				};
+	};
+
 	/** Longest expected time to the first event at which a request is admitted. */
 	const admissionLimitMs = ({service, route, remainingMs, wasAccepted}: DispatchRequest) => {
 		if (wasAccepted) {
@@ -430,7 +470,7 @@
 		}
 
 		if (!best) {
-			return refuse('no-upstream', {expectedMs: -1, candidates}, noUpstreamRetryMs);
+			return refuseWithout(request, {expectedMs: -1, candidates}, isLocalAllowed);
 		}
 
 		const basis: ChoiceBasis = {
@@ -512,6 +552,15 @@
 				noteLeaving() {
 					registry.noteLeaving(upstream);
 				},
+				notePause(pause) {
+					pauses.note(id, pause);
+				},
+				onDidPause: (listener) =>
+					pauses.onDidPause(({upstreamId, named}) => {
+						if (upstreamId === id && named.kind === 'pause') {
+							listener();
+						}
+					}),
 				end() {
 					item.end();
 				},
@@ -539,6 +588,7 @@
 			coldLimiter.forget(upstreamId);
 			rateLimits.forget(upstreamId);
 			limitShares.forget(upstreamId);
+			pauses.forget(upstreamId);
 		},
 	};
 };
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -14,7 +14,7 @@
 	| 'suspected-prompt';
 
 /** Why no other upstream is tried beside a stalled one. */
-export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded';
+export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded' | 'paused';
 
 /** Events of one request; all contain its id. */
 export type RequestEvent = {request: string; route: string} & (
@@ -147,6 +147,14 @@
 			requestsPerS: number | undefined;
 			source: string;
 	  }
+	| {
+			kind: 'upstream-pause';
+			upstream: string;
+			/** Rest of the pause at this daemon; undefined for a value that is no time. */
+			remainingMs: number | undefined;
+			/** The value, as the upstream named it: milliseconds, or a text that is no time. */
+			named: number | string;
+	  }
 	| {
 			kind: 'upstream-crashed';
 			upstream: string;
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -179,10 +179,10 @@
 	};
 
 	const refuse = (reason: string, retryAfterMs: number, basis?: dispatcher.ChoiceBasis) => {
-		const waitMs = Math.max(
-			minRetryAfterMs,
-			Math.min(retryAfterMs, remainingMs() * maxRetryAfterShare),
-		);
+		// The end of a pause is known, also when it is later than the deadline.
+		const longestMs =
+			reason === 'paused' ? Number.POSITIVE_INFINITY : remainingMs() * maxRetryAfterShare;
+		const waitMs = Math.max(minRetryAfterMs, Math.min(retryAfterMs, longestMs));
 		const status = hasStarted || mayHaveRun ? 502 : 503;
 		requestLog.refused({reason, status, hasStarted, ...services.versions()}, waitMs, basis);
 		failWith(status, reason, status === 503 ? waitMs : undefined);
@@ -537,6 +537,16 @@
 
 	const mayWaitForUpstream = () => waitedMs < route.goalMs * upstreamWaitShare;
 
+	/** Whether an upstream is likely to accept the request within the time that it may wait. */
+	const mayWaitAfter = ({reason, pauseMs}: dispatcher.Choice & {kind: 'refuse'}): boolean => {
+		if (reason === 'no-upstream') {
+			return hasStarted || mayWaitForUpstream();
+		}
+
+		const mostMs = hasStarted ? remainingMs() : route.goalMs * upstreamWaitShare - waitedMs;
+		return pauseMs !== undefined && pauseMs < mostMs;
+	};
+
 	const next = () => {
 		if (hasEnded) {
 			return;
@@ -558,7 +568,7 @@
 			}
 
 			failover.startFirst(planFor(choice));
-		} else if (choice.reason === 'no-upstream' && (hasStarted || mayWaitForUpstream())) {
+		} else if (mayWaitAfter(choice)) {
 			waitedMs += waitStepMs;
 			runAfter(waitStepMs, next);
 		} else {
--- a/packages/gateway/src/common/wire-format.ts
+++ b/packages/gateway/src/common/wire-format.ts
@@ -3,6 +3,8 @@
  * names; the gateway uses only their decoded contents.
  */
 
+import type * as upstreamPauses from './upstream-pauses.js';
+
 export type PromptPart = {id: string; tokens: number};
 
 /** Facts about a request from its caller's headers. */
@@ -47,6 +49,8 @@
 	isSigned: boolean;
 	/** The body has a content encoding, so its bytes are not the upstream's own. */
 	isEncoded: boolean;
+	/** When the upstream wants work of this gateway again; undefined if it does not say. */
+	pause?: upstreamPauses.NamedPause;
 	/** The upstream leaves and will take no more work. */
 	isLeaving: boolean;
 	/** Rate limit that the upstream names, in requests a second of all daemons together. */
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -14,6 +14,7 @@
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
+import * as upstreamPauses from '../common/upstream-pauses.js';
 import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as storePosition from '../common/store-position.js';
@@ -116,6 +117,7 @@
 		}),
 	);
 	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
+	const pauses = upstreamPauses.createUpstreamPauses(clock, random.next);
 	const dispatch = dispatcher.createDispatcher({
 		clock,
 		settings: current.decisions,
@@ -126,6 +128,7 @@
 		registry,
 		fleet,
 		rateLimits,
+		pauses,
 		isEvacuated: cluster.isEvacuated,
 		random: random.next,
 	});
@@ -305,6 +308,16 @@
 			}
 		}),
 	);
+	disposables.add(
+		pauses.onDidPause(({upstreamId, remainingMs, named}) => {
+			log.note({
+				kind: 'upstream-pause',
+				upstream: upstreamId,
+				remainingMs: remainingMs === undefined ? undefined : Math.round(remainingMs),
+				named: named.kind === 'pause' ? named.pauseMs : named.text,
+			});
+		}),
+	);
 	const storedQuarantine = disposables.add(
 		quarantineStore.startQuarantineStore({
 			clock,
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -21,6 +21,8 @@
 	upstreams?: number;
 	/** Resends that the budget allows; 16 when undefined. */
 	resends?: number;
+	/** Requests wait for their connections until the test reports them as sent. */
+	isConnecting?: boolean;
 	/** Wraps the manual clock for the engine. */
 	engineClock?(clock: manualClock.ManualClock): clockService.Clock;
 };
@@ -58,6 +60,7 @@
 	}
 
 	const transport = new fakeTransport.FakeTransport();
+	transport.shouldConnectAtOnce = options.isConnecting !== true;
 	const reply = new fakeTransport.FakeReply();
 	const events: gatewayEvent.GatewayEvent[] = [];
 	const budget = sharedRetryBudget.createSharedRetryBudget(
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -116,6 +116,10 @@
 			isWrongUpstream: status === 421,
 			attemptId: headers.attempt as string | undefined,
 			isSigned: headers.signed !== undefined,
+			pause:
+				typeof headers.pause === 'string'
+					? {kind: 'pause', pauseMs: Number(headers.pause) * 1000}
+					: undefined,
 			isLeaving: headers.leaving !== undefined,
 			isEncoded: headers.encoded !== undefined,
 			requestsPerS: headers.limit === undefined ? undefined : Number(headers.limit),
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -11,6 +11,7 @@
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import type * as routeConfig from '../common/route-config.js';
 import type * as upstreamEntry from '../common/upstream-entry.js';
+import * as upstreamPauses from '../common/upstream-pauses.js';
 import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import type * as upstreamTransport from '../common/upstream-transport.js';
@@ -163,6 +164,7 @@
 	const fleet = fleetView.createFleetView(clock, daemonName);
 	const evacuated = new Set<string>();
 	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
+	const pauses = upstreamPauses.createUpstreamPauses(clock, random.createRandom(5).next);
 	const subject = dispatcher.createDispatcher({
 		clock,
 		settings,
@@ -173,10 +175,11 @@
 		registry,
 		fleet,
 		rateLimits,
+		pauses,
 		isEvacuated: (name) => evacuated.has(name),
 		random: random.createRandom(7).next,
 	});
-	return {clock, registry, fleet, evacuated, rateLimits, subject};
+	return {clock, registry, fleet, evacuated, rateLimits, pauses, subject};
 };
 
 /** Creates the dispatcher's input for one request. */
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -12,6 +12,7 @@
 import type * as routeConfig from '../common/route-config.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
+import * as upstreamPauses from '../common/upstream-pauses.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
@@ -298,6 +299,7 @@
 			registry,
 			fleet,
 			rateLimits,
+			pauses: upstreamPauses.createUpstreamPauses(clock, () => 0.5),
 			isEvacuated: () => false,
 			random: random.createRandom(name.codePointAt(1)!).next,
 		}),
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -11,6 +11,7 @@
 import * as fleetView from '@hawthornfront/gateway/common/fleet-view.js';
 import * as loadSettings from '@hawthornfront/gateway/common/load-settings.js';
 import type * as routeConfig from '@hawthornfront/gateway/common/route-config.js';
+import * as upstreamPauses from '@hawthornfront/gateway/common/upstream-pauses.js';
 import * as upstreamRateLimits from '@hawthornfront/gateway/common/upstream-rate-limits.js';
 import * as upstreamRegistry from '@hawthornfront/gateway/common/upstream-registry.js';
 import * as workEstimate from '@hawthornfront/gateway/common/work-estimate.js';
@@ -179,6 +180,7 @@
 				registry,
 				fleet: fleetView.createFleetView(clock, name),
 				rateLimits: upstreamRateLimits.createUpstreamRateLimits(clock),
+				pauses: upstreamPauses.createUpstreamPauses(clock, numbers.fork().next),
 				isEvacuated: () => false,
 				random: numbers.fork().next,
 			});
