--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -20,6 +20,7 @@
 import * as benchEngines from './bench-engines.js';
 import * as benchGateway from './bench-gateway.js';
 import * as benchLogging from './bench-logging.js';
+import * as benchPauses from './bench-pauses.js';
 
 const fullPlan = {seeds: 5, durationMs: 360_000};
 const quickPlan = {seeds: 2, durationMs: 120_000};
@@ -151,6 +152,11 @@
 		return;
 	}
 
+	if (args[0] === 'pauses') {
+		benchPauses.runPauseBench({isQuick: options.quick === true, print});
+		return;
+	}
+
 	if (args[0] === 'logging') {
 		await benchLogging.runLoggingBench({isQuick: options.quick === true, print});
 		return;
