Apply only reports with new evidence on prompt parts

Cause found by reading and a measurement: each message repeats reports for up to ten minutes after a crash, and merging one compares all records before and after, also when nothing is new. Reports without new evidence are now skipped: a message with 8 known reports took 193 us, now 21 (8 records; the cost grows with the records).

--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -135,6 +135,15 @@
 export const lastCrashAtMs = ({crashes}: PartEvidence): number =>
 	Math.max(Number.NEGATIVE_INFINITY, ...crashes.map(({atMs}) => atMs));
 
+/** Whether adding a crash would strengthen the evidence. */
+export const isNewCrash = (
+	{crashes}: PartEvidence,
+	crash: Pick<Crash, 'upstreamKey' | 'wasAnswering'>,
+): boolean => {
+	const known = crashes.find(({upstreamKey}) => upstreamKey === crash.upstreamKey);
+	return !known || (crash.wasAnswering && !known.wasAnswering);
+};
+
 /** Adds a crash. Returns whether it strengthens the evidence. */
 export const addCrash = ({crashes}: PartEvidence, crash: Crash): boolean => {
 	const known = crashes.find(({upstreamKey}) => upstreamKey === crash.upstreamKey);
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -325,6 +325,22 @@
 		return lastCrashAgeMs < retentionMs * reportedMemoryShare;
 	};
 
+	/** Whether a report has evidence that is not held yet. Most reports repeat what is known, and applying one compares all records. */
+	const hasNews = ({service, partId, crashes, answeredAgeMs, quarantines}: PartReport): boolean => {
+		const record = records.get(keyOf(service, partId));
+		if (!record) {
+			return true;
+		}
+
+		const answeredMs = nowMs() - (answeredAgeMs ?? Number.POSITIVE_INFINITY);
+		return (
+			quarantines > record.quarantines ||
+			(answeredAgeMs !== undefined && !partEvidence.wasAnswered(record)) ||
+			partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs) ||
+			crashes.some((crash) => partEvidence.isNewCrash(record, crash))
+		);
+	};
+
 	/** Returns the part if the report has new evidence on it. */
 	const mergeReport = (report: PartReport): PartRecord | undefined => {
 		const record = recordOf(report.service, report.partId);
@@ -441,7 +457,7 @@
 			});
 		},
 		merge(reports, source) {
-			const current = reports.filter((report) => isCurrent(report));
+			const current = reports.filter((report) => isCurrent(report) && hasNews(report));
 			if (current.length > 0) {
 				update(source, () =>
 					current.map((report) => mergeReport(report)).filter((record) => record !== undefined),
