--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -223,18 +223,25 @@
 		}
 	};
 
-	const onHead = (status: number, headers: wireFormat.Headers) => {
-		const begun = options.begunHeaders();
-		const answer = wire.readAnswer(status, headers);
-		const isOwnAnswer = answer.attemptId === request.facts.attemptId && !answer.isWrongUpstream;
-		if (answer.isLeaving && isOwnAnswer) {
+	/** Notes what the upstream says of itself, if the answer is its own to this request. */
+	const noteUpstreamState = (status: number, answer: wireFormat.AnswerFacts) => {
+		if (answer.attemptId !== request.facts.attemptId || answer.isWrongUpstream) {
+			return;
+		}
+
+		if (answer.isLeaving) {
 			account?.noteLeaving();
 		}
 
-		if (status === busyStatus && answer.pause && isOwnAnswer) {
+		if (status === busyStatus && answer.pause) {
 			account?.notePause(answer.pause);
 		}
+	};
 
+	const onHead = (status: number, headers: wireFormat.Headers) => {
+		const begun = options.begunHeaders();
+		const answer = wire.readAnswer(status, headers);
+		noteUpstreamState(status, answer);
 		if (answer.isSigned || answer.requestsPerS !== undefined) {
 			account?.noteRateLimit(answer.requestsPerS);
 		}
