--- a/packages/base/src/node/text-request.ts
+++ b/packages/base/src/node/text-request.ts
@@ -15,13 +15,16 @@
 
 /**
  * Sends a request and reads its response. A body that exceeds a limit is cancelled.
+ *
+ * @param onHeaders called with the headers of a response that was read; their names are in lower case
  * @throws HttpClientError without a response; Error when the body exceeds a limit or is incomplete.
  */
 export const requestText = async (
 	client: httpClient.HttpClient,
 	request: httpClient.HttpRequest,
 	limits: BodyLimits,
-): Promise<{status: number; headers: Record<string, string>; text: string}> => {
+	onHeaders?: (headers: Record<string, string>) => void,
+): Promise<{status: number; text: string}> => {
 	const controller = new AbortController();
 	const {signal} = request;
 	const cancel = () => {
@@ -42,7 +45,8 @@
 
 		timer = pauseTolerantTimer.setPauseTolerantTimer(clock, onTimeout, limits.timeoutMs);
 		const text = await httpClient.readText(answer.body, limits.maxBytes);
-		return {status: answer.status, headers: answer.headers, text};
+		onHeaders?.(answer.headers);
+		return {status: answer.status, text};
 	} finally {
 		timer?.dispose();
 		signal?.removeEventListener('abort', cancel);
--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -42,8 +42,8 @@
 				signal: call.signal,
 			},
 			bodyLimits,
+			call.onHeaders,
 		);
-		call.onHeaders?.(answer.headers);
 		if (answer.status !== 200) {
 			throw new keyValueStore.PlatformError(service, `status ${answer.status}`, false, {
 				status: answer.status,
