--- a/review/lib/harness.js
+++ b/review/lib/harness.js
@@ -609,6 +609,13 @@
 /** Picks a loopback network by the process id, so that scripts can run side by side. */
 export const network = `127.${20 + (process.pid % 200)}`;
 
+// The `exit` listeners end the daemons also when the script is stopped from outside.
+for (const signal of ['SIGINT', 'SIGTERM']) {
+	process.once(signal, () => {
+		process.exit(2);
+	});
+}
+
 /** Runs a case; returns 1 if it broke its rule, 0 if the rule held, 2 if it could not run. */
 export const runCase = async (play, record, cleanUps) => {
 	let exitCode = 2;
