Open new connections after a request that was given up

One cause of two: after the watch had timed out, the new listing took another silent connection from the pool, and each further call cost its whole timeout again.

The HTTP client replaces its pool when a request times out or is cancelled before its answer: idle connections close, requests in progress continue. A request can also close its connection after the response, so that a rare call leaves none behind that may go silent before the next one.

On the old client, both tests of silent idle connections fail with 'no answer within 300 ms'; the test of requests in progress passes on both.

--- a/packages/base/src/common/http-client.ts
+++ b/packages/base/src/common/http-client.ts
@@ -14,6 +14,8 @@
 	/** Time limit for the response headers; reading the body has no time limit. */
 	timeoutMs?: number;
 	signal?: AbortSignal;
+	/** Closes the connection after the response, so that no later request waits on one that went silent meanwhile. */
+	isConnectionClosed?: boolean;
 	/** Called once, when the first byte may have left this process. */
 	onSent?: () => void;
 };
--- a/packages/base/src/node/undici-http-client.ts
+++ b/packages/base/src/node/undici-http-client.ts
@@ -33,16 +33,26 @@
 	return flat;
 };
 
-/** Client with one connection pool per peer. */
-export class UndiciHttpClient extends httpClient.HttpClient {
-	readonly #clock = new systemClock.SystemClock();
-	readonly #agent = new undiciParts.Agent({
+const createAgent = () =>
+	new undiciParts.Agent({
 		connections: maxConnectionsPerPeer,
 		pipelining: 1,
 		connect: {timeout: connectTimeoutMs},
 		headersTimeout: 0,
 		bodyTimeout: 0,
 	});
+type Agent = ReturnType<typeof createAgent>;
+
+/**
+ * Client with one connection pool per peer. After a request that was given up, new requests
+ * open new connections: what silenced a connection without a reset may have silenced the
+ * idle ones, too.
+ */
+export class UndiciHttpClient extends httpClient.HttpClient {
+	readonly #clock = new systemClock.SystemClock();
+	#agent = createAgent();
+	/** Replaced agents whose last requests are in progress. */
+	readonly #retired = new Set<Agent>();
 
 	override async request(request: httpClient.HttpRequest): Promise<httpClient.HttpResponse> {
 		const timeout = new AbortController();
@@ -53,14 +63,16 @@
 
 		const timer = pauseTolerantTimer.setPauseTolerantTimer(this.#clock, onTimeout, timeoutMs);
 		const signals = request.signal ? [timeout.signal, request.signal] : [timeout.signal];
+		const agent = this.#agent;
 		try {
 			request.onSent?.();
-			const answer = await undiciParts.request(this.#agent, {
+			const answer = await undiciParts.request(agent, {
 				origin: `http://${request.peer}`,
 				path: request.path,
 				method: request.method,
 				headers: request.headers,
 				body: request.body,
+				reset: request.isConnectionClosed,
 				signal: AbortSignal.any(signals),
 			});
 			return {
@@ -69,6 +81,10 @@
 				body: answer.body,
 			};
 		} catch (error) {
+			if (signals.some(({aborted}) => aborted)) {
+				this.#retire(agent);
+			}
+
 			const isNotSent = notSentCodes.has(codeOf(error));
 			throw new httpClient.HttpClientError(
 				errorText.errorText(error),
@@ -82,6 +98,23 @@
 	}
 
 	override async close(): Promise<void> {
-		await this.#agent.destroy();
+		const agents = [this.#agent, ...this.#retired];
+		await Promise.all(agents.map(async (agent) => agent.destroy()));
+	}
+
+	/** Closes the idle connections of an agent, and the others at the end of their requests. */
+	#retire(agent: Agent): void {
+		if (agent !== this.#agent) {
+			return;
+		}
+
+		this.#agent = createAgent();
+		this.#retired.add(agent);
+		void this.#closeRetired(agent);
+	}
+
+	async #closeRetired(agent: Agent): Promise<void> {
+		await agent.close();
+		this.#retired.delete(agent);
 	}
 }
--- a/packages/base/src/test/undici-http-client.test.ts
+++ b/packages/base/src/test/undici-http-client.test.ts
@@ -1,4 +1,7 @@
-// Guards against a timeout, after a pause of the process, of a response that is already in the socket buffer.
+// Timeouts of the HTTP client, on loopback servers.
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as workerThreads from 'node:worker_threads';
 import * as tap from 'tap';
 import * as httpClient from '../common/http-client.js';
@@ -15,6 +18,8 @@
 `;
 const timeoutMs = 300;
 const pauseMs = 600;
+/** The client may use a connection again after this time. */
+const idleAfterMs = 30;
 
 const blockLoop = (durationMs: number): void => {
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
@@ -25,6 +30,7 @@
 		setImmediate(resolve);
 	});
 
+// Guards against a timeout, after a pause of the process, of a response that is already in the socket buffer.
 tap.t.test('a response that arrived while the event loop was blocked is read', async (t) => {
 	const worker = new workerThreads.Worker(serverSource, {eval: true});
 	const port = await new Promise<number>((resolve) => {
@@ -48,3 +54,88 @@
 	blockLoop(pauseMs);
 	t.equal(await late, 'answer');
 });
+
+/** Server whose connections can go silent while new ones work. */
+const startServer = async (t: tap.Test) => {
+	const silent = new Set<net.Socket>();
+	const open = new Set<net.Socket>();
+	const server = http.createServer((request, response) => {
+		if (!silent.has(request.socket)) {
+			setTimeout(() => {
+				response.end('answer');
+			}, 20);
+		}
+	});
+	server.on('connection', (socket) => {
+		open.add(socket);
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const client = new undiciHttpClient.UndiciHttpClient();
+	t.teardown(async () => {
+		await client.close();
+		server.closeAllConnections();
+		server.close();
+	});
+	const peer = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+	const send = async (options: Partial<httpClient.HttpRequest> = {}) => {
+		const {body} = await client.request({peer, method: 'GET', path: '/', timeoutMs, ...options});
+		return httpClient.readText(body, 100);
+	};
+
+	return {
+		send,
+		connections: () => open.size,
+		/** Silences the open connections, once the client can use them again. */
+		async silenceOpen() {
+			await timers.setTimeout(idleAfterMs);
+			for (const socket of open) {
+				silent.add(socket);
+			}
+		},
+	};
+};
+
+// Guards against calls that time out one after another, each on a connection that went silent with the first.
+tap.t.test('after a timeout, the next request does not wait on an idle connection', async (t) => {
+	const {send, silenceOpen} = await startServer(t);
+	await Promise.all([send(), send(), send()]);
+	await silenceOpen();
+	await t.rejects(send(), /no answer within/u);
+	t.equal(await send(), 'answer');
+});
+
+// Guards against a new call on a silent connection after the caller has given up a call for its silence.
+tap.t.test(
+	'after a cancelled request, the next one does not wait on an idle connection',
+	async (t) => {
+		const {send, silenceOpen} = await startServer(t);
+		await Promise.all([send(), send()]);
+		await silenceOpen();
+		const controller = new AbortController();
+		const cancelled = send({signal: controller.signal});
+		setTimeout(() => {
+			controller.abort(new Error('given up'));
+		}, 50);
+		await t.rejects(cancelled, /given up|aborted/u);
+		t.equal(await send(), 'answer');
+	},
+);
+
+tap.t.test('requests in progress survive the timeout of another one', async (t) => {
+	const {send, silenceOpen} = await startServer(t);
+	await send();
+	await silenceOpen();
+	const silent = send({timeoutMs: 10});
+	const inProgress = send();
+	await t.rejects(silent, /no answer within/u);
+	t.equal(await inProgress, 'answer');
+});
+
+tap.t.test('a request may close its connection', async (t) => {
+	const {send, connections} = await startServer(t);
+	t.equal(await send({isConnectionClosed: true}), 'answer');
+	t.equal(await send(), 'answer');
+	t.equal(connections(), 2);
+});
