Bound how long a silent connection hides changes of the store

Cause: a feed counts as reached until its watch of 15 s times out, however old its last response is, and a daemon that counts as reached ignores peers that are ahead. If all watchers are deaf, nobody knows; their followers pull the old state.

Change: one leading watcher in each failure domain waits 2 s, so all watchers at once are deaf for 2.7 s at most. The others learn it from a peer that knows for 0.6 s of a change which their watch should have delivered (watch-lag.ts), log store-watch-silent and list the store again on a new connection. A watch that timed out is followed by a listing without delay. Pulls from peers use connections of their own. The watch of quarantined prompt parts waits 2 s in a daemon without peers, since only then it depends on the store.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -190,6 +190,17 @@
 	  }
 	| {kind: 'directory'; region: string; basis: string; named: number; addresses: string[]}
 	| {kind: 'store-watch'; isWatching: boolean; peers: number; behindMs: number}
+	/** A peer knows of changes that this daemon's watches should have delivered. */
+	| {
+			kind: 'store-watch-silent';
+			peer: string;
+			lagMs: number;
+			/** Revisions up to which the store has answered this daemon, and of the peer's last changes. */
+			operatorRevision: number;
+			peerOperatorRevision: number;
+			upstreamRevision: number;
+			peerUpstreamRevision: number;
+	  }
 	| {
 			kind: 'store-reachability';
 			isReachable: boolean;
--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -3,6 +3,9 @@
  * it lists again, since a successful listing shows that the store is back. It also lists
  * again after a restore, since the revisions of a watch are given out again. While
  * another daemon follows the prefix instead, it makes no calls.
+ *
+ * A connection can go silent without a reset. The wait of a watch bounds how long it hides
+ * changes, unless a peer is known to have them and the feed is refreshed.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
@@ -25,6 +28,8 @@
 export type StoreFeed = disposable.Disposable & {
 	/** `none`: it does not follow the prefix, or has not had a response since it began to. */
 	readonly contact: storeWatcherElection.StoreContact;
+	/** Position up to which the store has answered. */
+	readonly answered: storePosition.StorePosition;
 	/** Stops following the prefix, or lists and follows it again. */
 	setFollowing(isFollowing: boolean): void;
 	/** Ends a pending watch because another call to the store failed; the feed lists again. */
@@ -43,7 +48,8 @@
 	clock: clock.Clock;
 	store: prefixStore.PrefixStore;
 	prefix: string;
-	watchWaitMs: number;
+	/** Longest wait of the next watch. */
+	watchWaitMs(): number;
 	/** Lists may be some seconds old, which costs the store less; the watch continues from their revision. */
 	mayListStale?: boolean;
 	/** Whether it follows the prefix at first; it does by default. */
@@ -58,9 +64,12 @@
 		isFollowing: options.isFollowing ?? true,
 		/** A pending watch may miss changes. */
 		isOutdated: false,
+		/** When the wait of the pending or failed watch is over; undefined for a listing. */
+		watchEndsAtMs: undefined as number | undefined,
 		resume: (): void => undefined,
 	};
 	let lostAtMs: number | undefined;
+	let answered = storePosition.start;
 	let contact: storeWatcherElection.StoreContact = 'none';
 	let retries = 0;
 	let mayListStale = options.mayListStale ?? false;
@@ -109,20 +118,24 @@
 
 	const follow = async (): Promise<void> => {
 		followState.isOutdated = false;
+		followState.watchEndsAtMs = undefined;
 		const listing = await store.list(prefix, mayListStale, abort.signal);
 		checkEra(listing.era);
 		// The listing itself may have been the first response of its era.
 		followState.isOutdated = false;
 		mayListStale = options.mayListStale ?? false;
 		noteResponse(listing.revision);
+		answered = storePosition.create(listing.era, listing.revision);
 		handler.onListing(listing);
 		let {revision} = listing;
 		while (followState.isFollowing && !abort.signal.aborted && !followState.isOutdated) {
 			watchAbort = new AbortController();
+			const waitMs = options.watchWaitMs();
+			followState.watchEndsAtMs = clock.nowMs() + waitMs;
 			const changes = await store.watch(
 				prefix,
 				revision,
-				options.watchWaitMs,
+				waitMs,
 				AbortSignal.any([abort.signal, watchAbort.signal]),
 			);
 			if (changes.kind === 'history-lost') {
@@ -139,6 +152,7 @@
 			}
 
 			revision = Math.max(revision, changes.revision);
+			answered = storePosition.create(changes.era, revision);
 			if (changes.events.length > 0) {
 				handler.onEvents(changes.events, storePosition.create(changes.era, revision));
 				await clock.sleep(pauseAfterEventsMs);
@@ -170,6 +184,12 @@
 				}
 
 				noteFailure(error instanceof Error ? error : new Error(String(error)));
+				const {watchEndsAtMs = Number.POSITIVE_INFINITY} = followState;
+				if (clock.nowMs() >= watchEndsAtMs) {
+					// The watch timed out: its connection may be silent although the store responds.
+					continue;
+				}
+
 				const delayMs = Math.min(maxRetryMs, firstRetryMs * 2 ** Math.min(retries, 6));
 				await clock.sleep(delayMs * (0.5 + options.random()));
 			}
@@ -182,6 +202,9 @@
 		get contact() {
 			return contact;
 		},
+		get answered() {
+			return answered;
+		},
 		setFollowing(next) {
 			if (next === followState.isFollowing) {
 				return;
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -45,11 +45,15 @@
 	/** Position of the last applied change of the configuration or the evacuations. */
 	readonly operatorPosition: storePosition.StorePosition;
 	readonly storeContact: storeWatcherElection.StoreContact;
+	/** Position up to which the store has answered the feed of the configuration and the evacuations. */
+	readonly answeredOperatorPosition: storePosition.StorePosition;
+	/** Position up to which the store has answered the feed of the upstreams. */
+	readonly answeredUpstreamPosition: storePosition.StorePosition;
 	/** Starts or stops watching the store. Without a watch, the state comes from the snapshots of peers. */
 	setWatching(isWatching: boolean): void;
 	/** Makes both feeds check the store again, because another store call failed. */
 	suspectStore(): void;
-	/** Makes both feeds list the store again, because a peer knows of a restore. */
+	/** Makes both feeds list the store again, because a peer knows what they lack. */
 	refresh(): void;
 	isEvacuated(failureDomain: string): boolean;
 	evacuatedDomains(): readonly string[];
@@ -66,7 +70,8 @@
 	registry: upstreamRegistry.UpstreamRegistry;
 	reachability: storeReachability.StoreReachability;
 	log: gatewayEvent.EventLog;
-	watchWaitMs: number;
+	/** Longest wait of the next watch. */
+	watchWaitMs(): number;
 	random(): number;
 };
 
@@ -291,6 +296,12 @@
 		get operatorPosition() {
 			return operatorPosition;
 		},
+		get answeredOperatorPosition() {
+			return operatorFeed.answered;
+		},
+		get answeredUpstreamPosition() {
+			return upstreamFeed.answered;
+		},
 		get storeContact() {
 			if (feeds.some((feed) => feed.contact === 'lost')) {
 				return 'lost';
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -64,8 +64,8 @@
 const housekeepingIntervalMs = 1000;
 /** Time to deliver the responses that are written when the grace period is over. */
 const finalResponsesMs = 100;
-/** Quarantined prompt parts reach the other daemons by gossip too, so one reader is enough. */
-const quarantineReadersPerFailureDomain = 1;
+/** Daemons of a failure domain whose watches end early; one of them reads the quarantined prompt parts. */
+const leadingWatchersPerFailureDomain = 1;
 /** Interval between decisions on whether this daemon watches the store. */
 const watchDecisionIntervalMs = 500;
 
@@ -85,6 +85,8 @@
 	const regions = [...new Set(failureDomains.values())];
 	let stopping: {startedAtMs: number; graceMs: number} | undefined;
 	let wasReady = false;
+	/** Bounds how long a silent connection to the store can hide changes from the failure domain. */
+	let isLeadingWatcher = true;
 
 	log.note({kind: 'started', name: vm.name, region: vm.region, startedAtUnixMs});
 	disposables.add(
@@ -112,7 +114,8 @@
 			registry,
 			reachability,
 			log,
-			watchWaitMs: current.store.watchWaitMs,
+			watchWaitMs: () =>
+				isLeadingWatcher ? current.store.leadingWatchWaitMs : current.store.watchWaitMs,
 			random: random.next,
 		}),
 	);
@@ -327,6 +330,7 @@
 			quarantine,
 			log,
 			daemonName: vm.name,
+			aloneWatchWaitMs: current.store.leadingWatchWaitMs,
 			otherWatchers: () =>
 				fleet
 					.alive()
@@ -360,12 +364,12 @@
 		failureDomain: vm.failureDomain,
 		watchers: current.store.watchersPerFailureDomain,
 	});
-	const quarantineReaderElection = storeWatcherElection.createStoreWatcherElection({
+	const leadingWatcherElection = storeWatcherElection.createStoreWatcherElection({
 		nowMs,
 		daemonName: vm.name,
 		capacity: vm.processorShare,
 		failureDomain: vm.failureDomain,
-		watchers: quarantineReadersPerFailureDomain,
+		watchers: leadingWatchersPerFailureDomain,
 	});
 	const updateWatch = () => {
 		const alive = fleet.alive();
@@ -380,9 +384,17 @@
 			}));
 		const behindMs = catchUp.behindMs();
 		const next = watcherElection.update(domainPeers, behindMs) || !cluster.isComplete;
+		const isLeading = leadingWatcherElection.update(domainPeers, behindMs);
+		if (isLeading && !isLeadingWatcher) {
+			// The pending watches may be silent, and the daemon that led before cannot tell any more.
+			cluster.refresh();
+		}
+
+		isLeadingWatcher = isLeading;
 		// The other feeds find out whether the store responds.
 		const canRead = next && cluster.storeContact === 'reached';
-		storedQuarantine.setWatching(canRead && quarantineReaderElection.update(domainPeers, behindMs));
+		storedQuarantine.setWatching(canRead && isLeading);
+		storedQuarantine.setPeers(fleet.hasLivePeers());
 		if (next !== isWatching) {
 			isWatching = next;
 			cluster.setWatching(next);
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -1,4 +1,8 @@
-/** Anti-entropy: pulls the cluster state of a peer that is ahead, when the store does not deliver it to this daemon. */
+/**
+ * Anti-entropy: pulls the cluster state of a peer that is ahead, when the store does not
+ * deliver it to this daemon. A peer that stays ahead of a watch shows that its connection
+ * is silent; then the store is listed again on a new one.
+ */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as errorText from '@hawthornfront/base/common/error-text.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
@@ -6,6 +10,7 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as storePosition from '../common/store-position.js';
+import * as watchLag from '../common/watch-lag.js';
 import * as clusterState from './cluster-state.js';
 import * as requestAdmission from './request-admission.js';
 
@@ -39,6 +44,8 @@
 	let pulledAtMs = Number.NEGATIVE_INFINITY;
 	let behindSinceMs: number | undefined;
 	let refreshedEra: number | undefined;
+	const operatorLag = watchLag.createWatchLag(() => clock.nowMs());
+	const upstreamLag = watchLag.createWatchLag(() => clock.nowMs());
 
 	const pullFrom = async (peer: gossipMessage.MemberRecord) => {
 		isPulling = true;
@@ -52,6 +59,7 @@
 					path: requestAdmission.snapshotPathFor(cluster.configVersion),
 					headers: {},
 					timeoutMs: pullTimeoutMs,
+					isConnectionClosed: true,
 				},
 				snapshotLimits,
 			);
@@ -94,11 +102,36 @@
 		}
 	};
 
+	/** Lists the store again when a peer keeps knowing of changes that the watches lack. */
+	const noteWatchLag = (peer: gossipMessage.MemberRecord) => {
+		if (cluster.storeContact !== 'reached') {
+			return;
+		}
+
+		const lagMs = Math.max(
+			operatorLag.note(peer.operatorRevision, cluster.answeredOperatorPosition),
+			upstreamLag.note(peer.upstreamRevision, cluster.answeredUpstreamPosition),
+		);
+		if (lagMs > 0) {
+			log.note({
+				kind: 'store-watch-silent',
+				peer: peer.name,
+				lagMs: Math.round(lagMs),
+				operatorRevision: storePosition.revisionOf(cluster.answeredOperatorPosition),
+				peerOperatorRevision: storePosition.revisionOf(peer.operatorRevision),
+				upstreamRevision: storePosition.revisionOf(cluster.answeredUpstreamPosition),
+				peerUpstreamRevision: storePosition.revisionOf(peer.upstreamRevision),
+			});
+			cluster.refresh();
+		}
+	};
+
 	const behindMs = () => (behindSinceMs === undefined ? 0 : clock.nowMs() - behindSinceMs);
 
 	return {
 		notePeer(peer) {
 			noteRestore(peer);
+			noteWatchLag(peer);
 			if (!isAhead(peer)) {
 				return;
 			}
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -18,7 +18,7 @@
 /** Source of the evidence in the log. */
 const storeSource = 'store';
 const checkIntervalMs = 500;
-/** Longest wait of one watch that the store allows, since changes are rare. */
+/** Longest wait of one watch while peers report the parts, too. */
 const watchWaitMs = 30_000;
 const firstReadRetryMs = 1000;
 /** Delay of each further daemon that may write a part, in which the write of an earlier one becomes visible. */
@@ -56,6 +56,8 @@
 export type QuarantineStore = disposable.Disposable & {
 	/** Starts or stops watching the store; at first, it is only read once. */
 	setWatching(isWatching: boolean): void;
+	/** Notes whether peers report the parts; without them, a silent connection must not hide parts for long. */
+	setPeers(hasPeers: boolean): void;
 };
 
 export type QuarantineStoreOptions = {
@@ -66,6 +68,8 @@
 	quarantine: promptQuarantine.PromptQuarantine;
 	log: gatewayEvent.EventLog;
 	daemonName: string;
+	/** Longest wait of one watch without peers. */
+	aloneWatchWaitMs: number;
 	/** Names of other daemons that may watch the parts. */
 	otherWatchers(): readonly string[];
 };
@@ -78,6 +82,7 @@
 	/** Since when the state of a part differs from the stored one. */
 	const unsavedSinceMs = new Map<string, number>();
 	let isSaving = false;
+	let hasPeers = true;
 
 	const noteError = (error: unknown) => {
 		const detail = errorText.errorText(error, errorText.maxLoggedLength);
@@ -133,7 +138,7 @@
 			clock,
 			store,
 			prefix,
-			watchWaitMs,
+			watchWaitMs: () => (hasPeers ? watchWaitMs : options.aloneWatchWaitMs),
 			mayListStale: true,
 			isFollowing: false,
 			random: options.random,
@@ -239,6 +244,13 @@
 		setWatching(isWatching) {
 			feed.setFollowing(isWatching);
 		},
+		setPeers(next) {
+			if (hasPeers && !next) {
+				feed.refresh();
+			}
+
+			hasPeers = next;
+		},
 		dispose() {
 			disposables.dispose();
 		},
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -24,8 +24,13 @@
 	failureDomains: zod.record(zod.string(), zod.string()),
 	store: zod.strictObject({
 		address: settings.addressSetting,
-		/** Longest wait of one watch. A lease renewal that fails detects an unresponsive store earlier. */
+		/** Longest wait of one watch. Peers and a lease renewal that fails reveal a silent connection earlier. */
 		watchWaitMs: setting.number(15_000, 100, 30_000),
+		/**
+		 * Longest wait of a watch of the leading watcher of a failure domain: how long silent
+		 * connections of all watchers can hide changes.
+		 */
+		leadingWatchWaitMs: setting.number(2000, 100, 30_000),
 		memberLeaseMs: setting.number(9000, 1000, 600_000),
 		/** Daemons of a failure domain that watch the store; one more than can fail at once without a delay of changes. */
 		watchersPerFailureDomain: setting.number(2, 1, 100),
--- a/packages/gateway/src/test/cluster-state.test.ts
+++ b/packages/gateway/src/test/cluster-state.test.ts
@@ -31,7 +31,7 @@
 				events.push(event);
 			},
 		},
-		watchWaitMs: 1000,
+		watchWaitMs: () => 1000,
 		random: () => 0.5,
 	});
 	t.teardown(() => {
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -18,6 +18,7 @@
 export class MemoryPrefixStore extends prefixStore.PrefixStore {
 	isUnavailable = false;
 	calls = 0;
+	listCalls = 0;
 	readonly #clock: clock.Clock;
 	readonly #values = new Map<string, Value>();
 	readonly #leases = new Map<string, Lease>();
@@ -87,6 +88,7 @@
 	}
 
 	override async list(prefix: string): Promise<prefixStore.StoreListing> {
+		this.listCalls++;
 		this.#beginCall();
 		this.#expireLeases();
 		const items = [...this.#values]
--- a/packages/gateway/src/test/peer-catch-up.test.ts
+++ b/packages/gateway/src/test/peer-catch-up.test.ts
@@ -10,7 +10,7 @@
 import * as fixtures from './fixtures.js';
 import * as memoryStore from './memory-store.js';
 
-const start = async (t: tap.Test) => {
+const start = async (t: tap.Test, isWatching = false) => {
 	const clock = new manualClock.ManualClock();
 	const store = new memoryStore.MemoryPrefixStore(clock);
 	const reachability = storeReachability.createStoreReachability(() => clock.nowMs());
@@ -27,14 +27,14 @@
 		registry,
 		reachability,
 		log: {note: () => undefined},
-		watchWaitMs: 1000,
+		watchWaitMs: () => 1000,
 		random: () => 0.5,
 	});
 	t.teardown(() => {
 		cluster.dispose();
 	});
 	await clock.advance(200);
-	cluster.setWatching(false);
+	cluster.setWatching(isWatching);
 	await clock.advance(1000);
 	const requestedPaths: string[] = [];
 	const state = {isPeerSilent: false};
@@ -81,7 +81,7 @@
 		await clock.advance(1);
 	};
 
-	return {clock, cluster, registry, subject, announcePeer, requestedPaths, state};
+	return {clock, store, cluster, registry, subject, announcePeer, requestedPaths, state};
 };
 
 tap.t.test('a follower pulls a change of a local watcher once', async (t) => {
@@ -139,3 +139,34 @@
 	await announcePeer({upstreamRevision: 90, operatorRevision: 90});
 	t.equal(subject.behindMs(), 0);
 });
+
+// Guards against the use of an upstream that had left, after the watch's connection had gone silent.
+tap.t.test('a watcher that lacks what a peer knows lists the store again', async (t) => {
+	const {clock, store, cluster, announcePeer} = await start(t, true);
+	const calls = () => store.listCalls;
+	const before = calls();
+	const ahead = {upstreamRevision: 90, operatorRevision: 1};
+	await announcePeer(ahead);
+	await clock.advance(400);
+	await announcePeer(ahead);
+	t.equal(calls(), before, 'the watch may deliver the change soon');
+	await clock.advance(300);
+	await announcePeer(ahead);
+	await clock.advance(100);
+	t.equal(calls(), before + 2);
+	t.equal(cluster.storeContact, 'reached', 'this is no outage');
+});
+
+tap.t.test('a watcher that knows what its peers know does not list the store again', async (t) => {
+	const {clock, store, cluster, announcePeer} = await start(t, true);
+	const before = store.listCalls;
+	for (let count = 0; count < 20; count++) {
+		await announcePeer({
+			upstreamRevision: cluster.answeredUpstreamPosition,
+			operatorRevision: cluster.answeredOperatorPosition,
+		});
+		await clock.advance(200);
+	}
+
+	t.equal(store.listCalls, before);
+});
--- a/packages/gateway/src/test/quarantine-store.test.ts
+++ b/packages/gateway/src/test/quarantine-store.test.ts
@@ -41,6 +41,7 @@
 			},
 		},
 		daemonName,
+		aloneWatchWaitMs: 2000,
 		otherWatchers: () => otherWatchers,
 	});
 	subject.setWatching(isWatching);
--- a/packages/gateway/src/test/restored-store.test.ts
+++ b/packages/gateway/src/test/restored-store.test.ts
@@ -55,7 +55,7 @@
 			registry,
 			reachability,
 			log: {note: () => undefined},
-			watchWaitMs: 1000,
+			watchWaitMs: () => 1000,
 			random: () => 0.5,
 		});
 		clusters.set(name, cluster);
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -72,7 +72,7 @@
 		clock,
 		store,
 		prefix: 'p/',
-		watchWaitMs: 1000,
+		watchWaitMs: () => 1000,
 		...options,
 		random: () => 0.5,
 		handler: {
@@ -126,6 +126,27 @@
 	t.equal(feed.contact, 'reached');
 });
 
+// Guards against a feed that stays deaf for longer after its watch, whose connection had gone silent, timed out.
+tap.t.test('the listing after a watch that timed out has no delay', async (t) => {
+	const {clock, store, calls, feed} = await start(t);
+	await clock.advance(1500);
+	store.failWatch();
+	await clock.advance(1);
+	t.same(calls, ['listing 1', 'lost', 'regained', 'listing 1']);
+	t.equal(feed.contact, 'reached');
+	store.failWatch();
+	await clock.advance(1);
+	t.equal(store.listCalls, 2, 'a watch that fails early is repeated with a delay');
+});
+
+tap.t.test('the answered position includes changes elsewhere in the store', async (t) => {
+	const {clock, store, feed} = await start(t);
+	t.equal(feed.answered, 1);
+	store.answerWatch({kind: 'events', events: [], revision: 9});
+	await clock.advance(1);
+	t.equal(feed.answered, 9);
+});
+
 tap.t.test('a lost history leads to a new listing', async (t) => {
 	const {clock, store, calls} = await start(t);
 	store.listing = {items: [], revision: 50};
--- a/packages/gateway/src/test/store-orders.test.ts
+++ b/packages/gateway/src/test/store-orders.test.ts
@@ -28,7 +28,7 @@
 		registry,
 		reachability,
 		log: {note: () => undefined},
-		watchWaitMs: 1000,
+		watchWaitMs: () => 1000,
 		random: () => 0.5,
 	});
 	const ids = () => registry.all().map(({entry}) => entry.id);
