Close idle connections beside one that was silent

A silence without a reset may hit all open connections to an upstream or to a daemon of another region. Each request that took another kept one then stalled for its own 0.7 s or more until a successor took over, up to 64 times for an upstream; a request without a successor ended at its deadline.

When a request on a kept connection is cancelled after 0.6 s without a byte, be it by a takeover or at its deadline, the pool closes the idle connections to the same peer that have delivered nothing since the request was sent. A wrong suspicion costs a new connection, which is cheaper than a stalled request.

The test fails without the change: the next request is sent on a connection that went silent too (3 connections instead of 4).

--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -1,7 +1,8 @@
 /**
  * Keep-alive connections to upstreams and other daemons. Each undici client holds one
  * connection with one request at a time, so that the pool can determine the idle time of
- * a connection and the request that a failure belongs to.
+ * a connection and the request that a failure belongs to. What silences a connection without
+ * a reset may silence the idle ones beside it, so those are closed with it.
  */
 import * as net from 'node:net';
 import * as undiciParts from '@hawthornfront/base/node/undici-parts.js';
@@ -51,6 +52,9 @@
 	isClosed: boolean;
 };
 
+/** A cancelled request that had no byte of an answer for this long suggests that its kept connection is silent. */
+const suspiciousSilenceMs = 600;
+
 /** Connections are closed this long before the peer's keep-alive timeout. */
 const keepAliveMarginMs = 1000;
 
@@ -219,6 +223,13 @@
 		let isCancelled = false;
 		let isFramed = true;
 		let isOver = false;
+		const sentAtMs = this.#nowMs();
+		const wasKept = connection.isConnected;
+		const bytesBefore = readBytesOf(connection.socket);
+		const isSuspect = () =>
+			wasKept &&
+			readBytesOf(connection.socket) === bytesBefore &&
+			this.#nowMs() - sentAtMs >= suspiciousSilenceMs;
 
 		const fail = (error: Error) => {
 			if (isOver) {
@@ -325,6 +336,10 @@
 			cancel: () => {
 				isCancelled = true;
 				if (!isOver) {
+					if (isSuspect()) {
+						this.#closeIdleSince(connection.address, sentAtMs);
+					}
+
 					resetSocket(connection.socket);
 					connection.controller?.abort(new Error('cancelled'));
 					this.#close(connection);
@@ -342,6 +357,19 @@
 		};
 	}
 
+	/** Closes the idle connections to a peer that have delivered nothing since a time. */
+	#closeIdleSince(address: string, sinceMs: number): void {
+		const idle = this.#idle.get(address) ?? [];
+		const recent = idle.filter(({lastUsedMs}) => lastUsedMs > sinceMs);
+		for (const connection of idle) {
+			if (!recent.includes(connection)) {
+				this.#close(connection);
+			}
+		}
+
+		this.#idle.set(address, recent);
+	}
+
 	#acquire(request: upstreamTransport.TransportRequest): Connection {
 		const idle = this.#idle.get(request.address) ?? [];
 		for (let connection = idle.at(-1); connection; connection = idle.at(-1)) {
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -233,6 +233,57 @@
 	t.same(ends, ['ECONNRESET']);
 });
 
+// Guards against requests that stall one after another, each on a connection that went silent with the first.
+tap.t.test(
+	'a request that was cancelled in silence closes the idle connections beside it',
+	async (t) => {
+		let nowMs = 0;
+		const state = {isSilent: false};
+		const server = await startServer(t, (socket) => {
+			if (!state.isSilent) {
+				setTimeout(() => socket.write(wholeAnswer), 10);
+			}
+		});
+		const pool = createPool(t, () => nowMs);
+		const sendThree = async () =>
+			Promise.all([1, 2, 3].map(async () => sendRequest(pool, server.address)));
+		const cancelAfter = async (silentMs: number) => {
+			state.isSilent = true;
+			const exchange = pool.send(
+				{
+					address: server.address,
+					method: 'GET',
+					path: '/x',
+					headers: ['Host', 'a'],
+					needsRecentConnection: false,
+				},
+				{
+					onSent: () => undefined,
+					onHead: () => undefined,
+					onData: () => undefined,
+					onEnd: () => undefined,
+					onFailure: () => undefined,
+				},
+			);
+			await new Promise((resolve) => {
+				setTimeout(resolve, 30);
+			});
+			nowMs += silentMs;
+			exchange.cancel();
+			state.isSilent = false;
+		};
+
+		await sendThree();
+		t.equal(server.connections(), 3);
+		await cancelAfter(100);
+		await Promise.all([sendRequest(pool, server.address), sendRequest(pool, server.address)]);
+		t.equal(server.connections(), 3, 'a short silence says nothing');
+		await cancelAfter(700);
+		await sendRequest(pool, server.address);
+		t.equal(server.connections(), 4, 'the other connection is not used any more');
+	},
+);
+
 tap.t.test('a probe tells an upstream that runs from one that does not', async (t) => {
 	const {address, connections} = await startServer(t, () => undefined);
 	const pool = new connectionPool.ConnectionPool(() => 0);
