Keep the shared retry budget after restarts, in cuts and across relays

Callers' services saw repeats beyond the budget.

Cause, one for all: each daemon computed its part of the budget from what it knew of the others at that moment. A daemon that has just started, or that is cut off, knows none and took the whole fixed amount; a relayed request earned its share of a repeat at both daemons.

In its first window a daemon uses only what its own requests earn, since it neither knows the others nor what it sent before. A relayed request earns at the daemon that receives it. The callers lose some repeats in the 10 s after a restart, which is the time in which repeats overload what just came back.

--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -500,6 +500,10 @@
 		choice: dispatcher.Choice & {kind: 'region'},
 	): attemptFailover.AttemptPlan => {
 		const {region, member, basis} = choice;
+		if (triedRegions.size === 0) {
+			services.budget.noteRelayed(service.name);
+		}
+
 		triedRegions.add(region);
 		sends++;
 		requestLog.relayed(choice);
--- a/packages/gateway/src/common/shared-retry-budget.ts
+++ b/packages/gateway/src/common/shared-retry-budget.ts
@@ -13,7 +13,10 @@
 };
 
 export type SharedRetryBudget = {
+	/** A request arrived, from a caller or by a relay; it earns a share of a resend. */
 	noteRequest(service: string): void;
+	/** A request was relayed, so the other daemon earns its share. */
+	noteRelayed(service: string): void;
 	/** Whether the budget has room for a further send. */
 	canRetry(service: string): boolean;
 	/** Takes one further send; false when the budget is spent. */
@@ -36,7 +39,7 @@
 	timesMs.splice(0, keepFrom === -1 ? timesMs.length : keepFrom);
 };
 
-/** @param daemonCount daemons that share the fixed amount */
+/** @param daemonCount daemons that share the fixed amount; infinite while that is not known */
 export const createSharedRetryBudget = (
 	nowMs: () => number,
 	settings: () => SharedRetryBudgetSettings,
@@ -81,6 +84,9 @@
 		noteRequest(service) {
 			usageOf(service).requestsAtMs.push(nowMs());
 		},
+		noteRelayed(service) {
+			usageOf(service).requestsAtMs.pop();
+		},
 		canRetry: (service) => hasRoom(usageOf(service), 1),
 		tryRetry: (service) => tryTake(service, (usage) => hasRoom(usage, 1)),
 		canHedge: (service) => hasRoomForHedge(usageOf(service)),
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -5,6 +5,7 @@
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as random from '@hawthornfront/base/common/random.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as budgetSharers from '../common/budget-sharers.js';
 import * as crashDetector from '../common/crash-detector.js';
 import * as directory from '../common/directory.js';
 import * as dispatcher from '../common/dispatcher.js';
@@ -136,6 +137,7 @@
 		random: random.next,
 	});
 	const pool = new connectionPool.ConnectionPool(nowMs);
+	const sharers = budgetSharers.createBudgetSharers(nowMs, () => current.resends.windowS * 1000);
 	const budget = sharedRetryBudget.createSharedRetryBudget(
 		nowMs,
 		() => ({
@@ -143,7 +145,7 @@
 			extraPerWindow: current.resends.extraPerWindow,
 			windowMs: current.resends.windowS * 1000,
 		}),
-		() => 1 + fleet.alive().length,
+		sharers.count,
 	);
 	const versions = () => ({
 		configVersion: cluster.configVersion,
@@ -439,6 +441,7 @@
 	);
 	disposables.add(
 		fleet.onDidChange(({kind, member}) => {
+			sharers.noteMember({kind, member});
 			log.note({
 				kind: 'member',
 				change: kind,
