--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -147,6 +147,39 @@
 	t.match(await sendRequest(createPool(t), server.address), {end: 'failed'});
 });
 
+// Guards against an answer whose upstream stopped inside its head or body and that looks whole.
+for (const [name, answer] of [
+	['a length', wholeAnswer],
+	['chunks', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'],
+	['neither', 'HTTP/1.1 200 OK\r\nx-a: b\r\n\r\n'],
+] as const) {
+	for (const isReset of [false, true]) {
+		const end = isReset ? 'a reset' : 'a close';
+		tap.t.test(`an answer with ${name} that stops at any byte with ${end} fails`, async (t) => {
+			const state = {bytes: 0};
+			const server = await startServer(t, (socket) => {
+				socket.write(answer.slice(0, state.bytes), () => {
+					if (isReset) {
+						setTimeout(() => socket.resetAndDestroy(), 5);
+					} else {
+						socket.end();
+					}
+				});
+			});
+			const pool = createPool(t);
+			const whole: number[] = [];
+			for (; state.bytes < answer.length; state.bytes++) {
+				const result = await sendRequest(pool, server.address);
+				if (result.end === 'complete') {
+					whole.push(state.bytes);
+				}
+			}
+
+			t.same(whole, []);
+		});
+	}
+}
+
 tap.t.test('bytes after an answer close the connection, not the answer', async (t) => {
 	const server = await startServer(t, (socket) => {
 		socket.write(`${wholeAnswer}HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra`);
