Check a request again when its body is complete late in a stop

Callers saw: a request whose head had come before or early in a planned stop, and whose body was complete late in it, was passed on and cut at the end of the grace with an unknown outcome, also one that may not be repeated.

Cause: whether a request can end within the grace was decided from its head alone. The decision is repeated with the time that is left when the body is complete; a request that could outlast the grace gets 503, has not run, and its caller can go to another daemon.

The new test of request-admission fails before the change (there is no second check).

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -21,20 +21,28 @@
 	arrivedAtMs: number;
 };
 
+export type Rejection = {
+	kind: 'reject';
+	status: number;
+	reason: string;
+	retryAfterMs?: number;
+	/** Additional response headers. */
+	headers?: wireFormat.Headers;
+};
+
 /** Decision on a request, taken from its head. */
 export type AdmissionDecision =
-	| {
-			kind: 'reject';
-			status: number;
-			reason: string;
-			retryAfterMs?: number;
-			/** Additional response headers. */
-			headers?: wireFormat.Headers;
-	  }
+	| Rejection
 	/** The daemon itself responds to another daemon. */
 	| {kind: 'respond'; body: string}
 	| {
 			kind: 'accept';
+			/**
+			 * Whether the request is still accepted when its body is complete.
+			 *
+			 * @param waitedMs time since the arrival of the head
+			 */
+			recheck?(waitedMs: number): Rejection | undefined;
 			/** Called once, with the complete body. */
 			run(
 				body: Uint8Array | undefined,
@@ -225,13 +233,14 @@
 			return;
 		}
 
+		const receivedAtMs = nowMs();
 		const decision = decide({
 			method: request.method ?? 'GET',
 			path: request.url ?? '/',
 			host: request.headers.host ?? '',
 			rawHeaders: request.rawHeaders,
 			headers: request.headers,
-			arrivedAtMs: nowMs(),
+			arrivedAtMs: receivedAtMs,
 		});
 		if (decision.kind === 'reject') {
 			request.resume();
@@ -267,6 +276,12 @@
 					return;
 				}
 
+				const rejection = decision.recheck?.(nowMs() - receivedAtMs);
+				if (rejection) {
+					reject(response, rejection.status, rejection.reason, rejection);
+					return;
+				}
+
 				hasRun = true;
 				const reply = new ServerReply(response, () => isDraining);
 				execution = run(body, reply, () => {
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -56,6 +56,36 @@
 ): ((head: callerServer.RequestHead) => callerServer.AdmissionDecision) => {
 	const {wire, engine, isPeerPort} = options;
 
+	/**
+	 * Refuses a request that the planned stop would cut off.
+	 *
+	 * @param waitedMs part of the request's time that has passed
+	 */
+	const refuseInStop = (
+		route: routeConfig.Route,
+		facts: wireFormat.RequestFacts,
+		waitedMs: number,
+	): callerServer.Rejection | undefined => {
+		const stop = options.stopProgress();
+		if (!stop) {
+			return undefined;
+		}
+
+		// A stream that cannot be resumed would be cut off by the stop, so another daemon should start it.
+		const cannotResume = route.work === 'stream' && !route.canResume;
+		const limitMs = Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+		return cannotResume || plannedStop.canOutlastGrace(stop, limitMs - waitedMs)
+			? {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs}
+			: undefined;
+	};
+
+	const asRelayRefusal = <Decision extends callerServer.AdmissionDecision | undefined>(
+		decision: Decision,
+	): Decision =>
+		isPeerPort && decision?.kind === 'reject'
+			? {...decision, headers: notRunHeaders(decision.reason)}
+			: decision;
+
 	const accept = (
 		head: callerServer.RequestHead,
 		route: routeConfig.Route,
@@ -74,6 +104,7 @@
 		const relayedFrom = peerHeaders[relayHeaders.relayedFromHeader];
 		return {
 			kind: 'accept',
+			recheck: (waitedMs) => asRelayRefusal(refuseInStop(route, facts, waitedMs)),
 			run(body, reply, onEnd) {
 				let digest: string | undefined;
 				return engine.handle(
@@ -112,17 +143,7 @@
 		}
 
 		const facts = wire.readRequest(head.headers);
-		const stop = options.stopProgress();
-		if (stop) {
-			// A stream that cannot be resumed would be cut off by the stop, so another daemon should start it.
-			const cannotResume = route.work === 'stream' && !route.canResume;
-			const limitMs = Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
-			if (cannotResume || plannedStop.canOutlastGrace(stop, limitMs)) {
-				return {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs};
-			}
-		}
-
-		return accept(head, route, facts, table);
+		return refuseInStop(route, facts, 0) ?? accept(head, route, facts, table);
 	};
 
 	return (head) => {
@@ -131,9 +152,6 @@
 			return {kind: 'respond', body: JSON.stringify(options.snapshot(knownConfigVersion))};
 		}
 
-		const decision = decideRequest(head);
-		return isPeerPort && decision.kind === 'reject'
-			? {...decision, headers: notRunHeaders(decision.reason)}
-			: decision;
+		return asRelayRefusal(decideRequest(head));
 	};
 };
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -32,6 +32,10 @@
 				? {kind: 'reject', status: 404, reason: 'no-route'}
 				: {
 						kind: 'accept',
+						recheck: () =>
+							head.path === '/late/'
+								? {kind: 'reject', status: 503, reason: 'stopping'}
+								: undefined,
 						run(body, reply, onEnd) {
 							runs.push({body: new TextDecoder().decode(body), path: head.path});
 							replies.push(reply);
@@ -165,6 +169,17 @@
 	t.same(runs, []);
 });
 
+tap.t.test('a request that is rejected after its body does not run', async (t) => {
+	const {open, runs} = await start(t);
+	const {socket, state} = await open();
+	socket.write('POST /late/ HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbo');
+	socket.write('dy');
+	await waitUntil(() => state.text.includes('stopping'));
+	t.match(state.text, /^HTTP\/1\.1 503/u);
+	t.match(state.text, /"outcome":"not-run"/u);
+	t.same(runs, []);
+});
+
 tap.t.test('a caller disconnect is detected', async (t) => {
 	const {server, runs, open, disposals} = await start(t);
 	const {socket} = await open();
--- a/packages/gateway/src/test/request-admission.test.ts
+++ b/packages/gateway/src/test/request-admission.test.ts
@@ -62,6 +62,26 @@
 	t.same(refusalOf(check('/bookings/x')), [503, 'stopping']);
 });
 
+// Guards against a request whose body arrives late in a stop: it was passed on and cut off at the end of the grace.
+tap.t.test('a request whose body is complete late in a stop is checked again', async (t) => {
+	const {state, check} = start(false);
+	const recheck = (path: string, waitedMs: number, headers?: wireFormat.Headers) => {
+		state.stop = undefined;
+		const decision = check(path, headers);
+		state.stop = {elapsedMs: 6500, graceMs: 8000};
+		const rejection = decision.kind === 'accept' ? decision.recheck?.(waitedMs) : decision;
+		return rejection && refusalOf(rejection);
+	};
+
+	t.same(recheck('/bookings/x', 0), [503, 'stopping']);
+	t.same(recheck('/drafts/x', 0), [503, 'stopping'], 'a stream that may not be moved');
+	t.equal(recheck('/bookings/x', 1500), undefined, 'its last second fits into the grace');
+	t.equal(recheck('/bookings/x', 0, {timeout: '1000'}), undefined);
+	state.stop = undefined;
+	const calm = check('/bookings/x');
+	t.equal(calm.kind === 'accept' && calm.recheck?.(0), undefined);
+});
+
 // Guards against a relaying daemon that takes the refusal for an unknown outcome or passes on a 404.
 tap.t.test('a refused relay is classified as not run', async (t) => {
 	const {state, check} = start(true);
