Wait for an address that an earlier process still holds

FAULT (a process ends by itself). Shown with real processes: a daemon that is started while its predecessor has not quite ended, here 1.2 s, exits with code 2 and 'listen EADDRINUSE', and its VM stays without a daemon. Whether the users' case was this one is not known.

Cause: each address was bound once. The start now repeats a bind that fails because the address is in use, for the grace period and 2 s, and logs address-in-use; other errors and an address that stays in use fail as before.

The test of an address that becomes free fails with a single bind.

--- /dev/null
+++ b/packages/base/src/test/bind-address.test.ts
@@ -0,0 +1,53 @@
+// Addresses that another process still holds, over loopback.
+import * as net from 'node:net';
+import * as tap from 'tap';
+import * as bindAddress from '../node/bind-address.js';
+
+const listen = async (server: net.Server, port: number): Promise<number> => {
+	await bindAddress.listenOnce(server, {port, host: '127.0.0.1'});
+	return (server.address() as net.AddressInfo).port;
+};
+
+const start = async (t: tap.Test) => {
+	const holder = net.createServer();
+	const port = await listen(holder, 0);
+	const server = net.createServer();
+	t.teardown(() => {
+		holder.close();
+		server.close();
+	});
+	const errors: string[] = [];
+	const bind = async (timeoutMs: number) =>
+		bindAddress.bindWhenFree(async () => listen(server, port), {
+			timeoutMs,
+			onInUse(error) {
+				errors.push(error.message);
+				holder.close();
+			},
+		});
+	return {port, errors, bind};
+};
+
+// Guards against a daemon that ended by itself because its predecessor had not quite ended.
+tap.t.test('an address that becomes free is bound', async (t) => {
+	const {port, errors, bind} = await start(t);
+	t.equal(await bind(10_000), port);
+	t.match(errors, [/EADDRINUSE/u]);
+});
+
+tap.t.test('an address that stays in use fails', async (t) => {
+	const {bind} = await start(t);
+	await t.rejects(bind(0), {code: 'EADDRINUSE'});
+});
+
+tap.t.test('another error is not repeated', async (t) => {
+	let calls = 0;
+	const bind = async () => {
+		calls++;
+		throw new Error('no permission');
+	};
+
+	const onInUse = () => t.fail();
+	await t.rejects(bindAddress.bindWhenFree(bind, {timeoutMs: 10_000, onInUse}), /permission/u);
+	t.equal(calls, 1);
+});
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -117,6 +117,8 @@
 /** Changes of the daemon's state, including its start and stop. */
 export type StateEvent =
 	| {kind: 'started'; name: string; region: string; startedAtUnixMs: number}
+	/** The start waits for an address that another process holds. */
+	| {kind: 'address-in-use'; detail: string}
 	| {kind: 'settings-reloaded'; changed: boolean}
 	| {kind: 'settings-rejected'; detail: string}
 	| {kind: 'stopping'; inFlight: number; graceMs: number}
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -2,6 +2,7 @@
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
 import * as event from '@hawthornfront/base/common/event.js';
 import type * as answerClassifier from '../common/answer-classifier.js';
 import type * as requestEngine from '../common/request-engine.js';
@@ -396,13 +397,7 @@
 
 	return {
 		async listen(host, port) {
-			return new Promise((resolve, _reject) => {
-				server.once('error', _reject);
-				server.listen({host, port, backlog: 1024}, () => {
-					server.off('error', _reject);
-					resolve();
-				});
-			});
+			await bindAddress.listenOnce(server, {host, port, backlog: 1024});
 		},
 		applyLimits(limits) {
 			maxHeaderBytes = limits.headerBytes;
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -4,6 +4,7 @@
 import * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import type * as random from '@hawthornfront/base/common/random.js';
+import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
 import * as budgetSharers from '../common/budget-sharers.js';
 import * as crashDetector from '../common/crash-detector.js';
@@ -56,6 +57,8 @@
 	store: prefixStore.PrefixStore;
 	layout: prefixStore.StoreLayout;
 	socket: datagramSocket.DatagramSocket;
+	/** For the addresses of callers and peers; without it, one that is in use fails the start. */
+	bindRetry?: bindAddress.BindRetry;
 	log: eventWriter.EventWriter;
 	registry: metrics.Registry;
 };
@@ -468,8 +471,13 @@
 	);
 	const callersAt = settings.splitAddress(listen.callers);
 	const peersAt = settings.splitAddress(listen.peers);
-	await callerHttpServer.listen(callersAt.host, callersAt.port);
-	await peerHttpServer.listen(peersAt.host, peersAt.port);
+	const {bindRetry = {timeoutMs: 0, onInUse: () => undefined}} = options;
+	for (const [server, {host, port}] of [
+		[callerHttpServer, callersAt],
+		[peerHttpServer, peersAt],
+	] as const) {
+		await bindAddress.bindWhenFree(async () => server.listen(host, port), bindRetry);
+	}
 
 	const noteDirectoryAnswer = directory.createAnswerChangeDetector((region, {basis, addresses}) => {
 		log.note({kind: 'directory', region, basis, named: addresses.length, addresses});
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -6,6 +6,7 @@
 import * as errorText from '@hawthornfront/base/common/error-text.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as random from '@hawthornfront/base/common/random.js';
+import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
 import * as daemonProgram from '@hawthornfront/base/node/daemon-program.js';
 import * as getServer from '@hawthornfront/base/node/get-server.js';
 import * as metrics from '@hawthornfront/base/node/metrics.js';
@@ -38,17 +39,14 @@
 
 /** Interval of checks for a settings file that changed without a signal. */
 const settingsCheckIntervalMs = 2000;
+/** An earlier process of this daemon may hold the addresses for the grace period of its stop and a little longer. */
+const bindMarginMs = 2000;
 const programName = 'hawthornfront-gateway';
 
 const listen = async (server: http.Server, address: string): Promise<http.Server> => {
 	const {host, port} = settings.splitAddress(address);
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({host, port}, () => {
-			server.off('error', reject);
-			resolve(server);
-		});
-	});
+	await bindAddress.listenOnce(server, {host, port});
+	return server;
 };
 
 const createMetricsServer = (
@@ -108,11 +106,29 @@
 		log.note({kind: 'endpoint-failed', path, detail});
 	};
 
+	const bindRetry: bindAddress.BindRetry = {
+		timeoutMs: current.stop.graceS * 1000 + bindMarginMs,
+		onInUse(error) {
+			log.note({kind: 'address-in-use', detail: errorText.errorText(error)});
+		},
+	};
+	const listenWhenFree = async (server: http.Server, address: string) =>
+		bindAddress.bindWhenFree(async () => listen(server, address), bindRetry);
 	const servers = [
-		await listen(deployment.createReadinessServer(getDaemon, onError), current.listen.readiness),
-		await listen(deployment.createDirectoryServer(getDaemon, onError), current.listen.directory),
-		await listen(createMetricsServer(registry, getDaemon, onError), current.listen.metrics),
+		await listenWhenFree(
+			deployment.createReadinessServer(getDaemon, onError),
+			current.listen.readiness,
+		),
+		await listenWhenFree(
+			deployment.createDirectoryServer(getDaemon, onError),
+			current.listen.directory,
+		),
+		await listenWhenFree(createMetricsServer(registry, getDaemon, onError), current.listen.metrics),
 	];
+	const socket = await bindAddress.bindWhenFree(
+		async () => udpSocket.bindUdpSocket(peers.host, peers.port),
+		bindRetry,
+	);
 	const client = new undiciHttpClient.UndiciHttpClient();
 	const daemon = await gatewayDaemon.startGatewayDaemon({
 		settings: current,
@@ -122,7 +138,8 @@
 		client,
 		store: deployment.createStore(client, current.store.address),
 		layout: deployment.layout,
-		socket: await udpSocket.bindUdpSocket(peers.host, peers.port),
+		socket,
+		bindRetry,
 		log,
 		registry,
 	});
