Ask upstreams for their health while neither the store nor a peer is heard

Cause: the listing of an isolated daemon has no age, and the cold time in an upstream's health answer was dropped unread. An isolated daemon now asks the upstream that it would choose, keeps 'warm' for 200 ms, and sends a cold or silent one a quarter of its cold rate.

Ruled out: a fixed low rate for all upstreams behind a cut would keep the bound, but serve less of the cut without an evacuation.

upstream-warmth.test.ts: 40 requests a second to an upstream that turns cold keep the sum with the assigned daemon below the bound; without the module all of them are sent.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -14,6 +14,7 @@
 import * as routeConfig from './route-config.js';
 import type * as upstreamPauses from './upstream-pauses.js';
 import type * as upstreamRateLimits from './upstream-rate-limits.js';
+import type * as upstreamWarmth from './upstream-warmth.js';
 import type * as upstreamRegistry from './upstream-registry.js';
 import type * as workEstimate from './work-estimate.js';
 
@@ -119,6 +120,8 @@
 	pauses: upstreamPauses.UpstreamPauses;
 	/** Failure domains to which nothing may be sent. */
 	isEvacuated(failureDomain: string): boolean;
+	/** Without it, the registry decides which upstreams are cold. */
+	warmth?: upstreamWarmth.UpstreamWarmth;
 	/** Uniform in [0, 1). */
 	random(): number;
 };
@@ -161,7 +164,7 @@
 
 /** Creates a dispatcher without any load. */
 export const createDispatcher = (options: DispatcherOptions): Dispatcher => {
-	const {clock, settings, registry, fleet, rateLimits, pauses} = options;
+	const {clock, settings, registry, fleet, rateLimits, pauses, warmth} = options;
 	let decisionMs: number | undefined;
 	const nowMs = () => decisionMs ?? clock.nowMs();
 	const loads = loadTable.createLoadTable(nowMs, settings, registry);
@@ -350,15 +353,23 @@
 		);
 		const holder = findHolder(request.service, request.work);
 		let best: Scored | undefined;
+		/** Best one whose warmth is not known. */
+		let doubtful: Scored | undefined;
 		for (const upstream of usable) {
 			const scored = costOf(upstream, request, preferred, holder);
 			// The noise keeps daemons from all choosing the same of two equal upstreams.
 			scored.costMs *= 1 + options.random() * costNoise;
-			if (!best || scored.costMs < best.costMs) {
+			if (warmth?.mayUse(upstream, request.service.coldRatePerS) === false) {
+				doubtful = !doubtful || scored.costMs < doubtful.costMs ? scored : doubtful;
+			} else if (!best || scored.costMs < best.costMs) {
 				best = scored;
 			}
 		}
 
+		if (doubtful && (!best || doubtful.costMs < best.costMs)) {
+			warmth?.ask(doubtful.upstream);
+		}
+
 		return {best, candidates: usable.length};
 	};
 
@@ -522,6 +533,7 @@
 				coldLimiter.noteUse(id, request.service.coldRatePerS);
 			}
 
+			warmth?.noteUse(upstream, request.service.coldRatePerS);
 			const requestsPerS = rateLimits.limitOf(id);
 			if (requestsPerS !== undefined) {
 				limitShares.noteUse(id, requestsPerS);
@@ -589,6 +601,7 @@
 			rateLimits.forget(upstreamId);
 			limitShares.forget(upstreamId);
 			pauses.forget(upstreamId);
+			warmth?.forget(upstreamId);
 		},
 	};
 };
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -142,6 +142,16 @@
 			/** `store`, `answer` of the upstream, `timeout`, or the peer that reported the change. */
 			source: string;
 	  }
+	/** A daemon that hears neither the store nor a peer learned whether an upstream is cold. */
+	| {
+			kind: 'upstream-warmth';
+			upstream: string;
+			state: 'unknown' | 'warm' | 'cold';
+			/** Time for which it counts. */
+			holdsMs: number;
+			detail: string;
+	  }
+	| {kind: 'isolation'; isInformed: boolean; silentMs: number}
 	| {
 			kind: 'upstream-limit';
 			upstream: string;
--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -30,6 +30,8 @@
 	readonly contact: storeWatcherElection.StoreContact;
 	/** Position up to which the store has answered. */
 	readonly answered: storePosition.StorePosition;
+	/** Time since the last response; infinite without one. */
+	responseAgeMs(): number;
 	/** Stops following the prefix, or lists and follows it again. */
 	setFollowing(isFollowing: boolean): void;
 	/** Ends a pending watch because another call to the store failed; the feed lists again. */
@@ -70,6 +72,7 @@
 	};
 	let lostAtMs: number | undefined;
 	let answered = storePosition.start;
+	let respondedAtMs = Number.NEGATIVE_INFINITY;
 	let contact: storeWatcherElection.StoreContact = 'none';
 	let retries = 0;
 	let mayListStale = options.mayListStale ?? false;
@@ -126,6 +129,7 @@
 		mayListStale = options.mayListStale ?? false;
 		noteResponse(listing.revision);
 		answered = storePosition.create(listing.era, listing.revision);
+		respondedAtMs = clock.nowMs();
 		handler.onListing(listing);
 		let {revision} = listing;
 		while (followState.isFollowing && !abort.signal.aborted && !followState.isOutdated) {
@@ -153,6 +157,7 @@
 
 			revision = Math.max(revision, changes.revision);
 			answered = storePosition.create(changes.era, revision);
+			respondedAtMs = clock.nowMs();
 			if (changes.events.length > 0) {
 				handler.onEvents(changes.events, storePosition.create(changes.era, revision));
 				await clock.sleep(pauseAfterEventsMs);
@@ -205,6 +210,7 @@
 		get answered() {
 			return answered;
 		},
+		responseAgeMs: () => clock.nowMs() - respondedAtMs,
 		setFollowing(next) {
 			if (next === followState.isFollowing) {
 				return;
--- a/packages/gateway/src/common/wire-format.ts
+++ b/packages/gateway/src/common/wire-format.ts
@@ -57,6 +57,14 @@
 	requestsPerS?: number;
 };
 
+/** What an upstream says of itself when it is asked for its health. */
+export type HealthFacts = {
+	/** Time for which it stays cold; 0 if it is warm. */
+	coldMs: number | 'unusable';
+	/** Upstream that answered; undefined if it does not say. */
+	upstreamId?: string;
+};
+
 export type Headers = Record<string, string | string[] | undefined>;
 
 /** Translates headers. The names in a `Headers` record are in lower case. */
@@ -78,6 +86,11 @@
 		resumeAfterEventId?: string,
 	): string[];
 
+	/** Path at which an upstream answers for its health. */
+	abstract readonly healthPath: string;
+
+	abstract readHealth(status: number, headers: Headers): HealthFacts;
+
 	abstract readAnswer(status: number, headers: Headers): AnswerFacts;
 
 	/** Headers of an upstream's answer that are passed to the caller. */
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -45,6 +45,8 @@
 	/** Position of the last applied change of the configuration or the evacuations. */
 	readonly operatorPosition: storePosition.StorePosition;
 	readonly storeContact: storeWatcherElection.StoreContact;
+	/** Time since the store last answered the feed of the upstreams; infinite if it never has. */
+	upstreamResponseAgeMs(): number;
 	/** Position up to which the store has answered the feed of the configuration and the evacuations. */
 	readonly answeredOperatorPosition: storePosition.StorePosition;
 	/** Position up to which the store has answered the feed of the upstreams. */
@@ -302,6 +304,7 @@
 		get answeredUpstreamPosition() {
 			return upstreamFeed.answered;
 		},
+		upstreamResponseAgeMs: upstreamFeed.responseAgeMs,
 		get storeContact() {
 			if (feeds.some((feed) => feed.contact === 'lost')) {
 				return 'lost';
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -18,6 +18,7 @@
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
 import * as upstreamPauses from '../common/upstream-pauses.js';
 import * as upstreamRateLimits from '../common/upstream-rate-limits.js';
+import * as upstreamWarmth from '../common/upstream-warmth.js';
 import * as upstreamRegistry from '../common/upstream-registry.js';
 import * as storePosition from '../common/store-position.js';
 import * as storeReachability from '../common/store-reachability.js';
@@ -70,6 +71,10 @@
 const finalResponsesMs = 100;
 /** Daemons of a failure domain whose watches end early; one of them reads the quarantined prompt parts. */
 const leadingWatchersPerFailureDomain = 1;
+/** Peers send every 250 ms; without any for this long, this daemon may be cut off. */
+const maxPeerSilenceMs = 1000;
+/** Time for a response of the store after the wait of a watch. */
+const maxResponseDelayMs = 1000;
 /** Interval between decisions on whether this daemon watches the store. */
 const watchDecisionIntervalMs = 500;
 
@@ -125,6 +130,21 @@
 	);
 	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
 	const pauses = upstreamPauses.createUpstreamPauses(clock, random.next);
+	const pool = new connectionPool.ConnectionPool(nowMs);
+	let heardPeerAtMs = Number.NEGATIVE_INFINITY;
+	/** Whether the store, or a peer that this daemon hears, tells it of changes. */
+	const isInformed = () =>
+		// Peers send nothing to a daemon in its planned stop.
+		fleet.hasLivePeers() && !stopping
+			? reachability.isReachable && nowMs() - heardPeerAtMs < maxPeerSilenceMs
+			: cluster.upstreamResponseAgeMs() < current.store.leadingWatchWaitMs + maxResponseDelayMs;
+	const warmth = upstreamWarmth.createUpstreamWarmth({
+		clock,
+		transport: pool,
+		wire,
+		log,
+		isInformed,
+	});
 	const dispatch = dispatcher.createDispatcher({
 		clock,
 		settings: current.decisions,
@@ -137,9 +157,9 @@
 		rateLimits,
 		pauses,
 		isEvacuated: cluster.isEvacuated,
+		warmth,
 		random: random.next,
 	});
-	const pool = new connectionPool.ConnectionPool(nowMs);
 	const sharers = budgetSharers.createBudgetSharers(nowMs, () => current.resends.windowS * 1000);
 	const budget = sharedRetryBudget.createSharedRetryBudget(
 		nowMs,
@@ -254,6 +274,7 @@
 			takePartReports: quarantine.takeReports,
 			takeRateLimits: rateLimits.takeReports,
 			onMessage(message) {
+				heardPeerAtMs = nowMs();
 				quarantine.merge(message.partReports, message.sender.name);
 
 				dispatch.notePeerPromptPrefixes(message.promptPrefixes);
@@ -409,6 +430,15 @@
 
 	disposables.add(clock.setPeriodicTimer(updateWatch, watchDecisionIntervalMs));
 
+	const isolation = {wasInformed: true};
+	const noteIsolation = () => {
+		if (isInformed() !== isolation.wasInformed) {
+			isolation.wasInformed = isInformed();
+			const silentMs = Math.round(nowMs() - heardPeerAtMs);
+			log.note({kind: 'isolation', isInformed: isolation.wasInformed, silentMs});
+		}
+	};
+
 	const noteReadiness = () => {
 		if (isReady() !== wasReady) {
 			wasReady = isReady();
@@ -465,6 +495,7 @@
 			pool.sweep();
 			quarantine.sweep();
 			noteReadiness();
+			noteIsolation();
 			callerCloseLog.flush();
 			peerCloseLog.flush();
 		}, housekeepingIntervalMs),
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -110,6 +110,15 @@
 		return ['left', String(remainingMs)];
 	}
 
+	override readonly healthPath = '/health';
+
+	override readHealth(_status: number, headers: wireFormat.Headers): wireFormat.HealthFacts {
+		return {
+			coldMs: headers.cold === undefined ? 0 : Number(headers.cold) || 'unusable',
+			upstreamId: headers.id as string | undefined,
+		};
+	}
+
 	override readAnswer(status: number, headers: wireFormat.Headers): wireFormat.AnswerFacts {
 		return {
 			isNotRun: headers.refused !== undefined,
