Do not close retired connections after the client was closed

The gateway never closes its client, so no daemon could end by it; the entry daemon and the tools could.

The client no longer replaces its pool once it is closed. The new test fails before with the same error.

--- a/packages/base/src/node/undici-http-client.ts
+++ b/packages/base/src/node/undici-http-client.ts
@@ -51,6 +51,7 @@
 export class UndiciHttpClient extends httpClient.HttpClient {
 	readonly #clock = new systemClock.SystemClock();
 	#agent = createAgent();
+	#isClosed = false;
 	/** Replaced agents whose last requests are in progress. */
 	readonly #retired = new Set<Agent>();
 
@@ -98,13 +99,14 @@
 	}
 
 	override async close(): Promise<void> {
+		this.#isClosed = true;
 		const agents = [this.#agent, ...this.#retired];
 		await Promise.all(agents.map(async (agent) => agent.destroy()));
 	}
 
 	/** Closes the idle connections of an agent, and the others at the end of their requests. */
 	#retire(agent: Agent): void {
-		if (agent !== this.#agent) {
+		if (this.#isClosed || agent !== this.#agent) {
 			return;
 		}
 
--- a/packages/base/src/test/undici-http-client.test.ts
+++ b/packages/base/src/test/undici-http-client.test.ts
@@ -85,6 +85,7 @@
 	};
 
 	return {
+		client,
 		send,
 		connections: () => open.size,
 		/** Silences the open connections, once the client can use them again. */
@@ -133,6 +134,24 @@
 	t.equal(await inProgress, 'answer');
 });
 
+// Guards against a process that ended by an unhandled rejection, of a close of connections that were destroyed already.
+tap.t.test(
+	'a request that is cancelled as the client closes leaves nothing to reject',
+	async (t) => {
+		const {send, silenceOpen, client} = await startServer(t);
+		await send();
+		await silenceOpen();
+		const controller = new AbortController();
+		const cancelled = send({signal: controller.signal});
+		cancelled.catch(() => undefined);
+		await timers.setTimeout(idleAfterMs);
+		controller.abort(new Error('given up'));
+		await client.close();
+		await t.rejects(cancelled);
+		await timers.setTimeout(idleAfterMs);
+	},
+);
+
 tap.t.test('a request may close its connection', async (t) => {
 	const {send, connections} = await startServer(t);
 	t.equal(await send({isConnectionClosed: true}), 'answer');
