--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -500,6 +500,7 @@
 		choice: dispatcher.Choice & {kind: 'region'},
 	): attemptFailover.AttemptPlan => {
 		const {region, member, basis} = choice;
+		// A second relay is a resend, which the budget has counted.
 		if (triedRegions.size === 0) {
 			services.budget.noteRelayed(service.name);
 		}
--- a/packages/gateway/src/common/upstream-warmth.ts
+++ b/packages/gateway/src/common/upstream-warmth.ts
@@ -1,8 +1,8 @@
 /**
- * Whether upstreams are warm, for a daemon that hears neither the store nor a peer. Its
- * listing may be old, and an upstream that came back cold fails under the usual traffic. So
+ * Whether upstreams are warm, for a daemon that learns of no changes from the store or from
+ * peers. Its listing may be old, and an upstream that came back cold fails under the usual traffic. So
  * it asks an upstream for its health before it sends more than a few requests, and keeps
- * the answer for a moment only.
+ * the answer for a moment only. The slow rate bounds one such daemon, not several together.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as tokenBucket from '@hawthornfront/decisions/common/token-bucket.js';
