Log why a process ends and how near its memory is to the limits

Nothing in the logs said why a process ended: an error that nobody handles was plain text on standard error, a failed start one line of text, and memory near its limit was no metric with a bound.

start-failed, process-failed (with the stack) and process-ended are written synchronously before the process ends. No decision on a request changes.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -114,9 +114,31 @@
 	  }
 );
 
+/** Share of the memory limit, or of the heap limit if that is nearer, that the process uses. */
+export type MemoryLevel = 'normal' | 'high' | 'critical';
+
 /** Changes of the daemon's state, including its start and stop. */
 export type StateEvent =
 	| {kind: 'started'; name: string; region: string; startedAtUnixMs: number}
+	| {kind: 'start-failed'; step: 'settings' | 'servers'; detail: string}
+	/** An error that nothing handles ends the process. */
+	| {kind: 'process-failed'; origin: string; detail: string; stack: string}
+	| {kind: 'process-ended'; code: number; uptimeMs: number}
+	| {
+			kind: 'memory';
+			level: MemoryLevel;
+			residentMb: number;
+			/** Limit of the resident memory; undefined if the settings name none. */
+			limitMb: number | undefined;
+			heapUsedMb: number;
+			heapLimitMb: number;
+			/** Buffers outside the heap. */
+			externalMb: number;
+			/** What the daemon holds, by name: entries, connections or bytes. */
+			held: Record<string, number>;
+	  }
+	/** One step of the event loop, or a pause of the process, delayed a timer. */
+	| {kind: 'loop-late'; lateMs: number}
 	/** The start waits for an address that another process holds. */
 	| {kind: 'address-in-use'; detail: string}
 	| {kind: 'settings-reloaded'; changed: boolean}
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -19,9 +19,17 @@
 	event.kind === 'request-relayed' ||
 	(event.kind === 'request-ended' && event.outcome === 'answered' && event.status < 400);
 
+/** Events at the end of a process, which no limit may hide. */
+const isLast = (event: gatewayEvent.GatewayEvent): boolean =>
+	event.kind === 'start-failed' ||
+	event.kind === 'process-failed' ||
+	event.kind === 'process-ended';
+
 export type EventWriter = gatewayEvent.EventLog & {
 	/** Writes the buffered lines, unless the reader is too slow; call it before the process ends. */
 	flush(): void;
+	/** Writes the buffered lines synchronously, for a process whose event loop does not run again. */
+	flushNow(): void;
 };
 
 /** Creates the event writer of a process. */
@@ -125,12 +133,15 @@
 				failedAttempts.inc({step: event.step, stalled, next: event.next});
 			}
 
-			if (mayWrite(event)) {
+			if (isLast(event) || mayWrite(event)) {
 				logger.info(event);
 			}
 		},
 		flush() {
 			output.flush();
 		},
+		flushNow() {
+			output.flushNow();
+		},
 	};
 };
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -33,6 +33,7 @@
 import * as membership from './membership.js';
 import * as peerCatchUp from './peer-catch-up.js';
 import * as plannedStop from './planned-stop.js';
+import * as processMonitor from './process-monitor.js';
 import * as quarantineStore from './quarantine-store.js';
 import * as requestAdmission from './request-admission.js';
 import * as settings from './settings.js';
@@ -231,6 +232,8 @@
 	);
 	const peerHttpServer = callerServer.createCallerServer(nowMs, createCheck(true), peerCloseLog);
 
+	const inFlight = () => callerHttpServer.inFlight + peerHttpServer.inFlight;
+
 	const localExpectedWaits = (): gossipMessage.GossipMessage['outlooks'] =>
 		(cluster.routeTable?.config.services ?? []).map((service) => ({
 			region: vm.region,
@@ -490,8 +493,21 @@
 			peerHttpServer.applyLimits(table.config.limits);
 		}),
 	);
+	const monitor = processMonitor.createProcessMonitor({
+		nowMs,
+		registry: options.registry,
+		log,
+		memoryLimitMb: current.limits.memoryMb,
+		held: () => ({
+			callerConnections: callerHttpServer.openConnections,
+			peerConnections: peerHttpServer.openConnections,
+			requests: inFlight(),
+		}),
+		readMemoryUse: processMonitor.readMemoryUse,
+	});
 	disposables.add(
 		clock.setPeriodicTimer(() => {
+			monitor.sample(housekeepingIntervalMs);
 			pool.sweep();
 			quarantine.sweep();
 			noteReadiness();
@@ -514,8 +530,6 @@
 		log.note({kind: 'directory', region, basis, named: addresses.length, addresses});
 	});
 
-	const inFlight = () => callerHttpServer.inFlight + peerHttpServer.inFlight;
-
 	return {
 		get isReady() {
 			return isReady();
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -3,6 +3,7 @@
 import type * as http from 'node:http';
 // A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
 import process from 'node:process';
+import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as errorText from '@hawthornfront/base/common/error-text.js';
 import type * as httpClient from '@hawthornfront/base/common/http-client.js';
 import * as random from '@hawthornfront/base/common/random.js';
@@ -10,6 +11,7 @@
 import * as daemonProgram from '@hawthornfront/base/node/daemon-program.js';
 import * as getServer from '@hawthornfront/base/node/get-server.js';
 import * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as processEnd from '@hawthornfront/base/node/process-end.js';
 import * as systemClock from '@hawthornfront/base/node/system-clock.js';
 import * as udpSocket from '@hawthornfront/base/node/udp-socket.js';
 import * as undiciHttpClient from '@hawthornfront/base/node/undici-http-client.js';
@@ -93,11 +95,53 @@
 	};
 };
 
+/** Logs why the process does not start; the program then ends with the error. */
+const noteStartFailure = (
+	log: eventWriter.EventWriter,
+	step: 'settings' | 'servers',
+	error: unknown,
+): void => {
+	log.note({kind: 'start-failed', step, detail: errorText.errorText(error)});
+	log.flushNow();
+};
+
 const start = async (deployment: Deployment, file: string): Promise<() => Promise<void>> => {
-	const current = settings.readGatewaySettings(file);
 	const clock = new systemClock.SystemClock();
+	const createLog = (registry: metrics.Registry, fields: Record<string, string>) =>
+		eventWriter.createEventWriter(registry, () => clock.nowMs(), fields);
+	let current: settings.GatewaySettings;
+	try {
+		current = settings.readGatewaySettings(file);
+	} catch (error) {
+		noteStartFailure(createLog(metrics.createRegistry({}), {}), 'settings', error);
+		throw error;
+	}
+
 	const registry = metrics.createRegistry({vm: current.vm.name});
-	const log = eventWriter.createEventWriter(registry, () => clock.nowMs(), {vm: current.vm.name});
+	const log = createLog(registry, {vm: current.vm.name});
+	processEnd.reportProcessEnd((end) => {
+		log.note(end);
+		log.flushNow();
+	});
+	try {
+		return await startServers({deployment, file, current, clock, registry, log});
+	} catch (error) {
+		noteStartFailure(log, 'servers', error);
+		throw error;
+	}
+};
+
+type StartOptions = {
+	deployment: Deployment;
+	file: string;
+	current: settings.GatewaySettings;
+	clock: clock.Clock;
+	registry: metrics.Registry;
+	log: eventWriter.EventWriter;
+};
+
+const startServers = async (options: StartOptions): Promise<() => Promise<void>> => {
+	const {deployment, file, current, clock, registry, log} = options;
 	const peers = settings.splitAddress(current.listen.peers);
 	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
 	const getDaemon = () => started.daemon;
--- a/packages/gateway/src/node/line-output.ts
+++ b/packages/gateway/src/node/line-output.ts
@@ -18,6 +18,8 @@
 	takeDropped(): number;
 	/** Writes the batched lines. */
 	flush(): void;
+	/** Writes the batched lines synchronously, for a process that is about to end; a full pipe drops them. */
+	flushNow(): void;
 };
 
 /**
@@ -79,6 +81,23 @@
 				flush();
 			}
 		},
+		flushNow() {
+			if (batch.length === 0) {
+				return;
+			}
+
+			// An earlier asynchronous write may have ended in the middle of a line.
+			const text = `${output.writableLength > 0 ? '\n' : ''}${batch.join('')}`;
+			try {
+				fs.writeSync(fd, text);
+			} catch {
+				// The reader has closed or is too slow, and there is no later log line to count the loss.
+				dropped += batch.length;
+			}
+
+			batch = [];
+			batchLength = 0;
+		},
 		takeDropped() {
 			const taken = dropped;
 			dropped = 0;
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -4,6 +4,13 @@
 import * as zod from 'zod';
 import * as loadSettings from '../common/load-settings.js';
 
+/** A limit that the platform may leave empty. */
+const limitSetting = (minimum: number, maximum: number) =>
+	zod.preprocess(
+		(value) => (value === '' ? undefined : value),
+		settings.numberSetting(minimum, maximum).optional(),
+	);
+
 export const gatewaySettingsSchema = zod.strictObject({
 	vm: zod.strictObject({
 		name: zod.string().min(1, 'expected the name of the VM'),
@@ -12,6 +19,14 @@
 		/** Processor cores of the VM, possibly a fraction, for the directory's choice between VMs. */
 		processorShare: setting.number(1, 0.01, 64),
 	}),
+	/** Limits of the VM for the process; without a value, no limit is known. */
+	limits: zod
+		.strictObject({
+			memoryMb: limitSetting(16, 1_048_576),
+			/** File descriptors, connections included. */
+			maxDescriptors: limitSetting(64, 10_000_000),
+		})
+		.default({memoryMb: undefined, maxDescriptors: undefined}),
 	listen: zod.strictObject({
 		callers: settings.addressSetting,
 		readiness: settings.addressSetting,
