Give daemons that start in a cut no fixed part of the retry budget

A daemon that is started while it is cut off knows no other member after its first window and took the whole fixed amount; several of them exceeded the bound on repeats of all daemons.

Its part is now unknown, and so nothing, until 2 s after the store answered it or a peer that it hears. What requests earn stays available.

--- a/packages/gateway/src/common/budget-sharers.ts
+++ b/packages/gateway/src/common/budget-sharers.ts
@@ -1,19 +1,24 @@
 /**
  * Counts the daemons that may use a part of the shared retry budget. A member that was lost
  * may be cut off and still be sending, so it counts for longer than its heartbeats. A daemon
- * that has just started does not know the other members, nor what it sent before.
+ * that has just started does not know the other members, nor what it sent before. One that
+ * was started while it is cut off does not learn of them until it hears of the store.
  */
 import type * as fleetView from './fleet-view.js';
 
 export type BudgetSharers = {
 	/** Applies a change of the fleet. */
 	noteMember(change: Pick<fleetView.MemberChange, 'kind'> & {member: {name: string}}): void;
-	/** Daemons including this one; infinite in the first window after the start. */
+	/** Notes that the store answered this daemon, or a peer that it hears: other members become known. */
+	noteStoreReached(): void;
+	/** Daemons including this one; infinite in the first window after the start, and while the others cannot be known. */
 	count(): number;
 };
 
 /** A lost member counts for this long, which exceeds the usual cuts between regions. */
 const lostMemberMs = 600_000;
+/** Time in which all members become known once the store was reached. */
+const membersKnownMs = 2000;
 
 /**
  * Creates the count of a daemon that starts now.
@@ -22,6 +27,7 @@
  */
 export const createBudgetSharers = (nowMs: () => number, windowMs: () => number): BudgetSharers => {
 	const startedAtMs = nowMs();
+	let storeReachedAtMs = Number.POSITIVE_INFINITY;
 	/** Until when each other member counts. */
 	const countedUntilMs = new Map<string, number>();
 	return {
@@ -34,8 +40,11 @@
 			}[kind];
 			countedUntilMs.set(name, nowMs() + keptMs);
 		},
+		noteStoreReached() {
+			storeReachedAtMs = Math.min(storeReachedAtMs, nowMs());
+		},
 		count() {
-			if (nowMs() - startedAtMs < windowMs()) {
+			if (nowMs() < Math.max(startedAtMs + windowMs(), storeReachedAtMs + membersKnownMs)) {
 				return Number.POSITIVE_INFINITY;
 			}
 
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -472,6 +472,10 @@
 	);
 	disposables.add(
 		reachability.onDidChange((change) => {
+			if (change.isReachable) {
+				sharers.noteStoreReached();
+			}
+
 			log.note({kind: 'store-reachability', ...change});
 		}),
 	);
--- a/packages/gateway/src/test/shared-retry-budget.test.ts
+++ b/packages/gateway/src/test/shared-retry-budget.test.ts
@@ -37,6 +37,11 @@
 		restart(name: string) {
 			daemons.set(name, startDaemon());
 		},
+		reachStore() {
+			for (const {sharers} of daemons.values()) {
+				sharers.noteStoreReached();
+			}
+		},
 		noteAll(kind: fleetView.MemberChange['kind']) {
 			for (const [name, {sharers}] of daemons) {
 				for (const other of names.filter((item) => item !== name)) {
@@ -82,6 +87,7 @@
 
 tap.t.test('daemons that know each other use most of the budget', (t) => {
 	const fleet = createFleet();
+	fleet.reachStore();
 	fleet.noteAll('joined');
 	fleet.run(30_000);
 	const excess = fleet.excess();
@@ -93,6 +99,7 @@
 // Guards against repeats beyond the budget after a restart of all daemons, each of which took the whole fixed amount.
 tap.t.test('daemons that have restarted and do not know each other keep the bound', (t) => {
 	const fleet = createFleet();
+	fleet.reachStore();
 	fleet.noteAll('joined');
 	fleet.run(20_000);
 	for (const name of names) {
@@ -100,6 +107,7 @@
 	}
 
 	fleet.run(1500);
+	fleet.reachStore();
 	fleet.noteAll('joined');
 	fleet.run(15_000);
 	t.ok(fleet.excess() <= 0, `${fleet.excess()}`);
@@ -109,6 +117,7 @@
 // Guards against repeats beyond the budget during a cut, in which each daemon took itself for the only one.
 tap.t.test('daemons that are cut off from each other keep the bound', (t) => {
 	const fleet = createFleet();
+	fleet.reachStore();
 	fleet.noteAll('joined');
 	fleet.run(20_000);
 	fleet.noteAll('lost');
@@ -117,9 +126,31 @@
 	t.end();
 });
 
+// Guards against repeats beyond the budget when daemons are started in a cut, each of which took the whole fixed amount after its first window.
+tap.t.test('daemons that are started while they are cut off keep the bound', (t) => {
+	const fleet = createFleet();
+	fleet.reachStore();
+	fleet.noteAll('joined');
+	fleet.run(20_000);
+	fleet.noteAll('lost');
+	for (const name of ['a', 'b', 'c']) {
+		fleet.restart(name);
+	}
+
+	fleet.run(30_000);
+	t.ok(fleet.excess() <= 0, `${fleet.excess()}`);
+	fleet.reachStore();
+	fleet.run(1500);
+	fleet.noteAll('joined');
+	fleet.run(15_000);
+	t.ok(fleet.excess() <= 0, `after the cut ${fleet.excess()}`);
+	t.end();
+});
+
 // Guards against repeats beyond the budget when a region is served by another one and its requests earned twice.
 tap.t.test('relayed requests earn once', (t) => {
 	const fleet = createFleet();
+	fleet.reachStore();
 	fleet.noteAll('joined');
 	fleet.run(30_000, 'g');
 	t.ok(fleet.excess() <= 0, `${fleet.excess()}`);
@@ -134,6 +165,11 @@
 	);
 	t.equal(sharers.count(), Number.POSITIVE_INFINITY, 'unknown at the start');
 	nowMs = windowMs;
+	t.equal(sharers.count(), Number.POSITIVE_INFINITY, 'unknown until the store was reached');
+	sharers.noteStoreReached();
+	t.equal(sharers.count(), Number.POSITIVE_INFINITY, 'the members are not known yet');
+	nowMs += 2000;
+	sharers.noteStoreReached();
 	t.equal(sharers.count(), 1);
 	sharers.noteMember({kind: 'joined', member: {name: 'a'}});
 	sharers.noteMember({kind: 'joined', member: {name: 'b'}});
