Keep running when the resident memory cannot be read

process.memoryUsage.rss() opens a file on Linux, so with all descriptors in use it throws EMFILE.

Seen with the deploy command, 100 idle callers and RLIMIT_NOFILE lowered to 20 below the open descriptors: ended within 2 s ('uv_resident_set_memory' EMFILE). Now the last value counts; the same run keeps the process, and a caller is answered 200 once 60 of the connections are closed.

--- a/packages/base/src/node/metrics.ts
+++ b/packages/base/src/node/metrics.ts
@@ -4,6 +4,7 @@
  */
 import * as process from 'node:process';
 import * as prom from 'prom-client';
+import * as residentMemory from './resident-memory.js';
 
 export type Registry = prom.Registry;
 
@@ -11,12 +12,13 @@
 export const createRegistry = (labels: Record<string, string>): Registry => {
 	const registry = new prom.Registry();
 	registry.setDefaultLabels(labels);
+	const readResidentBytes = residentMemory.createResidentMemoryReader();
 	const memory = new prom.Gauge({
 		name: 'process_resident_memory_bytes',
 		help: 'Resident memory',
 		registers: [registry],
 		collect() {
-			memory.set(process.memoryUsage.rss());
+			memory.set(readResidentBytes());
 		},
 	});
 	const cpu = new prom.Gauge({
--- a/packages/gateway/src/node/process-monitor.ts
+++ b/packages/gateway/src/node/process-monitor.ts
@@ -1,7 +1,7 @@
 /** Reports how near the process is to the limits that would end it: memory, heap, delays of the event loop. */
 import * as v8 from 'node:v8';
-import * as process from 'node:process';
 import * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as residentMemory from '@hawthornfront/base/node/resident-memory.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 
 const bytesPerMb = 1_048_576;
@@ -21,10 +21,12 @@
 	externalBytes: number;
 };
 
+const readResidentBytes = residentMemory.createResidentMemoryReader();
+
 export const readMemoryUse = (): MemoryUse => {
 	const heap = v8.getHeapStatistics();
 	return {
-		residentBytes: process.memoryUsage.rss(),
+		residentBytes: readResidentBytes(),
 		heapUsedBytes: heap.used_heap_size,
 		heapLimitBytes: heap.heap_size_limit,
 		externalBytes: heap.external_memory,
