Do not blame upstreams for a connection that this daemon cannot open

With no descriptor or local port left, a connect fails with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL. The pool reported ECONNREFUSED, which counts as a hard failure of the upstream, and the probe said 'refused', which the crash detector reads as a crash. Both now say that nothing is known of the upstream, and that nothing was sent.

--- a/packages/base/src/node/undici-http-client.ts
+++ b/packages/base/src/node/undici-http-client.ts
@@ -15,6 +15,9 @@
 	'EHOSTUNREACH',
 	'ENETUNREACH',
 	'UND_ERR_CONNECT_TIMEOUT',
+	'EMFILE',
+	'ENFILE',
+	'EADDRNOTAVAIL',
 ]);
 
 const codeOf = (error: unknown): string =>
--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -390,7 +390,7 @@
 					onAnswerEnd(endedBy);
 				}
 			},
-			onFailure({mayHaveBeenSent, detail}) {
+			onFailure({mayHaveBeenSent, detail, isLocal}) {
 				if (isOver) {
 					return;
 				}
@@ -398,7 +398,7 @@
 				if (mayHaveBeenSent) {
 					failBroken(detail);
 				} else {
-					fail('not-run', detail, true);
+					fail('not-run', detail, !isLocal);
 				}
 			},
 		},
--- a/packages/gateway/src/common/upstream-transport.ts
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -18,6 +18,8 @@
 	/** False when no byte of the request can have left this daemon. */
 	mayHaveBeenSent: boolean;
 	detail: string;
+	/** This process lacks the means for a connection, such as a descriptor; the peer has no part in it. */
+	isLocal?: boolean;
 };
 
 /** Callbacks of one exchange. After `onEnd`, `onFailure` or a cancel, nothing more is called. */
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -61,11 +61,24 @@
 /** Error code: an idle connection was lost before the client wrote a request to it. */
 const lostBeforeSendCode = 'CONNECTION_LOST_BEFORE_SEND';
 
+/** Error code: this process could not open a connection. */
+const notOpenedCode = 'CONNECTION_NOT_OPENED';
+
+/** Errors of a connect for which this process lacks a descriptor, memory or a local port. */
+const localCodes: ReadonlySet<string> = new Set([
+	'EMFILE',
+	'ENFILE',
+	'ENOBUFS',
+	'ENOMEM',
+	'EADDRNOTAVAIL',
+]);
+
 /** Codes that {@link ConnectionPool} itself sets before it sends a request; an established connection fails with others. */
 const neverSentCodes: ReadonlySet<string> = new Set([
 	'ECONNREFUSED',
 	'UND_ERR_CONNECT_TIMEOUT',
 	lostBeforeSendCode,
+	notOpenedCode,
 	// The client does not accept a header.
 	'UND_ERR_INVALID_ARG',
 ]);
@@ -174,8 +187,8 @@
 		socket.once('connect', () => {
 			decide('open');
 		});
-		socket.on('error', () => {
-			decide('refused');
+		socket.on('error', ({code}: NodeJS.ErrnoException) => {
+			decide(localCodes.has(code ?? '') ? 'unknown' : 'refused');
 		});
 	}
 
@@ -242,7 +255,12 @@
 			const mayHaveBeenSent = !neverSentCodes.has(detailOf(error));
 			this.#close(connection);
 			if (!isCancelled) {
-				listener.onFailure({mayHaveBeenSent, detail: detailOf(error)});
+				const detail = detailOf(error);
+				listener.onFailure({
+					mayHaveBeenSent,
+					detail,
+					...(detail === notOpenedCode && {isLocal: true}),
+				});
 			}
 		};
 
@@ -486,7 +504,8 @@
 
 			if (!isSettled) {
 				// No byte of a request is written before the connection is established.
-				settle(Object.assign(error, {code: 'ECONNREFUSED'}));
+				const code = localCodes.has(error.code ?? '') ? notOpenedCode : 'ECONNREFUSED';
+				settle(Object.assign(error, {code}));
 			}
 		});
 		socket.once('end', () => {
