Keep a daemon without a configuration running when a caller's connection is idle

Callers saw every connection of the daemon break: until its first configuration was in force, the idle limit of callers' connections was infinite. Node.js closes an idle connection after 5 s of its own; our listener then set the rest of the limit as a timeout of the socket, and setTimeout throws ERR_OUT_OF_RANGE for Infinity. Nothing catches that, so the process ended with code 1. A daemon has no configuration while the store and its peers don't answer at a start, or answer slowly. A negative idle_ms of a configuration ended it in the same way.

Limits now have finite values from the start, and each is brought into the range of the timers before it is applied.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -71,6 +71,15 @@
 };
 
 const headerLimitBytes = 65_536;
+/** Limits until a configuration is in force. */
+const initialLimits: routeConfig.CallerLimits = {
+	headerBytes: headerLimitBytes,
+	bodyBytes: 4_194_304,
+	headerTimeoutMs: 60_000,
+	idleMs: 15_000,
+};
+/** Longest time that a timer of Node.js accepts. */
+const maxTimerMs = 2_147_483_647;
 const connectionsCheckMs = 2000;
 /** Added to the idle limit, for a request that is already on the network. */
 const idleSlackMs = 1000;
@@ -135,6 +144,10 @@
 	});
 };
 
+/** Socket timeouts throw for a negative or infinite time, and 0 disables them. */
+const toTimerMs = (durationMs: number): number =>
+	Math.round(Math.min(maxTimerMs, Math.max(1, durationMs)));
+
 /** @param status code and reason phrase */
 const emptyResponse = (status: string): string =>
 	`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
@@ -152,9 +165,9 @@
 	/** One callback for each request in progress, which aborts it. */
 	const requestAborts = new Set<() => void>();
 	let isDraining = false;
-	let maxHeaderBytes = headerLimitBytes;
-	let maxBodyBytes = 4_194_304;
-	let idleLimitMs = Number.POSITIVE_INFINITY;
+	let maxHeaderBytes = initialLimits.headerBytes;
+	let maxBodyBytes = initialLimits.bodyBytes;
+	let idleLimitMs = initialLimits.idleMs;
 
 	const reject = (
 		response: http.ServerResponse,
@@ -350,7 +363,7 @@
 			// The limit may have been raised since the connection became idle.
 			const leftMs = idleLimitMs - (connections.idleMs(socket) ?? idleLimitMs);
 			if (leftMs > 0) {
-				socket.setTimeout(leftMs);
+				socket.setTimeout(toTimerMs(leftMs));
 			} else {
 				closes.note('idle-limit', 0);
 				connections.close(socket);
@@ -395,17 +408,20 @@
 		}
 	});
 
+	const applyLimits = (limits: routeConfig.CallerLimits) => {
+		maxHeaderBytes = limits.headerBytes;
+		maxBodyBytes = limits.bodyBytes;
+		server.headersTimeout = toTimerMs(limits.headerTimeoutMs);
+		idleLimitMs = toTimerMs(limits.idleMs + idleSlackMs);
+		server.keepAliveTimeout = idleLimitMs;
+	};
+
+	applyLimits(initialLimits);
 	return {
 		async listen(host, port) {
 			await bindAddress.listenOnce(server, {host, port, backlog: 1024});
 		},
-		applyLimits(limits) {
-			maxHeaderBytes = limits.headerBytes;
-			maxBodyBytes = limits.bodyBytes;
-			server.headersTimeout = limits.headerTimeoutMs;
-			idleLimitMs = limits.idleMs + idleSlackMs;
-			server.keepAliveTimeout = idleLimitMs;
-		},
+		applyLimits,
 		startDraining() {
 			isDraining = true;
 		},
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -19,7 +19,7 @@
 		});
 	});
 
-const start = async (t: tap.Test) => {
+const start = async (t: tap.Test, hasLimits = true) => {
 	const runs: Run[] = [];
 	const replies: upstreamTransport.CallerReply[] = [];
 	const time = {nowMs: 0};
@@ -97,7 +97,10 @@
 		});
 	};
 
-	setLimits({});
+	if (hasLimits) {
+		setLimits({});
+	}
+
 	return {server, runs, replies, closes, time, open, setLimits, disposals: () => disposeCount};
 };
 
@@ -494,3 +497,30 @@
 tap.t.test('addresses are split at the port', async (t) => {
 	t.same(settings.splitAddress('10.1.0.35:8144'), {host: '10.1.0.35', port: 8144});
 });
+
+// Guards against an idle connection that ends a daemon without a configuration (issue 39).
+tap.t.test('a connection is kept before limits are in force', async (t) => {
+	const {open} = await start(t, false);
+	const {socket, state} = await open();
+	socket.write('GET /none/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await waitUntil(() => state.text.includes('404')));
+	// Longer than the idle limit of Node.js itself.
+	await sleep(6500);
+	t.notOk(state.hasEnded);
+	socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+	t.ok(await waitUntil(() => state.text.endsWith('ok')));
+});
+
+// Guards against limits of a configuration that end the process when they are applied (issue 39).
+for (const idleMs of [-5000, -1000.5, 1e15]) {
+	tap.t.test(`an idle limit of ${idleMs} ms is no error`, async (t) => {
+		const {open, setLimits, time} = await start(t);
+		setLimits({idleMs, headerTimeoutMs: idleMs});
+		const {socket, state} = await open();
+		socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+		t.ok(await waitUntil(() => state.text.endsWith('ok')));
+		time.nowMs = 100;
+		await sleep(headCheckWaitMs);
+		t.equal(state.hasEnded, idleMs < 0);
+	});
+}
