End requests that wait for an earlier response with their connection

Callers saw nothing; the daemon did: a caller that sent several requests on one connection without waiting and then left was remembered for good, with all but its first request, their bodies and their answers, and a planned stop waited for them until its grace was over.

Cause: a response that waits for an earlier one on its connection has no socket, so Node.js gives it no close event, and that event alone ended a request. Now the connection ends all its requests.

The test failed before: 1 of 5 requests ended, 4 stayed in flight; now 5 and 0 (caller-server.test: 76 of 76 assertions pass).

--- a/packages/gateway/src/node/caller-connections.ts
+++ b/packages/gateway/src/node/caller-connections.ts
@@ -5,8 +5,8 @@
 const closeTimeoutMs = 2000;
 
 type Connection = {
-	/** Number of requests whose head was read and whose response has not ended. */
-	requests: number;
+	/** One callback for each request whose head was read and whose response has not ended. */
+	requests: Set<() => void>;
 	/** End of the last response, or the opening of the connection. */
 	idleSinceMs: number;
 	/** Bytes read by that time; further bytes belong to an incomplete head. */
@@ -17,8 +17,9 @@
 
 export type CallerConnections = {
 	add(socket: net.Socket): void;
-	startRequest(socket: net.Socket): void;
-	endRequest(socket: net.Socket): void;
+	/** @param onClose called if the connection closes before the request has ended */
+	startRequest(socket: net.Socket, onClose: () => void): void;
+	endRequest(socket: net.Socket, onClose: () => void): void;
 	isBusy(socket: net.Socket): boolean;
 	/** Number of requests whose head was read and whose response has not ended. */
 	requestCount(socket: net.Socket): number;
@@ -40,38 +41,39 @@
 	return {
 		add(socket) {
 			connections.set(socket, {
-				requests: 0,
+				requests: new Set(),
 				idleSinceMs: nowMs(),
 				bytesReadAtIdle: socket.bytesRead,
 				isClosing: false,
 			});
 			socket.on('close', () => {
+				const requests = connections.get(socket)?.requests ?? [];
 				connections.delete(socket);
+				for (const onClose of requests) {
+					onClose();
+				}
 			});
 		},
-		startRequest(socket) {
-			const connection = connections.get(socket);
-			if (connection) {
-				connection.requests++;
-			}
+		startRequest(socket, onClose) {
+			connections.get(socket)?.requests.add(onClose);
 		},
-		endRequest(socket) {
+		endRequest(socket, onClose) {
 			const connection = connections.get(socket);
 			if (connection) {
-				connection.requests--;
+				connection.requests.delete(onClose);
 				connection.idleSinceMs = nowMs();
 				connection.bytesReadAtIdle = socket.bytesRead;
 			}
 		},
-		requestCount: (socket) => connections.get(socket)?.requests ?? 0,
-		isBusy: (socket) => (connections.get(socket)?.requests ?? 0) > 0,
+		requestCount: (socket) => connections.get(socket)?.requests.size ?? 0,
+		isBusy: (socket) => (connections.get(socket)?.requests.size ?? 0) > 0,
 		isClosing: (socket) => connections.get(socket)?.isClosing ?? false,
 		idleMs(socket) {
 			const connection = connections.get(socket);
 			if (
 				!connection ||
 				connection.isClosing ||
-				connection.requests > 0 ||
+				connection.requests.size > 0 ||
 				socket.bytesRead !== connection.bytesReadAtIdle
 			) {
 				return undefined;
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -199,7 +199,6 @@
 			return;
 		}
 
-		connections.startRequest(request.socket);
 		let execution: requestEngine.RequestExecution | undefined;
 		let isOver = false;
 		let hasRun = false;
@@ -210,10 +209,12 @@
 
 			isOver = true;
 			requestAborts.delete(abortNow);
-			connections.endRequest(request.socket);
+			connections.endRequest(request.socket, end);
 			execution?.dispose();
 		};
 
+		// A response that waits for an earlier one on its connection has no `close` event.
+		connections.startRequest(request.socket, end);
 		const abortNow = () => {
 			closes.note('grace-over', connections.requestCount(request.socket));
 			execution?.terminate();
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -128,6 +128,17 @@
 	return condition();
 };
 
+// Guards against requests behind an earlier one on their connection that were held for good.
+tap.t.test('requests that wait for an earlier response end with their connection', async (t) => {
+	const {server, runs, open, disposals} = await start(t);
+	const {socket} = await open();
+	socket.write('GET /wait/ HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(5));
+	t.ok(await waitUntil(() => runs.length === 5));
+	socket.destroy();
+	t.ok(await waitUntil(() => disposals() === 5), `${disposals()} of 5 ended`);
+	t.equal(server.inFlight, 0);
+});
+
 tap.t.test('a connection carries many requests', async (t) => {
 	const {runs, open} = await start(t);
 	const {socket, state} = await open();
