Keep own texts of bounded size in the tables of prompt parts

What callers saw: a daemon ends with SIGABRT at its heap limit under requests whose prompt prefixes have ids of 13 or more digits that never repeat.

Cause: V8 keeps a text cut out of another as a reference into it. The table of prefixes given to gossip (`gossipedAtMs` of the cache view) has one key for each request, the sum of a part's id and a runner's, so it kept the prompt header of each of 20,000 requests: up to 280 MB. The answered parts of the quarantine were kept in the same way.

Fix: `ownText` copies a text that is kept, so the hot path pays only for new entries. Parts with ids over 64 characters are served but not tracked, and of one request the first 64 shared parts are used. `held` of the process monitor names the tracked parts and their bytes.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -104,6 +104,8 @@
 	notePeerPromptPrefixes(prefixes: readonly promptCacheView.SentPromptPrefix[]): void;
 	/** Drops the state of an upstream that is gone or was restarted. */
 	forget(upstreamId: string): void;
+	/** Entries and bytes that it keeps beyond requests, by name. */
+	held(): Record<string, number>;
 };
 
 export type DispatcherOptions = {
@@ -587,9 +589,10 @@
 		noteDomainLoads: loads.noteDomainLoads,
 		takeSentPromptPrefixes: () => cache.takeSent(),
 		notePeerPromptPrefixes(prefixes) {
-			for (const prefix of prefixes) {
-				if (registry.get(prefix.runner)) {
-					cache.notePeerSent(prefix);
+			for (const {partId, runner} of prefixes) {
+				const upstream = registry.get(runner);
+				if (upstream) {
+					cache.notePeerSent({partId, runner: upstream.entry.id});
 				}
 			}
 		},
@@ -603,5 +606,10 @@
 			pauses.forget(upstreamId);
 			warmth?.forget(upstreamId);
 		},
+		held: () => ({
+			promptParts: cache.trackedParts,
+			promptPartBytes: cache.trackedBytes,
+			upstreamLoads: loads.size,
+		}),
 	};
 };
--- a/packages/gateway/src/common/load-table.ts
+++ b/packages/gateway/src/common/load-table.ts
@@ -21,6 +21,8 @@
 	noteDomainLoads(failureDomain: string, loads: readonly upstreamLoad.LoadByUpstream[]): void;
 	/** Drops the load of an upstream that is gone or was restarted. */
 	forget(upstreamId: string): void;
+	/** Upstreams with a load. */
+	readonly size: number;
 };
 
 /** Name of the sum of a region among the reports on failure domains. */
@@ -112,5 +114,8 @@
 		forget(upstreamId) {
 			loads.delete(upstreamId);
 		},
+		get size() {
+			return loads.size;
+		},
 	};
 };
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -10,6 +10,7 @@
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
+import * as ownText from '@hawthornfront/base/common/own-text.js';
 import * as event from '@hawthornfront/base/common/event.js';
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as lruCache from 'lru-cache';
@@ -114,7 +115,12 @@
 const trialRetryMs = 1000;
 const maxRecords = 400;
 const maxAnsweredParts = 20_000;
-const maxPartIdLength = 64;
+/** Limit of the memory of the answered parts. */
+export const maxAnsweredBytes = 8_388_608;
+/** Estimated memory of an answered part without its key. */
+const answeredBytes = 128;
+const charBytes = 2;
+export const maxPartIdLength = 64;
 /** Begins the part ids of requests. */
 const requestPrefix = 'request:';
 /** Reports in one message, and those of them that have not just changed. */
@@ -178,7 +184,11 @@
 	settings: () => QuarantineSettings,
 ): PromptQuarantine => {
 	const records = new Map<string, PartRecord>();
-	const answeredAtMs = new lruCache.LRUCache<string, number>({max: maxAnsweredParts});
+	const answeredAtMs = new lruCache.LRUCache<string, number>({
+		max: maxAnsweredParts,
+		maxSize: maxAnsweredBytes,
+		sizeCalculation: (_, key) => answeredBytes + key.length * charBytes,
+	});
 	const didChange = event.createEmitter<PartChange>();
 	let reportTurn = 0;
 	/** Records of requests; without any, no digest is computed. */
@@ -297,8 +307,8 @@
 		}
 
 		const record: PartRecord = {
-			service,
-			partId: boundedId(partId),
+			service: ownText.ownText(service, service.length),
+			partId: ownText.ownText(boundedId(partId), maxPartIdLength),
 			isRequest: partId.startsWith(requestPrefix),
 			crashes: [],
 			answeredAtMs: answeredAtMs.get(key) ?? Number.NEGATIVE_INFINITY,
@@ -312,7 +322,7 @@
 			dropLeastImportant();
 		}
 
-		records.set(key, record);
+		records.set(ownText.ownText(key, key.length), record);
 		requestRecords += record.isRequest ? 1 : 0;
 		return record;
 	};
@@ -418,7 +428,8 @@
 			),
 		noteAnswer(service, request) {
 			for (const {id} of request.parts) {
-				answeredAtMs.set(keyOf(service, id), nowMs());
+				const key = keyOf(service, id);
+				answeredAtMs.set(answeredAtMs.has(key) ? key : ownText.ownText(key, key.length), nowMs());
 			}
 
 			const refuted = recordsFor(service, request).filter((record) => !isCleared(record));
--- a/packages/gateway/src/common/work-estimate.ts
+++ b/packages/gateway/src/common/work-estimate.ts
@@ -9,12 +9,15 @@
 	memoryTokens: number;
 	/** Expected output; 0 for plain services. */
 	outputTokens: number;
-	/** Prompt parts that other requests may share, in order. */
+	/** First {@link maxSharedParts} of the prompt parts that other requests may share, in order. */
 	sharedParts: readonly wireFormat.PromptPart[];
 	/** Whether it is processed before work of higher rank. */
 	isUrgent: boolean;
 };
 
+/** Callers choose how many parts they list; the first ones are shared most. */
+export const maxSharedParts = 64;
+
 /** Estimates a request from its caller's facts. */
 export const estimateWork = (
 	facts: wireFormat.RequestFacts,
@@ -30,7 +33,7 @@
 		promptTokens,
 		memoryTokens: promptTokens + outputTokens,
 		outputTokens,
-		sharedParts: facts.promptParts.slice(0, -1),
+		sharedParts: facts.promptParts.slice(0, -1).slice(0, maxSharedParts),
 		isUrgent: route.rank === 0,
 	};
 };
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -502,6 +502,7 @@
 			callerConnections: callerHttpServer.openConnections,
 			peerConnections: peerHttpServer.openConnections,
 			requests: inFlight(),
+			...dispatch.held(),
 		}),
 		readMemoryUse: processMonitor.readMemoryUse,
 	});
--- /dev/null
+++ b/packages/gateway/src/test/kept-texts.test.ts
@@ -0,0 +1,126 @@
+// What a daemon keeps of texts that callers and peers choose, after many messages with ever new ones.
+import * as heapUse from '@hawthornfront/base/test/heap-use.js';
+import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import * as tap from 'tap';
+import * as promptCacheView from '../common/prompt-cache-view.js';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
+import type * as wireFormat from '../common/wire-format.js';
+import * as workEstimate from '../common/work-estimate.js';
+import * as fixtures from './fixtures.js';
+
+const headerLength = 7000;
+const digits = '0123456789abcdef';
+
+/** Parts that are cut out of a header of their own, with ids that no other request has. */
+const createParts = (request: number, count: number, idLength: number): wireFormat.PromptPart[] => {
+	const idOf = (part: number) => `${request}x${part}x`.padEnd(idLength, digits).slice(0, idLength);
+	const ids = Array.from({length: count}, (_, part) => `${idOf(part)}:8`);
+	const header = heapUse.receivedText(`${ids.join(',')},own:`.padEnd(headerLength, digits));
+	return header
+		.split(',')
+		.slice(0, count)
+		.map((part) => ({id: part.split(':')[0]!, tokens: 8}));
+};
+
+const createView = () => promptCacheView.createPromptCacheView(() => 1000, 60_000);
+
+const maxViewBytes = promptCacheView.maxPartBytes + promptCacheView.maxGossipedBytes;
+
+// Prompt prefixes whose ids never repeat: the view kept the whole header of each of 20,000 requests, and the heap limit ended the daemon.
+tap.t.test('never repeating parts: the cache view keeps no headers', async (t) => {
+	const view = createView();
+	const before = heapUse.usedBytes();
+	for (let request = 0; request < 22_000; request++) {
+		view.noteSent('u1', createParts(request, 5, 32));
+		view.takeSent();
+	}
+
+	const kept = heapUse.usedBytes() - before;
+	t.ok(kept <= maxViewBytes, `${kept} bytes`);
+	t.ok(view.trackedBytes <= promptCacheView.maxPartBytes);
+	t.ok(view.trackedParts > 10_000, 'the view still tracks as many parts');
+});
+
+// The view counted parts, whatever the number of their runners and the length of their ids.
+tap.t.test('longest ids and many runners: the cache view keeps its limit in bytes', async (t) => {
+	const view = createView();
+	const before = heapUse.usedBytes();
+	for (let request = 0; request < 4000; request++) {
+		const parts = createParts(request, 5, promptCacheView.maxTrackedIdLength);
+		for (let runner = 0; runner < 100; runner++) {
+			view.noteSent(`u${runner}`, parts);
+		}
+	}
+
+	const kept = heapUse.usedBytes() - before;
+	t.ok(kept <= maxViewBytes, `${kept} bytes, ${view.trackedBytes} by the estimates`);
+	t.ok(view.trackedParts < 20_000, 'the bytes are the narrower limit');
+	t.ok(view.trackedBytes <= promptCacheView.maxPartBytes);
+	for (let runner = 0; runner < 100; runner++) {
+		view.forget(`u${runner}`);
+	}
+
+	const emptyBytes = view.trackedBytes;
+	t.ok(emptyBytes > 0 && emptyBytes < 20_000 * 1000, 'runners that are gone count no more');
+});
+
+tap.t.test('a part with a longer id is not tracked, and the others are', async (t) => {
+	const view = createView();
+	const long = 'f'.repeat(promptCacheView.maxTrackedIdLength + 1);
+	const parts = [
+		{id: 'system', tokens: 300},
+		{id: long, tokens: 400},
+	];
+	view.noteSent('u1', parts);
+	view.notePeerSent({partId: long, runner: 'u2'});
+	t.equal(view.trackedParts, 1);
+	t.same(view.takeSent(), []);
+	t.equal(view.heldTokens('u1', parts), 300);
+	t.equal(view.heldTokens('u2', parts), 0);
+});
+
+tap.t.test('only the first parts of a request with very many are tracked', async (t) => {
+	const promptParts = Array.from({length: 200}, (_, index) => ({id: `p${index}`, tokens: 8}));
+	const work = workEstimate.estimateWork(
+		fixtures.facts({promptTokens: 0, promptParts}),
+		fixtures.longRoute,
+	);
+	t.equal(work.sharedParts.length, workEstimate.maxSharedParts);
+	t.equal(work.promptTokens, 1600, 'all parts count as work');
+});
+
+tap.t.test(
+	'prefixes wait for gossip in the order of their sends, the newest ones only',
+	async (t) => {
+		const view = createView();
+		for (let index = 0; index < 100; index++) {
+			view.noteSent('u1', [{id: `p${index}`, tokens: 8}]);
+		}
+
+		const sent = view.takeSent();
+		t.equal(sent.length, 40);
+		t.equal(sent[0]?.partId, 'p60');
+		t.equal(sent.at(-1)?.partId, 'p99');
+	},
+);
+
+// Each answered part kept the header of its request.
+tap.t.test('never repeating parts: the quarantine keeps no headers', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const quarantine = promptQuarantine.createPromptQuarantine(
+		clock,
+		() => fixtures.quarantineSettings,
+	);
+	const before = heapUse.usedBytes();
+	for (let request = 0; request < 20_000; request++) {
+		quarantine.noteAnswer('model', {
+			parts: createParts(request, 1, 32),
+			digest: () => 'digest',
+			isStream: true,
+		});
+	}
+
+	const kept = heapUse.usedBytes() - before;
+	t.ok(kept <= promptQuarantine.maxAnsweredBytes, `${kept} bytes`);
+	t.same(quarantine.takeReports(), []);
+});
