Bound what datagrams can make a daemon keep

What was seen: 830,000 member names sent as valid datagrams in 30 s raise a daemon from 74 to 172 MB, still growing; 6.3 million pairs of region and service raise it from 102 to 206 MB.

Cause: a member with an age below zero lives in the future and is never lost; expected waits of regions are never forgotten; the last report of loads of each daemon stays after the daemon is gone; lost members count for ten minutes in the retry budget, any number of them. Texts had no longest length, and a text of a datagram packed with bundled strings is a reference into the whole datagram.

Fix: ages are at least 0; at most 4,096 members, waits and sharers; waits and reports are forgotten when they do not count any more; names have up to 255 characters, and the texts of a message are own copies. A prefix, an outlook or a part report with a longer text is left out; a record of a member with one is refused.

--- a/packages/gateway/src/common/budget-sharers.ts
+++ b/packages/gateway/src/common/budget-sharers.ts
@@ -19,6 +19,8 @@
 const lostMemberMs = 600_000;
 /** Time in which all members become known once the store was reached. */
 const membersKnownMs = 2000;
+/** Limit of the members that count; more make the part of a daemon no smaller. */
+export const maxSharers = 4096;
 
 /**
  * Creates the count of a daemon that starts now.
@@ -38,7 +40,9 @@
 				left: windowMs(),
 				lost: lostMemberMs,
 			}[kind];
-			countedUntilMs.set(name, nowMs() + keptMs);
+			if (countedUntilMs.has(name) || countedUntilMs.size < maxSharers) {
+				countedUntilMs.set(name, nowMs() + keptMs);
+			}
 		},
 		noteStoreReached() {
 			storeReachedAtMs = Math.min(storeReachedAtMs, nowMs());
--- a/packages/gateway/src/common/fleet-view.ts
+++ b/packages/gateway/src/common/fleet-view.ts
@@ -17,6 +17,10 @@
 const regionSilentAfterMs = 1500;
 /** Older expected waits of a region are ignored. */
 const regionWaitsMaxAgeMs = 4000;
+/** Limit of the members, since anybody can send a datagram with a name; deployments have some hundred. */
+export const maxMembers = 4096;
+/** Limit of the expected waits that are kept, by region and service. */
+export const maxRegionWaits = 4096;
 
 export type Member = gossip.MemberRecord & {
 	/** Monotonic time at which it was last known to be alive. */
@@ -53,8 +57,10 @@
 	regionWaits(region: string, service: string): RegionWaits | undefined;
 	/** Expected waits of all regions that are not outdated. */
 	allRegionWaits(): Array<{region: string; service: string; waits: RegionWaits}>;
-	/** Removes members that are lost or have left; call it at regular intervals. */
+	/** Removes members that are lost or have left, and outdated waits; call it at regular intervals. */
 	sweep(): void;
+	/** Members that it keeps, also those that have left. */
+	readonly size: number;
 };
 
 type ReceivedWaits = {urgentMs: number; otherMs: number; atMs: number};
@@ -64,6 +70,7 @@
 	const members = new Map<string, Member>();
 	const namesById = new Map<number, string>();
 	const waitsByRegion = new Map<string, Map<string, ReceivedWaits>>();
+	let waitsCount = 0;
 	let isStopping = false;
 	const didChange = event.createEmitter<MemberChange>();
 
@@ -103,25 +110,46 @@
 		return !current.isLeaving && isNews;
 	};
 
+	const isFull = () => members.size >= maxMembers;
+
+	/** Time of an event of some age; a negative age would keep what it belongs to for ever. */
+	const timeOf = (ageMs: number) => timeSource.nowMs() - Math.max(0, ageMs);
+
+	const forgetOldWaits = () => {
+		for (const [region, services] of waitsByRegion) {
+			for (const [service, waits] of services) {
+				if (waitsAgeMs(waits) > regionWaitsMaxAgeMs) {
+					services.delete(service);
+					waitsCount--;
+				}
+			}
+
+			if (services.size === 0) {
+				waitsByRegion.delete(region);
+			}
+		}
+	};
+
 	const waitsAgeMs = (waits: ReceivedWaits) => timeSource.nowMs() - waits.atMs;
 
 	const view: FleetView = {
 		onDidChange: didChange.event,
 		noteMember(record, ageMs) {
-			const aliveAtMs = timeSource.nowMs() - ageMs;
+			const aliveAtMs = timeOf(ageMs);
 			const current = members.get(record.name);
-			if (record.name !== daemonName && (!current || isNewer(current, record, aliveAtMs))) {
+			const isNews = current ? isNewer(current, record, aliveAtMs) : !isFull();
+			if (record.name !== daemonName && isNews) {
 				put(record, aliveAtMs);
 			}
 		},
 		noteHeartbeats(heartbeats) {
-			const nowMs = timeSource.nowMs();
 			for (const {memberId, ageMs} of heartbeats) {
+				const aliveAtMs = timeOf(ageMs);
 				const name = namesById.get(memberId);
 				const member = name === undefined ? undefined : members.get(name);
 				const isNews = member?.isUnconfirmed ?? false;
-				if (member && !member.isLeaving && (isNews || member.aliveAtMs < nowMs - ageMs)) {
-					put(member, nowMs - ageMs);
+				if (member && !member.isLeaving && (isNews || member.aliveAtMs < aliveAtMs)) {
+					put(member, aliveAtMs);
 				}
 			}
 		},
@@ -129,7 +157,7 @@
 			const current = members.get(record.name);
 			if (
 				record.name === daemonName ||
-				(current && current.startedAtUnixMs >= record.startedAtUnixMs)
+				(current ? current.startedAtUnixMs >= record.startedAtUnixMs : isFull())
 			) {
 				return;
 			}
@@ -137,10 +165,11 @@
 			put(record, timeSource.nowMs() - memberLostAfterMs + storeMemberAliveMs, true);
 		},
 		noteRegionWaits(region, service, {urgentMs, otherMs, ageMs}) {
-			const atMs = timeSource.nowMs() - ageMs;
+			const atMs = timeOf(ageMs);
 			const waitsByService = waitsByRegion.get(region) ?? new Map<string, ReceivedWaits>();
 			const current = waitsByService.get(service);
-			if (!current || current.atMs < atMs) {
+			if (current ? current.atMs < atMs : waitsCount < maxRegionWaits) {
+				waitsCount += current ? 0 : 1;
 				waitsByService.set(service, {urgentMs, otherMs, atMs});
 				waitsByRegion.set(region, waitsByService);
 			}
@@ -202,6 +231,11 @@
 					remove(member);
 				}
 			}
+
+			forgetOldWaits();
+		},
+		get size() {
+			return members.size;
 		},
 	};
 	return view;
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -3,24 +3,29 @@
  * region, prompt prefixes. Packed as arrays to keep them small, since a message is
  * sent several times a second.
  */
+import * as ownText from '@hawthornfront/base/common/own-text.js';
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as msgpackr from 'msgpackr';
 import * as zod from 'zod';
-import type * as promptCacheView from './prompt-cache-view.js';
+import * as promptCacheView from './prompt-cache-view.js';
 import type * as promptQuarantine from './prompt-quarantine.js';
 import type * as upstreamLoad from './upstream-load.js';
 import type * as upstreamRateLimits from './upstream-rate-limits.js';
 import * as storePosition from './store-position.js';
 import * as storeWatcherElection from './store-watcher-election.js';
 
+/** Longest name of a member, a region, a failure domain, an address, an upstream or a service in a message; that of DNS names. */
+export const maxNameLength = 255;
+const nameSchema = zod.string().max(maxNameLength);
+
 export const memberRecordSchema = zod.object({
-	name: zod.string(),
-	region: zod.string(),
-	failureDomain: zod.string(),
+	name: nameSchema,
+	region: nameSchema,
+	failureDomain: nameSchema,
 	/** `host:port` at which callers connect. */
-	callerAddress: zod.string(),
+	callerAddress: nameSchema,
 	/** `host:port` for forwarded requests and datagrams of other daemons. */
-	peerAddress: zod.string(),
+	peerAddress: nameSchema,
 	/** Unix time of its start; distinguishes two starts. */
 	startedAtUnixMs: zod.number(),
 	/** It serves callers. */
@@ -41,11 +46,11 @@
 export type MemberRecord = zod.infer<typeof memberRecordSchema>;
 
 const memberTupleSchema = zod.tuple([
-	zod.string(),
-	zod.string(),
-	zod.string(),
-	zod.string(),
-	zod.string(),
+	nameSchema,
+	nameSchema,
+	nameSchema,
+	nameSchema,
+	nameSchema,
 	zod.number(),
 	zod.boolean(),
 	zod.boolean(),
@@ -155,12 +160,17 @@
 	record.capacity,
 ];
 
+/** Copies a text, since one of a datagram may refer to the whole datagram. */
+const own = (text: string): string => ownText.ownText(text, maxNameLength);
+
+const isName = (text: string): boolean => text.length <= maxNameLength;
+
 const unpackMember = (tuple: zod.infer<typeof memberTupleSchema>): MemberRecord => ({
-	name: tuple[0],
-	region: tuple[1],
-	failureDomain: tuple[2],
-	callerAddress: tuple[3],
-	peerAddress: tuple[4],
+	name: own(tuple[0]),
+	region: own(tuple[1]),
+	failureDomain: own(tuple[2]),
+	callerAddress: own(tuple[3]),
+	peerAddress: own(tuple[4]),
 	startedAtUnixMs: tuple[5],
 	isReady: tuple[6],
 	isLeaving: tuple[7],
@@ -244,31 +254,37 @@
 				memoryTokens,
 			}),
 		),
-		outlooks: outlooks.map(([region, service, urgentMs, otherMs, ageMs]) => ({
-			region,
-			service,
-			urgentMs: urgentMs ?? Number.POSITIVE_INFINITY,
-			otherMs: otherMs ?? Number.POSITIVE_INFINITY,
-			ageMs,
-		})),
-		promptPrefixes: promptPrefixes.map(([partId, runner]) => ({partId, runner})),
+		outlooks: outlooks
+			.filter(([region, service]) => isName(region) && isName(service))
+			.map(([region, service, urgentMs, otherMs, ageMs]) => ({
+				region: own(region),
+				service: own(service),
+				urgentMs: urgentMs ?? Number.POSITIVE_INFINITY,
+				otherMs: otherMs ?? Number.POSITIVE_INFINITY,
+				ageMs,
+			})),
+		promptPrefixes: promptPrefixes
+			.filter(([partId, runner]) => promptCacheView.isTracked(partId) && isName(runner))
+			.map(([partId, runner]) => ({partId: own(partId), runner: own(runner)})),
 		isRelayed,
 		heartbeats: Array.from({length: Math.floor(heartbeats.length / 2)}, (_, index) => ({
 			memberId: heartbeats[2 * index]!,
 			ageMs: heartbeats[2 * index + 1]! * heartbeatUnitMs,
 		})),
-		partReports: partReports.map(([service, partId, answeredAgeMs, quarantines, crashes]) => ({
-			service,
-			partId,
-			answeredAgeMs: answeredAgeMs ?? undefined,
-			quarantines,
-			crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering]) => ({
-				upstreamKey,
-				ageMs,
-				sentBeforeMs,
-				wasAnswering,
+		partReports: partReports
+			.filter(([service]) => isName(service))
+			.map(([service, partId, answeredAgeMs, quarantines, crashes]) => ({
+				service,
+				partId,
+				answeredAgeMs: answeredAgeMs ?? undefined,
+				quarantines,
+				crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering]) => ({
+					upstreamKey,
+					ageMs,
+					sentBeforeMs,
+					wasAnswering,
+				})),
 			})),
-		})),
 		rateLimits: rateLimits.map(([upstreamId, requestsPerS, ageMs]) => ({
 			upstreamId,
 			requestsPerS: requestsPerS ?? undefined,
--- a/packages/gateway/src/common/load-table.ts
+++ b/packages/gateway/src/common/load-table.ts
@@ -1,5 +1,6 @@
 /** Loads of all upstreams of a region: requests of this daemon and those that other daemons report. */
 import type * as decayingEstimate from '@hawthornfront/decisions/common/decaying-estimate.js';
+import * as lruCache from 'lru-cache';
 import type * as loadSettings from './load-settings.js';
 import * as upstreamLoad from './upstream-load.js';
 import type * as upstreamRegistry from './upstream-registry.js';
@@ -23,11 +24,19 @@
 	forget(upstreamId: string): void;
 	/** Upstreams with a load. */
 	readonly size: number;
+	/** Daemons and failure domains whose last report is kept. */
+	readonly reporters: number;
 };
 
 /** Name of the sum of a region among the reports on failure domains. */
 const regionSum = '*';
 
+/** Services whose event intervals are remembered, since configurations may name others all day. */
+const maxServices = 1000;
+
+/** Upstreams that a report named. */
+type Reported = {ids: ReadonlySet<string>; atMs: number};
+
 type NoteShare = (load: upstreamLoad.UpstreamLoad, share: upstreamLoad.LoadShare) => void;
 
 /** Creates an empty table. */
@@ -37,10 +46,12 @@
 	registry: Pick<upstreamRegistry.UpstreamRegistry, 'get'>,
 ): LoadTable => {
 	const loads = new Map<string, upstreamLoad.UpstreamLoad>();
-	const serviceEventIntervals = new Map<string, decayingEstimate.DecayingEstimate>();
-	/** Upstreams that the last report of a daemon or a failure domain named. */
-	const reportedByPeer = new Map<string, ReadonlySet<string>>();
-	const reportedByDomain = new Map<string, ReadonlySet<string>>();
+	const serviceEventIntervals = new lruCache.LRUCache<string, decayingEstimate.DecayingEstimate>({
+		max: maxServices,
+	});
+	/** Last reports of daemons and on failure domains. */
+	const reportedByPeer = new Map<string, Reported>();
+	const reportedByDomain = new Map<string, Reported>();
 
 	const serviceEventIntervalOf = (service: string): decayingEstimate.DecayingEstimate => {
 		let estimate = serviceEventIntervals.get(service);
@@ -68,26 +79,39 @@
 			.map(([upstreamId, load]) => ({upstreamId, ...shareOf(load)}))
 			.filter(({requests}) => requests > 0);
 
+	/** Forgets reports whose shares do not count any more, as those of daemons that are gone. */
+	const forgetOld = (previous: Map<string, Reported>) => {
+		const oldestMs = nowMs() - settings.peerLoadMaxAgeMs;
+		for (const [reporter, {atMs}] of previous) {
+			if (atMs < oldestMs) {
+				previous.delete(reporter);
+			}
+		}
+	};
+
 	/** Applies a report; upstreams that only the previous report named have no requests any more. */
 	const noteReport = (
-		previous: Map<string, ReadonlySet<string>>,
+		previous: Map<string, Reported>,
 		reporter: string,
 		reports: readonly upstreamLoad.LoadByUpstream[],
 		note: NoteShare,
 	) => {
-		const reported = new Set(reports.map(({upstreamId}) => upstreamId));
-		for (const id of previous.get(reporter) ?? []) {
+		const known = reports.flatMap(({upstreamId, ...share}) => {
+			const upstream = registry.get(upstreamId);
+			return upstream ? [{id: upstream.entry.id, share}] : [];
+		});
+		const reported = new Set(known.map(({id}) => id));
+		for (const id of previous.get(reporter)?.ids ?? []) {
 			const load = reported.has(id) ? undefined : loads.get(id);
 			if (load) {
 				note(load, upstreamLoad.emptyShare());
 			}
 		}
 
-		previous.set(reporter, reported);
-		for (const {upstreamId, ...share} of reports) {
-			if (registry.get(upstreamId)) {
-				note(loadOf(upstreamId), share);
-			}
+		forgetOld(previous);
+		previous.set(reporter, {ids: reported, atMs: nowMs()});
+		for (const {id, share} of known) {
+			note(loadOf(id), share);
 		}
 	};
 
@@ -117,5 +141,8 @@
 		get size() {
 			return loads.size;
 		},
+		get reporters() {
+			return reportedByPeer.size + reportedByDomain.size;
+		},
 	};
 };
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -9,8 +9,9 @@
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as zod from 'zod';
 import type * as gatewayEvent from '../common/gateway-event.js';
+import * as gossipMessage from '../common/gossip-message.js';
 import type * as prefixStore from '../common/prefix-store.js';
-import type * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as storeLease from '../common/store-lease.js';
 import * as storeFeed from '../common/store-feed.js';
 import * as feedLog from './feed-log.js';
@@ -30,8 +31,8 @@
 
 /** A report with Unix times, since its reader does not know the age of the value. */
 const storedReportSchema = zod.object({
-	service: zod.string(),
-	partId: zod.string(),
+	service: zod.string().max(gossipMessage.maxNameLength),
+	partId: zod.string().max(promptQuarantine.maxPartIdLength),
 	isHarmful: zod.boolean(),
 	answeredAtUnixMs: zod.number().optional(),
 	quarantines: zod.number(),
