Forget upstreams and services that are gone for good

Cause, by reading: an answer that arrives after its upstream is gone from the registry writes its rate limit or pause under an id that nothing ever forgets again, and a health answer the upstream's warmth; the retry budget keeps the request times of the last window of every service that a configuration has ever named.

Fix: late answers leave nothing behind; a new service drops the usage of those without a request in the window.

The new tests on the code before: both fail (a kept limit and pause; 10.6 MB after 1,000 services of 1,000 requests each, 0.1 MB now).

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -207,6 +207,14 @@
 		return record;
 	};
 
+	/** An answer may come after its upstream is gone, which would never be forgotten again. */
+	const forgetIfGone = (id: string) => {
+		if (!registry.get(id)) {
+			rateLimits.forget(id);
+			pauses.forget(id);
+		}
+	};
+
 	const slotsOf = (upstream: upstreamRegistry.Upstream, service: routeConfig.Service) =>
 		service.engine?.slots ?? Math.max(1, upstream.entry.slots);
 
@@ -562,12 +570,14 @@
 				},
 				noteRateLimit(namedPerS) {
 					rateLimits.noteAnswer(id, namedPerS, sentAtMs);
+					forgetIfGone(id);
 				},
 				noteLeaving() {
 					registry.noteLeaving(upstream);
 				},
 				notePause(pause) {
 					pauses.note(id, pause);
+					forgetIfGone(id);
 				},
 				onDidPause: (listener) =>
 					pauses.onDidPause(({upstreamId, named}) => {
@@ -610,6 +620,8 @@
 			promptParts: cache.trackedParts,
 			promptPartBytes: cache.trackedBytes,
 			upstreamLoads: loads.size,
+			upstreamFailures: failureRecords.size,
+			loadReporters: loads.reporters,
 		}),
 	};
 };
--- a/packages/gateway/src/common/shared-retry-budget.ts
+++ b/packages/gateway/src/common/shared-retry-budget.ts
@@ -46,14 +46,27 @@
 	daemonCount: () => number,
 ): SharedRetryBudget => {
 	const usageByService = new Map<string, ServiceUsage>();
+	const oldestOf = () => nowMs() - settings().windowMs;
+
+	/** Configurations may name other services all day. */
+	const forgetUnused = () => {
+		for (const [service, {requestsAtMs, resendsAtMs}] of usageByService) {
+			const lastMs = Math.max(requestsAtMs.at(-1) ?? 0, resendsAtMs.at(-1) ?? 0);
+			if (lastMs < oldestOf()) {
+				usageByService.delete(service);
+			}
+		}
+	};
+
 	const usageOf = (service: string): ServiceUsage => {
 		let usage = usageByService.get(service);
 		if (!usage) {
+			forgetUnused();
 			usage = {requestsAtMs: [], resendsAtMs: []};
 			usageByService.set(service, usage);
 		}
 
-		const oldestMs = nowMs() - settings().windowMs;
+		const oldestMs = oldestOf();
 		dropOlder(usage.requestsAtMs, oldestMs);
 		dropOlder(usage.resendsAtMs, oldestMs);
 		return usage;
--- a/packages/gateway/src/common/upstream-warmth.ts
+++ b/packages/gateway/src/common/upstream-warmth.ts
@@ -73,7 +73,12 @@
 	const isWarm = (state: State) => state.kind === 'warm' && clock.nowMs() < state.untilMs;
 
 	const learn = (id: string, kind: State['kind'], holdsMs: number, detail: string) => {
-		const state = stateOf(id);
+		const state = states.get(id);
+		if (!state) {
+			// The upstream is gone.
+			return;
+		}
+
 		if (state.kind !== kind) {
 			log.note({kind: 'upstream-warmth', upstream: id, state: kind, holdsMs, detail});
 		}
