Forget a stream that broke when its upstream did not crash

Cause, by reading: a connection that breaks after the second event of its stream is noted as possible evidence of a crash, and no check follows that would clear it. It was kept with its headers and the body of its request, up to 4 MiB, for as long as its upstream had any other request and no further connection broke.

Fix: it is dropped after the time in which the connections to a crashed upstream break. `held` names such requests, and the members. The new test fails on the code before (the detector has no count there; with a count, the request stays 1).

--- a/packages/gateway/src/common/crash-detector.ts
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -34,6 +34,8 @@
 	begin(upstream: upstreamRegistry.Upstream, request: ObservedRequest): ObservedRun;
 	/** Calls back when it is known whether the upstream crashed: at once unless a connection to it has just broken. */
 	whenDecided(upstream: upstreamRegistry.Upstream, callback: (hasCrashed: boolean) => void): void;
+	/** Requests that are kept after their connections broke. */
+	readonly brokenRequests: number;
 };
 
 export type CrashDetectorOptions = {
@@ -50,6 +52,8 @@
 
 /** Limit of the log lines on the requests that one crash may be due to. */
 const maxLoggedSuspects = 8;
+/** Callers choose the ids. */
+const maxLoggedIdLength = 64;
 
 type Run = {
 	request: ObservedRequest;
@@ -97,6 +101,12 @@
 		}
 	};
 
+	/** Forgets requests whose connections broke long before: they belong to another failure. */
+	const forgetOldBroken = (watched: Watched) => {
+		const oldestMs = time.nowMs() - settleMs;
+		watched.broken = watched.broken.filter(({brokenAtMs}) => brokenAtMs > oldestMs);
+	};
+
 	const reportCrash = (upstream: upstreamRegistry.Upstream, watched: Watched) => {
 		const suspects = watched.broken.filter(({events}) => events <= maxEventsAtCrash);
 		const wasAnswering = (run: Run) => run.hasHead && run.events === 0;
@@ -113,7 +123,7 @@
 			log.note({
 				kind: 'crash-suspect',
 				upstream: upstream.entry.id,
-				request: run.request.attemptId ?? '',
+				request: (run.request.attemptId ?? '').slice(0, maxLoggedIdLength),
 				digest: run.request.digest(),
 				wasAnswering: wasAnswering(run),
 			});
@@ -189,10 +199,7 @@
 					const brokenAtMs = time.nowMs();
 					watched.running.delete(run);
 					if (!watched.isChecking) {
-						// Requests that broke long before belong to another failure.
-						watched.broken = watched.broken.filter(
-							(other) => brokenAtMs - other.brokenAtMs < settleMs,
-						);
+						forgetOldBroken(watched);
 					}
 
 					watched.broken.push({...run, brokenAtMs});
@@ -201,6 +208,13 @@
 						time.setTimer(() => {
 							check(upstream, watched);
 						}, settleMs);
+					} else if (!watched.isChecking) {
+						// Otherwise it would be kept, with its body, for as long as the upstream has others.
+						time.setTimer(() => {
+							if (!watched.isChecking) {
+								forgetOldBroken(watched);
+							}
+						}, 2 * settleMs);
 					}
 				},
 				end: leave,
@@ -214,5 +228,8 @@
 				callback(false);
 			}
 		},
+		get brokenRequests() {
+			return [...watchedByKey.values()].reduce((sum, {broken}) => sum + broken.length, 0);
+		},
 	};
 };
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -283,8 +283,10 @@
 				dispatch.notePeerPromptPrefixes(message.promptPrefixes);
 				for (const report of message.rateLimits) {
 					// Only daemons of its region send to an upstream.
-					if (registry.get(report.upstreamId)?.region === vm.region) {
-						rateLimits.merge(report, message.sender.name);
+					const upstream = registry.get(report.upstreamId);
+					if (upstream?.region === vm.region) {
+						const {id: upstreamId} = upstream.entry;
+						rateLimits.merge({...report, upstreamId}, message.sender.name);
 					}
 				}
 
@@ -507,6 +509,8 @@
 			peerConnections: peerHttpServer.openConnections,
 			requests: inFlight(),
 			...dispatch.held(),
+			members: fleet.size,
+			brokenRequests: crashes.brokenRequests,
 		}),
 		readMemoryUse: processMonitor.readMemoryUse,
 	});
--- a/packages/gateway/src/test/crash-detector.test.ts
+++ b/packages/gateway/src/test/crash-detector.test.ts
@@ -138,3 +138,18 @@
 	await clock.advance(100);
 	t.match(crashes, [{request: plain, wasAnswering: false}]);
 });
+
+// A stream that broke stayed, with the body of its request, for as long as its upstream had others.
+tap.t.test('a stream that broke is forgotten while its upstream has other requests', async (t) => {
+	const {clock, subject, begin, crashes} = create('open');
+	const [broken, survivor] = ['broken', 'survivor'].map((id) => begin(id));
+	broken!.noteHead();
+	broken!.noteEvents(5);
+	broken!.noteBroken();
+	broken!.end();
+	t.equal(subject.brokenRequests, 1);
+	await clock.advance(1000);
+	t.equal(subject.brokenRequests, 0);
+	survivor!.end();
+	t.same(crashes, []);
+});
