Keep own and bounded texts of event ids, directory queries and log lines

Cause: the id of a stream's last event was a reference into the text of the last bytes received, so a waiting stream kept up to 64 KB; the log of directory answers kept and logged up to 500 regions of any length that callers' queries name; one log line had up to ten ids of a caller, each as long as a header may be.

Fix: own texts where they are kept; regions, hosts and ids of 64 characters at most in log lines.

--- a/packages/gateway/src/common/directory.ts
+++ b/packages/gateway/src/common/directory.ts
@@ -1,4 +1,5 @@
 /** Directory answers: the daemons that a caller should connect to. */
+import * as ownText from '@hawthornfront/base/common/own-text.js';
 import * as lruCache from 'lru-cache';
 import type * as fleetView from './fleet-view.js';
 import type * as gossipMessage from './gossip-message.js';
@@ -21,6 +22,8 @@
 const maxAddresses = 64;
 /** Limit of regions and hosts whose answers are tracked, since callers may send any names. */
 const maxTrackedCallers = 500;
+/** Longest region and host that are tracked and logged. */
+const maxNameLength = 64;
 
 /**
  * Returns the ready daemons of the caller's region, by their heartbeats, since the store may list daemons that have ended. If there are none, returns those
@@ -69,7 +72,9 @@
 	onChange: (region: string, answer: DirectoryAnswer) => void,
 ): ((query: DirectoryQuery, answer: DirectoryAnswer) => void) => {
 	const lastAnswers = new lruCache.LRUCache<string, string>({max: maxTrackedCallers});
-	return ({region = '', host = ''}, answer) => {
+	return (query, answer) => {
+		const region = ownText.ownText(query.region ?? '', maxNameLength);
+		const host = ownText.ownText(query.host ?? '', maxNameLength);
 		// The answer depends on the host only when it was chosen by home regions.
 		const key = answer.basis === 'home' ? `${region} ${host}` : region;
 		const named = [answer.basis, ...[...answer.addresses].sort()].join(' ');
--- a/packages/gateway/src/common/event-splitter.ts
+++ b/packages/gateway/src/common/event-splitter.ts
@@ -3,6 +3,7 @@
  * can resume at another upstream without a partial event.
  */
 
+import * as ownText from '@hawthornfront/base/common/own-text.js';
 import * as growingBytes from './growing-bytes.js';
 
 export type EventSplitter = {
@@ -66,6 +67,7 @@
 	const readEvents = (bytes: Uint8Array) => {
 		const text = new TextDecoder('latin1').decode(bytes);
 		let isInEvent = false;
+		let id: string | undefined;
 		for (const line of text.split('\n')) {
 			const isEmpty = line === '' || isLineEnd(line.codePointAt(0));
 			if (isEmpty) {
@@ -76,8 +78,11 @@
 
 			hasOtherText ||= !anyField.test(line);
 			isInEvent ||= eventField.test(line);
-			lastEventId = idField.exec(line)?.[1] ?? lastEventId;
+			id = idField.exec(line)?.[1] ?? id;
 		}
+
+		// The id is kept for as long as the stream waits for its next event.
+		lastEventId = id === undefined ? lastEventId : ownText.ownText(id, maxEventBytes);
 	};
 
 	/** Returns the pending bytes followed by the bytes that complete them. */
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -49,6 +49,10 @@
 
 /** Prompt parts that one log line names. */
 const maxLoggedParts = 8;
+/** Callers choose the ids, and a line has several. */
+const maxLoggedIdLength = 64;
+
+const logged = (id: string): string => id.slice(0, maxLoggedIdLength);
 
 /** Creates the log of a request. */
 export const createRequestLog = (
@@ -57,9 +61,14 @@
 	{facts, route, service, arrivedAtMs}: gatewayRequest.GatewayRequest,
 	state: () => RequestState,
 ): RequestLog => {
-	const subject = {request: facts.attemptId ?? '', route: route.name};
+	const subject = {request: logged(facts.attemptId ?? ''), route: route.name};
 	const sharedParts = facts.promptParts.slice(0, -1).slice(0, maxLoggedParts);
-	const promptParts = sharedParts.length > 0 ? sharedParts.map(({id}) => id) : undefined;
+	const promptParts = sharedParts.length > 0 ? sharedParts.map(({id}) => logged(id)) : undefined;
+	const resumeAfter = () => {
+		const id = state().resumeAfter;
+		return id === undefined ? undefined : logged(id);
+	};
+
 	const remainingMs = () => Math.round(state().remainingMs);
 
 	return {
@@ -77,7 +86,7 @@
 				promptSource: promptSource?.entry.id,
 				promptParts,
 				remainingMs: remainingMs(),
-				resumeAfter: state().resumeAfter,
+				resumeAfter: resumeAfter(),
 			});
 		},
 		relayed({region, member, basis}) {
--- a/packages/gateway/src/test/kept-texts.test.ts
+++ b/packages/gateway/src/test/kept-texts.test.ts
@@ -2,8 +2,12 @@
 import * as heapUse from '@hawthornfront/base/test/heap-use.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as tap from 'tap';
+import * as directory from '../common/directory.js';
+import * as eventSplitter from '../common/event-splitter.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
 import * as promptCacheView from '../common/prompt-cache-view.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as requestLog from '../common/request-log.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as workEstimate from '../common/work-estimate.js';
 import * as fixtures from './fixtures.js';
@@ -124,3 +128,83 @@
 	t.ok(kept <= promptQuarantine.maxAnsweredBytes, `${kept} bytes`);
 	t.same(quarantine.takeReports(), []);
 });
+
+// Each waiting stream kept the text of the last bytes that it had received, for their event id.
+tap.t.test('waiting streams: the last event id keeps no bytes of the stream', async (t) => {
+	const streams = 200;
+	const chunkLength = 64_000;
+	const createStream = (index: number) => {
+		const splitter = eventSplitter.createEventSplitter();
+		const event = `id: event-with-a-long-id-${index}\ndata: `;
+		splitter.push(new TextEncoder().encode(`${event.padEnd(chunkLength, 'x')}\n\n`));
+		return splitter;
+	};
+
+	const before = heapUse.usedBytes();
+	const splitters = Array.from({length: streams}, (_, index) => createStream(index));
+	const kept = heapUse.usedBytes() - before;
+	t.ok(kept < (streams * chunkLength) / 10, `${kept} bytes`);
+	t.equal(splitters[7]!.lastEventId, 'event-with-a-long-id-7');
+});
+
+// A caller's query names the region: each of 500 kept up to the longest head of a request.
+tap.t.test(
+	'ever new long regions: the log of directory answers keeps and names a part',
+	async (t) => {
+		const regionLength = 8000;
+		const named: string[] = [];
+		const watch = directory.createAnswerChangeDetector((region) => {
+			named.push(region);
+		});
+		const answer: directory.DirectoryAnswer = {addresses: [], basis: 'any', timeToLiveMs: 1000};
+		const before = heapUse.usedBytes();
+		for (let index = 0; index < 500; index++) {
+			const query = heapUse.receivedText(`region=${index}-`.padEnd(regionLength, digits));
+			watch({region: query.slice(7)}, answer);
+		}
+
+		const kept = heapUse.usedBytes() - before;
+		t.ok(kept < (500 * regionLength) / 4, `${kept} bytes`);
+		t.equal(named.length, 500);
+		t.ok(named.every(({length}) => length <= 64));
+		watch({region: 'north'}, answer);
+		watch({region: 'north'}, answer);
+		t.equal(named.length, 501, 'an answer that does not change is not repeated');
+	},
+);
+
+// One line had up to ten ids, each as long as a header may be.
+tap.t.test('long ids of a caller: a log line names the begin of each', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const lines: gatewayEvent.GatewayEvent[] = [];
+	const long = 'f'.repeat(headerLength);
+	const promptParts = Array.from({length: 200}, () => ({id: long, tokens: 1}));
+	const log = requestLog.createRequestLog(
+		clock,
+		{
+			note(event) {
+				lines.push(event);
+			},
+		},
+		{
+			method: 'POST',
+			path: '/drafts/x',
+			rawHeaders: [],
+			digest: () => 'digest',
+			facts: fixtures.facts({attemptId: long, promptParts}),
+			route: fixtures.longRoute,
+			service: fixtures.modelService,
+			arrivedAtMs: 0,
+			maxUpstreams: 1,
+		},
+		() => ({remainingMs: 1, sends: 1, resumeAfter: long}),
+	);
+	log.sent({
+		kind: 'upstream',
+		upstream: {entry: fixtures.upstream('u1'), region: 'north', coldUntilMs: 0},
+		readTokens: 1,
+		basis: {expectedMs: 1, candidates: 1},
+	});
+	t.equal(lines.length, 1);
+	t.ok(JSON.stringify(lines[0]).length < 1500);
+});
