End a start and a stop by their own code, not by a signal or never

Callers saw: a daemon that was neither ready nor ended, and ends by a signal in the first quarter of a second of a process.

Cause: the listeners of SIGTERM and SIGINT were registered after the start, which waits up to 10 s for an address; a failed start set the exit code while the servers it had opened kept the process alive; a planned stop that failed was an unhandled rejection, and one that hung had no limit; an address that the VM lacks (EADDRNOTAVAIL) and the address of the metrics were final.

Why it works: listeners stand before the start and in the first statement of the launcher, the start receives an AbortSignal that ends its waits, and a failed start and every stop exit explicitly; the stop has a limit inside the grace period. The metrics' server does not hold up the start.

A signal before the first statement of the program still ends the process: Node.js resets inherited dispositions.

--- a/packages/base/src/node/bind-address.ts
+++ b/packages/base/src/node/bind-address.ts
@@ -1,11 +1,17 @@
-/** Binds addresses that a process which is about to end may still hold. */
+/** Binds addresses that are not available yet: another process may still hold them, or the VM lacks them so far. */
 import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+
+/** `EADDRINUSE`: held by another process; `EADDRNOTAVAIL`: not an address of this VM so far. */
+export type BindError = Error & {code: 'EADDRINUSE' | 'EADDRNOTAVAIL'};
 
 export type BindRetry = {
-	/** Binding fails when the address is still in use after this time. */
+	/** Binding fails when the address is still not available after this time. */
 	timeoutMs: number;
-	/** Called once for an address that is in use. */
-	onInUse(error: Error): void;
+	/** Ends the wait for an address. */
+	signal?: AbortSignal;
+	/** Called once for an address that is not available. */
+	onRetry(error: BindError): void;
 };
 
 /** Listens once; the server can listen again after a failure. @throws the error of the server */
@@ -28,34 +34,34 @@
 
 const retryEveryMs = 100;
 
-const isInUse = (error: unknown): error is Error =>
-	error instanceof Error && 'code' in error && error.code === 'EADDRINUSE';
+const canPass = (error: unknown): error is BindError =>
+	error instanceof Error &&
+	'code' in error &&
+	(error.code === 'EADDRINUSE' || error.code === 'EADDRNOTAVAIL');
 
 /**
- * Binds an address, again while it is in use.
+ * Binds an address, again while it is not available.
  *
- * @throws the error of `bind` when it is another one, or after the time-out
+ * @throws the error of `bind` when it is another one, or after the time-out; AbortError for the signal
  */
 export const bindWhenFree = async <Bound>(
 	bind: () => Promise<Bound>,
-	{timeoutMs, onInUse}: BindRetry,
+	{timeoutMs, signal, onRetry}: BindRetry,
 ): Promise<Bound> => {
 	const endsAtMs = performance.now() + timeoutMs;
 	for (let isFirst = true; ; isFirst = false) {
 		try {
 			return await bind();
 		} catch (error) {
-			if (!isInUse(error) || performance.now() >= endsAtMs) {
+			if (!canPass(error) || performance.now() >= endsAtMs) {
 				throw error;
 			}
 
 			if (isFirst) {
-				onInUse(error);
+				onRetry(error);
 			}
 
-			await new Promise((resolve) => {
-				setTimeout(resolve, retryEveryMs);
-			});
+			await timers.setTimeout(retryEveryMs, undefined, {signal});
 		}
 	}
 };
--- a/packages/base/src/node/daemon-program.ts
+++ b/packages/base/src/node/daemon-program.ts
@@ -9,35 +9,78 @@
 
 /** Exit code for an invalid command line or invalid settings. */
 export const usageExitCode = 2;
+const stopFailedExitCode = 1;
 
 export type DaemonProgram = {
 	name: string;
 	description: string;
 	/** Settings file to use without `--config`. */
 	defaultFile?: string | undefined;
-	/** Starts the program with a settings file and returns a function that stops it. @throws Error for invalid settings. */
-	start(file: string): Promise<() => Promise<void>>;
+	/**
+	 * Starts the program with a settings file and returns a function that stops it.
+	 *
+	 * @param stopSignal aborted by a stop signal; a start that it interrupts may reject
+	 * @throws Error for invalid settings
+	 */
+	start(file: string, stopSignal: AbortSignal): Promise<() => Promise<void>>;
 };
 
-const stopOnSignal = (stop: () => Promise<void>): void => {
-	let isStopping = false;
+const writeError = (name: string, error: unknown): void => {
+	const message = errorText.errorText(error);
+	process.stderr.write(`${name}: ${message.replaceAll(/\s*\n\s*/gu, ' ')}\n`);
+};
+
+/** Writes an error to standard error as one line and sets the exit code. */
+export const failWith = (name: string, error: unknown): void => {
+	writeError(name, error);
+	process.exitCode = usageExitCode;
+};
+
+/** The listeners stay registered. Without a listener, a second signal would end the process immediately. */
+const listenForStop = (): AbortSignal => {
+	const controller = new AbortController();
 	const onSignal = () => {
-		if (!isStopping) {
-			isStopping = true;
-			void stop();
-		}
+		controller.abort();
 	};
 
-	// The listeners stay registered. Without a listener, a second signal would end the process immediately.
 	process.on('SIGINT', onSignal);
 	process.on('SIGTERM', onSignal);
+	return controller.signal;
 };
 
-/** Writes an error to standard error as one line and sets the exit code. */
-export const failWith = (name: string, error: unknown): void => {
-	const message = errorText.errorText(error);
-	process.stderr.write(`${name}: ${message.replaceAll(/\s*\n\s*/gu, ' ')}\n`);
-	process.exitCode = usageExitCode;
+const runUntilStopped = async (program: DaemonProgram, file: string): Promise<void> => {
+	const stopSignal = listenForStop();
+	let stop: () => Promise<void>;
+	try {
+		stop = await program.start(file, stopSignal);
+	} catch (error) {
+		if (stopSignal.aborted) {
+			// eslint-disable-next-line unicorn/no-process-exit -- what the start opened would keep the process alive
+			process.exit(0);
+		}
+
+		writeError(program.name, error);
+		// eslint-disable-next-line unicorn/no-process-exit -- what the start opened would keep the process alive
+		process.exit(usageExitCode);
+	}
+
+	const runStop = async () => {
+		try {
+			await stop();
+		} catch (error) {
+			writeError(program.name, error);
+			// eslint-disable-next-line unicorn/no-process-exit -- what the stop left open would keep the process alive
+			process.exit(stopFailedExitCode);
+		}
+	};
+
+	if (stopSignal.aborted) {
+		await runStop();
+	} else {
+		stopSignal.addEventListener('abort', () => {
+			void runStop();
+		});
+	}
 };
 
 /** Parses the command line, starts the program and stops it on SIGINT or SIGTERM. */
@@ -52,7 +95,7 @@
 				throw new TypeError('expected --config FILE.ini');
 			}
 
-			stopOnSignal(await program.start(file));
+			await runUntilStopped(program, file);
 		});
 	cli.help();
 	cli.version(version);
--- a/packages/base/src/node/early-signals.ts
+++ b/packages/base/src/node/early-signals.ts
@@ -1,9 +1,12 @@
 /**
- * Ignores SIGHUP while the modules of a program load; import this module first.
- * Without a listener, the reload signal would end the process. Ignoring it is
- * safe, because the program reads its settings later.
+ * Holds back signals while the modules of a program load; import this module first.
+ * Without a listener, a signal would end the process. A stop signal reaches the listeners
+ * that the program registers before the event loop runs, and ignoring a reload is safe,
+ * because the program reads its settings later.
  */
 // A namespace import lacks the methods of EventEmitter.
 import process from 'node:process';
 
-process.on('SIGHUP', () => undefined);
+for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM'] as const) {
+	process.on(signal, () => undefined);
+}
--- a/packages/base/src/test/bind-address.test.ts
+++ b/packages/base/src/test/bind-address.test.ts
@@ -20,7 +20,7 @@
 	const bind = async (timeoutMs: number) =>
 		bindAddress.bindWhenFree(async () => listen(server, port), {
 			timeoutMs,
-			onInUse(error) {
+			onRetry(error) {
 				errors.push(error.message);
 				holder.close();
 			},
@@ -47,7 +47,40 @@
 		throw new Error('no permission');
 	};
 
-	const onInUse = () => t.fail();
-	await t.rejects(bindAddress.bindWhenFree(bind, {timeoutMs: 10_000, onInUse}), /permission/u);
+	const onRetry = () => t.fail();
+	await t.rejects(bindAddress.bindWhenFree(bind, {timeoutMs: 10_000, onRetry}), /permission/u);
 	t.equal(calls, 1);
 });
+
+// Guards against a daemon that ended by itself because its VM's address came up late.
+tap.t.test('an address that the VM lacks is bound when it comes up', async (t) => {
+	const errors: string[] = [];
+	const bind = async () => {
+		if (errors.length === 0) {
+			throw Object.assign(new Error('not available'), {code: 'EADDRNOTAVAIL'});
+		}
+
+		return 'bound';
+	};
+
+	const onRetry = (error: bindAddress.BindError) => {
+		errors.push(error.code);
+	};
+
+	t.equal(await bindAddress.bindWhenFree(bind, {timeoutMs: 10_000, onRetry}), 'bound');
+	t.strictSame(errors, ['EADDRNOTAVAIL']);
+});
+
+tap.t.test('a signal ends the wait for an address', async (t) => {
+	const {port} = await start(t);
+	const stop = new AbortController();
+	const server = net.createServer();
+	const bound = bindAddress.bindWhenFree(async () => listen(server, port), {
+		timeoutMs: 60_000,
+		signal: stop.signal,
+		onRetry() {
+			stop.abort();
+		},
+	});
+	await t.rejects(bound, {name: 'AbortError'});
+});
--- /dev/null
+++ b/packages/base/src/test/daemon-program-child.ts
@@ -0,0 +1,55 @@
+/** Program whose start or stop ends in one of several ways, which `--config` names; the test reads its exit. */
+import * as net from 'node:net';
+import process from 'node:process';
+import * as daemonProgram from '../node/daemon-program.js';
+
+await daemonProgram.runDaemonProgram({
+	name: 'test',
+	description: 'test',
+	async start(mode, stopSignal) {
+		// Keeps the process alive.
+		net.createServer().listen(0, '127.0.0.1');
+		switch (mode) {
+			case 'failed-start': {
+				throw new Error('the address is taken');
+			}
+
+			case 'waiting-start': {
+				process.kill(process.pid, 'SIGTERM');
+				await new Promise((_resolve, reject) => {
+					stopSignal.addEventListener('abort', () => {
+						reject(new Error('cancelled'));
+					});
+				});
+				break;
+			}
+
+			case 'slow-start': {
+				process.kill(process.pid, 'SIGTERM');
+				await new Promise((resolve) => {
+					stopSignal.addEventListener('abort', resolve);
+				});
+				break;
+			}
+
+			default: {
+				setTimeout(() => {
+					process.kill(process.pid, 'SIGTERM');
+				}, 10);
+			}
+		}
+
+		return async () => {
+			if (mode === 'failed-stop') {
+				throw new Error('a connection is gone');
+			}
+
+			process.stdout.write('stopped');
+			process.exitCode = 0;
+			setImmediate(() => {
+				// eslint-disable-next-line unicorn/no-process-exit -- the server keeps the process alive
+				process.exit();
+			});
+		};
+	},
+});
--- a/packages/base/src/test/daemon-program.test.ts
+++ b/packages/base/src/test/daemon-program.test.ts
@@ -1,9 +1,26 @@
 // Guards against a program that ends before its stop has finished.
+import * as childProcess from 'node:child_process';
+import * as path from 'node:path';
 // A namespace import lacks the methods of EventEmitter.
 import process from 'node:process';
+import * as url from 'node:url';
 import * as tap from 'tap';
 import * as daemonProgram from '../node/daemon-program.js';
 
+const child = path.join(
+	path.dirname(url.fileURLToPath(import.meta.url)),
+	'daemon-program-child.js',
+);
+
+const run = (mode: string) => {
+	const {status, signal, stdout, stderr} = childProcess.spawnSync(
+		'node',
+		[child, '--config', mode],
+		{encoding: 'utf8', timeout: 60_000, killSignal: 'SIGKILL'},
+	);
+	return {status, signal, stdout, stderr};
+};
+
 // Without a listener, a second SIGTERM ends the process during its stop.
 tap.t.test('a second signal does not interrupt the stop', async (t) => {
 	const {argv} = process;
@@ -36,3 +53,19 @@
 		'the default action of the signal stays disabled',
 	);
 });
+
+// What the start had opened kept the process alive, neither ready nor ended.
+tap.t.test('a start that fails ends the process', async (t) => {
+	t.match(run('failed-start'), {status: 2, stderr: 'test: the address is taken\n'});
+});
+
+// Without a listener during the start, the signal ended the process.
+tap.t.test('a signal during the start stops the program', async (t) => {
+	t.match(run('waiting-start'), {status: 0, signal: null, stdout: '', stderr: ''});
+	t.match(run('slow-start'), {status: 0, signal: null, stdout: 'stopped', stderr: ''});
+});
+
+tap.t.test('a stop that fails ends the process with its error', async (t) => {
+	t.match(run('failed-stop'), {status: 1, stderr: 'test: a connection is gone\n'});
+	t.match(run('stop'), {status: 0, stdout: 'stopped'});
+});
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -121,6 +121,8 @@
 export type StateEvent =
 	| {kind: 'started'; name: string; region: string; startedAtUnixMs: number}
 	| {kind: 'start-failed'; step: 'settings' | 'servers'; detail: string}
+	/** A stop signal arrived during the start. */
+	| {kind: 'start-cancelled'; step: 'settings' | 'servers'}
 	/** An error that nothing handles ends the process. */
 	| {kind: 'process-failed'; origin: string; detail: string; stack: string}
 	| {kind: 'process-ended'; code: number; uptimeMs: number}
@@ -141,10 +143,14 @@
 	| {kind: 'loop-late'; lateMs: number}
 	/** The start waits for an address that another process holds. */
 	| {kind: 'address-in-use'; detail: string}
+	/** The start waits for an address that the VM does not have yet. */
+	| {kind: 'address-unavailable'; detail: string}
 	| {kind: 'settings-reloaded'; changed: boolean}
 	| {kind: 'settings-rejected'; detail: string}
 	| {kind: 'stopping'; inFlight: number; graceMs: number}
 	| {kind: 'stopped'; inFlight: number; reason: string}
+	/** The planned stop failed or did not finish; the process exits. */
+	| {kind: 'stop-failed'; detail: string}
 	| {kind: 'readiness'; isReady: boolean; reason: string}
 	| {kind: 'config-in-force'; version: number; previous: number; source: string; routes: number}
 	| {kind: 'config-ignored'; version: number; current: number; source: string}
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -22,6 +22,8 @@
 /** Events at the end of a process, which no limit may hide. */
 const isLast = (event: gatewayEvent.GatewayEvent): boolean =>
 	event.kind === 'start-failed' ||
+	event.kind === 'start-cancelled' ||
+	event.kind === 'stop-failed' ||
 	event.kind === 'process-failed' ||
 	event.kind === 'process-ended';
 
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -59,7 +59,7 @@
 	store: prefixStore.PrefixStore;
 	layout: prefixStore.StoreLayout;
 	socket: datagramSocket.DatagramSocket;
-	/** For the addresses of callers and peers; without it, one that is in use fails the start. */
+	/** For the addresses of callers and peers; without it, one that is not available fails the start. */
 	bindRetry?: bindAddress.BindRetry;
 	log: eventWriter.EventWriter;
 	registry: metrics.Registry;
@@ -523,7 +523,7 @@
 	);
 	const callersAt = settings.splitAddress(listen.callers);
 	const peersAt = settings.splitAddress(listen.peers);
-	const {bindRetry = {timeoutMs: 0, onInUse: () => undefined}} = options;
+	const {bindRetry = {timeoutMs: 0, onRetry: () => undefined}} = options;
 	for (const [server, {host, port}] of [
 		[callerHttpServer, callersAt],
 		[peerHttpServer, peersAt],
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -18,6 +18,7 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import type * as wireFormat from '../common/wire-format.js';
+import * as boundedStop from '../common/bounded-stop.js';
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
 import * as settings from './settings.js';
@@ -43,6 +44,8 @@
 const settingsCheckIntervalMs = 2000;
 /** An earlier process of this daemon may hold the addresses for the grace period of its stop and a little longer. */
 const bindMarginMs = 2000;
+/** Part of the grace period that is left when a stop that does not finish is given up. */
+const stopMarginMs = 25;
 const programName = 'hawthornfront-gateway';
 
 const listen = async (server: http.Server, address: string): Promise<http.Server> => {
@@ -100,12 +103,21 @@
 	log: eventWriter.EventWriter,
 	step: 'settings' | 'servers',
 	error: unknown,
+	stopSignal: AbortSignal,
 ): void => {
-	log.note({kind: 'start-failed', step, detail: errorText.errorText(error)});
+	log.note(
+		stopSignal.aborted
+			? {kind: 'start-cancelled', step}
+			: {kind: 'start-failed', step, detail: errorText.errorText(error)},
+	);
 	log.flushNow();
 };
 
-const start = async (deployment: Deployment, file: string): Promise<() => Promise<void>> => {
+const start = async (
+	deployment: Deployment,
+	file: string,
+	stopSignal: AbortSignal,
+): Promise<() => Promise<void>> => {
 	const clock = new systemClock.SystemClock();
 	const createLog = (registry: metrics.Registry, fields: Record<string, string>) =>
 		eventWriter.createEventWriter(registry, () => clock.nowMs(), fields);
@@ -113,7 +125,7 @@
 	try {
 		current = settings.readGatewaySettings(file);
 	} catch (error) {
-		noteStartFailure(createLog(metrics.createRegistry({}), {}), 'settings', error);
+		noteStartFailure(createLog(metrics.createRegistry({}), {}), 'settings', error, stopSignal);
 		throw error;
 	}
 
@@ -124,9 +136,9 @@
 		log.flushNow();
 	});
 	try {
-		return await startServers({deployment, file, current, clock, registry, log});
+		return await startServers({deployment, file, current, stopSignal, clock, registry, log});
 	} catch (error) {
-		noteStartFailure(log, 'servers', error);
+		noteStartFailure(log, 'servers', error, stopSignal);
 		throw error;
 	}
 };
@@ -135,13 +147,14 @@
 	deployment: Deployment;
 	file: string;
 	current: settings.GatewaySettings;
+	stopSignal: AbortSignal;
 	clock: clock.Clock;
 	registry: metrics.Registry;
 	log: eventWriter.EventWriter;
 };
 
 const startServers = async (options: StartOptions): Promise<() => Promise<void>> => {
-	const {deployment, file, current, clock, registry, log} = options;
+	const {deployment, file, current, stopSignal, clock, registry, log} = options;
 	const peers = settings.splitAddress(current.listen.peers);
 	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
 	const getDaemon = () => started.daemon;
@@ -152,12 +165,22 @@
 
 	const bindRetry: bindAddress.BindRetry = {
 		timeoutMs: current.stop.graceS * 1000 + bindMarginMs,
-		onInUse(error) {
-			log.note({kind: 'address-in-use', detail: errorText.errorText(error)});
+		signal: stopSignal,
+		onRetry(error) {
+			const kind = error.code === 'EADDRINUSE' ? 'address-in-use' : 'address-unavailable';
+			log.note({kind, detail: errorText.errorText(error)});
 		},
 	};
 	const listenWhenFree = async (server: http.Server, address: string) =>
 		bindAddress.bindWhenFree(async () => listen(server, address), bindRetry);
+	const startMetricsServer = async (address: string) => {
+		try {
+			await listenWhenFree(createMetricsServer(registry, getDaemon, onError), address);
+		} catch (error) {
+			onError('/metrics', error);
+		}
+	};
+
 	const servers = [
 		await listenWhenFree(
 			deployment.createReadinessServer(getDaemon, onError),
@@ -167,8 +190,10 @@
 			deployment.createDirectoryServer(getDaemon, onError),
 			current.listen.directory,
 		),
-		await listenWhenFree(createMetricsServer(registry, getDaemon, onError), current.listen.metrics),
 	];
+	// The daemon serves its callers without metrics as well.
+	void startMetricsServer(current.listen.metrics);
+
 	const socket = await bindAddress.bindWhenFree(
 		async () => udpSocket.bindUdpSocket(peers.host, peers.port),
 		bindRetry,
@@ -196,8 +221,16 @@
 		reload(false);
 	});
 	return async () => {
-		await daemon.stop();
 		fs.unwatchFile(file);
+		await boundedStop.stopInTime({
+			clock,
+			limitMs: current.stop.graceS * 1000 - stopMarginMs,
+			stop: async () => daemon.stop(),
+			onFailed(error) {
+				const detail = errorText.errorText(error, errorText.maxLoggedLength);
+				log.note({kind: 'stop-failed', detail});
+			},
+		});
 		for (const server of servers) {
 			server.close();
 		}
@@ -224,5 +257,5 @@
 		name: programName,
 		description: 'Forwards requests of callers to upstreams',
 		defaultFile: process.env[deployment.settingsVariable],
-		start: async (file) => start(deployment, file),
+		start: async (file, stopSignal) => start(deployment, file, stopSignal),
 	});
