Read settings again while they are written, and fit the values of the platform

Callers saw: a daemon that did not start (code 2), or all daemons of a deployment that did not.

Cause: the file was read once. One that was missing, empty or half written at that moment ended the start, and one cut after a whole section or inside a number was in force. A reload that met it waited for the next change, and a change between the start and the first check of the watcher was missed. A bound that a site may carry, or an empty one, outside our range ended every daemon (an empty ratio silently became 0).

Why it works: the template ends with a line that shows a file written in full; without it, a file counts after a second without a change. The start reads for 5 s, a reload until the file is valid, and the content decides, not the time of the file. Numbers from the platform are brought into their range with a line that names setting, value and the one in force; seeds that are no addresses are left out, and without a port of their own there are no metrics. Addresses, unknown keys and settings that are not in the template stay strict.

--- a/packages/base/src/node/settings.ts
+++ b/packages/base/src/node/settings.ts
@@ -12,13 +12,21 @@
 	}
 }
 
-/** Parses INI text. @throws {@link SettingsError} for the first invalid setting. */
+/**
+ * Parses INI text.
+ *
+ * @param adapt changes the sections before they are validated
+ * @throws {@link SettingsError} for the first invalid setting
+ */
 export const parseSettings = <Schema extends zod.ZodType>(
 	text: string,
 	file: string,
 	schema: Schema,
+	adapt?: (sections: Record<string, unknown>) => void,
 ): zod.infer<Schema> => {
-	const result = schema.safeParse(ini.parse(text));
+	const sections = ini.parse(text);
+	adapt?.(sections);
+	const result = schema.safeParse(sections);
 	if (!result.success) {
 		const [issue] = result.error.issues;
 		if (issue?.code === 'unrecognized_keys') {
@@ -32,21 +40,21 @@
 	return result.data;
 };
 
-/** Reads an INI file. @throws {@link SettingsError} when the file is unreadable or a setting is invalid. */
-export const readSettings = <Schema extends zod.ZodType>(
-	file: string,
-	schema: Schema,
-): zod.infer<Schema> => {
-	let text: string;
+/** Reads the text of a settings file. @throws {@link SettingsError} */
+export const readSettingsText = (file: string): string => {
 	try {
-		text = fs.readFileSync(file, 'utf8');
+		return fs.readFileSync(file, 'utf8');
 	} catch (error) {
 		throw new SettingsError(file, [], error instanceof Error ? error.message : 'unreadable');
 	}
-
-	return parseSettings(text, file, schema);
 };
 
+/** Reads an INI file. @throws {@link SettingsError} when the file is unreadable or a setting is invalid. */
+export const readSettings = <Schema extends zod.ZodType>(
+	file: string,
+	schema: Schema,
+): zod.infer<Schema> => parseSettings(readSettingsText(file), file, schema);
+
 /** A number, parsed from a string because INI has no other values. */
 export const numberSetting = (minimum: number, maximum: number) =>
 	zod.coerce
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -146,7 +146,9 @@
 	/** The start waits for an address that the VM does not have yet. */
 	| {kind: 'address-unavailable'; detail: string}
 	| {kind: 'settings-reloaded'; changed: boolean}
-	| {kind: 'settings-rejected'; detail: string}
+	| {kind: 'settings-rejected'; step: 'start' | 'reload'; detail: string}
+	/** A value that the platform filled in is replaced. */
+	| {kind: 'setting-adjusted'; setting: string; value: string; inForce: string}
 	| {kind: 'stopping'; inFlight: number; graceMs: number}
 	| {kind: 'stopped'; inFlight: number; reason: string}
 	/** The planned stop failed or did not finish; the process exits. */
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -1,5 +1,4 @@
 /** Starts and stops a gateway process; a deployment supplies its names and formats. */
-import * as fs from 'node:fs';
 import type * as http from 'node:http';
 // A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
 import process from 'node:process';
@@ -22,6 +21,7 @@
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
 import * as settings from './settings.js';
+import * as settingsFile from './settings-file.js';
 
 type DaemonReference = () => gatewayDaemon.GatewayDaemon | undefined;
 
@@ -40,8 +40,6 @@
 	createDirectoryServer: CreateServer;
 };
 
-/** Interval of checks for a settings file that changed without a signal. */
-const settingsCheckIntervalMs = 2000;
 /** An earlier process of this daemon may hold the addresses for the grace period of its stop and a little longer. */
 const bindMarginMs = 2000;
 /** Part of the grace period that is left when a stop that does not finish is given up. */
@@ -70,34 +68,6 @@
 		onError,
 	);
 
-/** Returns a function that reads the settings file again and applies it if it changed. */
-const createReload = (
-	file: string,
-	initial: settings.GatewaySettings,
-	daemon: gatewayDaemon.GatewayDaemon,
-	log: gatewayEvent.EventLog,
-) => {
-	let currentText = JSON.stringify(initial);
-	return (isSignal: boolean) => {
-		try {
-			const next = settings.readGatewaySettings(file);
-			const nextText = JSON.stringify(next);
-			const changed = nextText !== currentText;
-			currentText = nextText;
-			if (changed) {
-				daemon.applySettings(next);
-			}
-
-			if (changed || isSignal) {
-				log.note({kind: 'settings-reloaded', changed});
-			}
-		} catch (error) {
-			const detail = errorText.errorText(error);
-			log.note({kind: 'settings-rejected', detail});
-		}
-	};
-};
-
 /** Logs why the process does not start; the program then ends with the error. */
 const noteStartFailure = (
 	log: eventWriter.EventWriter,
@@ -121,22 +91,40 @@
 	const clock = new systemClock.SystemClock();
 	const createLog = (registry: metrics.Registry, fields: Record<string, string>) =>
 		eventWriter.createEventWriter(registry, () => clock.nowMs(), fields);
-	let current: settings.GatewaySettings;
+	const source = settingsFile.createSettingsFile(file, clock);
+	let earlyLog: eventWriter.EventWriter | undefined;
+	const getEarlyLog = () => {
+		earlyLog ??= createLog(metrics.createRegistry({}), {});
+		return earlyLog;
+	};
+
+	let adapted: settings.AdaptedSettings;
 	try {
-		current = settings.readGatewaySettings(file);
+		adapted = await source.readAtStart({
+			signal: stopSignal,
+			onRejected(detail) {
+				getEarlyLog().note({kind: 'settings-rejected', step: 'start', detail});
+				getEarlyLog().flushNow();
+			},
+		});
 	} catch (error) {
-		noteStartFailure(createLog(metrics.createRegistry({}), {}), 'settings', error, stopSignal);
+		noteStartFailure(getEarlyLog(), 'settings', error, stopSignal);
 		throw error;
 	}
 
+	const {settings: current, adjustments} = adapted;
 	const registry = metrics.createRegistry({vm: current.vm.name});
 	const log = createLog(registry, {vm: current.vm.name});
 	processEnd.reportProcessEnd((end) => {
 		log.note(end);
 		log.flushNow();
 	});
+	for (const adjustment of adjustments) {
+		log.note({kind: 'setting-adjusted', ...adjustment});
+	}
+
 	try {
-		return await startServers({deployment, file, current, stopSignal, clock, registry, log});
+		return await startServers({deployment, source, current, stopSignal, clock, registry, log});
 	} catch (error) {
 		noteStartFailure(log, 'servers', error, stopSignal);
 		throw error;
@@ -145,7 +133,7 @@
 
 type StartOptions = {
 	deployment: Deployment;
-	file: string;
+	source: settingsFile.SettingsFile;
 	current: settings.GatewaySettings;
 	stopSignal: AbortSignal;
 	clock: clock.Clock;
@@ -154,7 +142,7 @@
 };
 
 const startServers = async (options: StartOptions): Promise<() => Promise<void>> => {
-	const {deployment, file, current, stopSignal, clock, registry, log} = options;
+	const {deployment, source, current, stopSignal, clock, registry, log} = options;
 	const peers = settings.splitAddress(current.listen.peers);
 	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
 	const getDaemon = () => started.daemon;
@@ -191,8 +179,10 @@
 			current.listen.directory,
 		),
 	];
-	// The daemon serves its callers without metrics as well.
-	void startMetricsServer(current.listen.metrics);
+	if (current.listen.metrics !== undefined) {
+		// The daemon serves its callers without metrics as well.
+		void startMetricsServer(current.listen.metrics);
+	}
 
 	const socket = await bindAddress.bindWhenFree(
 		async () => udpSocket.bindUdpSocket(peers.host, peers.port),
@@ -213,18 +203,20 @@
 		registry,
 	});
 	started.daemon = daemon;
-	const reload = createReload(file, current, daemon, log);
-	process.on('SIGHUP', () => {
-		reload(true);
-	});
-	fs.watchFile(file, {interval: settingsCheckIntervalMs}, () => {
-		reload(false);
+	let {graceS} = current.stop;
+	const watch = source.watch({
+		log,
+		apply(next) {
+			daemon.applySettings(next);
+			graceS = next.stop.graceS;
+		},
 	});
+	process.on('SIGHUP', watch.reload);
 	return async () => {
-		fs.unwatchFile(file);
+		watch.dispose();
 		await boundedStop.stopInTime({
 			clock,
-			limitMs: current.stop.graceS * 1000 - stopMarginMs,
+			limitMs: graceS * 1000 - stopMarginMs,
 			stop: async () => daemon.stop(),
 			onFailed(error) {
 				const detail = errorText.errorText(error, errorText.maxLoggedLength);
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -3,13 +3,20 @@
 import * as settings from '@hawthornfront/base/node/settings.js';
 import * as zod from 'zod';
 import * as loadSettings from '../common/load-settings.js';
+import * as platformValues from '../common/platform-values.js';
+
+const ranges = platformValues.numberRanges;
+
+/** A number that the platform fills in; {@link platformValues.adaptPlatformValues} brings it into its range. */
+const platformNumber = ({
+	initial,
+	minimum,
+	maximum,
+}: {initial: number} & platformValues.NumberRange) => setting.number(initial, minimum, maximum);
 
 /** A limit that the platform may leave empty. */
-const limitSetting = (minimum: number, maximum: number) =>
-	zod.preprocess(
-		(value) => (value === '' ? undefined : value),
-		settings.numberSetting(minimum, maximum).optional(),
-	);
+const platformLimit = ({minimum, maximum}: platformValues.NumberRange) =>
+	settings.numberSetting(minimum, maximum).optional();
 
 export const gatewaySettingsSchema = zod.strictObject({
 	vm: zod.strictObject({
@@ -17,14 +24,14 @@
 		region: zod.string().min(1, 'expected a region'),
 		failureDomain: zod.string().min(1, 'expected a failure domain'),
 		/** Processor cores of the VM, possibly a fraction, for the directory's choice between VMs. */
-		processorShare: setting.number(1, 0.01, 64),
+		processorShare: platformNumber(ranges.vm.processorShare),
 	}),
 	/** Limits of the VM for the process; without a value, no limit is known. */
 	limits: zod
 		.strictObject({
-			memoryMb: limitSetting(16, 1_048_576),
+			memoryMb: platformLimit(ranges.limits.memoryMb),
 			/** File descriptors, connections included. */
-			maxDescriptors: limitSetting(64, 10_000_000),
+			maxDescriptors: platformLimit(ranges.limits.maxDescriptors),
 		})
 		.default({memoryMb: undefined, maxDescriptors: undefined}),
 	listen: zod.strictObject({
@@ -33,7 +40,8 @@
 		directory: settings.addressSetting,
 		/** Address for other daemons, over TCP and UDP. */
 		peers: settings.addressSetting,
-		metrics: settings.addressSetting,
+		/** Without it, the daemon serves no metrics. */
+		metrics: settings.addressSetting.optional(),
 	}),
 	/** Region of each failure domain. */
 	failureDomains: zod.record(zod.string(), zod.string()),
@@ -57,14 +65,14 @@
 	}),
 	stop: zod.strictObject({
 		/** Time between the stop signal and the forced end of the process. */
-		graceS: setting.number(8, 0.5, 600),
+		graceS: platformNumber(ranges.stop.graceS),
 	}),
 	resends: zod.strictObject({
 		/** Resends that each request adds to the budget. */
-		share: setting.share(0.2),
+		share: platformNumber(ranges.resends.share),
 		/** Resends that all daemons together may make in a window in addition to that share. */
-		extraPerWindow: setting.number(54, 0, 1_000_000),
-		windowS: setting.number(10, 0.1, 600),
+		extraPerWindow: platformNumber(ranges.resends.extraPerWindow),
+		windowS: platformNumber(ranges.resends.windowS),
 	}),
 	quarantine: zod
 		.strictObject({
@@ -76,15 +84,26 @@
 		.default({firstS: 120, maxS: 600}),
 	directory: zod.strictObject({
 		/** Time for which callers may cache a directory answer. */
-		timeToLiveS: setting.number(2, 0.1, 60),
+		timeToLiveS: platformNumber(ranges.directory.timeToLiveS),
 	}),
 	decisions: loadSettings.loadSettingsSchema.default(loadSettings.loadSettingsSchema.parse({})),
 });
 export type GatewaySettings = zod.infer<typeof gatewaySettingsSchema>;
 
-/** Reads and checks a settings file. @throws SettingsError */
-export const readGatewaySettings = (file: string): GatewaySettings =>
-	settings.readSettings(file, gatewaySettingsSchema);
+/** Settings, and the values of the platform that they replace. */
+export type AdaptedSettings = {
+	settings: GatewaySettings;
+	adjustments: platformValues.SettingAdjustment[];
+};
+
+/** Checks the text of a settings file. @throws SettingsError */
+export const parseGatewaySettings = (text: string, file: string): AdaptedSettings => {
+	let adjustments: platformValues.SettingAdjustment[] = [];
+	const parsed = settings.parseSettings(text, file, gatewaySettingsSchema, (sections) => {
+		adjustments = platformValues.adaptPlatformValues(sections);
+	});
+	return {settings: parsed, adjustments};
+};
 
 /** Splits `host:port`. */
 export const splitAddress = (address: string): {host: string; port: number} => {
