--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -1,5 +1,4 @@
 /** Starts and stops a gateway process; a deployment supplies its names and formats. */
-import * as fs from 'node:fs';
 import type * as http from 'node:http';
 // A namespace import lacks the methods of EventEmitter and makes exitCode read-only.
 import process from 'node:process';
@@ -18,9 +17,11 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import type * as wireFormat from '../common/wire-format.js';
+import * as boundedStop from '../common/bounded-stop.js';
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
 import * as settings from './settings.js';
+import * as settingsFile from './settings-file.js';
 
 type DaemonReference = () => gatewayDaemon.GatewayDaemon | undefined;
 
@@ -39,10 +40,10 @@
 	createDirectoryServer: CreateServer;
 };
 
-/** Interval of checks for a settings file that changed without a signal. */
-const settingsCheckIntervalMs = 2000;
 /** An earlier process of this daemon may hold the addresses for the grace period of its stop and a little longer. */
 const bindMarginMs = 2000;
+/** Part of the grace period that is left when a stop that does not finish is given up. */
+const stopMarginMs = 25;
 const programName = 'hawthornfront-gateway';
 
 const listen = async (server: http.Server, address: string): Promise<http.Server> => {
@@ -67,81 +68,81 @@
 		onError,
 	);
 
-/** Returns a function that reads the settings file again and applies it if it changed. */
-const createReload = (
-	file: string,
-	initial: settings.GatewaySettings,
-	daemon: gatewayDaemon.GatewayDaemon,
-	log: gatewayEvent.EventLog,
-) => {
-	let currentText = JSON.stringify(initial);
-	return (isSignal: boolean) => {
-		try {
-			const next = settings.readGatewaySettings(file);
-			const nextText = JSON.stringify(next);
-			const changed = nextText !== currentText;
-			currentText = nextText;
-			if (changed) {
-				daemon.applySettings(next);
-			}
-
-			if (changed || isSignal) {
-				log.note({kind: 'settings-reloaded', changed});
-			}
-		} catch (error) {
-			const detail = errorText.errorText(error);
-			log.note({kind: 'settings-rejected', detail});
-		}
-	};
-};
-
 /** Logs why the process does not start; the program then ends with the error. */
 const noteStartFailure = (
 	log: eventWriter.EventWriter,
 	step: 'settings' | 'servers',
 	error: unknown,
+	stopSignal: AbortSignal,
 ): void => {
-	log.note({kind: 'start-failed', step, detail: errorText.errorText(error)});
+	log.note(
+		stopSignal.aborted
+			? {kind: 'start-cancelled', step}
+			: {kind: 'start-failed', step, detail: errorText.errorText(error)},
+	);
 	log.flushNow();
 };
 
-const start = async (deployment: Deployment, file: string): Promise<() => Promise<void>> => {
+const start = async (
+	deployment: Deployment,
+	file: string,
+	stopSignal: AbortSignal,
+): Promise<() => Promise<void>> => {
 	const clock = new systemClock.SystemClock();
 	const createLog = (registry: metrics.Registry, fields: Record<string, string>) =>
 		eventWriter.createEventWriter(registry, () => clock.nowMs(), fields);
-	let current: settings.GatewaySettings;
+	const source = settingsFile.createSettingsFile(file, clock);
+	let earlyLog: eventWriter.EventWriter | undefined;
+	const getEarlyLog = () => {
+		earlyLog ??= createLog(metrics.createRegistry({}), {});
+		return earlyLog;
+	};
+
+	let adapted: settings.AdaptedSettings;
 	try {
-		current = settings.readGatewaySettings(file);
+		adapted = await source.readAtStart({
+			signal: stopSignal,
+			onRejected(detail) {
+				getEarlyLog().note({kind: 'settings-rejected', step: 'start', detail});
+				getEarlyLog().flushNow();
+			},
+		});
 	} catch (error) {
-		noteStartFailure(createLog(metrics.createRegistry({}), {}), 'settings', error);
+		noteStartFailure(getEarlyLog(), 'settings', error, stopSignal);
 		throw error;
 	}
 
+	const {settings: current, adjustments} = adapted;
 	const registry = metrics.createRegistry({vm: current.vm.name});
 	const log = createLog(registry, {vm: current.vm.name});
 	processEnd.reportProcessEnd((end) => {
 		log.note(end);
 		log.flushNow();
 	});
+	for (const adjustment of adjustments) {
+		log.note({kind: 'setting-adjusted', ...adjustment});
+	}
+
 	try {
-		return await startServers({deployment, file, current, clock, registry, log});
+		return await startServers({deployment, source, current, stopSignal, clock, registry, log});
 	} catch (error) {
-		noteStartFailure(log, 'servers', error);
+		noteStartFailure(log, 'servers', error, stopSignal);
 		throw error;
 	}
 };
 
 type StartOptions = {
 	deployment: Deployment;
-	file: string;
+	source: settingsFile.SettingsFile;
 	current: settings.GatewaySettings;
+	stopSignal: AbortSignal;
 	clock: clock.Clock;
 	registry: metrics.Registry;
 	log: eventWriter.EventWriter;
 };
 
 const startServers = async (options: StartOptions): Promise<() => Promise<void>> => {
-	const {deployment, file, current, clock, registry, log} = options;
+	const {deployment, source, current, stopSignal, clock, registry, log} = options;
 	const peers = settings.splitAddress(current.listen.peers);
 	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
 	const getDaemon = () => started.daemon;
@@ -152,12 +153,22 @@
 
 	const bindRetry: bindAddress.BindRetry = {
 		timeoutMs: current.stop.graceS * 1000 + bindMarginMs,
-		onInUse(error) {
-			log.note({kind: 'address-in-use', detail: errorText.errorText(error)});
+		signal: stopSignal,
+		onRetry(error) {
+			const kind = error.code === 'EADDRINUSE' ? 'address-in-use' : 'address-unavailable';
+			log.note({kind, detail: errorText.errorText(error)});
 		},
 	};
 	const listenWhenFree = async (server: http.Server, address: string) =>
 		bindAddress.bindWhenFree(async () => listen(server, address), bindRetry);
+	const startMetricsServer = async (address: string) => {
+		try {
+			await listenWhenFree(createMetricsServer(registry, getDaemon, onError), address);
+		} catch (error) {
+			onError('/metrics', error);
+		}
+	};
+
 	const servers = [
 		await listenWhenFree(
 			deployment.createReadinessServer(getDaemon, onError),
@@ -167,8 +178,12 @@
 			deployment.createDirectoryServer(getDaemon, onError),
 			current.listen.directory,
 		),
-		await listenWhenFree(createMetricsServer(registry, getDaemon, onError), current.listen.metrics),
 	];
+	if (current.listen.metrics !== undefined) {
+		// The daemon serves its callers without metrics as well.
+		void startMetricsServer(current.listen.metrics);
+	}
+
 	const socket = await bindAddress.bindWhenFree(
 		async () => udpSocket.bindUdpSocket(peers.host, peers.port),
 		bindRetry,
@@ -188,16 +203,26 @@
 		registry,
 	});
 	started.daemon = daemon;
-	const reload = createReload(file, current, daemon, log);
-	process.on('SIGHUP', () => {
-		reload(true);
-	});
-	fs.watchFile(file, {interval: settingsCheckIntervalMs}, () => {
-		reload(false);
+	let {graceS} = current.stop;
+	const watch = source.watch({
+		log,
+		apply(next) {
+			daemon.applySettings(next);
+			graceS = next.stop.graceS;
+		},
 	});
+	process.on('SIGHUP', watch.reload);
 	return async () => {
-		await daemon.stop();
-		fs.unwatchFile(file);
+		watch.dispose();
+		await boundedStop.stopInTime({
+			clock,
+			limitMs: graceS * 1000 - stopMarginMs,
+			stop: async () => daemon.stop(),
+			onFailed(error) {
+				const detail = errorText.errorText(error, errorText.maxLoggedLength);
+				log.note({kind: 'stop-failed', detail});
+			},
+		});
 		for (const server of servers) {
 			server.close();
 		}
@@ -224,5 +249,5 @@
 		name: programName,
 		description: 'Forwards requests of callers to upstreams',
 		defaultFile: process.env[deployment.settingsVariable],
-		start: async (file) => start(deployment, file),
+		start: async (file, stopSignal) => start(deployment, file, stopSignal),
 	});
