--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -45,6 +45,24 @@
 /** Pause after changes, so that a burst of changes needs few calls. */
 const pauseAfterEventsMs = 400;
 
+/** A watch without changes, or a listing and its watch, that ends sooner has ended at once. */
+const atOnceMs = 50;
+/** Calls that may end at once in a row, as after two restores. */
+const maxEndedAtOnce = 3;
+
+/** Returns a function that waits after calls that end at once again and again, which would keep the processor busy. */
+const createPacer = (clock: clock.Clock) => {
+	let endedAtOnce = 0;
+	/** @param beganAtMs when the call that has ended began */
+	return async (beganAtMs: number): Promise<void> => {
+		endedAtOnce = clock.nowMs() - beganAtMs < atOnceMs ? endedAtOnce + 1 : 0;
+		const excess = endedAtOnce - maxEndedAtOnce;
+		if (excess > 0) {
+			await clock.sleep(Math.min(maxRetryMs, firstRetryMs * 2 ** Math.min(excess, 6)));
+		}
+	};
+};
+
 /** Starts to follow a prefix. */
 export const startStoreFeed = (options: {
 	clock: clock.Clock;
@@ -60,6 +78,8 @@
 	handler: StoreFeedHandler;
 }): StoreFeed => {
 	const {clock, store, prefix, handler} = options;
+	const paceWatches = createPacer(clock);
+	const paceListings = createPacer(clock);
 	const abort = new AbortController();
 	let watchAbort = new AbortController();
 	const followState = {
@@ -135,7 +155,8 @@
 		while (followState.isFollowing && !abort.signal.aborted && !followState.isOutdated) {
 			watchAbort = new AbortController();
 			const waitMs = options.watchWaitMs();
-			followState.watchEndsAtMs = clock.nowMs() + waitMs;
+			const beganAtMs = clock.nowMs();
+			followState.watchEndsAtMs = beganAtMs + waitMs;
 			const changes = await store.watch(
 				prefix,
 				revision,
@@ -161,6 +182,8 @@
 			if (changes.events.length > 0) {
 				handler.onEvents(changes.events, storePosition.create(changes.era, revision));
 				await clock.sleep(pauseAfterEventsMs);
+			} else {
+				await paceWatches(beganAtMs);
 			}
 		}
 	};
@@ -177,14 +200,17 @@
 				continue;
 			}
 
+			const beganAtMs = clock.nowMs();
 			try {
 				await follow();
+				await paceListings(beganAtMs);
 			} catch (error) {
 				if (abort.signal.aborted) {
 					return;
 				}
 
 				if (!followState.isFollowing || followState.isOutdated) {
+					await paceListings(beganAtMs);
 					continue;
 				}
 
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -233,3 +233,60 @@
 	t.match(calls, ['listing 1', 'lost', 'regained']);
 	t.equal(feed.contact, 'reached');
 });
+
+class InstantStore extends ManualStore {
+	calls = 0;
+	readonly #changes: prefixStore.StoreChanges;
+	readonly #clock: manualClock.ManualClock;
+
+	constructor(clock: manualClock.ManualClock, changes: prefixStore.StoreChanges) {
+		super();
+		this.#clock = clock;
+		this.#changes = changes;
+	}
+
+	override async list(): Promise<prefixStore.StoreListing> {
+		this.calls++;
+		await this.#clock.sleep(1);
+		return this.listing;
+	}
+
+	override async watch(): Promise<prefixStore.StoreChanges> {
+		this.calls++;
+		await this.#clock.sleep(1);
+		return this.#changes;
+	}
+}
+
+// Guards against a store whose watches end at once and so keep the processor busy (issue 39).
+for (const changes of [
+	{kind: 'events', events: [], revision: 1},
+	{kind: 'history-lost'},
+	{kind: 'events', events: [], revision: 1, era: 7},
+] satisfies prefixStore.StoreChanges[]) {
+	tap.t.test(`watches that end at once with ${JSON.stringify(changes)}`, async (t) => {
+		const clock = new manualClock.ManualClock();
+		const store = new InstantStore(clock, changes);
+		const feed = storeFeed.startStoreFeed({
+			clock,
+			store,
+			prefix: 'p/',
+			watchWaitMs: () => 1000,
+			random: () => 0.5,
+			handler: {
+				onListing: () => undefined,
+				onEvents: () => undefined,
+				onDidChangeContact: () => undefined,
+				onLost: () => undefined,
+				onRegained: () => undefined,
+				onHistoryLost: () => undefined,
+			},
+		});
+		t.teardown(() => {
+			feed.dispose();
+		});
+		await clock.advance(10_000);
+		t.ok(store.calls > 4, `${store.calls} calls`);
+		t.ok(store.calls < 40, `${store.calls} calls in 10 s`);
+	});
+}
