--- a/packages/base/src/test/udp-socket.test.ts
+++ b/packages/base/src/test/udp-socket.test.ts
@@ -9,3 +9,16 @@
 	socket.send('127.0.0.1:9', new Uint8Array([1]));
 	t.equal(socket.failedSends, 1);
 });
+
+// Guards against an address of another daemon that ends this one (issue 39).
+tap.t.test('an impossible address counts as a failed send', async (t) => {
+	const socket = await udpSocket.bindUdpSocket('127.0.0.1', 0);
+	const peers = ['', ':', 'peer', '127.0.0.1:', '127.0.0.1:0', '127.0.0.1:-1', '127.0.0.1:99999'];
+	for (const peer of peers) {
+		socket.send(peer, new Uint8Array([1]));
+	}
+
+	// An address without a host is resolved first, and the others fail at once.
+	t.ok(socket.failedSends >= peers.length - 2, `${socket.failedSends} failed sends`);
+	socket.dispose();
+});
