Keep a listener for errors of listening servers

listenOnce removed the error listener once a server listened, so a later error of one of the five servers would have been uncaught. They now log server-error, at most one line a second and port, and go on listening.

On Node.js 20.19 (libuv 1.46) this did not end a process: with accept4 failing (strace, RLIMIT_NOFILE below the open descriptors) libuv reports no error to JavaScript and tries again at each poll, which keeps the processor busy. Other releases of libuv pass the error on. The new test, which emits the error as Node.js does, failed before with an uncaught error.

--- a/packages/base/src/node/bind-address.ts
+++ b/packages/base/src/node/bind-address.ts
@@ -8,11 +8,22 @@
 	onInUse(error: Error): void;
 };
 
-/** Listens once; the server can listen again after a failure. @throws the error of the server */
-export const listenOnce = async (server: net.Server, options: net.ListenOptions): Promise<void> =>
+/**
+ * Listens once; the server can listen again after a failure.
+ *
+ * @param onLaterError called for each error of the listening server, such as an accept that fails; it keeps listening
+ * @throws the error of the server
+ */
+export const listenOnce = async (
+	server: net.Server,
+	options: net.ListenOptions,
+	onLaterError: (error: Error) => void,
+): Promise<void> =>
 	new Promise((resolve, reject) => {
 		const onListening = () => {
 			server.off('error', onError);
+			// Without a listener, an error would end the process.
+			server.on('error', onLaterError);
 			resolve();
 		};
 
--- a/packages/base/src/test/bind-address.test.ts
+++ b/packages/base/src/test/bind-address.test.ts
@@ -3,8 +3,12 @@
 import * as tap from 'tap';
 import * as bindAddress from '../node/bind-address.js';
 
-const listen = async (server: net.Server, port: number): Promise<number> => {
-	await bindAddress.listenOnce(server, {port, host: '127.0.0.1'});
+const listen = async (
+	server: net.Server,
+	port: number,
+	onLaterError: (error: Error) => void = () => undefined,
+): Promise<number> => {
+	await bindAddress.listenOnce(server, {port, host: '127.0.0.1'}, onLaterError);
 	return (server.address() as net.AddressInfo).port;
 };
 
@@ -51,3 +55,26 @@
 	await t.rejects(bindAddress.bindWhenFree(bind, {timeoutMs: 10_000, onInUse}), /permission/u);
 	t.equal(calls, 1);
 });
+
+// Guards against an accept that fails, whose error ended the process (issue 39).
+tap.t.test('an error of a listening server is reported, and it keeps listening', async (t) => {
+	const server = net.createServer((socket) => {
+		socket.end();
+	});
+	const errors: string[] = [];
+	const port = await listen(server, 0, (error) => {
+		errors.push(error.message);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	server.emit('error', new Error('accept EMFILE'));
+	server.emit('error', new Error('accept ENOBUFS'));
+	t.same(errors, ['accept EMFILE', 'accept ENOBUFS']);
+	const socket = net.connect(port, '127.0.0.1');
+	await new Promise((resolve) => {
+		socket.once('close', resolve);
+		socket.resume();
+	});
+	t.ok(server.listening);
+});
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -258,6 +258,8 @@
 	  }
 	| {kind: 'snapshot-pull-failed'; peer: string; detail: string}
 	| {kind: 'endpoint-failed'; path: string; detail: string}
+	/** A listening server goes on after an error, such as an accept that fails. */
+	| {kind: 'server-error'; port: string; detail: string; errors: number}
 	| {kind: 'datagram-rejected'; peer: string; detail: string}
 	| {
 			kind: 'connections-closed';
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -53,7 +53,8 @@
 	  };
 
 export type CallerServer = {
-	listen(host: string, port: number): Promise<void>;
+	/** @param onLaterError called for each error of the listening server, which keeps listening */
+	listen(host: string, port: number, onLaterError?: (error: Error) => void): Promise<void>;
 	/** Applies the limits of the configuration in force. */
 	applyLimits(limits: routeConfig.CallerLimits): void;
 	/** Sends `connection: close` with each further response. */
@@ -418,8 +419,8 @@
 
 	applyLimits(initialLimits);
 	return {
-		async listen(host, port) {
-			await bindAddress.listenOnce(server, {host, port, backlog: 1024});
+		async listen(host, port, onLaterError = () => undefined) {
+			await bindAddress.listenOnce(server, {host, port, backlog: 1024}, onLaterError);
 		},
 		applyLimits,
 		startDraining() {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -36,6 +36,7 @@
 import * as processMonitor from './process-monitor.js';
 import * as quarantineStore from './quarantine-store.js';
 import * as requestAdmission from './request-admission.js';
+import * as serverErrorLog from './server-error-log.js';
 import * as settings from './settings.js';
 
 export type GatewayDaemon = {
@@ -519,11 +520,12 @@
 	const callersAt = settings.splitAddress(listen.callers);
 	const peersAt = settings.splitAddress(listen.peers);
 	const {bindRetry = {timeoutMs: 0, onInUse: () => undefined}} = options;
-	for (const [server, {host, port}] of [
-		[callerHttpServer, callersAt],
-		[peerHttpServer, peersAt],
+	const createErrorListener = serverErrorLog.createServerErrorLog(log, nowMs);
+	for (const [server, {host, port}, onLaterError] of [
+		[callerHttpServer, callersAt, createErrorListener('callers')],
+		[peerHttpServer, peersAt, createErrorListener('peers')],
 	] as const) {
-		await bindAddress.bindWhenFree(async () => server.listen(host, port), bindRetry);
+		await bindAddress.bindWhenFree(async () => server.listen(host, port, onLaterError), bindRetry);
 	}
 
 	const noteDirectoryAnswer = directory.createAnswerChangeDetector((region, {basis, addresses}) => {
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -20,6 +20,7 @@
 import type * as wireFormat from '../common/wire-format.js';
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
+import * as serverErrorLog from './server-error-log.js';
 import * as settings from './settings.js';
 
 type DaemonReference = () => gatewayDaemon.GatewayDaemon | undefined;
@@ -45,9 +46,13 @@
 const bindMarginMs = 2000;
 const programName = 'hawthornfront-gateway';
 
-const listen = async (server: http.Server, address: string): Promise<http.Server> => {
+const listen = async (
+	server: http.Server,
+	address: string,
+	onLaterError: (error: Error) => void,
+): Promise<http.Server> => {
 	const {host, port} = settings.splitAddress(address);
-	await bindAddress.listenOnce(server, {host, port});
+	await bindAddress.listenOnce(server, {host, port}, onLaterError);
 	return server;
 };
 
@@ -156,18 +161,22 @@
 			log.note({kind: 'address-in-use', detail: errorText.errorText(error)});
 		},
 	};
-	const listenWhenFree = async (server: http.Server, address: string) =>
-		bindAddress.bindWhenFree(async () => listen(server, address), bindRetry);
+	const createErrorListener = serverErrorLog.createServerErrorLog(log, () => clock.nowMs());
+	const listenWhenFree = async (
+		server: http.Server,
+		name: 'readiness' | 'directory' | 'metrics',
+	) => {
+		const onLaterError = createErrorListener(name);
+		return bindAddress.bindWhenFree(
+			async () => listen(server, current.listen[name], onLaterError),
+			bindRetry,
+		);
+	};
+
 	const servers = [
-		await listenWhenFree(
-			deployment.createReadinessServer(getDaemon, onError),
-			current.listen.readiness,
-		),
-		await listenWhenFree(
-			deployment.createDirectoryServer(getDaemon, onError),
-			current.listen.directory,
-		),
-		await listenWhenFree(createMetricsServer(registry, getDaemon, onError), current.listen.metrics),
+		await listenWhenFree(deployment.createReadinessServer(getDaemon, onError), 'readiness'),
+		await listenWhenFree(deployment.createDirectoryServer(getDaemon, onError), 'directory'),
+		await listenWhenFree(createMetricsServer(registry, getDaemon, onError), 'metrics'),
 	];
 	const socket = await bindAddress.bindWhenFree(
 		async () => udpSocket.bindUdpSocket(peers.host, peers.port),
