--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -20,6 +20,7 @@
 import * as boundedStop from '../common/bounded-stop.js';
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
+import * as serverErrorLog from './server-error-log.js';
 import * as settings from './settings.js';
 import * as settingsFile from './settings-file.js';
 
@@ -46,9 +47,13 @@
 const stopMarginMs = 25;
 const programName = 'hawthornfront-gateway';
 
-const listen = async (server: http.Server, address: string): Promise<http.Server> => {
+const listen = async (
+	server: http.Server,
+	address: string,
+	onLaterError: (error: Error) => void,
+): Promise<http.Server> => {
 	const {host, port} = settings.splitAddress(address);
-	await bindAddress.listenOnce(server, {host, port});
+	await bindAddress.listenOnce(server, {host, port}, onLaterError);
 	return server;
 };
 
@@ -159,11 +164,19 @@
 			log.note({kind, detail: errorText.errorText(error)});
 		},
 	};
-	const listenWhenFree = async (server: http.Server, address: string) =>
-		bindAddress.bindWhenFree(async () => listen(server, address), bindRetry);
+	const createErrorListener = serverErrorLog.createServerErrorLog(log, () => clock.nowMs());
+	const listenWhenFree = async (
+		server: http.Server,
+		name: 'readiness' | 'directory' | 'metrics',
+		address: string,
+	) => {
+		const onLaterError = createErrorListener(name);
+		return bindAddress.bindWhenFree(async () => listen(server, address, onLaterError), bindRetry);
+	};
+
 	const startMetricsServer = async (address: string) => {
 		try {
-			await listenWhenFree(createMetricsServer(registry, getDaemon, onError), address);
+			await listenWhenFree(createMetricsServer(registry, getDaemon, onError), 'metrics', address);
 		} catch (error) {
 			onError('/metrics', error);
 		}
@@ -172,10 +185,12 @@
 	const servers = [
 		await listenWhenFree(
 			deployment.createReadinessServer(getDaemon, onError),
+			'readiness',
 			current.listen.readiness,
 		),
 		await listenWhenFree(
 			deployment.createDirectoryServer(getDaemon, onError),
+			'directory',
 			current.listen.directory,
 		),
 	];
