--- a/packages/base/src/node/udp-socket.ts
+++ b/packages/base/src/node/udp-socket.ts
@@ -41,11 +41,16 @@
 		const separator = peer.lastIndexOf(':');
 		const host = peer.slice(0, separator);
 		const port = Number(peer.slice(separator + 1));
-		this.#socket.send(bytes, port, host, (error) => {
-			if (error) {
-				this.failedSends++;
-			}
-		});
+		try {
+			this.#socket.send(bytes, port, host, (error) => {
+				if (error) {
+					this.failedSends++;
+				}
+			});
+		} catch {
+			// The address, which may come from a peer, is impossible.
+			this.failedSends++;
+		}
 	}
 
 	override dispose(): void {
--- a/packages/base/src/test/udp-socket.test.ts
+++ b/packages/base/src/test/udp-socket.test.ts
@@ -9,3 +9,15 @@
 	socket.send('127.0.0.1:9', new Uint8Array([1]));
 	t.equal(socket.failedSends, 1);
 });
+
+// A peer's address with an impossible port ended the process, since the send threw in a timer.
+tap.t.test('send to an impossible address counts as a failed send', async (t) => {
+	const socket = await udpSocket.bindUdpSocket('127.0.0.1', 0);
+	const addresses = ['nonsense', '', '127.0.0.1:0', '127.0.0.1:65536', '127.0.0.1:x'];
+	for (const address of addresses) {
+		socket.send(address, new Uint8Array([1]));
+	}
+
+	t.equal(socket.failedSends, addresses.length);
+	socket.dispose();
+});
