Close the socket of a bind that fails

A start that waits for the peers' UDP address, which a predecessor holds, bound a new socket every 100 ms and closed none of them: 61 descriptors after 4 s instead of 22, kept for the life of the process. With a grace period of 600 s, 6,000 would pass the users' limit of 4,100 descriptors.

The socket is closed before the error is reported.

--- a/packages/base/src/node/udp-socket.ts
+++ b/packages/base/src/node/udp-socket.ts
@@ -68,9 +68,14 @@
 export const bindUdpSocket = async (host: string, port: number): Promise<UdpSocket> => {
 	const socket = dgram.createSocket('udp4');
 	await new Promise<void>((resolve, reject) => {
-		socket.once('error', reject);
+		const onError = (error: Error) => {
+			socket.close();
+			reject(error);
+		};
+
+		socket.once('error', onError);
 		socket.bind(port, host, () => {
-			socket.off('error', reject);
+			socket.off('error', onError);
 			resolve();
 		});
 	});
--- a/packages/base/src/test/udp-socket.test.ts
+++ b/packages/base/src/test/udp-socket.test.ts
@@ -1,4 +1,6 @@
 // Guards against a crash when a delayed send runs after the socket was disposed.
+import process from 'node:process';
+import * as timers from 'node:timers/promises';
 import * as tap from 'tap';
 import * as udpSocket from '../node/udp-socket.js';
 
@@ -34,3 +36,26 @@
 	t.equal(socket.failedSends, addresses.length);
 	socket.dispose();
 });
+
+// A start that waited for its address kept one descriptor for each attempt.
+tap.t.test('a bind that fails keeps no socket', async (t) => {
+	const countSockets = () =>
+		process.getActiveResourcesInfo().filter((name) => name === 'UDPWrap').length;
+	const settle = async () => {
+		// A socket is closed some turns of the event loop later.
+		for (let turn = 0; turn < 10; turn++) {
+			await timers.setImmediate();
+		}
+	};
+
+	await settle();
+	const holder = await udpSocket.bindUdpSocket('127.0.0.1', 0);
+	t.equal(countSockets(), 1, 'the socket that holds the address');
+	for (let attempt = 0; attempt < 3; attempt++) {
+		await t.rejects(udpSocket.bindUdpSocket('127.0.0.1', holder.port), {code: 'EADDRINUSE'});
+	}
+
+	await settle();
+	t.equal(countSockets(), 1);
+	holder.dispose();
+});
