Never apply a settings file that lost its last line

Found by rewriting the file of a running daemon 300 times within 2 s, 200 bytes first: two beginnings with equal text, read more than a second apart, looked like a file that had settled, and one cut inside [listen] was parsed (rejected only because it was invalid).

Once a file had the last line, the daemon waits for it, so only files that never had it are judged by time. Further: a reload signal during the planned stop no longer reads the file. Both tests fail before (the second one with a pending timer).

--- a/packages/gateway/src/node/settings-file.ts
+++ b/packages/gateway/src/node/settings-file.ts
@@ -8,7 +8,7 @@
 
 /** Last line of a file that is written in full. */
 const lastLine = '; end of settings';
-/** A file without the last line counts as written when it stays as it is for this time. */
+/** A file that never had the last line counts as written when it stays as it is for this time. */
 const settleMs = 1000;
 /** The start fails without valid settings after this time. */
 const startTimeoutMs = 5000;
@@ -41,6 +41,7 @@
 	const nowMs = () => clock.nowMs();
 	let lastText: string | undefined;
 	let lastChangeAtMs = 0;
+	let hadLastLine = false;
 	let inForceText = '';
 
 	const read = (): Reading => {
@@ -51,7 +52,9 @@
 				lastChangeAtMs = nowMs();
 			}
 
-			if (!text.trimEnd().endsWith(lastLine) && nowMs() - lastChangeAtMs < settleMs) {
+			const hasLastLine = text.trimEnd().endsWith(lastLine);
+			hadLastLine ||= hasLastLine;
+			if (!hasLastLine && (hadLastLine || nowMs() - lastChangeAtMs < settleMs)) {
 				return {rejection: new Error(`${file}: the last line "${lastLine}" is missing`)};
 			}
 
@@ -86,6 +89,7 @@
 		watch({log, apply}) {
 			let rejection = '';
 			let isSignalPending = false;
+			let isDisposed = false;
 			let timer: disposable.Disposable | undefined;
 
 			const check = () => {
@@ -120,6 +124,10 @@
 
 			const checkAndSchedule = () => {
 				timer?.dispose();
+				if (isDisposed) {
+					return;
+				}
+
 				check();
 				const delayMs = rejection === '' ? checkIntervalMs : rejectedCheckIntervalMs;
 				timer = clock.setTimer(checkAndSchedule, delayMs);
@@ -132,6 +140,7 @@
 					checkAndSchedule();
 				},
 				dispose() {
+					isDisposed = true;
 					timer?.dispose();
 				},
 			};
--- a/packages/gateway/src/test/settings-file.test.ts
+++ b/packages/gateway/src/test/settings-file.test.ts
@@ -198,3 +198,30 @@
 	watch().reload();
 	t.strictSame(events, [{kind: 'settings-reloaded', changed: false}]);
 });
+
+// Two beginnings of different files looked like one file that had settled.
+tap.t.test('a file that had the last line needs it', async (t) => {
+	const {clock, read, write, watch, events, applied} = create(t);
+	const whole = createText(80);
+	write(whole + lastLine);
+	await read();
+	watch();
+	write(whole.slice(0, whole.indexOf('80') + 1));
+	await clock.advance(20_000);
+	t.strictSame(applied, []);
+	t.match(events, [{kind: 'settings-rejected', detail: /last line/u}]);
+	write(createText(81) + lastLine);
+	await clock.advance(500);
+	t.strictSame(applied, [81]);
+});
+
+tap.t.test('a signal after the end of the watch does nothing', async (t) => {
+	const {clock, read, write, watch, events} = create(t);
+	write(createText(8) + lastLine);
+	await read();
+	const watched = watch();
+	watched.dispose();
+	watched.reload();
+	t.strictSame(events, []);
+	t.equal(clock.pendingTimers, 0);
+});
