Accept all pending connections before a planned stop closes its listeners

Callers that connected during a long step of the event loop, or while many others did, were reset without an answer when their daemon stopped: Node.js 20 (libuv 1.46) accepts one connection in a poll, the stop waited for one poll, and the close of a listener resets what is pending.

The listener closes when a poll accepts no connection, or after 1 s of a flood, and the stop doesn't end before that.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -61,8 +61,10 @@
 	startDraining(): void;
 	/** Closes idle connections, except new ones whose first request may still arrive. */
 	closeIdle(): void;
-	/** Stops accepting connections. */
+	/** Accepts the connections that are pending, and then no more. */
 	stopListening(): void;
+	/** Whether a connection may still be accepted. */
+	readonly isListening: boolean;
 	/** Requests whose head was read and whose response has not ended. */
 	readonly inFlight: number;
 	readonly openConnections: number;
@@ -84,6 +86,8 @@
 const connectionsCheckMs = 2000;
 /** Added to the idle limit, for a request that is already on the network. */
 const idleSlackMs = 1000;
+/** Time for connections that are pending when the server stops to listen. */
+const maxAcceptPendingMs = 1000;
 /** The first request of a new connection arrives within this time, even on a slow network. */
 const firstRequestGraceMs = 250;
 
@@ -346,7 +350,21 @@
 	// `close` of the HTTP server would also destroy connections whose response is still being written.
 	const closeListener = () => net.Server.prototype.close.call(server);
 
+	let accepted = 0;
+	/** A poll accepts one connection, and the close of the listener resets those that are still pending. */
+	const closeWhenAccepted = (untilMs: number) => {
+		const before = accepted;
+		afterNextPoll(() => {
+			if (accepted === before || nowMs() > untilMs) {
+				closeListener();
+			} else {
+				closeWhenAccepted(untilMs);
+			}
+		});
+	};
+
 	server.on('connection', (socket) => {
+		accepted++;
 		connections.add(socket);
 	});
 	// When `timeout` has a listener, the server does not close the connection itself.
@@ -438,8 +456,10 @@
 			});
 		},
 		stopListening() {
-			// Accepts the pending connections first.
-			afterNextPoll(closeListener);
+			closeWhenAccepted(nowMs() + maxAcceptPendingMs);
+		},
+		get isListening() {
+			return server.listening;
 		},
 		get inFlight() {
 			return requestAborts.size;
--- a/packages/gateway/src/node/planned-stop.ts
+++ b/packages/gateway/src/node/planned-stop.ts
@@ -35,7 +35,12 @@
 	servers: ReadonlyArray<
 		Pick<
 			callerServer.CallerServer,
-			'startDraining' | 'stopListening' | 'closeIdle' | 'inFlight' | 'openConnections'
+			| 'startDraining'
+			| 'stopListening'
+			| 'isListening'
+			| 'closeIdle'
+			| 'inFlight'
+			| 'openConnections'
 		>
 	>;
 	/** Time after which the process is killed. */
@@ -77,7 +82,7 @@
 			}
 		}
 
-		if (servers.some((server) => server.inFlight > 0)) {
+		if (servers.some((server) => server.isListening || server.inFlight > 0)) {
 			idleSinceMs = undefined;
 			continue;
 		}
--- a/packages/gateway/src/test/caller-server.test.ts
+++ b/packages/gateway/src/test/caller-server.test.ts
@@ -101,7 +101,17 @@
 		setLimits({});
 	}
 
-	return {server, runs, replies, closes, time, open, setLimits, disposals: () => disposeCount};
+	return {
+		server,
+		runs,
+		replies,
+		closes,
+		time,
+		open,
+		port: listenPort,
+		setLimits,
+		disposals: () => disposeCount,
+	};
 };
 
 /** Time after which the timer of an idle limit of 0 has fired. */
@@ -305,6 +315,32 @@
 	t.same(runs.map(({path}) => path).sort(), ['/fresh/', '/half/']);
 });
 
+// Guards against resets of connections that arrived during a long step of the event loop: a poll
+// accepts one of them only.
+tap.t.test('pending connections are accepted before a server stops listening', async (t) => {
+	for (const isSlow of [false, true]) {
+		const {server, runs, port, time} = await start(t);
+		const sockets = Array.from({length: 40}, () => {
+			const socket = net.connect(port, '127.0.0.1');
+			socket.on('error', () => undefined);
+			socket.write('GET /a/ HTTP/1.1\r\nhost: a\r\n\r\n');
+			return socket;
+		});
+		t.teardown(() => {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		});
+		await Promise.resolve();
+		blockEventLoop(30);
+		server.stopListening();
+		time.nowMs += isSlow ? 5000 : 0;
+		t.ok(await waitUntil(() => !server.isListening));
+		await sleep(50);
+		t.equal(runs.length < sockets.length, isSlow, `${runs.length} ran`);
+	}
+});
+
 // Guards against a cut answer: the HTTP server destroys a connection with unsent bytes when it
 // stops listening.
 tap.t.test('slow callers read their whole answer during a stop', async (t) => {
--- a/packages/gateway/src/test/planned-stop.test.ts
+++ b/packages/gateway/src/test/planned-stop.test.ts
@@ -6,7 +6,13 @@
 const start = (graceMs = 8000) => {
 	const clock = new manualClock.ManualClock();
 	const steps: string[] = [];
-	const state = {inFlight: 0, openConnections: 1, isDone: false};
+	const state = {
+		inFlight: 0,
+		openConnections: 1,
+		isListening: true,
+		hasPending: false,
+		isDone: false,
+	};
 	const note = (step: string) => {
 		if (steps.at(-1) !== step) {
 			steps.push(step);
@@ -28,6 +34,10 @@
 		},
 		stopListening() {
 			note('stop-listening');
+			state.isListening = state.hasPending;
+		},
+		get isListening() {
+			return state.isListening;
 		},
 	};
 	void plannedStop.drainCallers({clock, servers: [server], graceMs}).then(() => {
@@ -52,6 +62,19 @@
 	t.ok(state.isDone);
 });
 
+// Guards against a stop that resets connections that are not accepted yet, when no other is open.
+tap.t.test('a stop waits until the pending connections are accepted', async (t) => {
+	const {clock, steps, state} = start();
+	state.openConnections = 0;
+	state.hasPending = true;
+	await clock.advance(2500);
+	t.same(steps, ['drain', 'stop-listening']);
+	t.notOk(state.isDone);
+	state.isListening = false;
+	await clock.advance(100);
+	t.ok(state.isDone);
+});
+
 tap.t.test('connections that callers never close do not delay a stop', async (t) => {
 	const {clock, state} = start();
 	await clock.advance(2500);
