Refuse members with an impossible address

What was seen: one valid datagram of a member with the peer address "nonsense" ends a daemon within a second: process-failed, uncaughtException, ERR_SOCKET_BAD_PORT in `Socket.send` in the tick of the gossip. Until its end it may pass the record on to others.

Cause: addresses of members were any text.

Fix: a record whose addresses have no port of 1 to 65535 is refused, from datagrams and from the store. The new test on the code before: fails.

--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -18,14 +18,22 @@
 export const maxNameLength = 255;
 const nameSchema = zod.string().max(maxNameLength);
 
+const maxPort = 65_535;
+
+/** `host:port`, to which a datagram can be sent. */
+const addressSchema = nameSchema.refine((text) => {
+	const port = /.:(\d{1,5})$/u.exec(text)?.[1];
+	return port !== undefined && Number(port) > 0 && Number(port) <= maxPort;
+}, 'expected a host and a port');
+
 export const memberRecordSchema = zod.object({
 	name: nameSchema,
 	region: nameSchema,
 	failureDomain: nameSchema,
 	/** `host:port` at which callers connect. */
-	callerAddress: nameSchema,
+	callerAddress: addressSchema,
 	/** `host:port` for forwarded requests and datagrams of other daemons. */
-	peerAddress: nameSchema,
+	peerAddress: addressSchema,
 	/** Unix time of its start; distinguishes two starts. */
 	startedAtUnixMs: zod.number(),
 	/** It serves callers. */
@@ -49,8 +57,8 @@
 	nameSchema,
 	nameSchema,
 	nameSchema,
-	nameSchema,
-	nameSchema,
+	addressSchema,
+	addressSchema,
 	zod.number(),
 	zod.boolean(),
 	zod.boolean(),
--- a/packages/gateway/src/test/kept-names.test.ts
+++ b/packages/gateway/src/test/kept-names.test.ts
@@ -147,3 +147,15 @@
 	t.ok(table.reporters <= 50, `${table.reporters} reporters`);
 	t.equal(table.size, 1);
 });
+
+// One datagram of a member with such an address ended each daemon that heard of it.
+tap.t.test('a member with an impossible address is refused', async (t) => {
+	for (const address of ['nonsense', '', ':90', 'n2:', 'n2:0', 'n2:65536', 'n2:1e3', 'n2:-1']) {
+		for (const key of ['peerAddress', 'callerAddress']) {
+			const record = fixtures.member('n2', {[key]: address});
+			const other = emptyMessage(fixtures.member('n3'), {others: [{record, ageMs: 0}]});
+			t.throws(() => gossipMessage.decodeGossip(gossipMessage.encodeGossip(other)), address);
+			t.throws(() => gossipMessage.memberRecordSchema.parse(record), address);
+		}
+	}
+});
