Let the metrics of very many services share a label

Cause: each service that a configuration had ever named kept two histograms and its counters, here for as long as the process runs.

The new test on the code before fails (2,000 labels).

--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -11,6 +11,10 @@
 const maxRequestLinesPerS = 200;
 /** Lines per second for refusals, failures and changes of the cluster state. */
 const maxImportantLinesPerS = 400;
+/** Services with metrics of their own; configurations may name others all day. */
+const maxServiceLabels = 200;
+/** Label of further services. */
+const otherServices = 'other';
 const standardOutput = 1;
 const latencyBucketsMs = [10, 25, 50, 100, 200, 300, 500, 800, 1000, 2000, 4000, 8000, 16_000];
 
@@ -82,11 +86,20 @@
 		['service'],
 		latencyBucketsMs,
 	);
+	const serviceLabels = new Set<string>();
 	let windowStartMs = nowMs();
 	let ordinaryLines = 0;
 	let importantLines = 0;
 	let omittedLines = 0;
 
+	const serviceLabel = (service: string): string => {
+		if (serviceLabels.size < maxServiceLabels) {
+			serviceLabels.add(service);
+		}
+
+		return serviceLabels.has(service) ? service : otherServices;
+	};
+
 	const startWindow = () => {
 		const unread = output.takeDropped();
 		if (unread > 0) {
@@ -123,10 +136,11 @@
 		note(event) {
 			events.inc({kind: event.kind});
 			if (event.kind === 'request-ended') {
-				answers.inc({service: event.service, outcome: event.outcome});
-				totalMs.observe({service: event.service}, event.totalMs);
+				const service = serviceLabel(event.service);
+				answers.inc({service, outcome: event.outcome});
+				totalMs.observe({service}, event.totalMs);
 				if (event.firstMs >= 0) {
-					firstMs.observe({service: event.service}, event.firstMs);
+					firstMs.observe({service}, event.firstMs);
 				}
 			}
 
--- a/packages/gateway/src/test/event-writer-child.ts
+++ b/packages/gateway/src/test/event-writer-child.ts
@@ -35,6 +35,14 @@
 	nowMs += 1000;
 	noteMany(broken, 1);
 	writer.flush();
+} else if (mode === 'services') {
+	for (let index = 0; index < 2000; index++) {
+		writer.note({...ended, service: `service${index}`});
+	}
+
+	const text = await registry.metrics();
+	const labels = new Set(Array.from(text.matchAll(/service="(\w+)"/gu), ([, label]) => label));
+	process.stderr.write(`${labels.size} labels, other: ${labels.has('other')}`);
 } else {
 	// Without a reader, about 9 MB far exceed the pipe and the buffer.
 	for (let second = 0; second < 60; second++) {
--- a/packages/gateway/src/test/event-writer.test.ts
+++ b/packages/gateway/src/test/event-writer.test.ts
@@ -24,6 +24,12 @@
 	);
 });
 
+// Each service that a configuration had ever named kept two histograms and its counters.
+tap.t.test('ever new services: the metrics of further ones share a label', async (t) => {
+	const {stderr} = childProcess.spawnSync('node', [child, 'services'], {encoding: 'utf8'});
+	t.equal(stderr, '201 labels, other: true');
+});
+
 tap.t.test('a log reader that does not read delays nothing', {timeout: 60_000}, async (t) => {
 	const running = childProcess.spawn('node', [child, 'unread'], {
 		stdio: ['ignore', 'pipe', 'pipe'],
