Leave nothing of a watch that has ended at the signal of its feed

Cause: `AbortSignal.any` of Node.js 20 adds an entry to each of its sources and never removes it. The signal that ends a feed lives as long as the process, and each watch combined it with one of its own: 57 bytes a watch by a run of 50,000 signals whose listeners are removed, as the daemon's client does, up to 2.5 watches a second and feed. By arithmetic that is half a megabyte an hour for each feed at a store that always has changes.

Fix: the end of the feed ends the watch in progress, and the watch has one signal. The new test on the code before: 37.5 MB kept after 20,000 watches, whose listeners its store does not remove; between -1.7 and 1.1 MB in the runs of the new code, which is the noise of the measure, where 4 MB are allowed.

--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -157,12 +157,8 @@
 			const waitMs = options.watchWaitMs();
 			const beganAtMs = clock.nowMs();
 			followState.watchEndsAtMs = beganAtMs + waitMs;
-			const changes = await store.watch(
-				prefix,
-				revision,
-				waitMs,
-				AbortSignal.any([abort.signal, watchAbort.signal]),
-			);
+			// `AbortSignal.any` would leave an entry at the signal of the whole feed for each watch.
+			const changes = await store.watch(prefix, revision, waitMs, watchAbort.signal);
 			if (changes.kind === 'history-lost') {
 				handler.onHistoryLost(revision);
 				// An old listing would end before the history begins again.
@@ -258,7 +254,9 @@
 		refresh,
 		dispose() {
 			eraSubscription.dispose();
-			abort.abort(new Error('stopped'));
+			const reason = new Error('stopped');
+			abort.abort(reason);
+			watchAbort.abort(reason);
 			followState.resume();
 		},
 	};
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -1,5 +1,6 @@
 // A watch on a store prefix through outages and lost history.
 import * as tap from 'tap';
+import * as heapUse from '@hawthornfront/base/test/heap-use.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as prefixStore from '../common/prefix-store.js';
 import * as storeFeed from '../common/store-feed.js';
@@ -290,3 +291,24 @@
 		t.ok(store.calls < 40, `${store.calls} calls in 10 s`);
 	});
 }
+
+// Each watch left its signal, or an entry for it, at the signal that ends the feed, for as long as the process runs.
+tap.t.test('a feed keeps nothing of the watches that have ended', async (t) => {
+	const {clock, store, feed} = await start(t);
+	const answerWatches = async (count: number) => {
+		for (let index = 0; index < count; index++) {
+			store.answerWatch({kind: 'events', events: [], revision: 1});
+			await clock.advance(15_000);
+		}
+	};
+
+	await answerWatches(5000);
+	const before = heapUse.usedBytes();
+	const watches = 20_000;
+	await answerWatches(watches);
+	const kept = heapUse.usedBytes() - before;
+	const bytesOfASignal = 200;
+	t.ok(kept < watches * bytesOfASignal, `${kept} bytes`);
+	feed.dispose();
+	t.equal(feed.contact, 'reached');
+});
