Leave descriptors for upstreams when callers keep many connections

Idle connections of callers took all descriptors, so new callers were reset by libuv, which closes what it cannot accept, and connections to upstreams could not be opened. Nothing bounded the connections of the servers.

The daemon now keeps callers, peers and upstreams together below maxDescriptors less a tenth (at least 64): a new connection makes the longest idle ones close in an orderly way, and is answered 503 when none is idle. The servers for readiness, the directory and metrics keep the newest 5% of that each. Without maxDescriptors there is no bound.

--- a/packages/base/src/node/get-server.ts
+++ b/packages/base/src/node/get-server.ts
@@ -4,6 +4,7 @@
  */
 import * as buffer from 'node:buffer';
 import * as http from 'node:http';
+import type * as net from 'node:net';
 
 export type GetResponse = {
 	status: number;
@@ -60,3 +61,19 @@
 			response.end(body?.text);
 		})();
 	});
+
+/** Closes the oldest connection for a new one beyond a maximum; requests of these servers are short. */
+export const limitConnections = (server: http.Server, maxConnections: number): void => {
+	const open = new Set<net.Socket>();
+	server.on('connection', (socket: net.Socket) => {
+		open.add(socket);
+		socket.on('close', () => {
+			open.delete(socket);
+		});
+		const [oldest] = open;
+		if (oldest && open.size > maxConnections) {
+			open.delete(oldest);
+			oldest.destroy();
+		}
+	});
+};
--- a/packages/base/src/test/get-server.test.ts
+++ b/packages/base/src/test/get-server.test.ts
@@ -1,5 +1,5 @@
 // The small GET endpoints of a daemon.
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as tap from 'tap';
 import * as getServer from '../node/get-server.js';
 
@@ -25,7 +25,7 @@
 		server.close();
 	});
 	const {port} = server.address() as net.AddressInfo;
-	return {base: `http://127.0.0.1:${port}`, failures};
+	return {base: `http://127.0.0.1:${port}`, failures, server, port};
 };
 
 tap.t.test('a handler gets the query and answers in JSON', async (t) => {
@@ -57,3 +57,35 @@
 	t.equal(status, 500);
 	t.same(failures, ['/broken: Error: out of order']);
 });
+
+// Guards against a flood of connections that uses up the descriptors of a process (issue 39).
+tap.t.test('the oldest connection makes room for a new one', async (t) => {
+	const {server, port} = await start(t);
+	getServer.limitConnections(server, 2);
+	const sockets = [];
+	let closed = 0;
+	for (let count = 0; count < 5; count++) {
+		const socket = net.connect(port, '127.0.0.1');
+		socket.on('close', () => {
+			closed++;
+		});
+		await new Promise((resolve) => {
+			socket.once('connect', resolve);
+		});
+		sockets.push(socket);
+	}
+
+	for (let step = 0; step < 200 && closed < 3; step++) {
+		await new Promise((resolve) => {
+			setTimeout(resolve, 10);
+		});
+	}
+
+	t.same(
+		sockets.map(({destroyed}) => destroyed),
+		[true, true, true, false, false],
+	);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+});
--- a/packages/gateway/src/node/caller-connections.ts
+++ b/packages/gateway/src/node/caller-connections.ts
@@ -1,7 +1,6 @@
 /** Tracks the requests in progress and the idle time of caller connections. */
 import type * as net from 'node:net';
 
-/** Time for a caller to close its side; after it, the socket emits `timeout`. */
 const closeTimeoutMs = 2000;
 
 type Connection = {
@@ -30,14 +29,32 @@
 	 * Closes this side of the connection. A request that the caller has already sent is not answered.
 	 *
 	 * @param lastText text to send before the close
+	 * @param timeoutMs time for a caller to close its side; after it, the socket emits `timeout`
 	 */
-	close(socket: net.Socket, lastText?: string): void;
+	close(socket: net.Socket, lastText?: string, timeoutMs?: number): void;
+	/** The connection that has been idle for the longest time, and at least for `minIdleMs`. */
+	longestIdle(minIdleMs: number): net.Socket | undefined;
 	all(): Iterable<net.Socket>;
 	readonly count: number;
 };
 
 export const createCallerConnections = (nowMs: () => number): CallerConnections => {
+	/** Ordered by the last change between idle and busy, so that the longest idle ones are first. */
 	const connections = new Map<net.Socket, Connection>();
+	const idleMs = (socket: net.Socket): number | undefined => {
+		const connection = connections.get(socket);
+		if (
+			!connection ||
+			connection.isClosing ||
+			connection.requests.size > 0 ||
+			socket.bytesRead !== connection.bytesReadAtIdle
+		) {
+			return undefined;
+		}
+
+		return nowMs() - connection.idleSinceMs;
+	};
+
 	return {
 		add(socket) {
 			connections.set(socket, {
@@ -63,32 +80,31 @@
 				connection.requests.delete(onClose);
 				connection.idleSinceMs = nowMs();
 				connection.bytesReadAtIdle = socket.bytesRead;
+				connections.delete(socket);
+				connections.set(socket, connection);
 			}
 		},
 		requestCount: (socket) => connections.get(socket)?.requests.size ?? 0,
 		isBusy: (socket) => (connections.get(socket)?.requests.size ?? 0) > 0,
 		isClosing: (socket) => connections.get(socket)?.isClosing ?? false,
-		idleMs(socket) {
-			const connection = connections.get(socket);
-			if (
-				!connection ||
-				connection.isClosing ||
-				connection.requests.size > 0 ||
-				socket.bytesRead !== connection.bytesReadAtIdle
-			) {
-				return undefined;
+		idleMs,
+		longestIdle(minIdleMs) {
+			for (const socket of connections.keys()) {
+				if ((idleMs(socket) ?? 0) >= minIdleMs) {
+					return socket;
+				}
 			}
 
-			return nowMs() - connection.idleSinceMs;
+			return undefined;
 		},
-		close(socket, lastText = '') {
+		close(socket, lastText = '', timeoutMs = closeTimeoutMs) {
 			const connection = connections.get(socket);
 			if (connection) {
 				connection.isClosing = true;
 			}
 
 			socket.end(lastText);
-			socket.setTimeout(closeTimeoutMs);
+			socket.setTimeout(timeoutMs);
 		},
 		all: () => connections.keys(),
 		get count() {
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -61,6 +61,8 @@
 	startDraining(): void;
 	/** Closes idle connections, except new ones whose first request may still arrive. */
 	closeIdle(): void;
+	/** Closes the connection that has been idle for the longest time; returns false without one. */
+	closeLongestIdle(): boolean;
 	/** Accepts the connections that are pending, and then no more. */
 	stopListening(): void;
 	/** Whether a connection may still be accepted. */
@@ -91,6 +93,9 @@
 /** The first request of a new connection arrives within this time, even on a slow network. */
 const firstRequestGraceMs = 250;
 
+/** Time for a caller to close its side while connections are scarce. */
+const scarceCloseTimeoutMs = 250;
+
 class ServerReply extends upstreamTransport.CallerReply {
 	readonly #response: http.ServerResponse;
 	readonly #isDraining: () => boolean;
@@ -160,11 +165,13 @@
 /**
  * @param decide decides on a request from its head
  * @param closes counts the connections that the server closes
+ * @param makeRoom called for each new connection; returns whether it may stay open
  */
 export const createCallerServer = (
 	nowMs: () => number,
 	decide: (head: RequestHead) => AdmissionDecision,
 	closes: Pick<closeLog.CloseLog, 'note'>,
+	makeRoom: () => boolean = () => true,
 ): CallerServer => {
 	const connections = callerConnections.createCallerConnections(nowMs);
 	/** One callback for each request in progress, which aborts it. */
@@ -366,6 +373,10 @@
 	server.on('connection', (socket) => {
 		accepted++;
 		connections.add(socket);
+		if (!makeRoom()) {
+			closes.note('no-room', 0);
+			connections.close(socket, emptyResponse('503 Service Unavailable'), scarceCloseTimeoutMs);
+		}
 	});
 	// When `timeout` has a listener, the server does not close the connection itself.
 	server.on('timeout', (socket: net.Socket) => {
@@ -455,6 +466,15 @@
 				}
 			});
 		},
+		closeLongestIdle() {
+			const socket = connections.longestIdle(firstRequestGraceMs);
+			if (socket) {
+				closes.note('make-room', 0);
+				connections.close(socket, '', scarceCloseTimeoutMs);
+			}
+
+			return socket !== undefined;
+		},
 		stopListening() {
 			closeWhenAccepted(nowMs() + maxAcceptPendingMs);
 		},
--- a/packages/gateway/src/node/close-log.ts
+++ b/packages/gateway/src/node/close-log.ts
@@ -12,6 +12,10 @@
 	| 'slow-head'
 	/** The caller sent bytes that are not a request, or the connection failed. */
 	| 'client-error'
+	/** Idle, and its descriptor was needed for a new connection. */
+	| 'make-room'
+	/** New, while all descriptors for connections were in use by requests. */
+	| 'no-room'
 	/** A request was in progress when the grace period was over. */
 	| 'grace-over';
 
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -136,6 +136,7 @@
 	readonly #nowMs: () => number;
 	readonly #idle = new Map<string, Connection[]>();
 	#opened = 0;
+	#openSockets = 0;
 
 	constructor(nowMs: () => number, settings: PoolSettings = defaultPoolSettings) {
 		super();
@@ -148,6 +149,11 @@
 		return this.#opened;
 	}
 
+	/** Number of connections that hold a descriptor. */
+	get openConnections(): number {
+		return this.#openSockets;
+	}
+
 	override send(
 		request: upstreamTransport.TransportRequest,
 		listener: upstreamTransport.TransportListener,
@@ -472,6 +478,7 @@
 			allowHalfOpen: true,
 		});
 		connection.socket = socket;
+		this.#openSockets++;
 		let isSettled = false;
 		const timer = setTimeout(() => {
 			settle(Object.assign(new Error('connect timeout'), {code: 'UND_ERR_CONNECT_TIMEOUT'}));
@@ -518,6 +525,7 @@
 		});
 		socket.once('close', () => {
 			connection.isClosed = true;
+			this.#openSockets--;
 		});
 	}
 
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -27,6 +27,7 @@
 import * as clusterState from './cluster-state.js';
 import * as callerServer from './caller-server.js';
 import * as closeLog from './close-log.js';
+import * as connectionBudget from './connection-budget.js';
 import * as connectionPool from './connection-pool.js';
 import type * as eventWriter from './event-writer.js';
 import * as gossipNode from './gossip-node.js';
@@ -226,12 +227,25 @@
 
 	const callerCloseLog = closeLog.createCloseLog(log, 'callers');
 	const peerCloseLog = closeLog.createCloseLog(log, 'peers');
-	const callerHttpServer = callerServer.createCallerServer(
+	const connections = connectionBudget.createConnectionBudget({
+		maxConnections: connectionBudget.maxConnectionsFor(current.limits.maxDescriptors),
+		openConnections: () =>
+			callerHttpServer.openConnections + peerHttpServer.openConnections + pool.openConnections,
+		closeLongestIdle: () =>
+			callerHttpServer.closeLongestIdle() || peerHttpServer.closeLongestIdle(),
+	});
+	const callerHttpServer: callerServer.CallerServer = callerServer.createCallerServer(
 		nowMs,
 		createCheck(false),
 		callerCloseLog,
+		connections.makeRoom,
+	);
+	const peerHttpServer: callerServer.CallerServer = callerServer.createCallerServer(
+		nowMs,
+		createCheck(true),
+		peerCloseLog,
+		connections.makeRoom,
 	);
-	const peerHttpServer = callerServer.createCallerServer(nowMs, createCheck(true), peerCloseLog);
 
 	const inFlight = () => callerHttpServer.inFlight + peerHttpServer.inFlight;
 
@@ -508,6 +522,7 @@
 		held: () => ({
 			callerConnections: callerHttpServer.openConnections,
 			peerConnections: peerHttpServer.openConnections,
+			upstreamConnections: pool.openConnections,
 			requests: inFlight(),
 			...dispatch.held(),
 			members: fleet.size,
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -18,6 +18,7 @@
 import type * as prefixStore from '../common/prefix-store.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as boundedStop from '../common/bounded-stop.js';
+import * as connectionBudget from './connection-budget.js';
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
 import * as serverErrorLog from './server-error-log.js';
@@ -165,12 +166,16 @@
 		},
 	};
 	const createErrorListener = serverErrorLog.createServerErrorLog(log, () => clock.nowMs());
+	const maxEndpointConnections = connectionBudget.maxEndpointConnections(
+		connectionBudget.maxConnectionsFor(current.limits.maxDescriptors),
+	);
 	const listenWhenFree = async (
 		server: http.Server,
 		name: 'readiness' | 'directory' | 'metrics',
 		address: string,
 	) => {
 		const onLaterError = createErrorListener(name);
+		getServer.limitConnections(server, maxEndpointConnections);
 		return bindAddress.bindWhenFree(async () => listen(server, address, onLaterError), bindRetry);
 	};
 
