Bound the memory that bodies and unread answers hold together

What happened: callers that sent bodies within the limit of one body and did not finish them, or sent a body in chunks of a byte, or did not read their answers, grew a daemon past its memory limit (killed) or its heap limit (SIGABRT). One caller was enough for the latter.

Cause: each body and each answer had a bound of its own, all together had none. A chunk of one byte took a buffer object of its own, some hundred times its size. A body that never ended had no time limit at all.

Now one budget per process, from limits.memoryMb, counts what has arrived. Beyond it, an unfinished body gives way: large ones without progress for a second first, then the largest, then the oldest. It gets 503 not-run with Retry-After and connection: close; further bytes are not kept, and the connection is closed after a second at most, so that the caller can read the refusal. Complete bodies stay. A quarter of the room is kept for short bodies. Answers that their callers do not read have their own share, with what the paused upstream connection holds; those without progress for longest are broken off. Small chunks are copied into blocks. A declared length beyond the limit is refused before its body, and a body that is not complete in the time of its request is refused (503, not-run). Reads are not paused instead: bytes that a machine has received and not read count as its memory too.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -276,6 +276,15 @@
 			connections: number;
 			unanswered: number;
 	  }
+	| {
+			/** Bodies or answers gave way to others. */
+			kind: 'gave-way';
+			what: 'body' | 'answer';
+			count: number;
+			bytes: number;
+			heldBytes: number;
+			limitBytes: number;
+	  }
 	| {
 			kind: 'limits-changed';
 			version: number;
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -3,14 +3,16 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
-import * as event from '@hawthornfront/base/common/event.js';
 import type * as answerClassifier from '../common/answer-classifier.js';
+import * as memoryBudget from '../common/memory-budget.js';
 import type * as requestEngine from '../common/request-engine.js';
 import type * as routeConfig from '../common/route-config.js';
-import * as upstreamTransport from '../common/upstream-transport.js';
+import type * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as callerConnections from './caller-connections.js';
 import type * as closeLog from './close-log.js';
+import * as requestBody from './request-body.js';
+import * as serverReply from './server-reply.js';
 
 /** Request line and headers of a request. */
 export type RequestHead = {
@@ -38,6 +40,10 @@
 	| {kind: 'respond'; body: string}
 	| {
 			kind: 'accept';
+			/** Time for the request from its head on; without it, unlimited. */
+			timeoutMs?: number;
+			/** Additional headers of a refusal for this reason. */
+			refusalHeaders?(reason: string): wireFormat.Headers;
 			/**
 			 * Whether the request is still accepted when its body is complete.
 			 *
@@ -82,57 +88,15 @@
 /** Longest time that a timer of Node.js accepts. */
 const maxTimerMs = 2_147_483_647;
 const connectionsCheckMs = 2000;
+/** A caller that still sends the body of a refused request has this long to read the refusal. */
+const refusalReadMs = 1000;
+/** Retry delay for callers whose body found no memory. */
+const noMemoryRetryMs = 500;
 /** Added to the idle limit, for a request that is already on the network. */
 const idleSlackMs = 1000;
 /** The first request of a new connection arrives within this time, even on a slow network. */
 const firstRequestGraceMs = 250;
 
-class ServerReply extends upstreamTransport.CallerReply {
-	readonly #response: http.ServerResponse;
-	readonly #isDraining: () => boolean;
-	readonly #didDrain = event.createEmitter<void>();
-
-	constructor(response: http.ServerResponse, isDraining: () => boolean) {
-		super();
-		this.#response = response;
-		this.#isDraining = isDraining;
-		response.on('drain', () => {
-			this.#didDrain.fire();
-		});
-	}
-
-	override get onDidDrain() {
-		return this.#didDrain.event;
-	}
-
-	override start(status: number, headers: wireFormat.Headers): void {
-		this.#response.sendDate = false;
-		for (const [name, value] of Object.entries(headers)) {
-			if (value !== undefined) {
-				this.#response.setHeader(name, value);
-			}
-		}
-
-		if (this.#isDraining()) {
-			this.#response.setHeader('connection', 'close');
-		}
-
-		this.#response.writeHead(status);
-	}
-
-	override write(bytes: Uint8Array): boolean {
-		return this.#response.write(bytes);
-	}
-
-	override end(): void {
-		this.#response.end();
-	}
-
-	override abort(): void {
-		this.#response.destroy();
-	}
-}
-
 /**
  * Calls back after the event loop has polled its sockets once more. After a stall of the
  * loop, a request and the close of its connection may both be pending, and the loop reads
@@ -156,11 +120,13 @@
 /**
  * @param decide decides on a request from its head
  * @param closes counts the connections that the server closes
+ * @param budget bounds what the requests of all servers hold
  */
 export const createCallerServer = (
 	nowMs: () => number,
 	decide: (head: RequestHead) => AdmissionDecision,
 	closes: Pick<closeLog.CloseLog, 'note'>,
+	budget = memoryBudget.createMemoryBudget(nowMs, memoryBudget.heldLimitBytes(undefined)),
 ): CallerServer => {
 	const connections = callerConnections.createCallerConnections(nowMs);
 	/** One callback for each request in progress, which aborts it. */
@@ -178,10 +144,13 @@
 			outcome = 'not-run',
 			retryAfterMs,
 			headers = {},
+			isReading = false,
 		}: {
 			outcome?: answerClassifier.Outcome;
 			retryAfterMs?: number;
 			headers?: wireFormat.Headers;
+			/** The caller still sends the body; the connection closes when it has sent it or had the time to read. */
+			isReading?: boolean;
 		} = {},
 	) => {
 		const body = JSON.stringify({outcome, reason});
@@ -190,7 +159,7 @@
 			response.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
 		}
 
-		if (isDraining) {
+		if (isDraining || isReading) {
 			response.setHeader('connection', 'close');
 		}
 
@@ -199,7 +168,22 @@
 			'content-type': 'application/problem+json',
 			'content-length': buffer.Buffer.byteLength(body),
 		});
-		response.end(body);
+		if (isReading) {
+			// A connection that is closed while bytes arrive is reset, and the caller may lose the response.
+			response.write(body);
+			const end = () => {
+				response.end();
+			};
+
+			const timer = setTimeout(end, refusalReadMs);
+			response.req.on('end', end);
+			response.req.resume();
+			response.on('close', () => {
+				clearTimeout(timer);
+			});
+		} else {
+			response.end(body);
+		}
 	};
 
 	const headerBytes = (rawHeaders: readonly string[]) =>
@@ -214,6 +198,7 @@
 		}
 
 		let execution: requestEngine.RequestExecution | undefined;
+		const held: {body?: requestBody.RequestBody; reply?: serverReply.ServerReply} = {};
 		let isOver = false;
 		let hasRun = false;
 		const end = () => {
@@ -225,6 +210,8 @@
 			requestAborts.delete(abortNow);
 			connections.endRequest(request.socket, end);
 			execution?.dispose();
+			held.body?.release();
+			held.reply?.release();
 		};
 
 		// A response that waits for an earlier one on its connection has no `close` event.
@@ -274,14 +261,31 @@
 			return;
 		}
 
-		readBody(request, (body) => {
+		const refuseBody = (failure: requestBody.BodyFailure) => {
 			if (isOver) {
 				return;
 			}
 
-			if (body === 'too-large') {
-				response.setHeader('connection', 'close');
-				reject(response, 413, 'body-too-large');
+			if (failure === 'too-large') {
+				reject(response, 413, 'body-too-large', {isReading: true});
+				return;
+			}
+
+			closes.note(failure === 'deadline' ? 'slow-body' : 'no-memory', 1);
+			reject(response, 503, failure, {
+				retryAfterMs: failure === 'deadline' ? undefined : noMemoryRetryMs,
+				headers: decision.refusalHeaders?.(failure),
+				isReading: true,
+			});
+		};
+
+		if (Number(request.headers['content-length']) > maxBodyBytes) {
+			refuseBody('too-large');
+			return;
+		}
+
+		const onBody = (body: Uint8Array | undefined) => {
+			if (isOver) {
 				return;
 			}
 
@@ -299,39 +303,29 @@
 				}
 
 				hasRun = true;
-				const reply = new ServerReply(response, () => isDraining);
+				const reply = new serverReply.ServerReply(response, {
+					isDraining: () => isDraining,
+					budget,
+					onUnread() {
+						closes.note('unread-answer', 1);
+						socket.destroy();
+					},
+				});
+				held.reply = reply;
 				execution = run(body, reply, () => {
 					execution = undefined;
+					held.body?.release();
 				});
 			});
-		});
-	};
+		};
 
-	const readBody = (
-		request: http.IncomingMessage,
-		onBody: (body: Uint8Array | undefined | 'too-large') => void,
-	) => {
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		request.on('data', (chunk: Uint8Array) => {
-			const wasTooLarge = bytes > maxBodyBytes;
-			bytes += chunk.length;
-			if (bytes <= maxBodyBytes) {
-				chunks.push(chunk);
-			} else if (!wasTooLarge) {
-				chunks.length = 0;
-				onBody('too-large');
-			}
-		});
-		request.on('end', () => {
-			if (bytes <= maxBodyBytes) {
-				onBody(
-					bytes === 0 ? undefined : chunks.length === 1 ? chunks[0] : buffer.Buffer.concat(chunks),
-				);
-			}
+		held.body = requestBody.readBody(request, {
+			budget,
+			maxBytes: maxBodyBytes,
+			timeoutMs: decision.timeoutMs ?? Number.POSITIVE_INFINITY,
+			onComplete: onBody,
+			onFailure: refuseBody,
 		});
-		// The `close` event of the response reports a caller that disconnects.
-		request.on('error', () => undefined);
 	};
 
 	const server = http.createServer(
--- a/packages/gateway/src/node/close-log.ts
+++ b/packages/gateway/src/node/close-log.ts
@@ -13,7 +13,13 @@
 	/** The caller sent bytes that are not a request, or the connection failed. */
 	| 'client-error'
 	/** A request was in progress when the grace period was over. */
-	| 'grace-over';
+	| 'grace-over'
+	/** The body of a request, which was not run, gave way to others. */
+	| 'no-memory'
+	/** The time of a request passed before its body was complete. */
+	| 'slow-body'
+	/** The caller did not read the answer, which gave way to others. */
+	| 'unread-answer';
 
 export type CloseLog = {
 	/** @param unanswered requests on the connection that receive no complete response of an upstream */
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -12,6 +12,7 @@
 import * as dispatcher from '../common/dispatcher.js';
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
+import * as memoryBudget from '../common/memory-budget.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as requestEngine from '../common/request-engine.js';
@@ -29,6 +30,7 @@
 import * as closeLog from './close-log.js';
 import * as connectionPool from './connection-pool.js';
 import type * as eventWriter from './event-writer.js';
+import * as gaveWayLog from './gave-way-log.js';
 import * as gossipNode from './gossip-node.js';
 import * as membership from './membership.js';
 import * as peerCatchUp from './peer-catch-up.js';
@@ -226,12 +228,22 @@
 
 	const callerCloseLog = closeLog.createCloseLog(log, 'callers');
 	const peerCloseLog = closeLog.createCloseLog(log, 'peers');
+	const heldMemory = memoryBudget.createMemoryBudget(
+		nowMs,
+		memoryBudget.heldLimitBytes(current.limits.memoryMb),
+	);
 	const callerHttpServer = callerServer.createCallerServer(
 		nowMs,
 		createCheck(false),
 		callerCloseLog,
+		heldMemory,
+	);
+	const peerHttpServer = callerServer.createCallerServer(
+		nowMs,
+		createCheck(true),
+		peerCloseLog,
+		heldMemory,
 	);
-	const peerHttpServer = callerServer.createCallerServer(nowMs, createCheck(true), peerCloseLog);
 
 	const inFlight = () => callerHttpServer.inFlight + peerHttpServer.inFlight;
 
@@ -512,9 +524,13 @@
 			...dispatch.held(),
 			members: fleet.size,
 			brokenRequests: crashes.brokenRequests,
+			bodyBytes: heldMemory.bodyBytes,
+			unfinishedBodies: heldMemory.unfinishedBodies,
+			unreadAnswerBytes: heldMemory.answerBytes,
 		}),
 		readMemoryUse: processMonitor.readMemoryUse,
 	});
+	const gaveWay = gaveWayLog.createGaveWayLog(heldMemory, log, options.registry);
 	disposables.add(
 		clock.setPeriodicTimer(() => {
 			monitor.sample(housekeepingIntervalMs);
@@ -522,6 +538,7 @@
 			quarantine.sweep();
 			noteReadiness();
 			noteIsolation();
+			gaveWay.flush();
 			callerCloseLog.flush();
 			peerCloseLog.flush();
 		}, housekeepingIntervalMs),
@@ -599,6 +616,7 @@
 			disposables.dispose();
 			callerHttpServer.destroy();
 			peerHttpServer.destroy();
+			gaveWay.flush();
 			callerCloseLog.flush();
 			peerCloseLog.flush();
 			pool.dispose();
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -50,6 +50,10 @@
 	};
 };
 
+/** Time for a request from its arrival on. */
+const timeLimitMs = (route: routeConfig.Route, facts: wireFormat.RequestFacts): number =>
+	Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+
 /** Creates the admission check of one port. */
 export const createAdmissionCheck = (
 	options: AdmissionOptions,
@@ -73,8 +77,7 @@
 
 		// A stream that cannot be resumed would be cut off by the stop, so another daemon should start it.
 		const cannotResume = route.work === 'stream' && !route.canResume;
-		const limitMs = Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
-		return cannotResume || plannedStop.canOutlastGrace(stop, limitMs - waitedMs)
+		return cannotResume || plannedStop.canOutlastGrace(stop, timeLimitMs(route, facts) - waitedMs)
 			? {kind: 'reject', status: 503, reason: 'stopping', retryAfterMs: stoppingRetryMs}
 			: undefined;
 	};
@@ -104,6 +107,8 @@
 		const relayedFrom = peerHeaders[relayHeaders.relayedFromHeader];
 		return {
 			kind: 'accept',
+			timeoutMs: timeLimitMs(route, facts),
+			refusalHeaders: (reason) => (isPeerPort ? notRunHeaders(reason) : {}),
 			recheck: (waitedMs) => asRelayRefusal(refuseInStop(route, facts, waitedMs)),
 			run(body, reply, onEnd) {
 				let digest: string | undefined;
