Bound the unfinished heads of all connections together

What happened: 3,000 connections that each sent 55 KB of a head and did not finish it ended a daemon by its heap limit (SIGABRT) within the time limit of a head. Node.js accepts heads of 64 KiB, whatever header_bytes says, and reports none before it is complete.

Every 100 ms, if there are enough connections to matter, the bytes of unfinished heads are summed; beyond a tenth of the budget the longest heads get 503 with Retry-After and their connections are closed.

The new test sends 40 heads of 50 KB, all of which stayed open before.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -277,9 +277,9 @@
 			unanswered: number;
 	  }
 	| {
-			/** Bodies or answers gave way to others. */
+			/** Bodies, answers or heads gave way to others. */
 			kind: 'gave-way';
-			what: 'body' | 'answer';
+			what: 'body' | 'answer' | 'head';
 			count: number;
 			bytes: number;
 			heldBytes: number;
--- a/packages/gateway/src/common/memory-budget.ts
+++ b/packages/gateway/src/common/memory-budget.ts
@@ -12,6 +12,8 @@
 const minLimitBytes = 8 * bytesPerMb;
 /** Part of the budget for unread answers; bodies have the rest. */
 const answerShare = 0.3;
+/** Unfinished heads, in addition; Node.js holds several times their bytes. */
+const headShare = 0.1;
 /** Large bodies together stay below this share of what bodies may hold, so that short requests find room. */
 const largeShare = 0.75;
 const largeBodyBytes = 65_536;
@@ -38,14 +40,18 @@
 	release(): void;
 };
 
-export type GaveWay = {what: 'body' | 'answer'; count: number; bytes: number};
+export type GaveWay = {what: 'body' | 'answer' | 'head'; count: number; bytes: number};
 
 export type MemoryBudget = {
 	/** @param giveWay refuses the request; called at most once, and only for a body that is not complete */
 	addBody(giveWay: () => void): HeldBody;
 	/** @param giveWay breaks off the answer; called at most once */
 	addAnswer(giveWay: () => void): UnreadAnswer;
+	/** Counts a head that gave way. */
+	noteHead(bytes: number): void;
 	readonly limitBytes: number;
+	/** Limit of all unfinished heads of a server. */
+	readonly headLimitBytes: number;
 	readonly bodyBytes: number;
 	readonly unfinishedBodies: number;
 	readonly answerBytes: number;
@@ -200,7 +206,11 @@
 				},
 			};
 		},
+		noteHead(bytes) {
+			noteGaveWay('head', bytes);
+		},
 		limitBytes,
+		headLimitBytes: limitBytes * headShare,
 		get bodyBytes() {
 			return bodyBytes;
 		},
--- a/packages/gateway/src/node/caller-connections.ts
+++ b/packages/gateway/src/node/caller-connections.ts
@@ -24,6 +24,8 @@
 	/** Number of requests whose head was read and whose response has not ended. */
 	requestCount(socket: net.Socket): number;
 	isClosing(socket: net.Socket): boolean;
+	/** Bytes of a head that is not complete; 0 during a request. */
+	headBytes(socket: net.Socket): number;
 	/** Time since the last request, or undefined during a request and after any byte of the next one. */
 	idleMs(socket: net.Socket): number | undefined;
 	/**
@@ -68,6 +70,14 @@
 		requestCount: (socket) => connections.get(socket)?.requests.size ?? 0,
 		isBusy: (socket) => (connections.get(socket)?.requests.size ?? 0) > 0,
 		isClosing: (socket) => connections.get(socket)?.isClosing ?? false,
+		headBytes(socket) {
+			const connection = connections.get(socket);
+			if (!connection || connection.requests.size > 0 || connection.isClosing) {
+				return 0;
+			}
+
+			return socket.bytesRead - connection.bytesReadAtIdle;
+		},
 		idleMs(socket) {
 			const connection = connections.get(socket);
 			if (
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -11,6 +11,7 @@
 import type * as wireFormat from '../common/wire-format.js';
 import * as callerConnections from './caller-connections.js';
 import type * as closeLog from './close-log.js';
+import * as headGuard from './head-guard.js';
 import * as requestBody from './request-body.js';
 import * as serverReply from './server-reply.js';
 
@@ -77,10 +78,9 @@
 	destroy(): void;
 };
 
-const headerLimitBytes = 65_536;
 /** Limits until a configuration is in force. */
 const initialLimits: routeConfig.CallerLimits = {
-	headerBytes: headerLimitBytes,
+	headerBytes: headGuard.headLimitBytes,
 	bodyBytes: 4_194_304,
 	headerTimeoutMs: 60_000,
 	idleMs: 15_000,
@@ -113,9 +113,12 @@
 const toTimerMs = (durationMs: number): number =>
 	Math.round(Math.min(maxTimerMs, Math.max(1, durationMs)));
 
+/** Value of the header, in seconds. */
+const retryAfter = (delayMs: number): string => (delayMs / 1000).toFixed(2);
+
 /** @param status code and reason phrase */
-const emptyResponse = (status: string): string =>
-	`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+const emptyResponse = (status: string, headers: string[] = []): string =>
+	[`HTTP/1.1 ${status}`, 'connection: close', 'content-length: 0', ...headers, '', ''].join('\r\n');
 
 /**
  * @param decide decides on a request from its head
@@ -156,7 +159,7 @@
 		const body = JSON.stringify({outcome, reason});
 		response.sendDate = false;
 		if (retryAfterMs !== undefined) {
-			response.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
+			response.setHeader('retry-after', retryAfter(retryAfterMs));
 		}
 
 		if (isDraining || isReading) {
@@ -321,6 +324,7 @@
 
 		held.body = requestBody.readBody(request, {
 			budget,
+			headBytes: headerBytes(request.rawHeaders),
 			maxBytes: maxBodyBytes,
 			timeoutMs: decision.timeoutMs ?? Number.POSITIVE_INFINITY,
 			onComplete: onBody,
@@ -330,7 +334,7 @@
 
 	const server = http.createServer(
 		{
-			maxHeaderSize: headerLimitBytes,
+			maxHeaderSize: headGuard.headLimitBytes,
 			connectionsCheckingInterval: connectionsCheckMs,
 			requestTimeout: 0,
 			noDelay: true,
@@ -380,6 +384,17 @@
 		}
 	};
 
+	const guard = headGuard.startHeadGuard(connections, budget.headLimitBytes, (socket) => {
+		closes.note('no-memory', 0);
+		budget.noteHead(connections.headBytes(socket));
+		connections.close(
+			socket,
+			emptyResponse('503 Service Unavailable', [`retry-after: ${retryAfter(noMemoryRetryMs)}`]),
+		);
+		// Node.js holds the head until the connection is closed.
+		socket.destroySoon();
+	});
+
 	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
 		const socket = stream as net.Socket;
 		if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
@@ -447,6 +462,7 @@
 			}
 		},
 		destroy() {
+			guard.dispose();
 			closeListener();
 			for (const socket of connections.all()) {
 				socket.destroy();
--- a/packages/gateway/src/node/close-log.ts
+++ b/packages/gateway/src/node/close-log.ts
@@ -14,7 +14,7 @@
 	| 'client-error'
 	/** A request was in progress when the grace period was over. */
 	| 'grace-over'
-	/** The body of a request, which was not run, gave way to others. */
+	/** The body of a request, which was not run, or an unfinished head gave way to others. */
 	| 'no-memory'
 	/** The time of a request passed before its body was complete. */
 	| 'slow-body'
--- a/packages/gateway/src/node/gave-way-log.ts
+++ b/packages/gateway/src/node/gave-way-log.ts
@@ -1,4 +1,4 @@
-/** Logs and counts the bodies and answers that gave way, one line for each kind and interval. */
+/** Logs and counts the bodies, answers and heads that gave way, one line for each kind and interval. */
 import * as metrics from '@hawthornfront/base/node/metrics.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as memoryBudget from '../common/memory-budget.js';
@@ -16,7 +16,7 @@
 	const counter = metrics.createCounter(
 		registry,
 		'hawthornfront_gave_way_total',
-		'Bodies and answers that gave way to others because their memory is bounded',
+		'Bodies, answers and heads that gave way to others because their memory is bounded',
 		['what'],
 	);
 	return {
--- a/packages/gateway/src/node/request-body.ts
+++ b/packages/gateway/src/node/request-body.ts
@@ -12,6 +12,8 @@
 
 export type BodyOptions = {
 	budget: memoryBudget.MemoryBudget;
+	/** Size of the head, which stays as long as the body. */
+	headBytes: number;
 	maxBytes: number;
 	/** The body must be complete within this time. */
 	timeoutMs: number;
@@ -20,6 +22,8 @@
 	onFailure(failure: BodyFailure): void;
 };
 
+/** Memory of a head as a multiple of its bytes: texts of its fields, more than once. */
+const headFactor = 3;
 /** Longest delay of a timer. */
 const maxTimerMs = 2_147_483_647;
 
@@ -81,6 +85,7 @@
 			onComplete(body);
 		}
 	});
+	held.grow(options.headBytes * headFactor);
 	return {
 		release() {
 			stop();
--- a/packages/gateway/src/test/held-memory.test.ts
+++ b/packages/gateway/src/test/held-memory.test.ts
@@ -217,6 +217,33 @@
 	t.equal(budget.bodyBytes, 0);
 });
 
+// Guards against heads of many connections that were never complete and together filled the heap.
+tap.t.test('40 unfinished heads: the longest give way, and requests run meanwhile', async (t) => {
+	const {open, closes, budget, runs} = await start(t);
+	const callers: Array<Awaited<ReturnType<typeof open>>> = [];
+	for (let index = 0; index < 40; index++) {
+		const caller = await open();
+		// Beyond the limit of a head, which is known when the head is complete.
+		caller.socket.write(`GET / HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(index < 30 ? 50_000 : 100)}`);
+		callers.push(caller);
+	}
+
+	const closed = () => callers.filter(({state}) => state.isClosed);
+	const mostThatFit = budget.headLimitBytes / 50_000;
+	t.ok(await waitUntil(() => closed().length >= 30 - mostThatFit), `${closed().length} closed`);
+	t.ok(closed().every(({state}) => state.text.startsWith('HTTP/1.1 503 ')));
+	t.ok(closed().every(({state}) => /\r\nretry-after: 0\.\d+\r\n/u.test(state.text)));
+	t.notOk(
+		callers.slice(30).some(({state}) => state.isClosed),
+		'short ones stay',
+	);
+	t.equal(closes.length, closed().length);
+	t.match(budget.takeGaveWay(), [{what: 'head', count: closed().length}]);
+	callers.at(-1)!.socket.write('\r\n\r\n');
+	t.ok(await waitUntil(() => callers.at(-1)!.state.text.startsWith('HTTP/1.1 200')));
+	t.equal(runs.length, 1);
+});
+
 // Guards against unread answers that together pass the memory limit.
 tap.t.test('unread answers stay in the budget, and read ones arrive whole', async (t) => {
 	const {open, budget, closes, mostBytes} = await start(t);
