Count the heads of requests in progress in the memory budget

What happened: 3,800 requests with heads of 12 KB in 800 fields, within header_bytes, and an unfinished body ended a daemon by its heap limit, also with the budget for bodies, since the objects of a head take some 100 KB and were not counted.

Each request now counts its head from its arrival to its end, by its bytes and fields. One that finds no room is refused at once (503, not-run).

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -324,7 +324,6 @@
 
 		held.body = requestBody.readBody(request, {
 			budget,
-			headBytes: headerBytes(request.rawHeaders),
 			maxBytes: maxBodyBytes,
 			timeoutMs: decision.timeoutMs ?? Number.POSITIVE_INFINITY,
 			onComplete: onBody,
--- a/packages/gateway/src/node/request-body.ts
+++ b/packages/gateway/src/node/request-body.ts
@@ -1,4 +1,4 @@
-/** Reads the body of a request within the limits of its size, its time and the memory of all requests. */
+/** Reads the body of a request within the limits of its size, its time and the memory of all requests; the head counts too. */
 import type * as http from 'node:http';
 import * as bodyBlocks from '../common/body-blocks.js';
 import type * as memoryBudget from '../common/memory-budget.js';
@@ -12,8 +12,6 @@
 
 export type BodyOptions = {
 	budget: memoryBudget.MemoryBudget;
-	/** Size of the head, which stays as long as the body. */
-	headBytes: number;
 	maxBytes: number;
 	/** The body must be complete within this time. */
 	timeoutMs: number;
@@ -22,8 +20,12 @@
 	onFailure(failure: BodyFailure): void;
 };
 
-/** Memory of a head as a multiple of its bytes: texts of its fields, more than once. */
-const headFactor = 3;
+/** Memory of a request with a short head. */
+const requestBytes = 4096;
+/** Objects of one field of a head. */
+const fieldBytes = 160;
+/** Texts of a head are held more than once. */
+const headCopies = 2;
 /** Longest delay of a timer. */
 const maxTimerMs = 2_147_483_647;
 
@@ -32,6 +34,10 @@
 	release(): void;
 };
 
+/** Memory that a request takes from its head on. */
+const headMemory = ({rawHeaders}: http.IncomingMessage): number =>
+	rawHeaders.reduce((sum, text) => sum + text.length * headCopies + fieldBytes / 2, requestBytes);
+
 const hasBody = ({headers}: http.IncomingMessage): boolean =>
 	headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
@@ -39,14 +45,6 @@
 	const {maxBytes, onComplete, onFailure} = options;
 	// The `close` event of the response reports a caller that disconnects.
 	request.on('error', () => undefined);
-	if (!hasBody(request)) {
-		request.on('end', () => {
-			onComplete(undefined);
-		});
-		request.resume();
-		return {release: () => undefined};
-	}
-
 	let blocks: bodyBlocks.BodyBlocks | undefined = bodyBlocks.createBodyBlocks();
 	const stop = () => {
 		blocks = undefined;
@@ -64,12 +62,14 @@
 	const held = options.budget.addBody(() => {
 		fail('no-memory');
 	});
-	const timer = setTimeout(
-		() => {
-			fail('deadline');
-		},
-		Math.min(maxTimerMs, options.timeoutMs),
-	);
+	const timer = hasBody(request)
+		? setTimeout(
+				() => {
+					fail('deadline');
+				},
+				Math.min(maxTimerMs, options.timeoutMs),
+			)
+		: undefined;
 	request.on('data', (chunk: Uint8Array) => {
 		if (blocks && blocks.length + chunk.length > maxBytes) {
 			fail('too-large');
@@ -85,7 +85,7 @@
 			onComplete(body);
 		}
 	});
-	held.grow(options.headBytes * headFactor);
+	held.grow(headMemory(request));
 	return {
 		release() {
 			stop();
--- a/packages/gateway/src/test/held-memory.test.ts
+++ b/packages/gateway/src/test/held-memory.test.ts
@@ -244,6 +244,35 @@
 	t.equal(runs.length, 1);
 });
 
+// Guards against complete heads of many fields, which stay as long as their requests.
+tap.t.test(
+	'heads of requests in progress count, and requests beyond the budget are refused',
+	async (t) => {
+		const {open, server, budget, runs} = await start(t);
+		server.applyLimits({headerBytes: 16_384, bodyBytes, headerTimeoutMs: 3000, idleMs: 15_000});
+		const fields = Array.from({length: 800}, (_, index) => `h${index}: abcdefgh\r\n`).join('');
+		const callers: Array<Awaited<ReturnType<typeof open>>> = [];
+		for (let index = 0; index < 60; index++) {
+			const caller = await open();
+			caller.socket.write(`GET /wait/ HTTP/1.1\r\nhost: a\r\n${fields}\r\n`);
+			callers.push(caller);
+		}
+
+		const refused = () => callers.filter(({state}) => state.text.includes('"no-memory"'));
+		t.ok(await waitUntil(() => runs.length + refused().length === 60));
+		t.ok(runs.length < 30, `${runs.length} run`);
+		t.ok(budget.bodyBytes <= budgetBytes);
+		const short = await open();
+		short.socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+		t.ok(await waitUntil(() => short.state.text.startsWith('HTTP/1.1 200')));
+		for (const {socket} of callers) {
+			socket.destroy();
+		}
+
+		t.ok(await waitUntil(() => budget.bodyBytes === 0));
+	},
+);
+
 // Guards against unread answers that together pass the memory limit.
 tap.t.test('unread answers stay in the budget, and read ones arrive whole', async (t) => {
 	const {open, budget, closes, mostBytes} = await start(t);
