--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -276,6 +276,15 @@
 			connections: number;
 			unanswered: number;
 	  }
+	| {
+			/** Bodies, answers or heads gave way to others. */
+			kind: 'gave-way';
+			what: 'body' | 'answer' | 'head';
+			count: number;
+			bytes: number;
+			heldBytes: number;
+			limitBytes: number;
+	  }
 	| {
 			kind: 'limits-changed';
 			version: number;
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -3,14 +3,17 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
-import * as event from '@hawthornfront/base/common/event.js';
 import type * as answerClassifier from '../common/answer-classifier.js';
+import * as memoryBudget from '../common/memory-budget.js';
 import type * as requestEngine from '../common/request-engine.js';
 import type * as routeConfig from '../common/route-config.js';
-import * as upstreamTransport from '../common/upstream-transport.js';
+import type * as upstreamTransport from '../common/upstream-transport.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as callerConnections from './caller-connections.js';
 import type * as closeLog from './close-log.js';
+import * as headGuard from './head-guard.js';
+import * as requestBody from './request-body.js';
+import * as serverReply from './server-reply.js';
 
 /** Request line and headers of a request. */
 export type RequestHead = {
@@ -38,6 +41,10 @@
 	| {kind: 'respond'; body: string}
 	| {
 			kind: 'accept';
+			/** Time for the request from its head on; without it, unlimited. */
+			timeoutMs?: number;
+			/** Additional headers of a refusal for this reason. */
+			refusalHeaders?(reason: string): wireFormat.Headers;
 			/**
 			 * Whether the request is still accepted when its body is complete.
 			 *
@@ -52,6 +59,13 @@
 			): requestEngine.RequestExecution;
 	  };
 
+/** Bounds on what the connections of all servers of a daemon hold together. */
+export type CallerServerLimits = {
+	budget?: memoryBudget.MemoryBudget;
+	/** Called for each new connection; returns whether it may stay open. */
+	makeRoom?(): boolean;
+};
+
 export type CallerServer = {
 	/** @param onLaterError called for each error of the listening server, which keeps listening */
 	listen(host: string, port: number, onLaterError?: (error: Error) => void): Promise<void>;
@@ -75,10 +89,9 @@
 	destroy(): void;
 };
 
-const headerLimitBytes = 65_536;
 /** Limits until a configuration is in force. */
 const initialLimits: routeConfig.CallerLimits = {
-	headerBytes: headerLimitBytes,
+	headerBytes: headGuard.headLimitBytes,
 	bodyBytes: 4_194_304,
 	headerTimeoutMs: 60_000,
 	idleMs: 15_000,
@@ -86,6 +99,10 @@
 /** Longest time that a timer of Node.js accepts. */
 const maxTimerMs = 2_147_483_647;
 const connectionsCheckMs = 2000;
+/** A caller that still sends the body of a refused request has this long to read the refusal. */
+const refusalReadMs = 1000;
+/** Retry delay for callers whose body found no memory. */
+const noMemoryRetryMs = 500;
 /** Added to the idle limit, for a request that is already on the network. */
 const idleSlackMs = 1000;
 /** Time for connections that are pending when the server stops to listen. */
@@ -96,52 +113,6 @@
 /** Time for a caller to close its side while connections are scarce. */
 const scarceCloseTimeoutMs = 250;
 
-class ServerReply extends upstreamTransport.CallerReply {
-	readonly #response: http.ServerResponse;
-	readonly #isDraining: () => boolean;
-	readonly #didDrain = event.createEmitter<void>();
-
-	constructor(response: http.ServerResponse, isDraining: () => boolean) {
-		super();
-		this.#response = response;
-		this.#isDraining = isDraining;
-		response.on('drain', () => {
-			this.#didDrain.fire();
-		});
-	}
-
-	override get onDidDrain() {
-		return this.#didDrain.event;
-	}
-
-	override start(status: number, headers: wireFormat.Headers): void {
-		this.#response.sendDate = false;
-		for (const [name, value] of Object.entries(headers)) {
-			if (value !== undefined) {
-				this.#response.setHeader(name, value);
-			}
-		}
-
-		if (this.#isDraining()) {
-			this.#response.setHeader('connection', 'close');
-		}
-
-		this.#response.writeHead(status);
-	}
-
-	override write(bytes: Uint8Array): boolean {
-		return this.#response.write(bytes);
-	}
-
-	override end(): void {
-		this.#response.end();
-	}
-
-	override abort(): void {
-		this.#response.destroy();
-	}
-}
-
 /**
  * Calls back after the event loop has polled its sockets once more. After a stall of the
  * loop, a request and the close of its connection may both be pending, and the loop reads
@@ -158,21 +129,28 @@
 const toTimerMs = (durationMs: number): number =>
 	Math.round(Math.min(maxTimerMs, Math.max(1, durationMs)));
 
+/** Value of the header, in seconds. */
+const retryAfter = (delayMs: number): string => (delayMs / 1000).toFixed(2);
+
 /** @param status code and reason phrase */
-const emptyResponse = (status: string): string =>
-	`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+const emptyResponse = (status: string, headers: string[] = []): string =>
+	[`HTTP/1.1 ${status}`, 'connection: close', 'content-length: 0', ...headers, '', ''].join('\r\n');
 
 /**
  * @param decide decides on a request from its head
  * @param closes counts the connections that the server closes
- * @param makeRoom called for each new connection; returns whether it may stay open
+ * @param limits bounds over all servers of the daemon
  */
 export const createCallerServer = (
 	nowMs: () => number,
 	decide: (head: RequestHead) => AdmissionDecision,
 	closes: Pick<closeLog.CloseLog, 'note'>,
-	makeRoom: () => boolean = () => true,
+	limits: CallerServerLimits = {},
 ): CallerServer => {
+	const {
+		budget = memoryBudget.createMemoryBudget(nowMs, memoryBudget.heldLimitBytes(undefined)),
+		makeRoom = () => true,
+	} = limits;
 	const connections = callerConnections.createCallerConnections(nowMs);
 	/** One callback for each request in progress, which aborts it. */
 	const requestAborts = new Set<() => void>();
@@ -189,19 +167,22 @@
 			outcome = 'not-run',
 			retryAfterMs,
 			headers = {},
+			isReading = false,
 		}: {
 			outcome?: answerClassifier.Outcome;
 			retryAfterMs?: number;
 			headers?: wireFormat.Headers;
+			/** The caller still sends the body; the connection closes when it has sent it or had the time to read. */
+			isReading?: boolean;
 		} = {},
 	) => {
 		const body = JSON.stringify({outcome, reason});
 		response.sendDate = false;
 		if (retryAfterMs !== undefined) {
-			response.setHeader('retry-after', (retryAfterMs / 1000).toFixed(2));
+			response.setHeader('retry-after', retryAfter(retryAfterMs));
 		}
 
-		if (isDraining) {
+		if (isDraining || isReading) {
 			response.setHeader('connection', 'close');
 		}
 
@@ -210,7 +191,22 @@
 			'content-type': 'application/problem+json',
 			'content-length': buffer.Buffer.byteLength(body),
 		});
-		response.end(body);
+		if (isReading) {
+			// A connection that is closed while bytes arrive is reset, and the caller may lose the response.
+			response.write(body);
+			const end = () => {
+				response.end();
+			};
+
+			const timer = setTimeout(end, refusalReadMs);
+			response.req.on('end', end);
+			response.req.resume();
+			response.on('close', () => {
+				clearTimeout(timer);
+			});
+		} else {
+			response.end(body);
+		}
 	};
 
 	const headerBytes = (rawHeaders: readonly string[]) =>
@@ -225,6 +221,7 @@
 		}
 
 		let execution: requestEngine.RequestExecution | undefined;
+		const held: {body?: requestBody.RequestBody; reply?: serverReply.ServerReply} = {};
 		let isOver = false;
 		let hasRun = false;
 		const end = () => {
@@ -236,6 +233,8 @@
 			requestAborts.delete(abortNow);
 			connections.endRequest(request.socket, end);
 			execution?.dispose();
+			held.body?.release();
+			held.reply?.release();
 		};
 
 		// A response that waits for an earlier one on its connection has no `close` event.
@@ -285,14 +284,31 @@
 			return;
 		}
 
-		readBody(request, (body) => {
+		const refuseBody = (failure: requestBody.BodyFailure) => {
 			if (isOver) {
 				return;
 			}
 
-			if (body === 'too-large') {
-				response.setHeader('connection', 'close');
-				reject(response, 413, 'body-too-large');
+			if (failure === 'too-large') {
+				reject(response, 413, 'body-too-large', {isReading: true});
+				return;
+			}
+
+			closes.note(failure === 'deadline' ? 'slow-body' : 'no-memory', 1);
+			reject(response, 503, failure, {
+				retryAfterMs: failure === 'deadline' ? undefined : noMemoryRetryMs,
+				headers: decision.refusalHeaders?.(failure),
+				isReading: true,
+			});
+		};
+
+		if (Number(request.headers['content-length']) > maxBodyBytes) {
+			refuseBody('too-large');
+			return;
+		}
+
+		const onBody = (body: Uint8Array | undefined) => {
+			if (isOver) {
 				return;
 			}
 
@@ -310,44 +326,34 @@
 				}
 
 				hasRun = true;
-				const reply = new ServerReply(response, () => isDraining);
+				const reply = new serverReply.ServerReply(response, {
+					isDraining: () => isDraining,
+					budget,
+					onUnread() {
+						closes.note('unread-answer', 1);
+						socket.destroy();
+					},
+				});
+				held.reply = reply;
 				execution = run(body, reply, () => {
 					execution = undefined;
+					held.body?.release();
 				});
 			});
-		});
-	};
+		};
 
-	const readBody = (
-		request: http.IncomingMessage,
-		onBody: (body: Uint8Array | undefined | 'too-large') => void,
-	) => {
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		request.on('data', (chunk: Uint8Array) => {
-			const wasTooLarge = bytes > maxBodyBytes;
-			bytes += chunk.length;
-			if (bytes <= maxBodyBytes) {
-				chunks.push(chunk);
-			} else if (!wasTooLarge) {
-				chunks.length = 0;
-				onBody('too-large');
-			}
+		held.body = requestBody.readBody(request, {
+			budget,
+			maxBytes: maxBodyBytes,
+			timeoutMs: decision.timeoutMs ?? Number.POSITIVE_INFINITY,
+			onComplete: onBody,
+			onFailure: refuseBody,
 		});
-		request.on('end', () => {
-			if (bytes <= maxBodyBytes) {
-				onBody(
-					bytes === 0 ? undefined : chunks.length === 1 ? chunks[0] : buffer.Buffer.concat(chunks),
-				);
-			}
-		});
-		// The `close` event of the response reports a caller that disconnects.
-		request.on('error', () => undefined);
 	};
 
 	const server = http.createServer(
 		{
-			maxHeaderSize: headerLimitBytes,
+			maxHeaderSize: headGuard.headLimitBytes,
 			connectionsCheckingInterval: connectionsCheckMs,
 			requestTimeout: 0,
 			noDelay: true,
@@ -415,6 +421,17 @@
 		}
 	};
 
+	const guard = headGuard.startHeadGuard(connections, budget.headLimitBytes, (socket) => {
+		closes.note('no-memory', 0);
+		budget.noteHead(connections.headBytes(socket));
+		connections.close(
+			socket,
+			emptyResponse('503 Service Unavailable', [`retry-after: ${retryAfter(noMemoryRetryMs)}`]),
+		);
+		// Node.js holds the head until the connection is closed.
+		socket.destroySoon();
+	});
+
 	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
 		const socket = stream as net.Socket;
 		if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
@@ -493,6 +510,7 @@
 			}
 		},
 		destroy() {
+			guard.dispose();
 			closeListener();
 			for (const socket of connections.all()) {
 				socket.destroy();
--- a/packages/gateway/src/node/close-log.ts
+++ b/packages/gateway/src/node/close-log.ts
@@ -17,7 +17,13 @@
 	/** New, while all descriptors for connections were in use by requests. */
 	| 'no-room'
 	/** A request was in progress when the grace period was over. */
-	| 'grace-over';
+	| 'grace-over'
+	/** The body of a request, which was not run, or an unfinished head gave way to others. */
+	| 'no-memory'
+	/** The time of a request passed before its body was complete. */
+	| 'slow-body'
+	/** The caller did not read the answer, which gave way to others. */
+	| 'unread-answer';
 
 export type CloseLog = {
 	/** @param unanswered requests on the connection that receive no complete response of an upstream */
--- a/packages/gateway/src/test/connection-room.test.ts
+++ b/packages/gateway/src/test/connection-room.test.ts
@@ -35,7 +35,9 @@
 				closes.push(reason);
 			},
 		},
-		() => server.openConnections <= maxConnections || server.closeLongestIdle(),
+		{
+			makeRoom: () => server.openConnections <= maxConnections || server.closeLongestIdle(),
+		},
 	);
 	const port = await findFreePort();
 	await server.listen('127.0.0.1', port);
