End the check of a received list at its first invalid item

A schema collects an issue for each field of each invalid item, which takes many times the memory of the list.

--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -7,6 +7,7 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as errorText from '@hawthornfront/base/common/error-text.js';
+import * as listSchema from '@hawthornfront/base/common/list-schema.js';
 import * as event from '@hawthornfront/base/common/event.js';
 import * as zod from 'zod';
 import type * as gatewayEvent from '../common/gateway-event.js';
@@ -29,7 +30,7 @@
 	evacuated: zod.array(zod.string()),
 	/** Position of the last change of the configuration or the evacuations. */
 	operatorRevision: storePosition.storePositionSchema,
-	upstreams: zod.array(upstreamEntry.reportedUpstreamSchema),
+	upstreams: listSchema.listSchema(upstreamEntry.reportedUpstreamSchema),
 	/** Position of the last change of the upstreams. */
 	upstreamRevision: storePosition.storePositionSchema,
 });
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -15,7 +15,7 @@
 import * as requestAdmission from './request-admission.js';
 
 const pullTimeoutMs = 1500;
-const snapshotLimits: textRequest.BodyLimits = {maxBytes: 16_777_216, timeoutMs: 3000};
+const snapshotLimits: textRequest.BodyLimits = {maxBytes: 8_388_608, timeoutMs: 3000};
 /** Shortest interval between two pulls, about one gossip interval. */
 const pullEveryMs = 250;
 /** After this time behind its peers, a daemon also pulls from other failure domains. */
