Count the grace period of a stop from its signal, also during a start

Cause: the stop counted from its own begin.

The time that has passed since the signal is taken off. The new test failed before: there was no such part, and the stop drained for its whole grace.

--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -49,8 +49,12 @@
 	answerDirectory(query: directory.DirectoryQuery): directory.DirectoryAnswer;
 	/** State for debugging. */
 	dump(): unknown;
-	/** Completes the requests in progress and stops, at the latest when the grace period is over. */
-	stop(): Promise<void>;
+	/**
+	 * Completes the requests in progress and stops, at the latest when the grace period is over.
+	 *
+	 * @param waitedMs part of the grace period that has passed, as after a signal during the start
+	 */
+	stop(waitedMs?: number): Promise<void>;
 };
 
 export type GatewayOptions = {
@@ -605,8 +609,8 @@
 			rateLimits: rateLimits.takeReports(),
 			inFlight: inFlight(),
 		}),
-		async stop() {
-			const graceMs = current.stop.graceS * 1000;
+		async stop(waitedMs = 0) {
+			const graceMs = plannedStop.remainingGraceMs(current.stop.graceS * 1000, waitedMs);
 			stopping = {startedAtMs: nowMs(), graceMs};
 			log.note({kind: 'stopping', inFlight: inFlight(), graceMs});
 			noteReadiness();
--- a/packages/gateway/src/node/gateway-program.ts
+++ b/packages/gateway/src/node/gateway-program.ts
@@ -21,6 +21,7 @@
 import * as connectionBudget from './connection-budget.js';
 import * as eventWriter from './event-writer.js';
 import * as gatewayDaemon from './gateway-daemon.js';
+import * as plannedStop from './planned-stop.js';
 import * as serverErrorLog from './server-error-log.js';
 import * as settings from './settings.js';
 import * as settingsFile from './settings-file.js';
@@ -95,6 +96,10 @@
 	stopSignal: AbortSignal,
 ): Promise<() => Promise<void>> => {
 	const clock = new systemClock.SystemClock();
+	let signalledAtMs: number | undefined;
+	stopSignal.addEventListener('abort', () => {
+		signalledAtMs = clock.nowMs();
+	});
 	const createLog = (registry: metrics.Registry, fields: Record<string, string>) =>
 		eventWriter.createEventWriter(registry, () => clock.nowMs(), fields);
 	const source = settingsFile.createSettingsFile(file, clock);
@@ -130,7 +135,16 @@
 	}
 
 	try {
-		return await startServers({deployment, source, current, stopSignal, clock, registry, log});
+		return await startServers({
+			deployment,
+			source,
+			current,
+			stopSignal,
+			stopSignalAtMs: () => signalledAtMs ?? clock.nowMs(),
+			clock,
+			registry,
+			log,
+		});
 	} catch (error) {
 		noteStartFailure(log, 'servers', error, stopSignal);
 		throw error;
@@ -142,13 +156,15 @@
 	source: settingsFile.SettingsFile;
 	current: settings.GatewaySettings;
 	stopSignal: AbortSignal;
+	/** Time of the stop signal, or now without one; the grace period begins with it. */
+	stopSignalAtMs(): number;
 	clock: clock.Clock;
 	registry: metrics.Registry;
 	log: eventWriter.EventWriter;
 };
 
 const startServers = async (options: StartOptions): Promise<() => Promise<void>> => {
-	const {deployment, source, current, stopSignal, clock, registry, log} = options;
+	const {deployment, source, current, stopSignal, stopSignalAtMs, clock, registry, log} = options;
 	const peers = settings.splitAddress(current.listen.peers);
 	const started: {daemon?: gatewayDaemon.GatewayDaemon} = {};
 	const getDaemon = () => started.daemon;
@@ -234,10 +250,11 @@
 	process.on('SIGHUP', watch.reload);
 	return async () => {
 		watch.dispose();
+		const waitedMs = clock.nowMs() - stopSignalAtMs();
 		await boundedStop.stopInTime({
 			clock,
-			limitMs: graceS * 1000 - stopMarginMs,
-			stop: async () => daemon.stop(),
+			limitMs: plannedStop.remainingGraceMs(graceS * 1000 - stopMarginMs, waitedMs),
+			stop: async () => daemon.stop(waitedMs),
 			onFailed(error) {
 				const detail = errorText.errorText(error, errorText.maxLoggedLength);
 				log.note({kind: 'stop-failed', detail});
--- a/packages/gateway/src/node/planned-stop.ts
+++ b/packages/gateway/src/node/planned-stop.ts
@@ -29,6 +29,10 @@
 export const canOutlastGrace = ({elapsedMs, graceMs}: StopProgress, limitMs: number): boolean =>
 	elapsedMs > stopAcceptingMs && elapsedMs + limitMs > drainMs(graceMs);
 
+/** Rest of the grace period after a part of it, which began with the signal. */
+export const remainingGraceMs = (graceMs: number, waitedMs: number): number =>
+	Math.max(0, graceMs - Math.max(0, waitedMs));
+
 export type DrainOptions = {
 	clock: clock.Clock;
 	/** The servers of the caller port and the peer port. */
--- a/packages/gateway/src/test/planned-stop.test.ts
+++ b/packages/gateway/src/test/planned-stop.test.ts
@@ -104,3 +104,14 @@
 		t.ok(state.isDone, `${graceMs - endMs} ms are left of ${graceMs} ms`);
 	}
 });
+
+// Guards against a stop that counts its whole grace period from the end of a start in which the signal came.
+tap.t.test('the grace period begins with the signal', async (t) => {
+	t.equal(plannedStop.remainingGraceMs(8000, 0), 8000);
+	t.equal(plannedStop.remainingGraceMs(8000, 2500), 5500);
+	t.equal(plannedStop.remainingGraceMs(8000, 9000), 0);
+	const {clock, state} = start(plannedStop.remainingGraceMs(4000, 2800));
+	state.inFlight = 1;
+	await clock.advance(1199);
+	t.ok(state.isDone, 'the stop ends within the rest of the grace period');
+});
