--- a/packages/base/src/test/undici-http-client.test.ts
+++ b/packages/base/src/test/undici-http-client.test.ts
@@ -109,18 +109,20 @@
 
 // Guards against calls that time out one after another, each on a connection that went silent with the first.
 tap.t.test('after a timeout, the next request does not wait on an idle connection', async (t) => {
-	const {send, silenceOpen} = await startServer(t);
+	const {send, silenceOpen, connections} = await startServer(t);
 	await Promise.all([send(), send(), send()]);
 	await silenceOpen();
 	await t.rejects(send({timeoutMs}), /no answer within/u);
+	const before = connections();
 	t.equal(await send(), 'answer');
+	t.equal(connections(), before + 1, 'on a new connection');
 });
 
 // Guards against a new call on a silent connection after the caller has given up a call for its silence.
 tap.t.test(
 	'after a cancelled request, the next one does not wait on an idle connection',
 	async (t) => {
-		const {send, silenceOpen} = await startServer(t);
+		const {send, silenceOpen, connections} = await startServer(t);
 		await Promise.all([send(), send()]);
 		await silenceOpen();
 		const controller = new AbortController();
@@ -129,7 +131,9 @@
 			controller.abort(new Error('given up'));
 		}, 50);
 		await t.rejects(cancelled, /given up|aborted/u);
+		const before = connections();
 		t.equal(await send(), 'answer');
+		t.equal(connections(), before + 1, 'on a new connection');
 	},
 );
 
