Bound what pipelined requests and buffered answers hold

The class is the one of bodies: a bound for each request, none for all together. A connection now carries at most 32 requests, refusals and answers that wait count in the memory budget, buffered answers are copied into one, and all attempts together hold back 12 MiB; beyond it answers are passed on as they come and long incomplete events fail.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -1,11 +1,13 @@
 /** One attempt of a request: sends it to an upstream or a daemon of another region and processes the answer. */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
+import type * as answerBuffers from './answer-buffers.js';
 import * as answerClassifier from './answer-classifier.js';
 import type * as crashDetector from './crash-detector.js';
 import type * as dispatcher from './dispatcher.js';
 import * as eventSplitter from './event-splitter.js';
 import type * as gatewayRequest from './gateway-request.js';
+import * as growingBytes from './growing-bytes.js';
 import * as stallDetector from './stall-detector.js';
 import type * as upstreamTransport from './upstream-transport.js';
 import type * as wireFormat from './wire-format.js';
@@ -31,6 +33,8 @@
 	/** Compares crashes of the upstream with the prompts there; undefined for a relay or without a prompt. */
 	observedRun: crashDetector.ObservedRun | undefined;
 	isIdempotent: boolean;
+	/** Bounds what all attempts hold back. */
+	buffers: answerBuffers.AnswerBuffers;
 	/** Whether a failed run may be retried, so that its failure is not passed to the caller. */
 	canRetry(): boolean;
 	/** Head of the answer of which the caller has a part already; undefined if it has none. */
@@ -97,6 +101,8 @@
 const pausedReason = 'upstream-paused';
 /** Answers of plain services up to this size are buffered until they are complete. */
 const maxBufferedAnswerBytes = 262_144;
+/** Incomplete events up to this size are also held back while all attempts together hold too much. */
+const maxScarceEventBytes = 16_384;
 /** An idempotent request without a first event counts as stalled after this multiple of the expected time. */
 const stallFactor = 3;
 const minStallMs = 700;
@@ -123,8 +129,9 @@
 	const isStream = route.work === 'stream';
 	const splitter = isStream ? eventSplitter.createEventSplitter() : undefined;
 	const startedAtMs = clock.nowMs();
-	const buffered: Uint8Array[] = [];
-	let bufferedBytes = 0;
+	// Copies the bytes, because each piece of an answer in very small pieces takes a buffer of its own.
+	const buffered = growingBytes.createGrowingBytes();
+	const heldBack = options.buffers.add();
 	let step = 'sent-in-full';
 	let isPassing = false;
 	/** The answer continues one of which the caller has a part. */
@@ -142,6 +149,7 @@
 
 	const close = () => {
 		isOver = true;
+		heldBack.set(0);
 		pauseSubscription?.dispose();
 		detector?.dispose();
 		account?.end();
@@ -218,8 +226,9 @@
 
 	const passBuffered = () => {
 		startPassing();
-		for (const bytes of buffered.splice(0)) {
-			pass(bytes);
+		heldBack.set(0);
+		if (buffered.length > 0) {
+			pass(buffered.take());
 		}
 	};
 
@@ -301,7 +310,9 @@
 			pass(complete);
 		}
 
-		if (events.isOverlong) {
+		const pendingBytes = events.rest().length;
+		const hasRoom = heldBack.set(isOver ? 0 : pendingBytes);
+		if (events.isOverlong || (!hasRoom && pendingBytes > maxScarceEventBytes)) {
 			fail('unknown', 'not-an-answer', true);
 		}
 	};
@@ -317,9 +328,9 @@
 			step = 'mid-stream';
 			pass(bytes);
 		} else {
-			buffered.push(bytes);
-			bufferedBytes += bytes.length;
-			if (bufferedBytes > maxBufferedAnswerBytes) {
+			buffered.append(bytes);
+			const hasRoom = heldBack.set(buffered.length);
+			if (!hasRoom || buffered.length > maxBufferedAnswerBytes) {
 				passBuffered();
 			}
 		}
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -6,6 +6,7 @@
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as answerClassifier from './answer-classifier.js';
+import * as answerBuffers from './answer-buffers.js';
 import * as attempt from './attempt.js';
 import * as attemptFailover from './attempt-failover.js';
 import type * as crashDetector from './crash-detector.js';
@@ -31,6 +32,8 @@
 	quarantine: promptQuarantine.PromptQuarantine;
 	crashes: crashDetector.CrashDetector;
 	log: gatewayEvent.EventLog;
+	/** Bounds what all attempts hold back of their answers. */
+	buffers?: answerBuffers.AnswerBuffers;
 	localRegion: string;
 	/** Whether a daemon of another region is alive and its region not partitioned. */
 	isReachable(peer: string): boolean;
@@ -79,12 +82,15 @@
 	Math.min(lastPriority, firstPriority + rank * priorityStep);
 
 /** Creates the engine of a daemon. */
-export const createRequestEngine = (services: EngineServices): RequestEngine => ({
-	handle: (request, reply, onEnd) => startRequest(services, request, reply, onEnd),
+export const createRequestEngine = ({
+	buffers = answerBuffers.createAnswerBuffers(),
+	...services
+}: EngineServices): RequestEngine => ({
+	handle: (request, reply, onEnd) => startRequest({...services, buffers}, request, reply, onEnd),
 });
 
 const startRequest = (
-	services: EngineServices,
+	services: EngineServices & Required<Pick<EngineServices, 'buffers'>>,
 	request: gatewayRequest.GatewayRequest,
 	reply: upstreamTransport.CallerReply,
 	onEnd: () => void,
@@ -463,6 +469,7 @@
 					account: local?.account,
 					observedRun: local && services.crashes.begin(local.upstream, observed),
 					isIdempotent,
+					buffers: services.buffers,
 					canRetry: () =>
 						failover.hasSuccessor ||
 						(isIdempotent &&
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -103,6 +103,8 @@
 const refusalReadMs = 1000;
 /** Retry delay for callers whose body found no memory. */
 const noMemoryRetryMs = 500;
+/** Requests in progress on one connection. Callers that send the next request early do so with a few. */
+const maxPipelinedRequests = 32;
 /** Added to the idle limit, for a request that is already on the network. */
 const idleSlackMs = 1000;
 /** Time for connections that are pending when the server stops to listen. */
@@ -221,7 +223,12 @@
 		}
 
 		let execution: requestEngine.RequestExecution | undefined;
-		const held: {body?: requestBody.RequestBody; reply?: serverReply.ServerReply} = {};
+		const held: {
+			body?: requestBody.RequestBody;
+			/** Set for a refusal that waits for earlier responses. */
+			head?: requestBody.RequestBody;
+			reply?: serverReply.ServerReply;
+		} = {};
 		let isOver = false;
 		let hasRun = false;
 		const end = () => {
@@ -234,6 +241,7 @@
 			connections.endRequest(request.socket, end);
 			execution?.dispose();
 			held.body?.release();
+			held.head?.release();
 			held.reply?.release();
 		};
 
@@ -254,7 +262,28 @@
 
 		requestAborts.add(abortNow);
 		response.on('close', end);
+		const closeConnection = (reason: closeLog.CloseReason) => {
+			closes.note(reason, connections.requestCount(request.socket));
+			request.socket.destroy();
+		};
+
+		/** Counts what a refusal that waits for earlier responses holds. */
+		const holdRefused = () => {
+			if (connections.requestCount(request.socket) > 1) {
+				held.head ??= requestBody.holdHead(request, budget, () => {
+					closeConnection('no-memory');
+				});
+			}
+		};
+
+		// Those that wait may have run, so the connection ends without an answer.
+		if (connections.requestCount(request.socket) > maxPipelinedRequests) {
+			closeConnection('pipelined');
+			return;
+		}
+
 		if (headerBytes(request.rawHeaders) > maxHeaderBytes) {
+			holdRefused();
 			reject(response, 431, 'header-too-large');
 			return;
 		}
@@ -270,12 +299,14 @@
 		});
 		if (decision.kind === 'reject') {
 			request.resume();
+			holdRefused();
 			reject(response, decision.status, decision.reason, decision);
 			return;
 		}
 
 		if (decision.kind === 'respond') {
 			request.resume();
+			holdRefused();
 			response.writeHead(200, {
 				'content-type': 'application/json',
 				'content-length': buffer.Buffer.byteLength(decision.body),
@@ -289,6 +320,7 @@
 				return;
 			}
 
+			holdRefused();
 			if (failure === 'too-large') {
 				reject(response, 413, 'body-too-large', {isReading: true});
 				return;
@@ -337,7 +369,10 @@
 				held.reply = reply;
 				execution = run(body, reply, () => {
 					execution = undefined;
-					held.body?.release();
+					// The request is kept with a response that waits for earlier ones.
+					if (response.socket) {
+						held.body?.release();
+					}
 				});
 			});
 		};
--- a/packages/gateway/src/node/close-log.ts
+++ b/packages/gateway/src/node/close-log.ts
@@ -16,6 +16,8 @@
 	| 'make-room'
 	/** New, while all descriptors for connections were in use by requests. */
 	| 'no-room'
+	/** More requests than a connection may carry at once. */
+	| 'pipelined'
 	/** A request was in progress when the grace period was over. */
 	| 'grace-over'
 	/** The body of a request, which was not run, or an unfinished head gave way to others. */
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -6,6 +6,7 @@
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as answerBuffers from '../common/answer-buffers.js';
 import * as budgetSharers from '../common/budget-sharers.js';
 import * as crashDetector from '../common/crash-detector.js';
 import * as directory from '../common/directory.js';
@@ -188,7 +189,9 @@
 		maxMs: current.quarantine.maxS * 1000,
 	}));
 	const crashes = crashDetector.createCrashDetector({clock, transport: pool, quarantine, log});
+	const buffers = answerBuffers.createAnswerBuffers();
 	const engine = requestEngine.createRequestEngine({
+		buffers,
 		clock,
 		wire,
 		dispatcher: dispatch,
@@ -541,6 +544,7 @@
 			bodyBytes: heldMemory.bodyBytes,
 			unfinishedBodies: heldMemory.unfinishedBodies,
 			unreadAnswerBytes: heldMemory.answerBytes,
+			heldBackBytes: buffers.bytes,
 		}),
 		readMemoryUse: processMonitor.readMemoryUse,
 	});
--- a/packages/gateway/src/node/request-body.ts
+++ b/packages/gateway/src/node/request-body.ts
@@ -41,6 +41,22 @@
 const hasBody = ({headers}: http.IncomingMessage): boolean =>
 	headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
+/**
+ * Counts the head of a request that was refused and whose response waits for earlier ones on its
+ * connection.
+ *
+ * @param giveWay ends the connection
+ */
+export const holdHead = (
+	request: http.IncomingMessage,
+	budget: memoryBudget.MemoryBudget,
+	giveWay: () => void,
+): RequestBody => {
+	const held = budget.addBody(giveWay);
+	held.grow(headMemory(request));
+	return held;
+};
+
 export const readBody = (request: http.IncomingMessage, options: BodyOptions): RequestBody => {
 	const {maxBytes, onComplete, onFailure} = options;
 	// The `close` event of the response reports a caller that disconnects.
--- a/packages/gateway/src/node/server-reply.ts
+++ b/packages/gateway/src/node/server-reply.ts
@@ -57,7 +57,8 @@
 
 	override write(bytes: Uint8Array): boolean {
 		const isRead = this.#response.write(bytes);
-		if (!isRead) {
+		// A response that waits for an earlier one on its connection has no socket, and holds its bytes.
+		if (!isRead || !this.#response.socket) {
 			this.#unread ??= this.#budget.addAnswer(this.#onUnread);
 		}
 
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -2,6 +2,7 @@
 import * as clockService from '@hawthornfront/base/common/clock.js';
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as manualClock from '@hawthornfront/base/common/manual-clock.js';
+import type * as answerBuffers from '../common/answer-buffers.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
@@ -23,6 +24,7 @@
 	resends?: number;
 	/** Requests wait for their connections until the test reports them as sent. */
 	isConnecting?: boolean;
+	buffers?: answerBuffers.AnswerBuffers;
 	/** Wraps the manual clock for the engine. */
 	engineClock?(clock: manualClock.ManualClock): clockService.Clock;
 };
@@ -82,6 +84,7 @@
 		transport,
 		budget,
 		...crashServices,
+		buffers: options.buffers,
 		log,
 		localRegion: 'north',
 		isReachable: fleet.isReachable,
--- a/packages/gateway/src/test/held-memory.test.ts
+++ b/packages/gateway/src/test/held-memory.test.ts
@@ -7,6 +7,7 @@
 
 const bodyBytes = 400_000;
 const budgetBytes = 4_000_000;
+const answerBytes: Readonly<Record<string, number>> = {'/large/': bodyBytes, '/medium/': 15_000};
 
 const start = async (t: tap.Test, timeoutMs?: number) => {
 	const budget = memoryBudget.createMemoryBudget(() => performance.now(), budgetBytes);
@@ -15,27 +16,30 @@
 	let mostBytes = 0;
 	const server = callerServer.createCallerServer(
 		() => performance.now(),
-		(head) => ({
-			kind: 'accept',
-			timeoutMs,
-			refusalHeaders: (reason) => ({'x-reason': reason}),
-			run(body, reply, onEnd) {
-				runs.push(`${head.path} ${body?.length ?? 0}`);
-				const answer = new Uint8Array(head.path === '/large/' ? bodyBytes : 2);
-				const write = (caller: upstreamTransport.CallerReply) => {
-					caller.start(200, {'content-length': String(answer.length)});
-					caller.write(answer);
-					caller.end();
-					onEnd();
-				};
-
-				if (head.path !== '/wait/') {
-					write(reply);
-				}
-
-				return {dispose: () => undefined, terminate: () => undefined};
-			},
-		}),
+		(head) =>
+			head.path === '/none/'
+				? {kind: 'reject', status: 404, reason: 'no-route'}
+				: {
+						kind: 'accept',
+						timeoutMs,
+						refusalHeaders: (reason) => ({'x-reason': reason}),
+						run(body, reply, onEnd) {
+							runs.push(`${head.path} ${body?.length ?? 0}`);
+							const answer = new Uint8Array(answerBytes[head.path] ?? 2);
+							const write = (caller: upstreamTransport.CallerReply) => {
+								caller.start(200, {'content-length': String(answer.length)});
+								caller.write(answer);
+								caller.end();
+								onEnd();
+							};
+
+							if (head.path !== '/wait/') {
+								write(reply);
+							}
+
+							return {dispose: () => undefined, terminate: () => undefined};
+						},
+					},
 		{
 			note(reason) {
 				closes.push(reason);
@@ -298,3 +302,45 @@
 
 	t.ok(await waitUntil(() => budget.answerBytes === 0));
 });
+
+const headOf = (path: string, bytes: number) =>
+	`GET ${path} HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(bytes)}\r\n\r\n`;
+
+// Guards against refusals that wait for an earlier response on their connection, whose heads ended a daemon at its heap limit.
+tap.t.test('refused requests behind a waiting one stay in the budget', async (t) => {
+	const {budget, server, closes, open, mostBytes} = await start(t);
+	server.applyLimits({headerBytes: 60_000, bodyBytes, headerTimeoutMs: 3000, idleMs: 15_000});
+	for (let index = 0; index < 10; index++) {
+		const {socket} = await open();
+		socket.write(headOf('/wait/', 1) + headOf('/none/', 50_000).repeat(20));
+	}
+
+	t.ok(await waitUntil(() => closes.includes('no-memory')));
+	t.ok(budget.bodyBytes > 0);
+	t.ok(mostBytes() <= budgetBytes, `${mostBytes()} bytes`);
+});
+
+// Guards against short answers behind a waiting one, which no budget counted.
+tap.t.test('short answers behind a waiting one stay in the budget', async (t) => {
+	const {budget, runs, closes, open, mostBytes} = await start(t);
+	for (let index = 0; index < 10; index++) {
+		const {socket} = await open();
+		socket.write(headOf('/wait/', 1) + headOf('/medium/', 1).repeat(20));
+	}
+
+	t.ok(await waitUntil(() => closes.includes('unread-answer')));
+	t.ok(runs.length > 20);
+	t.ok(budget.answerBytes > 0);
+	t.ok(mostBytes() <= budgetBytes, `${mostBytes()} bytes`);
+});
+
+// Guards against any number of requests in progress on one connection.
+tap.t.test('a connection with very many requests in progress is closed', async (t) => {
+	const {server, closes, open} = await start(t);
+	const {socket, state} = await open();
+	socket.write(headOf('/wait/', 1).repeat(40));
+	t.ok(await waitUntil(() => state.isClosed));
+	t.ok(closes.includes('pipelined'));
+	t.equal(state.text, '', 'requests that may have run get no refusal');
+	t.ok(await waitUntil(() => server.inFlight === 0));
+});
