Take a port that accepts connections and resets them for a crashed upstream

Cause: the probe after broken connections took an accepted connection for an upstream that runs. It now holds the connection for 20 ms; one that is ended or reset meanwhile counts as refused. The new test fails before: the probe was decided by the connect alone.

--- a/packages/gateway/src/common/upstream-transport.ts
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -44,7 +44,7 @@
 	resume(): void;
 };
 
-/** Result of a probe; `unknown`: no response in time. */
+/** Result of a probe; `refused`: also if the connection was accepted and ended at once; `unknown`: no response in time. */
 export type ProbeResult = 'open' | 'refused' | 'unknown';
 
 export abstract class UpstreamTransport {
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -64,6 +64,9 @@
 /** Connections are closed this long before the peer's keep-alive timeout. */
 const keepAliveMarginMs = 1000;
 
+/** A probe's connection that stays open for this long was accepted. */
+const probeHoldMs = 20;
+
 /** Error code: an idle connection was lost before the client wrote a request to it. */
 const lostBeforeSendCode = 'CONNECTION_LOST_BEFORE_SEND';
 
@@ -212,7 +215,14 @@
 			decide('unknown');
 		}, this.#settings.probeTimeoutMs);
 		socket.once('connect', () => {
-			decide('open');
+			// While a process starts or ends, its port may accept connections and reset them at once.
+			setTimeout(() => {
+				decide('open');
+			}, probeHoldMs);
+		});
+		socket.resume();
+		socket.once('end', () => {
+			decide('refused');
 		});
 		socket.on('error', ({code}: NodeJS.ErrnoException) => {
 			decide(localCodes.has(code ?? '') ? 'unknown' : 'refused');
--- a/packages/gateway/src/test/connection-pool.test.ts
+++ b/packages/gateway/src/test/connection-pool.test.ts
@@ -337,6 +337,18 @@
 	t.equal(await probe(`127.0.0.1:${port}`), 'refused');
 });
 
+// Guards against crashes that go unseen because the port of the upstream still accepts connections.
+tap.t.test('a probe of a port that accepts connections and resets them is refused', async (t) => {
+	const {address} = await startServer(t, (socket) => {
+		socket.resetAndDestroy();
+	});
+	const pool = new connectionPool.ConnectionPool(() => 0);
+	const result = await new Promise((resolve) => {
+		pool.probe(address, resolve);
+	});
+	t.equal(result, 'refused');
+});
+
 // Guards against a daemon that ends because an upstream has an address that cannot exist.
 tap.t.test('a request to an impossible address fails, and so does a probe', async (t) => {
 	for (const address of ['127.0.0.1:65536', '127.0.0.1:x', '127.0.0.1', '', '...:80', 'a b:80']) {
