Refuse a request that breaks connection after connection, however its upstream ends

Cause: only a crash that a probe had confirmed counted, at most one for each known start of an upstream, for a stream only while no event had arrived, and a second event cleared the request. Ruled out: lost reports, since each daemon had no evidence of its own either. Change: a connection that breaks after the request was sent is evidence against that request, not against the prompt parts that others share; four such breaks in sequence, each of a later send, refuse it. Only a whole answer clears it; a second event still clears the parts. An upstream may crash again under the start that is known. Breaks that come together count once, so that upstreams that fail together convict no sound request. Reports of many breaks take turns, so that each reaches the other daemons. The message between daemons has version 7. The added tests fail before: nothing was recorded for such breaks.

--- a/packages/gateway/src/common/crash-detector.ts
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -1,6 +1,7 @@
 /**
  * Detects that an upstream crashed: the connections of its requests broke together, and
- * it refuses new ones. Reports the requests that it may have crashed on.
+ * it refuses new ones. Reports the requests that it may have crashed on, and those whose
+ * connections broke otherwise.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
 import * as hash from '@hawthornfront/decisions/common/hash.js';
@@ -41,7 +42,10 @@
 export type CrashDetectorOptions = {
 	clock: clock.Clock;
 	transport: Pick<upstreamTransport.UpstreamTransport, 'probe'>;
-	quarantine: Pick<promptQuarantine.PromptQuarantine, 'noteAnswer' | 'noteCrash'>;
+	quarantine: Pick<
+		promptQuarantine.PromptQuarantine,
+		'noteAnswer' | 'noteBegun' | 'noteCrash' | 'noteBreaks'
+	>;
 	log: gatewayEvent.EventLog;
 };
 
@@ -62,15 +66,25 @@
 	events: number;
 };
 
+type BrokenRun = Run & {brokenAtMs: number};
+
 /** Requests at one start of an upstream. */
 type Watched = {
 	running: Set<Run>;
 	/** Requests whose connections broke, until it is known whether the upstream crashed. */
-	broken: Array<Run & {brokenAtMs: number}>;
+	broken: BrokenRun[];
 	waiting: Array<(hasCrashed: boolean) => void>;
 	isChecking: boolean;
 };
 
+const wasAnswering = ({hasHead, events}: Run): boolean => hasHead && events === 0;
+
+const victimOf = (run: BrokenRun): promptQuarantine.CrashVictim => ({
+	request: run.request,
+	sentBeforeMs: run.brokenAtMs - run.sentAtMs,
+	wasAnswering: wasAnswering(run),
+});
+
 /** Identifies one start of an upstream, since an upstream may start again under its id. */
 const keyOf = ({entry}: upstreamRegistry.Upstream): number =>
 	hash.hash32(`${entry.id}\n${entry.startedAtUnixMs ?? 0}`);
@@ -101,15 +115,25 @@
 		}
 	};
 
-	/** Forgets requests whose connections broke long before: they belong to another failure. */
-	const forgetOldBroken = (watched: Watched) => {
+	/** Reports requests whose connections broke although the upstream may be sound: one that breaks again and again may be the cause. */
+	const reportBreaks = (upstream: upstreamRegistry.Upstream, broken: readonly BrokenRun[]) => {
+		quarantine.noteBreaks(
+			upstream.entry.service,
+			keyOf(upstream),
+			broken.map((run) => victimOf(run)),
+		);
+	};
+
+	/** Reports and forgets requests whose connections broke long before: they belong to another failure. */
+	const settleOldBroken = (upstream: upstreamRegistry.Upstream, watched: Watched) => {
 		const oldestMs = time.nowMs() - settleMs;
+		const old = watched.broken.filter(({brokenAtMs}) => brokenAtMs <= oldestMs);
 		watched.broken = watched.broken.filter(({brokenAtMs}) => brokenAtMs > oldestMs);
+		reportBreaks(upstream, old);
 	};
 
 	const reportCrash = (upstream: upstreamRegistry.Upstream, watched: Watched) => {
 		const suspects = watched.broken.filter(({events}) => events <= maxEventsAtCrash);
-		const wasAnswering = (run: Run) => run.hasHead && run.events === 0;
 		log.note({
 			kind: 'upstream-crashed',
 			upstream: upstream.entry.id,
@@ -132,17 +156,20 @@
 		quarantine.noteCrash(
 			upstream.entry.service,
 			keyOf(upstream),
-			suspects.map((run) => ({
-				request: run.request,
-				sentBeforeMs: run.brokenAtMs - run.sentAtMs,
-				wasAnswering: wasAnswering(run),
-			})),
+			suspects.map((run) => victimOf(run)),
+		);
+		// The crash alone makes no suspects of these: they waited, or had survived the begin of their answer.
+		const others = watched.broken.filter(
+			(run) => run.events > maxEventsAtCrash || (run.request.isStream && !wasAnswering(run)),
 		);
+		reportBreaks(upstream, others);
 	};
 
 	const decide = (upstream: upstreamRegistry.Upstream, watched: Watched, hasCrashed: boolean) => {
 		if (hasCrashed) {
 			reportCrash(upstream, watched);
+		} else {
+			reportBreaks(upstream, watched.broken);
 		}
 
 		watched.isChecking = false;
@@ -179,27 +206,25 @@
 				forgetIfIdle(key, watched);
 			};
 
-			const noteAnswer = () => {
-				quarantine.noteAnswer(service, request);
-			};
-
 			return {
 				noteHead() {
 					run.hasHead = true;
 				},
 				noteEvents(count) {
 					if (run.events <= maxEventsAtCrash && count > maxEventsAtCrash) {
-						noteAnswer();
+						quarantine.noteBegun(service, request);
 					}
 
 					run.events = count;
 				},
-				noteAnswer,
+				noteAnswer() {
+					quarantine.noteAnswer(service, request);
+				},
 				noteBroken() {
 					const brokenAtMs = time.nowMs();
 					watched.running.delete(run);
 					if (!watched.isChecking) {
-						forgetOldBroken(watched);
+						settleOldBroken(upstream, watched);
 					}
 
 					watched.broken.push({...run, brokenAtMs});
@@ -212,7 +237,7 @@
 						// Otherwise it would be kept, with its body, for as long as the upstream has others.
 						time.setTimer(() => {
 							if (!watched.isChecking) {
-								forgetOldBroken(watched);
+								settleOldBroken(upstream, watched);
 							}
 						}, 2 * settleMs);
 					}
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -71,7 +71,7 @@
 ]);
 
 /** Version of the layout of a message. */
-const messageVersion = 6;
+const messageVersion = 7;
 /** Beliefs on upstreams, by their numbers in a message. */
 const beliefs = ['suspected', 'cold', 'warm'] as const satisfies upstreamWarmth.Belief[];
 const beliefNumberSchema = zod.union([zod.literal(0), zod.literal(1), zod.literal(2)]);
@@ -104,14 +104,17 @@
 	zod.boolean(),
 	/** Member id and units since its last heartbeat, alternating. */
 	zod.array(zod.number()),
-	/** Service, prompt part, time since its last answer, number of its quarantines, crashes. */
+	/** Service, prompt part, time since its last answer, number of its quarantines, crashes, time since a request was refused for it. */
 	zod.array(
 		zod.tuple([
 			zod.string(),
 			zod.string(),
 			zod.number().nullable(),
 			zod.number(),
-			zod.array(zod.tuple([zod.number(), zod.number(), zod.number(), zod.boolean()])),
+			zod.array(
+				zod.tuple([zod.number(), zod.number(), zod.number(), zod.boolean(), zod.boolean()]),
+			),
+			zod.number().nullable(),
 		]),
 	),
 	/** Upstream id, requests a second (null: no limit any more), age. */
@@ -241,7 +244,9 @@
 				Math.round(crash.ageMs),
 				Math.round(crash.sentBeforeMs),
 				crash.wasAnswering,
+				crash.isConfirmed,
 			]),
+			report.refusedAgeMs === undefined ? null : Math.round(report.refusedAgeMs),
 		]),
 		message.rateLimits.map(({upstreamId, requestsPerS, ageMs}) => [
 			upstreamId,
@@ -305,16 +310,18 @@
 		})),
 		partReports: partReports
 			.filter(([service]) => isName(service))
-			.map(([service, partId, answeredAgeMs, quarantines, crashes]) => ({
+			.map(([service, partId, answeredAgeMs, quarantines, crashes, refusedAgeMs]) => ({
 				service,
 				partId,
 				answeredAgeMs: answeredAgeMs ?? undefined,
 				quarantines,
-				crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering]) => ({
+				refusedAgeMs: refusedAgeMs ?? undefined,
+				crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering, isConfirmed]) => ({
 					upstreamKey,
 					ageMs,
 					sentBeforeMs,
 					wasAnswering,
+					isConfirmed,
 				})),
 			})),
 		rateLimits: rateLimits.map(([upstreamId, requestsPerS, ageMs]) => ({
--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -12,10 +12,11 @@
 	sentAtMs: number;
 	/** The upstream had begun its answer and sent no event of it. */
 	wasAnswering: boolean;
+	/** False if only the connection of the request is known to have broken; such breaks count against requests only. */
+	isConfirmed: boolean;
 };
 
 export type PartEvidence = {
-	/** At most one crash for each start of an upstream. */
 	crashes: Crash[];
 	/** Negative infinity if no answer is known. */
 	answeredAtMs: number;
@@ -26,17 +27,21 @@
 
 const answeringWeight = 2;
 const waitingWeight = 1;
-/** Two crashes while an answer began, or four while requests with the part waited. */
+/** Two crashes while an answer began, or four otherwise. */
 const sufficientWeight = 4;
 /** Weight for a part that was answered before: it is probably shared by many sound requests. */
 const sufficientWeightAfterAnswer = 6;
 const maxCrashes = 8;
+/** Reports of daemons on the same crash differ by less than this. */
+const sameCrashMs = 1000;
+/** A request with as many breaks in sequence is suspected without a confirmed crash. */
+const suspectedBreaks = 2;
+
+/** Whether the upstream is known to have crashed as it began to answer. */
+const isAnswering = ({wasAnswering, isConfirmed}: Crash): boolean => wasAnswering && isConfirmed;
 
 const sumWeights = (crashes: readonly Crash[]): number =>
-	crashes.reduce(
-		(sum, {wasAnswering}) => sum + (wasAnswering ? answeringWeight : waitingWeight),
-		0,
-	);
+	crashes.reduce((sum, crash) => sum + (isAnswering(crash) ? answeringWeight : waitingWeight), 0);
 
 /** Crashes that each hit a request sent after the one before, so that upstreams that fail together count once. */
 const inSequence = (crashes: readonly Crash[]): Crash[] => {
@@ -71,17 +76,30 @@
 		return sumWeights(inSequence(crashes)) >= sufficientWeightAfterAnswer;
 	}
 
-	// Without an answer that began, sound requests that are sent again look the same.
-	const isWaiting = evidence.isRequest && !crashes.some(({wasAnswering}) => wasAnswering);
-	const counted = isWaiting ? inSequence(crashes) : crashes;
+	const counted = evidence.isRequest ? countedForRequest(crashes) : crashes;
 	return counted.length > 1 && sumWeights(counted) >= sufficientWeight;
 };
 
+/** Without an answer that began, sound requests that are sent again look the same unless the crashes follow each other. */
+const countedForRequest = (crashes: readonly Crash[]): Crash[] => [
+	...crashes.filter((crash) => isAnswering(crash)),
+	...inSequence(crashes.filter((crash) => !isAnswering(crash))),
+];
+
 const answeringKeys = (evidence: PartEvidence): number[] =>
 	crashesSinceAnswer(evidence)
-		.filter(({wasAnswering}) => wasAnswering)
+		.filter((crash) => isAnswering(crash))
 		.map(({upstreamKey}) => upstreamKey);
 
+/** Whether a request may be what crashes its upstreams, so that it is tried once at a time and gets no second upstream. */
+export const isSuspectedRequest = (evidence: PartEvidence): boolean => {
+	const crashes = crashesSinceAnswer(evidence);
+	return (
+		evidence.isRequest &&
+		(crashes.some(({isConfirmed}) => isConfirmed) || inSequence(crashes).length >= suspectedBreaks)
+	);
+};
+
 /** Equal for parts that no crash tells apart: they were in the same prompts whose answers had begun. A request is told apart by itself. */
 const signatureOf = (evidence: PartEvidence): string => {
 	if (evidence.isRequest) {
@@ -135,26 +153,38 @@
 export const lastCrashAtMs = ({crashes}: PartEvidence): number =>
 	Math.max(Number.NEGATIVE_INFINITY, ...crashes.map(({atMs}) => atMs));
 
-/** Whether adding a crash would strengthen the evidence. */
-export const isNewCrash = (
+/** A crash that is known already: an upstream may crash again under the same start, so a request sent later is another one. */
+const findKnown = (
 	{crashes}: PartEvidence,
-	crash: Pick<Crash, 'upstreamKey' | 'wasAnswering'>,
-): boolean => {
-	const known = crashes.find(({upstreamKey}) => upstreamKey === crash.upstreamKey);
-	return !known || (crash.wasAnswering && !known.wasAnswering);
-};
+	crash: Pick<Crash, 'upstreamKey' | 'sentAtMs'>,
+): Crash | undefined =>
+	crashes.find(
+		({upstreamKey, atMs}) =>
+			upstreamKey === crash.upstreamKey && crash.sentAtMs <= atMs + sameCrashMs,
+	);
+
+/** Whether the crash adds to what is known: another request may have been closer to its answer. */
+const isStrongerThan = (crash: Crash, known: Crash | undefined): boolean =>
+	!known ||
+	(isAnswering(crash) && !isAnswering(known)) ||
+	(crash.isConfirmed && !known.isConfirmed);
+
+/** Whether adding a crash would strengthen the evidence. */
+export const isNewCrash = (evidence: PartEvidence, crash: Crash): boolean =>
+	isStrongerThan(crash, findKnown(evidence, crash));
 
 /** Adds a crash. Returns whether it strengthens the evidence. */
-export const addCrash = ({crashes}: PartEvidence, crash: Crash): boolean => {
-	const known = crashes.find(({upstreamKey}) => upstreamKey === crash.upstreamKey);
-	if (!known) {
+export const addCrash = (evidence: PartEvidence, crash: Crash): boolean => {
+	const {crashes} = evidence;
+	const known = findKnown(evidence, crash);
+	const isStronger = isStrongerThan(crash, known);
+	if (known) {
+		known.wasAnswering ||= crash.wasAnswering;
+		known.isConfirmed ||= crash.isConfirmed;
+	} else {
 		crashes.push(crash);
 		crashes.splice(0, crashes.length - maxCrashes);
-		return true;
 	}
 
-	// Another request with the part may have been closer to its answer.
-	const isStronger = crash.wasAnswering && !known.wasAnswering;
-	known.wasAnswering ||= crash.wasAnswering;
 	return isStronger;
 };
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -26,6 +26,8 @@
 	answeredAgeMs?: number;
 	/** How often it was quarantined. */
 	quarantines: number;
+	/** Time since a request was last refused for it; undefined if none is known. */
+	refusedAgeMs?: number;
 };
 
 export type QuarantineReport = PartReport & {
@@ -36,7 +38,7 @@
 
 export type ReportedCrash = CrashFacts & {ageMs: number};
 
-type CrashFacts = Pick<partEvidence.Crash, 'upstreamKey' | 'wasAnswering'> & {
+type CrashFacts = Pick<partEvidence.Crash, 'upstreamKey' | 'wasAnswering' | 'isConfirmed'> & {
 	/** Time from the send of the request to the crash. */
 	sentBeforeMs: number;
 };
@@ -51,7 +53,9 @@
 };
 
 /** A request that was at an upstream when it crashed. */
-export type CrashVictim = Omit<CrashFacts, 'upstreamKey'> & {request: JudgedRequest};
+export type CrashVictim = Omit<CrashFacts, 'upstreamKey' | 'isConfirmed'> & {
+	request: JudgedRequest;
+};
 
 /** Source of evidence that this daemon has observed itself. */
 export const ownSource = 'own';
@@ -78,11 +82,17 @@
 	): {partId: string; remainingMs: number} | undefined;
 	/**
 	 * Whether an upstream crashed as it began to answer a prompt with one of the parts, and
-	 * none was ever answered; or whether one crashed during the request since its last answer.
+	 * none was ever answered; or whether the request itself is suspected since its last answer.
 	 */
 	isSuspected(service: string, request: JudgedRequest): boolean;
+	/** An upstream sent several events of an answer, so it survived the begin of it, which clears the parts of the prompt. */
+	noteBegun(service: string, request: JudgedRequest): void;
+	/** An upstream sent a whole answer, which clears the request and the parts of its prompt. */
 	noteAnswer(service: string, request: JudgedRequest): void;
+	/** An upstream is known to have crashed during the requests. */
 	noteCrash(service: string, upstreamKey: number, victims: readonly CrashVictim[]): void;
+	/** The connections of the requests broke, which counts against the requests only, not the parts that others share. */
+	noteBreaks(service: string, upstreamKey: number, victims: readonly CrashVictim[]): void;
 	/**
 	 * Counts a request that is sent, until it is disposed: one at a time tries parts again
 	 * after their quarantine, and one at a time of the same request after a crash during it.
@@ -137,6 +147,8 @@
 	/** Ids of parts that a prompt must have besides to be harmful. */
 	companions: readonly string[];
 	changedAtMs: number;
+	/** Negative infinity if no request was refused for it. */
+	refusedAtMs: number;
 	/** Requests in progress that try the part again. */
 	trials: number;
 };
@@ -175,7 +187,11 @@
 		return 'released';
 	}
 
-	return hasNewEvidence && !isCleared(record) ? 'suspected' : undefined;
+	// The connections of sound requests break, too; one break is not worth a log line.
+	const isSuspected = record.isRequest
+		? partEvidence.isSuspectedRequest(record)
+		: !isCleared(record);
+	return hasNewEvidence && isSuspected ? 'suspected' : undefined;
 };
 
 /** Creates a quarantine without evidence. */
@@ -271,13 +287,9 @@
 		}
 	};
 
-	/** Adds a crash to a part. Returns whether it strengthens the evidence. */
-	const addCrash = (
-		record: PartRecord,
-		{ageMs, sentBeforeMs, ...crash}: ReportedCrash,
-	): boolean => {
+	const crashOf = ({ageMs, sentBeforeMs, ...crash}: ReportedCrash): partEvidence.Crash => {
 		const atMs = nowMs() - ageMs;
-		return partEvidence.addCrash(record, {...crash, atMs, sentAtMs: atMs - sentBeforeMs});
+		return {...crash, atMs, sentAtMs: atMs - sentBeforeMs};
 	};
 
 	/** Orders parts by how likely they crash upstreams, then by the time of their last change. */
@@ -316,6 +328,7 @@
 			isHarmful: false,
 			companions: [],
 			changedAtMs: nowMs(),
+			refusedAtMs: Number.NEGATIVE_INFINITY,
 			trials: 0,
 		};
 		if (records.size >= maxRecords) {
@@ -328,11 +341,12 @@
 	};
 
 	/** Old reports are ignored, since daemons that have forgotten a part would learn of it from each other again and again. */
-	const isCurrent = ({crashes, answeredAgeMs, quarantines}: PartReport): boolean => {
+	const isCurrent = ({crashes, answeredAgeMs, quarantines, refusedAgeMs}: PartReport): boolean => {
 		const lastCrashAgeMs = Math.min(...crashes.map(({ageMs}) => ageMs));
 		const isRefuted = (answeredAgeMs ?? Number.POSITIVE_INFINITY) <= lastCrashAgeMs;
 		const retentionMs = memoryMs(quarantines > 0, isRefuted);
-		return lastCrashAgeMs < retentionMs * reportedMemoryShare;
+		const lastNeededAgeMs = Math.min(lastCrashAgeMs, refusedAgeMs ?? Number.POSITIVE_INFINITY);
+		return lastNeededAgeMs < retentionMs * reportedMemoryShare;
 	};
 
 	/** Whether a report has evidence that is not held yet. Most reports repeat what is known, and applying one compares all records. */
@@ -347,7 +361,7 @@
 			quarantines > record.quarantines ||
 			(answeredAgeMs !== undefined && !partEvidence.wasAnswered(record)) ||
 			partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs) ||
-			crashes.some((crash) => partEvidence.isNewCrash(record, crash))
+			crashes.some((crash) => partEvidence.isNewCrash(record, crashOf(crash)))
 		);
 	};
 
@@ -358,7 +372,11 @@
 		const hasAnswer = partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs);
 		record.answeredAtMs = Math.max(record.answeredAtMs, answeredMs);
 		record.quarantines = Math.max(record.quarantines, report.quarantines);
-		const stronger = report.crashes.filter((crash) => addCrash(record, crash));
+		const refusedMs = nowMs() - (report.refusedAgeMs ?? Number.POSITIVE_INFINITY);
+		record.refusedAtMs = Math.max(record.refusedAtMs, refusedMs);
+		const stronger = report.crashes.filter((crash) =>
+			partEvidence.addCrash(record, crashOf(crash)),
+		);
 		return hasAnswer || stronger.length > 0 ? record : undefined;
 	};
 
@@ -389,21 +407,57 @@
 
 	/** Whether only one request with the part may be in progress. */
 	const isTried = (record: PartRecord): boolean =>
-		record.isHarmful || (record.isRequest && !isCleared(record));
+		record.isHarmful || partEvidence.isSuspectedRequest(record);
 
 	const reportOf = (record: PartRecord): PartReport => ({
 		service: record.service,
 		partId: record.partId,
-		crashes: record.crashes.map(({upstreamKey, atMs, sentAtMs, wasAnswering}) => ({
-			upstreamKey,
+		crashes: record.crashes.map(({atMs, sentAtMs, ...crash}) => ({
+			...crash,
 			ageMs: nowMs() - atMs,
 			sentBeforeMs: atMs - sentAtMs,
-			wasAnswering,
 		})),
 		answeredAgeMs: partEvidence.wasAnswered(record) ? nowMs() - record.answeredAtMs : undefined,
 		quarantines: record.quarantines,
+		refusedAgeMs: Number.isFinite(record.refusedAtMs) ? nowMs() - record.refusedAtMs : undefined,
 	});
 
+	/** Refutes the evidence against parts that an answer has cleared. */
+	const refute = (found: readonly PartRecord[]) => {
+		const refuted = found.filter((record) => !isCleared(record));
+		if (refuted.length > 0) {
+			update(ownSource, () => {
+				for (const record of refuted) {
+					record.answeredAtMs = nowMs();
+				}
+
+				return refuted;
+			});
+		}
+	};
+
+	const noteBegun = (service: string, {parts}: JudgedRequest) => {
+		for (const {id} of parts) {
+			const key = keyOf(service, id);
+			answeredAtMs.set(answeredAtMs.has(key) ? key : ownText.ownText(key, key.length), nowMs());
+		}
+	};
+
+	const noteVictims = (
+		upstreamKey: number,
+		isConfirmed: boolean,
+		victims: readonly CrashVictim[],
+		recordsOf: (victim: CrashVictim) => PartRecord[],
+	) => {
+		update(ownSource, () =>
+			victims.flatMap((victim) => {
+				const {sentBeforeMs, wasAnswering} = victim;
+				const crash = crashOf({upstreamKey, ageMs: 0, sentBeforeMs, wasAnswering, isConfirmed});
+				return recordsOf(victim).filter((record) => partEvidence.addCrash(record, {...crash}));
+			}),
+		);
+	};
+
 	return {
 		onDidChange: didChange.event,
 		quarantinedPart(service, request) {
@@ -413,6 +467,7 @@
 				const waitMs = remainingMs(record);
 				const isRefused = waitMs > 0 || (isTried(record) && record.trials > 0);
 				if (isRefused && record.companions.every((partId) => ids.has(partId))) {
+					record.refusedAtMs = nowMs();
 					return {partId: record.partId, remainingMs: Math.max(waitMs, trialRetryMs)};
 				}
 			}
@@ -422,39 +477,28 @@
 		isSuspected: (service, request) =>
 			recordsFor(service, request).some((record) =>
 				record.isRequest
-					? !isCleared(record)
+					? partEvidence.isSuspectedRequest(record)
 					: !partEvidence.wasAnswered(record) &&
 						record.crashes.some(({wasAnswering}) => wasAnswering),
 			),
+		noteBegun(service, request) {
+			noteBegun(service, request);
+			refute(recordsFor(service, request).filter(({isRequest}) => !isRequest));
+		},
 		noteAnswer(service, request) {
-			for (const {id} of request.parts) {
-				const key = keyOf(service, id);
-				answeredAtMs.set(answeredAtMs.has(key) ? key : ownText.ownText(key, key.length), nowMs());
-			}
-
-			const refuted = recordsFor(service, request).filter((record) => !isCleared(record));
-			if (refuted.length > 0) {
-				update(ownSource, () => {
-					for (const record of refuted) {
-						record.answeredAtMs = nowMs();
-					}
-
-					return refuted;
-				});
-			}
+			noteBegun(service, request);
+			refute(recordsFor(service, request));
 		},
 		noteCrash(service, upstreamKey, victims) {
-			update(ownSource, () =>
-				victims.flatMap((victim) => {
-					const {sentBeforeMs, wasAnswering} = victim;
-					return suspectIds(service, victim)
-						.map((id) => recordOf(service, id))
-						.filter((record) =>
-							addCrash(record, {upstreamKey, ageMs: 0, sentBeforeMs, wasAnswering}),
-						);
-				}),
+			noteVictims(upstreamKey, true, victims, (victim) =>
+				suspectIds(service, victim).map((id) => recordOf(service, id)),
 			);
 		},
+		noteBreaks(service, upstreamKey, victims) {
+			noteVictims(upstreamKey, false, victims, ({request}) => [
+				recordOf(service, requestPartId(request)),
+			]);
+		},
 		beginTrial(service, request) {
 			const tried = recordsFor(service, request).filter((record) => isTried(record));
 			for (const record of tried) {
@@ -477,19 +521,30 @@
 		},
 		takeReports() {
 			const all = [...records.values()];
-			const isRecent = (record: PartRecord) => record.changedAtMs >= nowMs() - recentMs;
-			const chosen = all
-				.filter((record) => isRecent(record))
-				.sort(byImportance)
-				.slice(0, maxReports);
-			const older = all.filter(
-				(record) => !isRecent(record) && (record.quarantines > 0 || !isCleared(record)),
-			);
-			const olderCount = Math.min(maxOlderReports, older.length, maxReports - chosen.length);
-			for (let count = 0; count < olderCount; count++) {
-				chosen.push(older[reportTurn++ % older.length]!);
-			}
+			const recent = all
+				.filter(({changedAtMs}) => changedAtMs >= nowMs() - recentMs)
+				.sort(byImportance);
+			const isUrgent = (record: PartRecord) =>
+				record.isHarmful || partEvidence.suspicion(record) > 1;
+			const chosen = recent.filter((record) => isUrgent(record)).slice(0, maxReports);
+			/** Adds records in turn, so that each of them is reported in the end. */
+			const addInTurn = (others: readonly PartRecord[], limit: number) => {
+				const count = Math.min(limit, others.length, maxReports - chosen.length);
+				for (let index = 0; index < count; index++) {
+					chosen.push(others[reportTurn++ % others.length]!);
+				}
+			};
 
+			addInTurn(
+				recent.filter((record) => !isUrgent(record)),
+				maxReports,
+			);
+			addInTurn(
+				all.filter(
+					(record) => !recent.includes(record) && (record.quarantines > 0 || !isCleared(record)),
+				),
+				maxOlderReports,
+			);
 			return chosen.map((record) => reportOf(record));
 		},
 		quarantineReports: () =>
@@ -503,7 +558,8 @@
 		sweep() {
 			for (const record of records.values()) {
 				const retentionMs = memoryMs(record.quarantines > 0, isCleared(record));
-				if (partEvidence.lastCrashAtMs(record) < nowMs() - retentionMs) {
+				const lastNeededAtMs = Math.max(partEvidence.lastCrashAtMs(record), record.refusedAtMs);
+				if (lastNeededAtMs < nowMs() - retentionMs) {
 					forget(record);
 				}
 			}
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -35,6 +35,7 @@
 	partId: zod.string().max(promptQuarantine.maxPartIdLength),
 	isHarmful: zod.boolean(),
 	answeredAtUnixMs: zod.number().optional(),
+	refusedAtUnixMs: zod.number().optional(),
 	quarantines: zod.number(),
 	crashes: zod
 		.array(
@@ -43,6 +44,7 @@
 				atUnixMs: zod.number(),
 				sentBeforeMs: zod.number(),
 				wasAnswering: zod.boolean(),
+				isConfirmed: zod.boolean().default(true),
 			}),
 		)
 		.min(1, 'expected a crash'),
@@ -94,18 +96,19 @@
 		`${prefix}${hash.hash32(`${service}\n${partId}`)}`;
 
 	const encode = (report: HarmReport): Uint8Array => {
-		const {answeredAgeMs, crashes, ...rest} = report;
+		const {answeredAgeMs, refusedAgeMs, crashes, ...rest} = report;
 		const unixMs = (ageMs: number) => Math.round(clock.wallMs() - ageMs);
 		const stored: StoredReport = {
 			...rest,
 			answeredAtUnixMs: answeredAgeMs === undefined ? undefined : unixMs(answeredAgeMs),
+			refusedAtUnixMs: refusedAgeMs === undefined ? undefined : unixMs(refusedAgeMs),
 			crashes: crashes.map(({ageMs, ...crash}) => ({...crash, atUnixMs: unixMs(ageMs)})),
 		};
 		return new TextEncoder().encode(JSON.stringify(stored));
 	};
 
 	const decode = (value: Uint8Array): HarmReport => {
-		const {answeredAtUnixMs, crashes, ...rest} = storedReportSchema.parse(
+		const {answeredAtUnixMs, refusedAtUnixMs, crashes, ...rest} = storedReportSchema.parse(
 			JSON.parse(new TextDecoder().decode(value)),
 		);
 		// The clocks of two VMs differ, but evidence is never from the future.
@@ -113,6 +116,7 @@
 		return {
 			...rest,
 			answeredAgeMs: answeredAtUnixMs === undefined ? undefined : ageMs(answeredAtUnixMs),
+			refusedAgeMs: refusedAtUnixMs === undefined ? undefined : ageMs(refusedAtUnixMs),
 			crashes: crashes.map(({atUnixMs, ...crash}) => ({...crash, ageMs: ageMs(atUnixMs)})),
 		};
 	};
--- a/packages/gateway/src/test/crash-detector.test.ts
+++ b/packages/gateway/src/test/crash-detector.test.ts
@@ -16,7 +16,8 @@
 const create = (probeResult: upstreamTransport.ProbeResult) => {
 	const clock = new manualClock.ManualClock();
 	const crashes: promptQuarantine.CrashVictim[] = [];
-	const answered: string[] = [];
+	const begun: string[] = [];
+	const breaks: promptQuarantine.CrashVictim[] = [];
 	let probes = 0;
 	const subject = crashDetector.createCrashDetector({
 		clock,
@@ -27,8 +28,12 @@
 			},
 		},
 		quarantine: {
-			noteAnswer(_service, {parts: [part]}) {
-				answered.push(part!.id);
+			noteAnswer: () => undefined,
+			noteBegun(_service, {parts: [part]}) {
+				begun.push(part!.id);
+			},
+			noteBreaks(_service, _upstreamKey, victims) {
+				breaks.push(...victims);
 			},
 			noteCrash(_service, _upstreamKey, victims) {
 				crashes.push(...victims);
@@ -38,11 +43,11 @@
 	});
 	const begin = (id: string) =>
 		subject.begin(upstream, {parts: parts(id), digest: () => id, isStream: true});
-	return {clock, subject, crashes, answered, begin, probes: () => probes};
+	return {clock, subject, crashes, begun, breaks, begin, probes: () => probes};
 };
 
 tap.t.test('a crash names the requests without events, and which answer had begun', async (t) => {
-	const {clock, crashes, begin, answered} = create('refused');
+	const {clock, crashes, begin, begun, breaks} = create('refused');
 	const runs = ['harmful', 'waiting', 'sound'].map((id) => begin(id));
 	const [harmful, , sound] = runs;
 	harmful!.noteHead();
@@ -70,12 +75,16 @@
 			['waiting', false, 300],
 		],
 	);
-	t.same(answered, ['sound']);
+	t.same(begun, ['sound']);
+	t.same(
+		breaks.map(({request}) => request.digest()),
+		['waiting', 'sound'],
+	);
 });
 
 // Guards against blaming prompts for connections that break while the upstream is sound.
 tap.t.test('an upstream with other requests in progress has not crashed', async (t) => {
-	const {clock, subject, crashes, begin, probes} = create('refused');
+	const {clock, subject, crashes, breaks, begin, probes} = create('refused');
 	const broken = begin('topic');
 	begin('other');
 	await clock.advance(300);
@@ -87,6 +96,7 @@
 	t.same(decisions, []);
 	await clock.advance(100);
 	t.same([crashes, probes(), decisions], [[], 0, [false]]);
+	t.match(breaks, [{sentBeforeMs: 300, wasAnswering: true}], 'evidence against the request only');
 });
 
 for (const result of ['open', 'unknown'] as const) {
@@ -100,14 +110,16 @@
 	});
 }
 
-tap.t.test('streams that broke midway need no probe', async (t) => {
-	const {clock, begin, probes} = create('refused');
+// Guards against a request that crashes its upstreams after some events and is never suspected.
+tap.t.test('streams that broke midway need no probe, and count against the request', async (t) => {
+	const {clock, begin, probes, breaks} = create('refused');
 	const run = begin('topic');
 	run.noteEvents(4);
 	run.noteBroken();
 	run.end();
 	await clock.advance(100);
 	t.equal(probes(), 0);
+	t.match(breaks, [{wasAnswering: false}]);
 });
 
 // Guards against a request that ends late and makes the detector forget later requests of its upstream.
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -142,7 +142,9 @@
 				partId: 'p',
 				answeredAgeMs: undefined,
 				quarantines: 1,
-				crashes: [{upstreamKey: 7, ageMs: 20, sentBeforeMs: 300, wasAnswering: true}],
+				crashes: [
+					{upstreamKey: 7, ageMs: 20, sentBeforeMs: 300, wasAnswering: true, isConfirmed: true},
+				],
 			},
 		],
 		rateLimits: [
--- a/packages/gateway/src/test/prompt-quarantine.test.ts
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -189,7 +189,7 @@
 	const report = (ageMs: number, more: Partial<promptQuarantine.PartReport>) => ({
 		service,
 		partId: 'topic',
-		crashes: [{upstreamKey: 1, ageMs, ...answering}],
+		crashes: [{upstreamKey: 1, ageMs, isConfirmed: true, ...answering}],
 		quarantines: 0,
 		...more,
 	});
@@ -200,6 +200,7 @@
 		[400_000, {}, false],
 		[400_000, {quarantines: 1}, true],
 		[3_000_000, {quarantines: 1}, false],
+		[3_000_000, {quarantines: 1, refusedAgeMs: 1000}, true],
 	] as const) {
 		const {subject} = create();
 		subject.merge([report(ageMs, more)], 'n2');
@@ -335,3 +336,63 @@
 	subject.beginTrial(service, request).dispose();
 	t.end();
 });
+
+const breakOf = (name: string, sentBeforeMs = 300) => ({
+	request: repeated(name),
+	sentBeforeMs,
+	wasAnswering: false,
+});
+
+// Guards against a request that ends its upstreams in a way that no probe shows, and is sent for ever.
+tap.t.test('a request whose connections break four times in turn is refused', async (t) => {
+	const {clock, subject, isRefused} = create();
+	const isRequestRefused = () => subject.quarantinedPart(service, repeated('deadly')) !== undefined;
+	for (const upstreamKey of [1, 2, 1, 2]) {
+		t.notOk(isRequestRefused());
+		await clock.advance(1500);
+		subject.noteBreaks(service, upstreamKey, [
+			breakOf('deadly'),
+			breakOf(`sound ${clock.nowMs()}`),
+		]);
+		subject.noteBegun(service, repeated('deadly'));
+	}
+
+	t.ok(isRequestRefused(), 'events of an answer do not clear it');
+	t.notOk(isRefused('caller', 'topic'), 'its parts are not blamed');
+	subject.noteAnswer(service, repeated('deadly'));
+	t.notOk(isRequestRefused(), 'a whole answer does');
+});
+
+// Guards against sound requests that are refused, or tried one at a time, because upstreams fail together.
+tap.t.test('connections that break together count once', async (t) => {
+	const {clock, subject} = create();
+	await clock.advance(1000);
+	for (const upstreamKey of [1, 2, 3, 4, 5, 6, 7]) {
+		subject.noteBreaks(service, upstreamKey, [breakOf('sound')]);
+	}
+
+	t.notOk(subject.isSuspected(service, repeated('sound')));
+	const trial = subject.beginTrial(service, repeated('sound'));
+	t.notOk(subject.quarantinedPart(service, repeated('sound')));
+	trial.dispose();
+});
+
+// Guards against breaks that are never reported beside many others of the same crash.
+tap.t.test('breaks of many requests are all reported within a few messages', (t) => {
+	const {subject} = create();
+	const names = Array.from({length: 30}, (_, index) => `request-${index}`);
+	subject.noteBreaks(
+		service,
+		1,
+		names.map((name) => breakOf(name)),
+	);
+	const reported = new Set<string>();
+	for (let message = 0; message < 4; message++) {
+		for (const {partId} of subject.takeReports()) {
+			reported.add(partId);
+		}
+	}
+
+	t.equal(reported.size, names.length);
+	t.end();
+});
