End the trials of a request after its third crash, and let daemons try in turn

Measured: the third crash of a request alone came at 120.8 s, when its quarantine ended. Cause: each daemon ended a quarantine by the clock, and evidence was forgotten an hour after the last crash although the request still came. Prompt parts keep their trials, in turn too. The added tests fail before: the request was tried again, by all daemons at once.

--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -34,6 +34,8 @@
 const maxCrashes = 8;
 /** Reports of daemons on the same crash differ by less than this. */
 const sameCrashMs = 1000;
+/** After so many crashes in sequence, a request is not tried again while it keeps coming. */
+const lastTrialCrashes = 3;
 /** A request with as many breaks in sequence is suspected without a confirmed crash. */
 const suspectedBreaks = 2;
 
@@ -100,6 +102,10 @@
 	);
 };
 
+/** Whether a request has crashed so many upstreams that no further trial is made while it keeps coming. */
+export const isBeyondTrial = (evidence: PartEvidence): boolean =>
+	evidence.isRequest && inSequence(crashesSinceAnswer(evidence)).length >= lastTrialCrashes;
+
 /** Equal for parts that no crash tells apart: they were in the same prompts whose answers had begun. A request is told apart by itself. */
 const signatureOf = (evidence: PartEvidence): string => {
 	if (evidence.isRequest) {
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -121,6 +121,10 @@
 const refutedMemoryMs = 10_000;
 /** Share of these times after which reports of other daemons are ignored. */
 const reportedMemoryShare = 0.5;
+/** After a quarantine, each daemon in turn may try a part for this long, in which the others learn of a crash. */
+const trialTurnMs = 2000;
+/** Daemons beyond this rank share a turn. */
+const maxTrialTurns = 60;
 /** Retry delay while another request tries a part again. */
 const trialRetryMs = 1000;
 const maxRecords = 400;
@@ -194,10 +198,15 @@
 	return hasNewEvidence && isSuspected ? 'suspected' : undefined;
 };
 
-/** Creates a quarantine without evidence. */
+/**
+ * Creates a quarantine without evidence.
+ *
+ * @param trialRank position of this daemon in the order in which daemons try a part again
+ */
 export const createPromptQuarantine = (
 	timeSource: Pick<clock.Clock, 'nowMs'>,
 	settings: () => QuarantineSettings,
+	trialRank: (partId: string) => number = () => 0,
 ): PromptQuarantine => {
 	const records = new Map<string, PartRecord>();
 	const answeredAtMs = new lruCache.LRUCache<string, number>({
@@ -218,8 +227,17 @@
 		}
 
 		const {firstMs, maxMs} = settings();
+		// Callers that send the same request again and again would otherwise crash one more upstream after each quarantine.
+		if (partEvidence.isBeyondTrial(record)) {
+			return maxMs;
+		}
+
 		const durationMs = Math.min(maxMs, firstMs * 2 ** Math.max(0, record.quarantines - 1));
-		return Math.max(0, partEvidence.lastCrashAtMs(record) + durationMs - nowMs());
+		const leftMs = partEvidence.lastCrashAtMs(record) + durationMs - nowMs();
+		// The order of the daemons is needed only while they take turns.
+		return leftMs > 0 || leftMs <= -trialTurnMs * maxTrialTurns
+			? Math.max(0, leftMs)
+			: Math.max(0, leftMs + trialTurnMs * Math.min(maxTrialTurns, trialRank(record.partId)));
 	};
 
 	const notify = (kind: PartChange['kind'], record: PartRecord, source: string) => {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -6,6 +6,7 @@
 import type * as random from '@hawthornfront/base/common/random.js';
 import * as bindAddress from '@hawthornfront/base/node/bind-address.js';
 import type * as metrics from '@hawthornfront/base/node/metrics.js';
+import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as answerBuffers from '../common/answer-buffers.js';
 import * as budgetSharers from '../common/budget-sharers.js';
 import * as crashDetector from '../common/crash-detector.js';
@@ -208,10 +209,17 @@
 		configVersion: cluster.configVersion,
 		upstreamRevision: storePosition.revisionOf(registry.position),
 	});
-	const quarantine = promptQuarantine.createPromptQuarantine(clock, () => ({
-		firstMs: current.quarantine.firstS * 1000,
-		maxMs: current.quarantine.maxS * 1000,
-	}));
+	const quarantine = promptQuarantine.createPromptQuarantine(
+		clock,
+		() => ({
+			firstMs: current.quarantine.firstS * 1000,
+			maxMs: current.quarantine.maxS * 1000,
+		}),
+		(partId) =>
+			hash
+				.order(partId, [{name: vm.name}, ...fleet.alive()])
+				.findIndex(({name}) => name === vm.name),
+	);
 	const crashes = crashDetector.createCrashDetector({clock, transport: pool, quarantine, log});
 	const buffers = answerBuffers.createAnswerBuffers();
 	const engine = requestEngine.createRequestEngine({
--- a/packages/gateway/src/test/prompt-quarantine.test.ts
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -377,6 +377,64 @@
 	trial.dispose();
 });
 
+// Guards against a request that comes for hours and crashes one more upstream after each quarantine.
+tap.t.test('after three crashes a request is not tried while it keeps coming', async (t) => {
+	const {clock, subject} = create();
+	const {firstMs} = fixtures.quarantineSettings;
+	const isRequestRefused = () => subject.quarantinedPart(service, repeated('deadly')) !== undefined;
+	const crashOnce = (upstreamKey: number) => {
+		subject.noteCrash(service, upstreamKey, [{request: repeated('deadly'), ...answering}]);
+	};
+
+	await clock.advance(1000);
+	crashOnce(1);
+	await clock.advance(1000);
+	crashOnce(2);
+	await clock.advance(firstMs);
+	t.notOk(isRequestRefused(), 'one trial');
+	crashOnce(3);
+	const hourMs = 3_600_000;
+	for (let passedMs = 0; passedMs < 3 * hourMs; passedMs += hourMs / 4) {
+		await clock.advance(hourMs / 4);
+		subject.sweep();
+		t.ok(isRequestRefused());
+	}
+
+	const reports = subject.takeReports();
+	const other = create(clock);
+	other.subject.merge(reports, 'n2');
+	t.ok(other.subject.quarantinedPart(service, repeated('deadly')), 'other daemons learn of it');
+	await clock.advance(hourMs + 1);
+	subject.sweep();
+	t.notOk(isRequestRefused(), 'an hour after it came last');
+});
+
+// Guards against trials of one request at all daemons at the same time.
+tap.t.test('daemons try a part again in turn', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const {firstMs} = fixtures.quarantineSettings;
+	const daemons = [0, 1, 2].map((rank) =>
+		promptQuarantine.createPromptQuarantine(
+			clock,
+			() => fixtures.quarantineSettings,
+			() => rank,
+		),
+	);
+	for (const daemon of daemons) {
+		daemon.noteCrash(service, 1, [{request: repeated('deadly'), ...answering}]);
+		daemon.noteCrash(service, 2, [{request: repeated('deadly'), ...answering}]);
+	}
+
+	const mayTry = () =>
+		daemons.map((daemon) => daemon.quarantinedPart(service, repeated('deadly')) === undefined);
+	await clock.advance(firstMs);
+	t.same(mayTry(), [true, false, false]);
+	await clock.advance(2000);
+	t.same(mayTry(), [true, true, false]);
+	await clock.advance(2000);
+	t.same(mayTry(), [true, true, true]);
+});
+
 // Guards against breaks that are never reported beside many others of the same crash.
 tap.t.test('breaks of many requests are all reported within a few messages', (t) => {
 	const {subject} = create();
