--- a/packages/gateway/src/common/gateway-request.ts
+++ b/packages/gateway/src/common/gateway-request.ts
@@ -12,6 +12,8 @@
 	digest(): string;
 	route: routeConfig.Route;
 	service: routeConfig.Service;
+	/** Undefined without teams, and for a request of a public route without a known key. */
+	team?: routeConfig.Team;
 	/** Monotonic time at which the head arrived. */
 	arrivedAtMs: number;
 	/** Upstreams that may run it; fewer than the route allows if another daemon has already used some. */
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -22,6 +22,8 @@
 	rank: zod.number(),
 	/** Regions to which the request is bound; empty when it is not bound. */
 	homeRegions: zod.array(zod.string()),
+	/** Whether its requests need no key, also when the configuration has teams. */
+	isPublic: zod.boolean(),
 	/** Services that share the route, with the weights of their shares. */
 	targets: zod.array(zod.object({service: zod.string(), weight: zod.number()})),
 });
@@ -49,6 +51,30 @@
 });
 export type Service = zod.infer<typeof serviceSchema>;
 
+export const quotaSchema = zod.object({
+	/** In units a second, over all daemons together. */
+	perS: zod.number(),
+	burst: zod.number(),
+	unit: zod.enum(['tokens', 'requests']),
+	/** Tokens that a request counts as when its caller states no number. */
+	plainTokens: zod.number(),
+});
+export type Quota = zod.infer<typeof quotaSchema>;
+
+/** Callers who share keys, terms and a quota. */
+export const teamSchema = zod.object({
+	name: zod.string(),
+	/** SHA-256 digests of its keys; no key itself is ever part of a configuration. */
+	keyDigests: zod.array(zod.string()),
+	/** Replaces the rank of the routes. */
+	rank: zod.number().optional(),
+	/** Apply in addition to those of the route; empty without a restriction. */
+	homeRegions: zod.array(zod.string()),
+	/** Undefined without a quota. */
+	quota: quotaSchema.optional(),
+});
+export type Team = zod.infer<typeof teamSchema>;
+
 export const callerLimitsSchema = zod.object({
 	headerBytes: zod.number(),
 	bodyBytes: zod.number(),
@@ -61,6 +87,11 @@
 	version: zod.number(),
 	routes: zod.array(routeSchema),
 	services: zod.array(serviceSchema),
+	/**
+	 * Callers have to present a key if there are any. Required, since a daemon of a version
+	 * without teams omits them from its snapshots, and every request would be let through.
+	 */
+	teams: zod.array(teamSchema),
 	limits: callerLimitsSchema,
 });
 export type RouteConfig = zod.infer<typeof routeConfigSchema>;
@@ -81,6 +112,9 @@
 	/** Route of the host with the longest matching path prefix; undefined when there is none. */
 	select(host: string, path: string): Route | undefined;
 	service(name: string): Service | undefined;
+	/** Team of a key; undefined for an unknown key. */
+	teamOf(keyDigest: string): Team | undefined;
+	team(name: string): Team | undefined;
 	/** For each region, the number of the host's bound routes that it is a home region of. */
 	homeCoverage(host: string): ReadonlyMap<string, number>;
 };
@@ -100,11 +134,28 @@
 	}
 
 	const services = new Map(config.services.map((service) => [service.name, service]));
+	const teamsByName = new Map<string, Team>();
+	const teamsByKeyDigest = new Map<string, Team>();
+	for (const team of config.teams) {
+		// The first of several entries with the same name or key counts.
+		if (!teamsByName.has(team.name)) {
+			teamsByName.set(team.name, team);
+		}
+
+		for (const digest of team.keyDigests) {
+			if (!teamsByKeyDigest.has(digest)) {
+				teamsByKeyDigest.set(digest, team);
+			}
+		}
+	}
+
 	return {
 		config,
 		select: (host, path) =>
 			routesByHost.get(withoutPort(host))?.find((route) => path.startsWith(route.prefix)),
 		service: (name) => services.get(name),
+		teamOf: (keyDigest) => teamsByKeyDigest.get(keyDigest),
+		team: (name) => teamsByName.get(name),
 		homeCoverage(host) {
 			const coverage = new Map<string, number>();
 			for (const {homeRegions} of routesByHost.get(withoutPort(host)) ?? []) {
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -36,6 +36,7 @@
 	maxUpstreams: 1,
 	rank: 1,
 	homeRegions: [],
+	isPublic: false,
 	targets: [{service: 'model', weight: 1}],
 };
 
@@ -86,6 +87,7 @@
 	version: 3,
 	routes: [longRoute, shortRoute, bookingRoute, lookupRoute],
 	services: [modelService, deskService],
+	teams: [],
 	limits: {headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3000, idleMs: 15_000},
 };
 
--- a/packages/load/src/common/engine-scenarios.ts
+++ b/packages/load/src/common/engine-scenarios.ts
@@ -30,6 +30,7 @@
 	maxUpstreams: 1,
 	rank: 1,
 	homeRegions: [],
+	isPublic: false,
 	targets: [{service: 'model', weight: 1}],
 	...options,
 });
