--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -21,6 +21,8 @@
 
 export type DispatchRequest = {
 	route: routeConfig.Route;
+	/** Its home regions apply in addition to those of the route. */
+	team?: routeConfig.Team;
 	service: routeConfig.Service;
 	work: workEstimate.WorkEstimate;
 	/** Time that is left until the deadline of the request. */
@@ -414,7 +416,7 @@
 			const isAllowed =
 				region !== options.localRegion &&
 				!request.triedRegions.has(region) &&
-				routeConfig.mayUseRegion(request.route, region);
+				routeConfig.mayUseRegion(request, region);
 			const members = isAllowed ? fleet.aliveIn(region).filter((member) => member.isReady) : [];
 			const member = members[Math.floor(options.random() * members.length)];
 			if (!member) {
@@ -501,7 +503,7 @@
 	};
 
 	const choose = (request: DispatchRequest): Choice => {
-		const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.localRegion);
+		const isLocalAllowed = routeConfig.mayUseRegion(request, options.localRegion);
 		const {best, candidates} = isLocalAllowed
 			? bestLocal(request)
 			: {best: undefined, candidates: 0};
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -3,6 +3,8 @@
  * docs/OPERATIONS.md explains each kind.
  */
 
+import type * as wireFormat from './wire-format.js';
+
 /** Why a request is not sent again after an attempt. */
 export type ResendObstacle =
 	| 'not-idempotent'
@@ -17,104 +19,116 @@
 export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded' | 'paused';
 
 /** Events of one request; all contain its id. */
-export type RequestEvent = {request: string; route: string} & (
-	| {
-			kind: 'request-refused';
-			reason: string;
-			status: number;
-			retryAfterMs: number;
-			expectedMs: number;
-			candidates: number;
-			remainingMs: number;
-			/** The caller has part of the answer already. */
-			hasStarted: boolean;
-			/** Prompt part that is quarantined. */
-			part?: string;
-			configVersion: number;
-			upstreamRevision: number;
-	  }
-	| {
-			kind: 'request-sent';
-			upstream: string;
-			send: number;
-			expectedMs: number;
-			candidates: number;
-			requestsThere?: number;
-			heldTokens?: number;
-			promptSource?: string;
-			streamingMs?: number;
-			/** Set to `slow` for an upstream that is cold or may be, to which this daemon alone sends. */
-			pace?: string;
-			/** Ids of the prompt parts that other requests may share; only the first ones of a long list. */
-			promptParts?: string[];
-			remainingMs: number;
-			resumeAfter?: string;
-	  }
-	| {
-			kind: 'request-relayed';
-			region: string;
-			peer: string;
-			send: number;
-			expectedMs: number;
-			outlookAgeMs?: number;
-			remainingMs: number;
-	  }
-	| {
-			kind: 'request-attempt-failed';
-			peer: string;
-			step: string;
-			outcome: 'not-run' | 'unknown' | 'ran';
-			detail: string;
-			afterMs: number;
-			isRelay: boolean;
-			/** Complete events that the peer sent. */
-			events: number;
-			/** Time since the peer last made progress. */
-			silentMs: number;
-			/** Set when the attempt was cancelled because its peer stalled. */
-			stallLimitMs?: number;
-			/** Delay of the timer that detected the stall. */
-			timerLateMs?: number;
-			/** `other-attempt`: another attempt that is already running continues. */
-			next: 'resend' | 'give-up' | 'other-attempt';
-			obstacle?: ResendObstacle;
-	  }
-	| {
-			kind: 'request-silent';
-			peer: string;
-			isRelay: boolean;
-			step: string;
-			/** Complete events that the peer sent. */
-			events: number;
-			/** Time since the peer last made progress. */
-			silentMs: number;
-			limitMs: number;
-			/** Delay of the timer that detected the stall. */
-			timerLateMs: number;
-			remainingMs: number;
-			next: 'takeover' | 'wait' | 'give-up';
-			obstacle?: TakeoverObstacle;
-	  }
-	| {
-			kind: 'request-takeover';
-			successor: string;
-			/** `kept`: the stalled peer made progress again; the others state why the successor answers now. */
-			result: 'kept' | 'answer' | 'held' | 'failure';
-			remainingMs: number;
-	  }
-	| {
-			kind: 'request-ended';
-			outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
-			status: number;
-			/** Why the answer is not complete. */
-			reason?: string;
-			sends: number;
-			firstMs: number;
-			totalMs: number;
-			service: string;
-			goalMs: number;
-	  }
-);
+export type RequestEvent = {
+	request: string;
+	route: string;
+	/** Name of the team; never a key or a digest of one. */
+	team?: string;
+} &
+	/** Answered with 401. */
+	(
+		| {kind: 'key-refused'; reason: wireFormat.KeyFault | 'unknown-key'; configVersion: number}
+		/** The route and the team have no home region in common. */
+		| {kind: 'regions-disjoint'; configVersion: number}
+		| {
+				kind: 'request-refused';
+				reason: string;
+				status: number;
+				retryAfterMs: number;
+				expectedMs: number;
+				candidates: number;
+				remainingMs: number;
+				/** 0 is the most urgent; the team's before the route's. */
+				rank: number;
+				/** The caller has part of the answer already. */
+				hasStarted: boolean;
+				/** Prompt part that is quarantined. */
+				part?: string;
+				configVersion: number;
+				upstreamRevision: number;
+		  }
+		| {
+				kind: 'request-sent';
+				upstream: string;
+				send: number;
+				expectedMs: number;
+				candidates: number;
+				requestsThere?: number;
+				heldTokens?: number;
+				promptSource?: string;
+				streamingMs?: number;
+				/** Set to `slow` for an upstream that is cold or may be, to which this daemon alone sends. */
+				pace?: string;
+				/** Ids of the prompt parts that other requests may share; only the first ones of a long list. */
+				promptParts?: string[];
+				remainingMs: number;
+				resumeAfter?: string;
+		  }
+		| {
+				kind: 'request-relayed';
+				region: string;
+				peer: string;
+				send: number;
+				expectedMs: number;
+				outlookAgeMs?: number;
+				remainingMs: number;
+		  }
+		| {
+				kind: 'request-attempt-failed';
+				peer: string;
+				step: string;
+				outcome: 'not-run' | 'unknown' | 'ran';
+				detail: string;
+				afterMs: number;
+				isRelay: boolean;
+				/** Complete events that the peer sent. */
+				events: number;
+				/** Time since the peer last made progress. */
+				silentMs: number;
+				/** Set when the attempt was cancelled because its peer stalled. */
+				stallLimitMs?: number;
+				/** Delay of the timer that detected the stall. */
+				timerLateMs?: number;
+				/** `other-attempt`: another attempt that is already running continues. */
+				next: 'resend' | 'give-up' | 'other-attempt';
+				obstacle?: ResendObstacle;
+		  }
+		| {
+				kind: 'request-silent';
+				peer: string;
+				isRelay: boolean;
+				step: string;
+				/** Complete events that the peer sent. */
+				events: number;
+				/** Time since the peer last made progress. */
+				silentMs: number;
+				limitMs: number;
+				/** Delay of the timer that detected the stall. */
+				timerLateMs: number;
+				remainingMs: number;
+				next: 'takeover' | 'wait' | 'give-up';
+				obstacle?: TakeoverObstacle;
+		  }
+		| {
+				kind: 'request-takeover';
+				successor: string;
+				/** `kept`: the stalled peer made progress again; the others state why the successor answers now. */
+				result: 'kept' | 'answer' | 'held' | 'failure';
+				remainingMs: number;
+		  }
+		| {
+				kind: 'request-ended';
+				outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
+				status: number;
+				/** Why the answer is not complete. */
+				reason?: string;
+				sends: number;
+				firstMs: number;
+				totalMs: number;
+				service: string;
+				goalMs: number;
+		  }
+	);
 
 /** Share of the memory limit, or of the heap limit if that is nearer, that the process uses. */
 export type MemoryLevel = 'normal' | 'high' | 'critical';
@@ -156,7 +170,14 @@
 	/** The planned stop failed or did not finish; the process exits. */
 	| {kind: 'stop-failed'; detail: string}
 	| {kind: 'readiness'; isReady: boolean; reason: string}
-	| {kind: 'config-in-force'; version: number; previous: number; source: string; routes: number}
+	| {
+			kind: 'config-in-force';
+			version: number;
+			previous: number;
+			source: string;
+			routes: number;
+			teams: number;
+	  }
 	| {kind: 'config-ignored'; version: number; current: number; source: string}
 	| {kind: 'entry-rejected'; key: string; revision: number; detail: string}
 	| {kind: 'evacuation'; failureDomain: string; isEvacuated: boolean; revision: number}
--- a/packages/gateway/src/common/relay-headers.ts
+++ b/packages/gateway/src/common/relay-headers.ts
@@ -4,6 +4,8 @@
 export const relayPrefix = 'hawthornfront-';
 /** Region that relayed the request; a request with this header is not relayed again. */
 export const relayedFromHeader = 'hawthornfront-relayed-from';
+/** Name of the team whose key the request had; trusted on the peer port only. */
+export const teamHeader = 'hawthornfront-team';
 /** Outcome of a request that the other daemon could not answer. */
 export const outcomeHeader = 'hawthornfront-outcome';
 /** Number of upstreams that the other daemon may still use for the request. */
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -96,8 +96,9 @@
 	onEnd: () => void,
 ): RequestExecution => {
 	const {clock, wire} = services;
-	const {route, facts, service} = request;
-	const work = workEstimate.estimateWork(facts, route);
+	const {route, team, facts, service} = request;
+	const rank = routeConfig.rankOf(request);
+	const work = workEstimate.estimateWork(facts, {rank});
 	const observed: crashDetector.ObservedRequest = {
 		attemptId: facts.attemptId,
 		parts: work.sharedParts,
@@ -493,7 +494,8 @@
 		const headers = wire.dispatchHeaders(request.rawHeaders, {
 			remainingMs: remainingMs(),
 			upstreamId: id,
-			priority: service.engine ? priorityOf(route.rank) : undefined,
+			priority: service.engine ? priorityOf(rank) : undefined,
+			team: team?.name,
 			resumeAfterEventId: resumeAfter,
 			promptSource: choice.promptSource?.entry.address,
 		});
@@ -522,6 +524,10 @@
 			relayHeaders.upstreamsLeftHeader,
 			String(request.maxUpstreams - upstreamsThatRan - (failover.isRunning ? 1 : 0)),
 		);
+		if (team) {
+			headers.push(relayHeaders.teamHeader, team.name);
+		}
+
 		return createPlan({
 			peer: member.name,
 			address: member.peerAddress,
@@ -537,6 +543,7 @@
 
 	const dispatchRequest = (): dispatcher.DispatchRequest => ({
 		route,
+		team,
 		service,
 		work,
 		remainingMs: remainingMs(),
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -5,6 +5,8 @@
 import type * as dispatcher from './dispatcher.js';
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
+import * as routeConfig from './route-config.js';
+import type * as wireFormat from './wire-format.js';
 
 /** State of the request that is logged with an event. */
 export type RequestState = {
@@ -54,14 +56,18 @@
 
 const logged = (id: string): string => id.slice(0, maxLoggedIdLength);
 
+/** Id of a request in log lines. */
+export const loggedId = (facts: wireFormat.RequestFacts): string => logged(facts.attemptId ?? '');
+
 /** Creates the log of a request. */
 export const createRequestLog = (
 	time: clock.Clock,
 	log: gatewayEvent.EventLog,
-	{facts, route, service, arrivedAtMs}: gatewayRequest.GatewayRequest,
+	request: gatewayRequest.GatewayRequest,
 	state: () => RequestState,
 ): RequestLog => {
-	const subject = {request: logged(facts.attemptId ?? ''), route: route.name};
+	const {facts, route, team, service, arrivedAtMs} = request;
+	const subject = {request: loggedId(facts), route: route.name, team: team?.name};
 	const sharedParts = facts.promptParts.slice(0, -1).slice(0, maxLoggedParts);
 	const promptParts = sharedParts.length > 0 ? sharedParts.map(({id}) => logged(id)) : undefined;
 	const resumeAfter = () => {
@@ -153,6 +159,7 @@
 				expectedMs: Math.round(basis?.expectedMs ?? -1),
 				candidates: basis?.candidates ?? 0,
 				remainingMs: remainingMs(),
+				rank: routeConfig.rankOf(request),
 			});
 		},
 		ended(end, firstMs) {
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -102,9 +102,24 @@
 /** Whether a request of a route may run more than once. */
 export const isIdempotent = (route: Route): boolean => route.work === 'safe' || mayResume(route);
 
-/** Whether a route may send requests to a region. */
-export const mayUseRegion = (route: Route, region: string): boolean =>
-	route.homeRegions.length === 0 || route.homeRegions.includes(region);
+/** What decides on a request's rank and regions. */
+export type RequestTerms = {route: Route; team?: Team};
+
+/** Effective rank of a request: the team's before the route's. */
+export const rankOf = ({route, team}: RequestTerms): number => team?.rank ?? route.rank;
+
+const allowsRegion = (homeRegions: readonly string[], region: string): boolean =>
+	homeRegions.length === 0 || homeRegions.includes(region);
+
+/** Whether a request may be sent to a region: both the route and the team have to allow it. */
+export const mayUseRegion = ({route, team}: RequestTerms, region: string): boolean =>
+	allowsRegion(route.homeRegions, region) && (!team || allowsRegion(team.homeRegions, region));
+
+/** Whether there is a region that both the route and the team allow. */
+export const hasAllowedRegion = ({route, team}: RequestTerms): boolean =>
+	route.homeRegions.length === 0 ||
+	!team ||
+	route.homeRegions.some((region) => allowsRegion(team.homeRegions, region));
 
 /** Lookups in one version of the configuration. */
 export type RouteTable = {
--- a/packages/gateway/src/common/wire-format.ts
+++ b/packages/gateway/src/common/wire-format.ts
@@ -24,6 +24,16 @@
 	lastEventId?: string;
 };
 
+/** Key that a caller presented, with the other headers of its request. */
+export type KeyReading = {
+	/** SHA-256 digest of the key, or why there is none. */
+	key: {kind: 'digest'; digest: string} | {kind: 'unusable'; reason: KeyFault};
+	/** Raw headers without any key. */
+	otherHeaders: readonly string[];
+};
+
+export type KeyFault = 'no-key' | 'malformed-key' | 'repeated-key';
+
 /** What this gateway adds when it sends a request to an upstream. */
 export type DispatchFacts = {
 	remainingMs: number;
@@ -31,6 +41,8 @@
 	upstreamId: string;
 	/** 0 (first) to 9; undefined for services without priorities. */
 	priority?: number;
+	/** Name of the team whose key the request had. */
+	team?: string;
 	/** `host:port` of a runner from which the upstream may copy cached parts of the prompt. */
 	promptSource?: string;
 	/** Event after which the upstream resumes. */
@@ -71,6 +83,9 @@
 export abstract class WireFormat {
 	abstract readRequest(headers: Headers): RequestFacts;
 
+	/** Reads and removes the key. A key exists outside of this method only as its digest. */
+	abstract takeKey(rawHeaders: readonly string[]): KeyReading;
+
 	/**
 	 * Headers for an upstream: those of the caller without hop-by-hop headers
 	 * and without headers that only this gateway may set.
--- a/packages/gateway/src/common/work-estimate.ts
+++ b/packages/gateway/src/common/work-estimate.ts
@@ -18,10 +18,10 @@
 /** Callers choose how many parts they list; the first ones are shared most. */
 export const maxSharedParts = 64;
 
-/** Estimates a request from its caller's facts. */
+/** Estimates a request from its caller's facts and its effective rank. */
 export const estimateWork = (
 	facts: wireFormat.RequestFacts,
-	route: routeConfig.Route,
+	{rank}: Pick<routeConfig.Route, 'rank'>,
 ): WorkEstimate => {
 	const partTokens = facts.promptParts.reduce((sum, part) => sum + part.tokens, 0);
 	const promptTokens = Math.max(facts.promptTokens, partTokens);
@@ -34,6 +34,6 @@
 		memoryTokens: promptTokens + outputTokens,
 		outputTokens,
 		sharedParts: facts.promptParts.slice(0, -1).slice(0, maxSharedParts),
-		isUrgent: route.rank === 0,
+		isUrgent: rank === 0,
 	};
 };
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -111,6 +111,7 @@
 			previous: current,
 			source,
 			routes: config.routes.length,
+			teams: config.teams.length,
 		});
 		if (!previousLimits || !util.isDeepStrictEqual(previousLimits, config.limits)) {
 			log.note({kind: 'limits-changed', version: config.version, ...config.limits});
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -21,6 +21,8 @@
 const isOrdinary = (event: gatewayEvent.GatewayEvent): boolean =>
 	event.kind === 'request-sent' ||
 	event.kind === 'request-relayed' ||
+	// Anyone can cause these, so they must not use up the lines of the others.
+	event.kind === 'key-refused' ||
 	(event.kind === 'request-ended' && event.outcome === 'answered' && event.status < 400);
 
 /** Events at the end of a process, which no limit may hide. */
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -259,6 +259,7 @@
 		requestAdmission.createAdmissionCheck({
 			wire,
 			engine,
+			log,
 			isPeerPort,
 			routeTable: () => (isListening && registry.isLoaded ? cluster.routeTable : undefined),
 			snapshot: cluster.snapshot,
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -1,8 +1,10 @@
 /** Decides from the head of a request whether it is accepted, and selects its route and service. */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import type * as answerClassifier from '../common/answer-classifier.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
 import * as relayHeaders from '../common/relay-headers.js';
 import type * as requestEngine from '../common/request-engine.js';
+import * as requestLog from '../common/request-log.js';
 import * as routeConfig from '../common/route-config.js';
 import type * as wireFormat from '../common/wire-format.js';
 import type * as clusterState from './cluster-state.js';
@@ -24,6 +26,7 @@
 export type AdmissionOptions = {
 	wire: wireFormat.WireFormat;
 	engine: requestEngine.RequestEngine;
+	log: gatewayEvent.EventLog;
 	/** Whether the requests come from other daemons instead of callers. */
 	isPeerPort: boolean;
 	/** Undefined until the daemon has started and has a configuration and upstreams. */
@@ -50,6 +53,26 @@
 	};
 };
 
+const keyRefused = (reason: string): callerServer.Rejection => ({
+	kind: 'reject',
+	status: 401,
+	reason,
+	headers: {'www-authenticate': 'Bearer'},
+});
+
+/** The team of a request and the headers that may be passed on. */
+type Identity = {team?: routeConfig.Team; rawHeaders: readonly string[]};
+
+const logSubject = (
+	facts: wireFormat.RequestFacts,
+	route: routeConfig.Route,
+	table: routeConfig.RouteTable,
+) => ({
+	request: requestLog.loggedId(facts),
+	route: route.name,
+	configVersion: table.config.version,
+});
+
 /** Time for a request from its arrival on. */
 const timeLimitMs = (route: routeConfig.Route, facts: wireFormat.RequestFacts): number =>
 	Math.min(facts.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -58,7 +81,7 @@
 export const createAdmissionCheck = (
 	options: AdmissionOptions,
 ): ((head: callerServer.RequestHead) => callerServer.AdmissionDecision) => {
-	const {wire, engine, isPeerPort} = options;
+	const {wire, engine, log, isPeerPort} = options;
 
 	/**
 	 * Refuses a request that the planned stop would cut off.
@@ -89,8 +112,41 @@
 			? {...decision, headers: notRunHeaders(decision.reason)}
 			: decision;
 
+	/** Team that another daemon named; one that is not in this configuration has no terms of its own. */
+	const relayedTeam = (
+		head: callerServer.RequestHead,
+		table: routeConfig.RouteTable,
+	): routeConfig.Team | undefined => {
+		const name = isPeerPort ? head.headers[relayHeaders.teamHeader] : undefined;
+		return typeof name === 'string' && name !== ''
+			? (table.team(name) ?? {name, keyDigests: [], homeRegions: []})
+			: undefined;
+	};
+
+	/** Finds the team of a request; without one, the reason to refuse it, or undefined if it needs none. */
+	const identify = (
+		head: callerServer.RequestHead,
+		route: routeConfig.Route,
+		table: routeConfig.RouteTable,
+	): Identity & {fault?: wireFormat.KeyFault | 'unknown-key'} => {
+		const named = relayedTeam(head, table);
+		// Without teams, the header belongs to the caller and the upstream.
+		if (table.config.teams.length === 0) {
+			return {team: named, rawHeaders: head.rawHeaders};
+		}
+
+		const {key, otherHeaders} = wire.takeKey(head.rawHeaders);
+		const found = key.kind === 'digest' ? table.teamOf(key.digest) : undefined;
+		const team = named ?? found;
+		// A relay without a name comes from a public route, or from a daemon that has no teams yet.
+		const needsTeam = !route.isPublic && !isPeerPort;
+		const fault = key.kind === 'digest' ? 'unknown-key' : key.reason;
+		return {team, rawHeaders: otherHeaders, fault: needsTeam && !team ? fault : undefined};
+	};
+
 	const accept = (
 		head: callerServer.RequestHead,
+		{team, rawHeaders}: Identity,
 		route: routeConfig.Route,
 		facts: wireFormat.RequestFacts,
 		table: routeConfig.RouteTable,
@@ -116,7 +172,7 @@
 					{
 						method: head.method,
 						path: head.path,
-						rawHeaders: head.rawHeaders,
+						rawHeaders,
 						facts,
 						body,
 						digest() {
@@ -125,6 +181,7 @@
 						},
 						route,
 						service,
+						team,
 						arrivedAtMs: head.arrivedAtMs,
 						maxUpstreams: upstreamsLeft > 0 ? upstreamsLeft : route.maxUpstreams,
 						relayedFrom: typeof relayedFrom === 'string' ? relayedFrom : undefined,
@@ -148,7 +205,20 @@
 		}
 
 		const facts = wire.readRequest(head.headers);
-		return refuseInStop(route, facts, 0) ?? accept(head, route, facts, table);
+		const {fault, ...identity} = identify(head, route, table);
+		if (fault) {
+			log.note({kind: 'key-refused', reason: fault, ...logSubject(facts, route, table)});
+			return keyRefused(fault);
+		}
+
+		const {team} = identity;
+		if (!routeConfig.hasAllowedRegion({route, team})) {
+			const subject = logSubject(facts, route, table);
+			log.note({kind: 'regions-disjoint', ...subject, team: team?.name});
+			return notReady('no-common-region');
+		}
+
+		return refuseInStop(route, facts, 0) ?? accept(head, identity, route, facts, table);
 	};
 
 	return (head) => {
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -95,6 +95,13 @@
 		throw new Error('the tests pass request facts');
 	}
 
+	override takeKey(rawHeaders: readonly string[]): wireFormat.KeyReading {
+		const [name, key] = rawHeaders;
+		return name === 'key' && key !== undefined
+			? {key: {kind: 'digest', digest: `digest of ${key}`}, otherHeaders: rawHeaders.slice(2)}
+			: {key: {kind: 'unusable', reason: 'no-key'}, otherHeaders: rawHeaders};
+	}
+
 	override dispatchHeaders(_raw: readonly string[], facts: wireFormat.DispatchFacts): string[] {
 		return [
 			'to',
@@ -103,6 +110,8 @@
 			String(facts.remainingMs),
 			'after',
 			facts.resumeAfterEventId ?? '',
+			...(facts.priority === undefined ? [] : ['priority', String(facts.priority)]),
+			...(facts.team === undefined ? [] : ['team', facts.team]),
 		];
 	}
 
--- a/packages/gateway/src/test/request-admission.test.ts
+++ b/packages/gateway/src/test/request-admission.test.ts
@@ -25,6 +25,11 @@
 				throw new Error('this test runs no request');
 			},
 		},
+		log: {
+			note() {
+				// These tests read no log.
+			},
+		},
 		isPeerPort,
 		routeTable: () => (state.isReady ? routeTable : undefined),
 		snapshot: () => ({evacuated: [], operatorRevision: 0, upstreams: [], upstreamRevision: 0}),
