--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -18,117 +18,111 @@
 /** Why no other upstream is tried beside a stalled one. */
 export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded' | 'paused';
 
-/** Events of one request; all contain its id. */
-export type RequestEvent = {
-	request: string;
-	route: string;
-	/** Name of the team; never a key or a digest of one. */
-	team?: string;
-} &
+/** Events of one request; all contain its id, and the name of its team, but no key or digest. */
+export type RequestEvent = {request: string; route: string; team?: string} & (
+	| {
+			kind: 'request-refused';
+			reason: string;
+			status: number;
+			retryAfterMs: number;
+			expectedMs: number;
+			candidates: number;
+			remainingMs: number;
+			/** 0 is the most urgent; the team's before the route's. */
+			rank: number;
+			/** The caller has part of the answer already. */
+			hasStarted: boolean;
+			/** Prompt part that is quarantined. */
+			part?: string;
+			configVersion: number;
+			upstreamRevision: number;
+	  }
+	| {
+			kind: 'request-sent';
+			upstream: string;
+			send: number;
+			expectedMs: number;
+			candidates: number;
+			requestsThere?: number;
+			heldTokens?: number;
+			promptSource?: string;
+			streamingMs?: number;
+			/** Set to `slow` for an upstream that is cold or may be, to which this daemon alone sends. */
+			pace?: string;
+			/** Ids of the prompt parts that other requests may share; only the first ones of a long list. */
+			promptParts?: string[];
+			remainingMs: number;
+			resumeAfter?: string;
+	  }
+	| {
+			kind: 'request-relayed';
+			region: string;
+			peer: string;
+			send: number;
+			expectedMs: number;
+			outlookAgeMs?: number;
+			remainingMs: number;
+	  }
+	| {
+			kind: 'request-attempt-failed';
+			peer: string;
+			step: string;
+			outcome: 'not-run' | 'unknown' | 'ran';
+			detail: string;
+			afterMs: number;
+			isRelay: boolean;
+			/** Complete events that the peer sent. */
+			events: number;
+			/** Time since the peer last made progress. */
+			silentMs: number;
+			/** Set when the attempt was cancelled because its peer stalled. */
+			stallLimitMs?: number;
+			/** Delay of the timer that detected the stall. */
+			timerLateMs?: number;
+			/** `other-attempt`: another attempt that is already running continues. */
+			next: 'resend' | 'give-up' | 'other-attempt';
+			obstacle?: ResendObstacle;
+	  }
+	| {
+			kind: 'request-silent';
+			peer: string;
+			isRelay: boolean;
+			step: string;
+			/** Complete events that the peer sent. */
+			events: number;
+			/** Time since the peer last made progress. */
+			silentMs: number;
+			limitMs: number;
+			/** Delay of the timer that detected the stall. */
+			timerLateMs: number;
+			remainingMs: number;
+			next: 'takeover' | 'wait' | 'give-up';
+			obstacle?: TakeoverObstacle;
+	  }
+	| {
+			kind: 'request-takeover';
+			successor: string;
+			/** `kept`: the stalled peer made progress again; the others state why the successor answers now. */
+			result: 'kept' | 'answer' | 'held' | 'failure';
+			remainingMs: number;
+	  }
+	| {
+			kind: 'request-ended';
+			outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
+			status: number;
+			/** Why the answer is not complete. */
+			reason?: string;
+			sends: number;
+			firstMs: number;
+			totalMs: number;
+			service: string;
+			goalMs: number;
+	  }
 	/** Answered with 401. */
-	(
-		| {kind: 'key-refused'; reason: wireFormat.KeyFault | 'unknown-key'; configVersion: number}
-		/** The route and the team have no home region in common. */
-		| {kind: 'regions-disjoint'; configVersion: number}
-		| {
-				kind: 'request-refused';
-				reason: string;
-				status: number;
-				retryAfterMs: number;
-				expectedMs: number;
-				candidates: number;
-				remainingMs: number;
-				/** 0 is the most urgent; the team's before the route's. */
-				rank: number;
-				/** The caller has part of the answer already. */
-				hasStarted: boolean;
-				/** Prompt part that is quarantined. */
-				part?: string;
-				configVersion: number;
-				upstreamRevision: number;
-		  }
-		| {
-				kind: 'request-sent';
-				upstream: string;
-				send: number;
-				expectedMs: number;
-				candidates: number;
-				requestsThere?: number;
-				heldTokens?: number;
-				promptSource?: string;
-				streamingMs?: number;
-				/** Set to `slow` for an upstream that is cold or may be, to which this daemon alone sends. */
-				pace?: string;
-				/** Ids of the prompt parts that other requests may share; only the first ones of a long list. */
-				promptParts?: string[];
-				remainingMs: number;
-				resumeAfter?: string;
-		  }
-		| {
-				kind: 'request-relayed';
-				region: string;
-				peer: string;
-				send: number;
-				expectedMs: number;
-				outlookAgeMs?: number;
-				remainingMs: number;
-		  }
-		| {
-				kind: 'request-attempt-failed';
-				peer: string;
-				step: string;
-				outcome: 'not-run' | 'unknown' | 'ran';
-				detail: string;
-				afterMs: number;
-				isRelay: boolean;
-				/** Complete events that the peer sent. */
-				events: number;
-				/** Time since the peer last made progress. */
-				silentMs: number;
-				/** Set when the attempt was cancelled because its peer stalled. */
-				stallLimitMs?: number;
-				/** Delay of the timer that detected the stall. */
-				timerLateMs?: number;
-				/** `other-attempt`: another attempt that is already running continues. */
-				next: 'resend' | 'give-up' | 'other-attempt';
-				obstacle?: ResendObstacle;
-		  }
-		| {
-				kind: 'request-silent';
-				peer: string;
-				isRelay: boolean;
-				step: string;
-				/** Complete events that the peer sent. */
-				events: number;
-				/** Time since the peer last made progress. */
-				silentMs: number;
-				limitMs: number;
-				/** Delay of the timer that detected the stall. */
-				timerLateMs: number;
-				remainingMs: number;
-				next: 'takeover' | 'wait' | 'give-up';
-				obstacle?: TakeoverObstacle;
-		  }
-		| {
-				kind: 'request-takeover';
-				successor: string;
-				/** `kept`: the stalled peer made progress again; the others state why the successor answers now. */
-				result: 'kept' | 'answer' | 'held' | 'failure';
-				remainingMs: number;
-		  }
-		| {
-				kind: 'request-ended';
-				outcome: 'answered' | 'not-run' | 'unknown' | 'ran' | 'caller-gone' | 'broken';
-				status: number;
-				/** Why the answer is not complete. */
-				reason?: string;
-				sends: number;
-				firstMs: number;
-				totalMs: number;
-				service: string;
-				goalMs: number;
-		  }
-	);
+	| {kind: 'key-refused'; reason: wireFormat.KeyFault | 'unknown-key'; configVersion: number}
+	/** The route and the team have no home region in common. */
+	| {kind: 'regions-disjoint'; configVersion: number}
+);
 
 /** Share of the memory limit, or of the heap limit if that is nearer, that the process uses. */
 export type MemoryLevel = 'normal' | 'high' | 'critical';
--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -1,6 +1,7 @@
 /** JSON calls of platform services; failures are {@link keyValueStore.PlatformError}s. */
 import * as errorText from '@hawthornfront/base/common/error-text.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import * as safeJson from '@hawthornfront/base/common/safe-json.js';
 import * as textRequest from '@hawthornfront/base/node/text-request.js';
 import type * as zod from 'zod';
 import * as keyValueStore from '../common/key-value-store.js';
@@ -50,7 +51,7 @@
 			});
 		}
 
-		return schema.parse(JSON.parse(answer.text));
+		return schema.parse(safeJson.parseSecretJson(answer.text));
 	} catch (error) {
 		if (error instanceof keyValueStore.PlatformError) {
 			throw error;
