--- a/packages/gateway/src/test/dispatcher.test.ts
+++ b/packages/gateway/src/test/dispatcher.test.ts
@@ -122,6 +122,22 @@
 	t.equal(subject.choose(fixtures.dispatchRequest(abroad)).kind, 'refuse');
 });
 
+tap.t.test('the home regions of the route and of the team both apply', async (t) => {
+	const {registry, fleet, subject} = fixtures.createDeployment();
+	registry.put(fixtures.upstream('u1'), 1);
+	fleet.noteMember(fixtures.member('s1', {region: 'south', failureDomain: 'south-a'}), 0);
+	const choose = (routeRegions: string[], teamRegions: string[]) => {
+		const route = {...fixtures.longRoute, homeRegions: routeRegions};
+		const team = {name: 'team-1', keyDigests: [], homeRegions: teamRegions};
+		return subject.choose(fixtures.dispatchRequest(route, {team})).kind;
+	};
+
+	t.equal(choose([], ['south']), 'region');
+	t.equal(choose(['north', 'south'], ['south']), 'region');
+	t.equal(choose(['north', 'south'], ['north']), 'upstream');
+	t.equal(choose(['south'], ['north']), 'refuse');
+});
+
 tap.t.test('an evacuated failure domain gets nothing', async (t) => {
 	const {registry, evacuated, subject} = fixtures.createDeployment();
 	registry.put(fixtures.upstream('u1'), 1);
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -19,6 +19,7 @@
 export type RunOptions = {
 	relayedFrom?: string;
 	maxUpstreams?: number;
+	team?: routeConfig.Team;
 	upstreams?: number;
 	/** Resends that the budget allows; 16 when undefined. */
 	resends?: number;
@@ -105,6 +106,7 @@
 			),
 			route,
 			service,
+			team: options.team,
 			arrivedAtMs: clock.nowMs(),
 			maxUpstreams: options.maxUpstreams ?? route.maxUpstreams,
 			relayedFrom: options.relayedFrom,
--- a/packages/gateway/src/test/request-admission.test.ts
+++ b/packages/gateway/src/test/request-admission.test.ts
@@ -1,6 +1,9 @@
 // Admission of requests of callers, and refusals of relayed requests.
 import * as tap from 'tap';
 import * as answerClassifier from '../common/answer-classifier.js';
+import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as gatewayRequest from '../common/gateway-request.js';
+import * as relayHeaders from '../common/relay-headers.js';
 import * as routeConfig from '../common/route-config.js';
 import type * as wireFormat from '../common/wire-format.js';
 import type * as callerServer from '../node/caller-server.js';
@@ -15,29 +18,52 @@
 	}
 }
 
-const start = (isPeerPort: boolean) => {
-	const state: {stop?: plannedStop.StopProgress; isReady: boolean} = {isReady: true};
-	const routeTable = routeConfig.createRouteTable(fixtures.config);
+const openRoute = {...fixtures.lookupRoute, name: 'open', prefix: '/open/'};
+const abroadRoute = {...fixtures.lookupRoute, prefix: '/abroad/', homeRegions: ['south']};
+
+const start = (isPeerPort: boolean, teams: routeConfig.Team[] = []) => {
+	const state: {
+		stop?: plannedStop.StopProgress;
+		isReady: boolean;
+		teams: routeConfig.Team[];
+		handled?: gatewayRequest.GatewayRequest;
+	} = {isReady: true, teams};
+	const events: gatewayEvent.GatewayEvent[] = [];
+	const routes = [...fixtures.config.routes, {...openRoute, isPublic: true}, abroadRoute];
+	const routeTable = () =>
+		routeConfig.createRouteTable({...fixtures.config, routes, teams: state.teams});
 	const admit = requestAdmission.createAdmissionCheck({
 		wire: new CallerTimeoutWire(),
 		engine: {
-			handle() {
-				throw new Error('this test runs no request');
+			handle(request) {
+				state.handled = request;
+				return {dispose: () => undefined, terminate: () => undefined};
 			},
 		},
 		log: {
-			note() {
-				// These tests read no log.
+			note(event) {
+				events.push(event);
 			},
 		},
 		isPeerPort,
-		routeTable: () => (state.isReady ? routeTable : undefined),
+		routeTable: () => (state.isReady ? routeTable() : undefined),
 		snapshot: () => ({evacuated: [], operatorRevision: 0, upstreams: [], upstreamRevision: 0}),
 		stopProgress: () => state.stop,
 	});
-	const check = (path: string, headers: wireFormat.Headers = {}) =>
-		admit({method: 'POST', path, host: 'a.example', rawHeaders: [], headers, arrivedAtMs: 0});
-	return {state, check};
+	const check = (path: string, headers: wireFormat.Headers = {}, rawHeaders: string[] = []) =>
+		admit({method: 'POST', path, host: 'a.example', rawHeaders, headers, arrivedAtMs: 0});
+	/** Runs a request; returns it, or its refusal. */
+	const run = (path: string, headers: wireFormat.Headers, ...rawHeaders: string[]) => {
+		const decision = check(path, headers, rawHeaders);
+		if (decision.kind !== 'accept') {
+			return refusalOf(decision);
+		}
+
+		decision.run(undefined, new fakeTransport.FakeReply(), () => undefined);
+		return {team: state.handled?.team, rawHeaders: state.handled?.rawHeaders};
+	};
+
+	return {state, events, check, run};
 };
 
 const refusalOf = (decision: callerServer.AdmissionDecision) =>
@@ -121,3 +147,48 @@
 	t.same(refusalOf(decision), [404, 'no-route']);
 	t.notOk(decision.kind === 'reject' && decision.headers);
 });
+
+const team: routeConfig.Team = {
+	name: 'team-1',
+	keyDigests: ['digest of k-1'],
+	homeRegions: ['north'],
+};
+
+tap.t.test('a request needs the key of a team', async (t) => {
+	const {state, events, check, run} = start(false, [team]);
+	t.same(refusalOf(check('/nowhere/')), [404, 'no-route']);
+	t.match(check('/lookups/x'), {status: 401, headers: {'www-authenticate': 'Bearer'}});
+	t.same(run('/lookups/x', {}), [401, 'no-key']);
+	t.same(run('/lookups/x', {}, 'key', 'k-2'), [401, 'unknown-key']);
+	t.match(events.at(-1), {kind: 'key-refused', route: 'lookups', reason: 'unknown-key'});
+	t.same(run('/lookups/x', {}, 'key', 'k-1', 'a', 'b'), {team, rawHeaders: ['a', 'b']});
+	t.same(run('/abroad/x', {}, 'key', 'k-1'), [503, 'no-common-region']);
+	const forged = {[relayHeaders.teamHeader]: 'team-1'};
+	t.same(run('/lookups/x', forged), [401, 'no-key'], 'callers cannot name a team');
+	t.same(run('/open/x', {}, 'key', 'k-2', 'a', 'b'), {team: undefined, rawHeaders: ['a', 'b']});
+	t.same(run('/open/x', {}, 'key', 'k-1'), {team, rawHeaders: []});
+	state.isReady = false;
+	t.same(run('/lookups/x', {}), [503, 'no-configuration']);
+});
+
+// Guards against a key that works on after its removal, for example from a cache of lookups.
+tap.t.test('a removed key is refused at the next request', async (t) => {
+	const {state, run} = start(false, [team]);
+	t.match(run('/lookups/x', {}, 'key', 'k-1'), {team});
+	state.teams = [{...team, keyDigests: []}];
+	t.same(run('/lookups/x', {}, 'key', 'k-1'), [401, 'unknown-key']);
+	state.teams = [];
+	t.same(run('/lookups/x', {}, 'key', 'k-1'), {team: undefined, rawHeaders: ['key', 'k-1']});
+});
+
+tap.t.test('a relay names the team', async (t) => {
+	const {state, run} = start(true, [team]);
+	const named = {[relayHeaders.teamHeader]: 'team-1'};
+	t.match(run('/lookups/x', named), {team});
+	t.match(run('/lookups/x', {}), {team: undefined}, 'of a daemon without teams');
+	t.same(run('/lookups/x', {}, 'key', 'k-1'), {team, rawHeaders: []}, 'of a daemon without teams');
+	for (const teams of [[{...team, name: 'team-2'}], []]) {
+		state.teams = teams;
+		t.match(run('/abroad/x', named), {team: {name: 'team-1', homeRegions: []}}, 'unknown team');
+	}
+});
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -481,3 +481,13 @@
 	t.equal(transport.sent.length, 0);
 	t.equal(reply.headers[relayHeaders.outcomeHeader], 'not-run');
 });
+
+tap.t.test('the rank and name of a team go to the upstream and into the log', async (t) => {
+	const team = {name: 'team-1', keyDigests: ['d-1'], rank: 2, homeRegions: []};
+	const {transport, events, execution} = start(fixtures.shortRoute, {team});
+	t.equal(headerOf(transport.last, 'team'), 'team-1');
+	t.equal(headerOf(transport.last, 'priority'), '8');
+	execution.dispose();
+	t.ok(events.every((event) => 'team' in event && event.team === 'team-1'));
+	t.notMatch(JSON.stringify(events), 'd-1');
+});
