--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -7,7 +7,7 @@
 import * as keyValueStore from '../common/key-value-store.js';
 
 const defaultTimeoutMs = 3000;
-/** Limits for a response body; a page of the platform's store has at most about 1 MB. */
+/** Limits for a response body, unless a call names another length. */
 const bodyLimits: textRequest.BodyLimits = {maxBytes: 2_097_152, timeoutMs: 3000};
 
 export type JsonCall = {
@@ -19,6 +19,8 @@
 	body?: unknown;
 	signal?: AbortSignal;
 	timeoutMs?: number;
+	/** Longest response body; 2 MiB if omitted. */
+	maxBytes?: number;
 	/** Called with the headers of each response, also of one that is an error. Their names are in lower case. */
 	onHeaders?(headers: Record<string, string>): void;
 };
@@ -42,7 +44,7 @@
 				timeoutMs: call.timeoutMs ?? defaultTimeoutMs,
 				signal: call.signal,
 			},
-			bodyLimits,
+			{...bodyLimits, maxBytes: call.maxBytes ?? bodyLimits.maxBytes},
 			call.onHeaders,
 		);
 		if (answer.status !== 200) {
