--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -3,6 +3,8 @@
  * docs/OPERATIONS.md explains each kind.
  */
 
+import type * as wireFormat from './wire-format.js';
+
 /** Why a request is not sent again after an attempt. */
 export type ResendObstacle =
 	| 'not-idempotent'
@@ -16,8 +18,8 @@
 /** Why no other upstream is tried beside a stalled one. */
 export type TakeoverObstacle = ResendObstacle | 'relayed' | 'no-upstream' | 'overloaded' | 'paused';
 
-/** Events of one request; all contain its id. */
-export type RequestEvent = {request: string; route: string} & (
+/** Events of one request; all contain its id, and the name of its team, but no key or digest. */
+export type RequestEvent = {request: string; route: string; team?: string} & (
 	| {
 			kind: 'request-refused';
 			reason: string;
@@ -26,6 +28,8 @@
 			expectedMs: number;
 			candidates: number;
 			remainingMs: number;
+			/** 0 is the most urgent; the team's before the route's. */
+			rank: number;
 			/** The caller has part of the answer already. */
 			hasStarted: boolean;
 			/** Prompt part that is quarantined. */
@@ -114,6 +118,10 @@
 			service: string;
 			goalMs: number;
 	  }
+	/** Answered with 401. */
+	| {kind: 'key-refused'; reason: wireFormat.KeyFault | 'unknown-key'; configVersion: number}
+	/** The route and the team have no home region in common. */
+	| {kind: 'regions-disjoint'; configVersion: number}
 );
 
 /** Share of the memory limit, or of the heap limit if that is nearer, that the process uses. */
@@ -156,7 +164,14 @@
 	/** The planned stop failed or did not finish; the process exits. */
 	| {kind: 'stop-failed'; detail: string}
 	| {kind: 'readiness'; isReady: boolean; reason: string}
-	| {kind: 'config-in-force'; version: number; previous: number; source: string; routes: number}
+	| {
+			kind: 'config-in-force';
+			version: number;
+			previous: number;
+			source: string;
+			routes: number;
+			teams: number;
+	  }
 	| {kind: 'config-ignored'; version: number; current: number; source: string}
 	| {kind: 'entry-rejected'; key: string; revision: number; detail: string}
 	| {kind: 'evacuation'; failureDomain: string; isEvacuated: boolean; revision: number}
--- a/packages/platform/src/node/json-call.ts
+++ b/packages/platform/src/node/json-call.ts
@@ -1,12 +1,13 @@
 /** JSON calls of platform services; failures are {@link keyValueStore.PlatformError}s. */
 import * as errorText from '@hawthornfront/base/common/error-text.js';
 import * as httpClient from '@hawthornfront/base/common/http-client.js';
+import * as safeJson from '@hawthornfront/base/common/safe-json.js';
 import * as textRequest from '@hawthornfront/base/node/text-request.js';
 import type * as zod from 'zod';
 import * as keyValueStore from '../common/key-value-store.js';
 
 const defaultTimeoutMs = 3000;
-/** Limits for a response body; a page of the platform's store has at most about 1 MB. */
+/** Limits for a response body, unless a call names another length. */
 const bodyLimits: textRequest.BodyLimits = {maxBytes: 2_097_152, timeoutMs: 3000};
 
 export type JsonCall = {
@@ -18,6 +19,8 @@
 	body?: unknown;
 	signal?: AbortSignal;
 	timeoutMs?: number;
+	/** Longest response body; 2 MiB if omitted. */
+	maxBytes?: number;
 	/** Called with the headers of each response, also of one that is an error. Their names are in lower case. */
 	onHeaders?(headers: Record<string, string>): void;
 };
@@ -41,7 +44,7 @@
 				timeoutMs: call.timeoutMs ?? defaultTimeoutMs,
 				signal: call.signal,
 			},
-			bodyLimits,
+			{...bodyLimits, maxBytes: call.maxBytes ?? bodyLimits.maxBytes},
 			call.onHeaders,
 		);
 		if (answer.status !== 200) {
@@ -50,7 +53,7 @@
 			});
 		}
 
-		return schema.parse(JSON.parse(answer.text));
+		return schema.parse(safeJson.parseSecretJson(answer.text));
 	} catch (error) {
 		if (error instanceof keyValueStore.PlatformError) {
 			throw error;
