Share a named limit with daemons that are lost or not known yet

Cause: the shares were computed over the members that a daemon hears. One that had just started, or that heard nobody after a cut, counted itself only.

limit-sharers.ts names the daemons that share: those that are heard, and at a daemon that does not hear most of its region also those that it lost in the last ten minutes, so they keep their shares on both sides of a cut while the side with the majority reassigns them. Of two equal halves the rendezvous order picks one. For 4 s after its start, and as long as it hears neither the store nor a peer, at most ten minutes, a daemon takes a 64th of a limit, with an empty bucket. A daemon alone in its region takes all of it 4 s after its start if the store or another region answers.

rate-limits.test.ts: its row of one daemon expects the whole limit from the start, which is what rate-limit-views.test.ts forbids to a daemon that does not know whether there are others. The daemons of that file are now told that their views are complete; rows, limits and thresholds are as before, and limit-sharers.test.ts holds a lone daemon to the same threshold without that.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as coldUpstreamLimiter from './cold-upstream-limiter.js';
 import * as failureRecord from './failure-record.js';
 import type * as fleetView from './fleet-view.js';
+import type * as limitSharers from './limit-sharers.js';
 import * as loadTable from './load-table.js';
 import type * as loadSettings from './load-settings.js';
 import * as promptCacheView from './prompt-cache-view.js';
@@ -129,6 +130,8 @@
 	isEvacuated(failureDomain: string): boolean;
 	/** Without it, the registry decides which upstreams are cold. */
 	warmth?: upstreamWarmth.UpstreamWarmth;
+	/** Daemons of the region that share the limits that upstreams name. */
+	limitSharers: Pick<limitSharers.LimitSharers, 'names' | 'areKnown'>;
 	/** Elects the daemon that sends to an upstream that is cold or may be. */
 	sender: Pick<regionSender.RegionSender, 'isSender'>;
 	/** Uniform in [0, 1). */
@@ -179,15 +182,12 @@
 	const loads = loadTable.createLoadTable(nowMs, settings, registry);
 	const failureRecords = new Map<string, failureRecord.FailureRecord>();
 	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
-	const regionMembers = () => [
-		options.daemonName,
-		...fleet.aliveIn(options.localRegion).map((member) => member.name),
-	];
 	const coldLimiter = coldUpstreamLimiter.createColdUpstreamLimiter(nowMs, options.sender);
 	const limitShares = rateLimitShares.createRateLimitShares(
 		nowMs,
 		options.daemonName,
-		regionMembers,
+		options.limitSharers.names,
+		options.limitSharers.areKnown,
 	);
 
 	/** Reads the clock once for each decision, since a decision uses the time hundreds of times. */
--- a/packages/gateway/src/common/rate-limit-shares.ts
+++ b/packages/gateway/src/common/rate-limit-shares.ts
@@ -1,7 +1,8 @@
 /**
  * Shares of the rate limits that upstreams name for all daemons together. Only daemons
  * of its region send to an upstream; rendezvous hashing assigns equal shares of its limit
- * to some of them, so that they keep it together without a message for each request.
+ * to some of them, so that they keep it together without a message for each request. A
+ * daemon that does not know the others yet assumes that there are many.
  */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as tokenBucket from '@hawthornfront/decisions/common/token-bucket.js';
@@ -19,6 +20,8 @@
 /** Only the answers of an upstream show that its limit has ended, so it always gets a request now and then. */
 const minRatePerS = 0.2;
 const burstRequests = 1;
+/** Daemons that a daemon assumes to share a limit while it does not know them; about a large region. */
+const assumedMembers = 64;
 /** Interval at which the shares follow the members of the region. */
 const assignmentMs = 250;
 
@@ -29,11 +32,15 @@
 	untilMs: number;
 };
 
-/** @param regionMembers names of the region's daemons, including this one */
+/**
+ * @param regionMembers names of the region's daemons, including this one
+ * @param areMembersKnown whether those are all; without it, a daemon without others assumes some
+ */
 export const createRateLimitShares = (
 	nowMs: () => number,
 	daemonName: string,
 	regionMembers: () => readonly string[],
+	areMembersKnown: () => boolean = () => regionMembers().length > 1,
 ): RateLimitShares => {
 	const shares = new Map<string, Share>();
 
@@ -46,7 +53,21 @@
 		const ratePerS = Math.max(minRatePerS, requestsPerS);
 		const shareCount = Math.max(1, Math.min(members.length, Math.floor(ratePerS / minSharePerS)));
 		const isAssigned = members.slice(0, shareCount).some(({name}) => name === daemonName);
-		return isAssigned ? ratePerS / shareCount : 0;
+		if (!isAssigned) {
+			return 0;
+		}
+
+		return ratePerS / (areMembersKnown() ? shareCount : Math.max(shareCount, assumedMembers));
+	};
+
+	const createBucket = (ratePerS: number) => {
+		const bucket = tokenBucket.createTokenBucket(ratePerS, burstRequests, nowMs());
+		if (!areMembersKnown()) {
+			// Else many daemons that start together would each send at once.
+			bucket.take(burstRequests, nowMs());
+		}
+
+		return bucket;
 	};
 
 	const shareOf = (upstreamId: string, requestsPerS: number): Share => {
@@ -56,7 +77,7 @@
 		}
 
 		const ratePerS = assignedPerS(upstreamId, requestsPerS);
-		const bucket = known?.bucket ?? tokenBucket.createTokenBucket(ratePerS, burstRequests, nowMs());
+		const bucket = known?.bucket ?? createBucket(ratePerS);
 		bucket.configure(ratePerS, burstRequests, nowMs());
 		const share: Share = {
 			bucket,
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -14,6 +14,7 @@
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as informed from '../common/informed.js';
+import * as limitSharers from '../common/limit-sharers.js';
 import * as memoryBudget from '../common/memory-budget.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
@@ -178,6 +179,13 @@
 		coldRatePerS: (service) => cluster.routeTable?.service(service)?.coldRatePerS ?? 0,
 		random: random.next,
 	});
+	const limitSharing = limitSharers.createLimitSharers({
+		nowMs,
+		daemonName: vm.name,
+		region: vm.region,
+		alive: () => fleet.aliveIn(vm.region).map(({name}) => name),
+		hasLivePeers: fleet.hasLivePeers,
+	});
 	const dispatch = dispatcher.createDispatcher({
 		clock,
 		settings: current.decisions,
@@ -191,6 +199,7 @@
 		pauses,
 		isEvacuated: cluster.isEvacuated,
 		warmth,
+		limitSharers: limitSharing,
 		sender,
 		random: random.next,
 	});
@@ -577,6 +586,7 @@
 		reachability.onDidChange((change) => {
 			if (change.isReachable) {
 				sharers.noteStoreReached();
+				limitSharing.noteStoreReached();
 			}
 
 			log.note({kind: 'store-reachability', ...change});
@@ -585,6 +595,7 @@
 	disposables.add(
 		fleet.onDidChange(({kind, member}) => {
 			sharers.noteMember({kind, member});
+			limitSharing.noteMember({kind, member});
 			log.note({
 				kind: 'member',
 				change: kind,
@@ -610,6 +621,7 @@
 			peerConnections: peerHttpServer.openConnections,
 			upstreamConnections: pool.openConnections,
 			electionMembers: sender.size,
+			lostLimitSharers: limitSharing.size,
 			requests: inFlight(),
 			...dispatch.held(),
 			members: fleet.size,
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -177,6 +177,10 @@
 		rateLimits,
 		pauses,
 		isEvacuated: (name) => evacuated.has(name),
+		limitSharers: {
+			names: () => [daemonName, ...fleet.aliveIn('north').map(({name}) => name)],
+			areKnown: () => true,
+		},
 		sender: {isSender: () => true},
 		random: random.createRandom(7).next,
 	});
--- a/packages/gateway/src/test/rate-limits.test.ts
+++ b/packages/gateway/src/test/rate-limits.test.ts
@@ -18,6 +18,8 @@
 			() => clock.nowMs(),
 			`n${index}`,
 			() => members,
+			// The views are complete, that of a daemon without others too.
+			() => true,
 		),
 	);
 	const sentAtMs: number[] = [];
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -8,6 +8,7 @@
 import * as crashDetector from '../common/crash-detector.js';
 import * as dispatcher from '../common/dispatcher.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
+import * as limitSharers from '../common/limit-sharers.js';
 import type * as promptQuarantine from '../common/prompt-quarantine.js';
 import type * as routeConfig from '../common/route-config.js';
 import * as requestEngine from '../common/request-engine.js';
@@ -286,6 +287,14 @@
 		(domain) => fixtures.regionByDomain[domain],
 		{unsettledMs: () => 0},
 	);
+	const sharers = limitSharers.createLimitSharers({
+		nowMs: () => clock.nowMs(),
+		daemonName: name,
+		region,
+		alive: () => fleet.aliveIn(region).map((member) => member.name),
+		hasLivePeers: fleet.hasLivePeers,
+	});
+	fleet.onDidChange(sharers.noteMember);
 	const engine = requestEngine.createRequestEngine({
 		clock,
 		wire: new fakeTransport.FakeWire(),
@@ -301,6 +310,7 @@
 			rateLimits,
 			pauses: upstreamPauses.createUpstreamPauses(clock, () => 0.5),
 			isEvacuated: () => false,
+			limitSharers: sharers,
 			sender: {isSender: () => true},
 			random: random.createRandom(name.codePointAt(1)!).next,
 		}),
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -182,6 +182,7 @@
 				rateLimits: upstreamRateLimits.createUpstreamRateLimits(clock),
 				pauses: upstreamPauses.createUpstreamPauses(clock, numbers.fork().next),
 				isEvacuated: () => false,
+				limitSharers: {names: () => [name], areKnown: () => true},
 				sender: {isSender: () => true},
 				random: numbers.fork().next,
 			});
