Send nothing to a cold upstream in the second after its usual traffic

Traced with the lines of all daemons: every request of the usual pace came from a daemon that had not been told yet; the first daemon knew 1 to 13 ms after the entry, the last 8 to 100 ms after it, but for one process that did not run for 600 ms. The excess came from the elected sender, which knew: its full burst and rate, four requests in the first second, came on top of the up to six that were sent before the word.

The limiter now holds the sender back for one second from the word that ends the usual traffic of an upstream. In any second the upstream gets either what was sent before the word or what the sender sends, so the bound leaves 9 requests for the way of the word instead of 5. Upstreams that restart are not concerned: they had no traffic while they were down, and the belief of their former start is dropped.

--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -190,6 +190,13 @@
 		options.limitSharers.areKnown,
 	);
 
+	// Lives as long as the daemon, like the dispatcher.
+	warmth?.onDidChange(({upstreamId, belief}) => {
+		if (belief !== 'warm') {
+			coldLimiter.noteRestricted(upstreamId);
+		}
+	});
+
 	/** Reads the clock once for each decision, since a decision uses the time hundreds of times. */
 	const decideNow = <Result>(decide: () => Result): Result => {
 		decisionMs = clock.nowMs();
@@ -241,6 +248,10 @@
 		service: routeConfig.Service,
 	): boolean => {
 		const pace = paceOf(upstream, service);
+		if (pace === 'usual' && service.coldRatePerS > 0) {
+			coldLimiter.noteUsual(upstream.entry.id);
+		}
+
 		return pace === 'slow'
 			? coldLimiter.mayUse(upstream.entry.id, service.coldRatePerS)
 			: pace !== 'none';
--- a/packages/gateway/src/test/cold-fleet.ts
+++ b/packages/gateway/src/test/cold-fleet.ts
@@ -124,7 +124,11 @@
 			heardAtMs,
 			left,
 		};
-		warmth.onDidChange(({source}) => {
+		warmth.onDidChange(({source, belief}) => {
+			if (belief !== 'warm') {
+				daemon.limiter.noteRestricted('u1');
+			}
+
 			if (source === upstreamWarmth.ownSource) {
 				clock.setTimer(() => {
 					deliver(daemon, daemons);
@@ -156,6 +160,8 @@
 		const pace = warmth.paceOf(upstream, coldRatePerS);
 		if (pace === 'ask') {
 			warmth.ask(upstream);
+		} else if (pace === 'usual') {
+			limiter.noteUsual('u1');
 		}
 
 		if (pace === 'usual' || (pace === 'slow' && limiter.mayUse('u1', coldRatePerS))) {
