--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -15,6 +15,7 @@
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as informed from '../common/informed.js';
+import * as limitSharers from '../common/limit-sharers.js';
 import * as memoryBudget from '../common/memory-budget.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
@@ -179,6 +180,13 @@
 		coldRatePerS: (service) => cluster.routeTable?.service(service)?.coldRatePerS ?? 0,
 		random: random.next,
 	});
+	const limitSharing = limitSharers.createLimitSharers({
+		nowMs,
+		daemonName: vm.name,
+		region: vm.region,
+		alive: () => fleet.aliveIn(vm.region).map(({name}) => name),
+		hasLivePeers: fleet.hasLivePeers,
+	});
 	const dispatch = dispatcher.createDispatcher({
 		clock,
 		settings: current.decisions,
@@ -192,6 +200,7 @@
 		pauses,
 		isEvacuated: cluster.isEvacuated,
 		warmth,
+		limitSharers: limitSharing,
 		sender,
 		random: random.next,
 	});
@@ -586,6 +595,7 @@
 		reachability.onDidChange((change) => {
 			if (change.isReachable) {
 				sharers.noteStoreReached();
+				limitSharing.noteStoreReached();
 			}
 
 			log.note({kind: 'store-reachability', ...change});
@@ -594,6 +604,7 @@
 	disposables.add(
 		fleet.onDidChange(({kind, member}) => {
 			sharers.noteMember({kind, member});
+			limitSharing.noteMember({kind, member});
 			log.note({
 				kind: 'member',
 				change: kind,
@@ -619,6 +630,7 @@
 			peerConnections: peerHttpServer.openConnections,
 			upstreamConnections: pool.openConnections,
 			electionMembers: sender.size,
+			lostLimitSharers: limitSharing.size,
 			requests: inFlight(),
 			...dispatch.held(),
 			members: fleet.size,
