Take an answer with a status outside 200 to 599 for no answer

Cause: an answer was classified by its headers, and any status that is not a known refusal was passed on. It now fails the attempt as an unknown outcome, and a connection that carried it is not used again. early-answers.test.ts fails before for 0, 99, 600, 700 and 999. Its other rows, answers that are reset while a long upload is still being written and one that a relaying daemon breaks off, passed before: nothing was wrong there.

--- a/packages/gateway/src/common/answer-classifier.ts
+++ b/packages/gateway/src/common/answer-classifier.ts
@@ -21,6 +21,10 @@
 /** Statuses that guarantee to a caller that its request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Statuses of final answers in HTTP; a head with another one is not an answer. */
+const minStatus = 200;
+const maxStatus = 599;
+
 const fail = (
 	outcome: Outcome,
 	detail: string,
@@ -52,6 +56,10 @@
 		return fail('unknown', 'answer-of-another-request', {isHard: true});
 	}
 
+	if (status < minStatus || status > maxStatus) {
+		return fail('unknown', 'invalid-status', {isHard: true});
+	}
+
 	const relayed = relayHeaders.outcomeSchema.safeParse(headers[relayHeaders.outcomeHeader]);
 	if (relayed.success) {
 		return classifyRelayFailure(relayed.data, headers);
