--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as coldUpstreamLimiter from './cold-upstream-limiter.js';
 import * as failureRecord from './failure-record.js';
 import type * as fleetView from './fleet-view.js';
+import * as loadShedding from './load-shedding.js';
 import * as loadTable from './load-table.js';
 import type * as loadSettings from './load-settings.js';
 import * as promptCacheView from './prompt-cache-view.js';
@@ -23,6 +24,8 @@
 	route: routeConfig.Route;
 	service: routeConfig.Service;
 	work: workEstimate.WorkEstimate;
+	/** Rank in force; 0 is the most urgent. */
+	rank: number;
 	/** Time that is left until the deadline of the request. */
 	remainingMs: number;
 	/** Upstreams that were tried already. */
@@ -47,6 +50,8 @@
 	outlookAgeMs?: number;
 	/** Set unless the upstream gets its usual traffic. */
 	pace?: upstreamWarmth.Pace;
+	/** Inputs of a refusal because of overload in this region. */
+	shedding?: loadShedding.SheddingBasis;
 };
 
 export type Choice =
@@ -133,6 +138,8 @@
 	sender: Pick<regionSender.RegionSender, 'isSender'>;
 	/** Uniform in [0, 1). */
 	random(): number;
+	/** Decides under overload; created from the settings by default. */
+	shedding?: loadShedding.LoadShedding;
 };
 
 /** Assumed wait of a region that has not reported its waits. */
@@ -155,6 +162,10 @@
 const streamingWeight = 0.1;
 /** Output length for which a region reports its expected wait of work that is not urgent. */
 const typicalOutputTokens = 300;
+/** A wait counts in the mean of a service up to this multiple of the median. */
+const maxWaitOverMedian = 3;
+/** Advantage in cost, relative to the growth of the queue between reports, that counts e-fold against more room. */
+const spreadShare = 0.25;
 /** Fewest shared tokens that are worth a copy. */
 const minCopyTokens = 150;
 
@@ -177,6 +188,8 @@
 	let decisionMs: number | undefined;
 	const nowMs = () => decisionMs ?? clock.nowMs();
 	const loads = loadTable.createLoadTable(nowMs, settings, registry);
+	const shedding =
+		options.shedding ?? loadShedding.createLoadShedding(nowMs, settings, () => options.random());
 	const failureRecords = new Map<string, failureRecord.FailureRecord>();
 	const cache = promptCacheView.createPromptCacheView(nowMs, settings.cachedPartMs);
 	const regionMembers = () => [
@@ -380,7 +393,42 @@
 			);
 	};
 
-	const bestLocal = (request: DispatchRequest): {best?: Scored; candidates: number} => {
+	const waitOf = ({expectedMs, readTokens}: Scored) =>
+		expectedMs - settings.baseFirstEventMs - readTokens / settings.prefillTokensPerMs;
+
+	/** Mean wait at runners before they read a prompt, in which few slow ones count little; 0 for plain services. */
+	const meanWaitOf = (all: readonly Scored[], {engine}: routeConfig.Service): number => {
+		if (!engine || all.length === 0) {
+			return 0;
+		}
+
+		const waitsMs = all.map((scored) => Math.max(0, waitOf(scored)));
+		waitsMs.sort((a, b) => a - b);
+		const mostMs = waitsMs[Math.floor((waitsMs.length - 1) / 2)]! * maxWaitOverMedian;
+		return waitsMs.reduce((sum, waitMs) => sum + Math.min(waitMs, mostMs), 0) / waitsMs.length;
+	};
+
+	/**
+	 * Spreads requests over the runners that all daemons fill before the next reports of
+	 * loads, by the room of each. Otherwise, daemons with the same old reports would all
+	 * choose the one that was empty, and their requests would miss their targets there.
+	 */
+	const spreadCosts = (all: readonly Scored[], meanWaitMs: number) => {
+		const growthMs = Math.min(meanWaitMs, settings.loadReportAgeMs);
+		const levelMs = meanWaitMs + growthMs;
+		for (const scored of all) {
+			const roomMs = levelMs - waitOf(scored);
+			if (growthMs > 0 && roomMs > 0) {
+				// The Gumbel distribution makes the chances of equal costs proportional to their room.
+				const weight = Math.log(roomMs / levelMs) - Math.log(-Math.log(options.random()));
+				scored.costMs += roomMs - growthMs * spreadShare * weight;
+			}
+		}
+	};
+
+	const bestLocal = (
+		request: DispatchRequest,
+	): {best?: Scored; candidates: number; meanWaitMs: number} => {
 		const usable = candidatesFor(request);
 		const preferred = cache.preferredRunner(
 			request.work.sharedParts,
@@ -390,11 +438,16 @@
 		let best: Scored | undefined;
 		/** Best one that has to be asked whether it is warm. */
 		let doubtful: Scored | undefined;
-		for (const upstream of usable) {
-			const scored = costOf(upstream, request, preferred, holder);
+		const all = usable.map((upstream) => costOf(upstream, request, preferred, holder));
+		const meanWaitMs = meanWaitOf(all, request.service);
+		for (const scored of all) {
 			// The noise keeps daemons from all choosing the same of two equal upstreams.
 			scored.costMs *= 1 + options.random() * costNoise;
-			if (paceOf(upstream, request.service) === 'ask') {
+		}
+
+		spreadCosts(all, meanWaitMs);
+		for (const scored of all) {
+			if (paceOf(scored.upstream, request.service) === 'ask') {
 				doubtful = !doubtful || scored.costMs < doubtful.costMs ? scored : doubtful;
 			} else if (!best || scored.costMs < best.costMs) {
 				best = scored;
@@ -405,7 +458,7 @@
 			warmth?.ask(doubtful.upstream);
 		}
 
-		return {best, candidates: usable.length};
+		return {best, candidates: usable.length, meanWaitMs};
 	};
 
 	const bestRegion = (request: DispatchRequest) => {
@@ -487,8 +540,8 @@
 				};
 	};
 
-	/** Longest expected time to the first event at which a request is admitted. */
-	const admissionLimitMs = ({service, route, remainingMs, wasAccepted}: DispatchRequest) => {
+	/** Longest expected time to the first event at which a request is sent to another region. */
+	const relayLimitMs = ({service, route, remainingMs, wasAccepted}: DispatchRequest) => {
 		if (wasAccepted) {
 			return Number.POSITIVE_INFINITY;
 		}
@@ -500,15 +553,63 @@
 			: limitMs;
 	};
 
+	/** Load of all upstreams of a service in the region that accept new work. */
+	const serviceLoadOf = (service: routeConfig.Service): loadShedding.ServiceLoad => {
+		const upstreams = registry.usable(service.name, options.localRegion);
+		let requests = 0;
+		let slots = 0;
+		let unreadTokens = 0;
+		for (const upstream of upstreams) {
+			const load = loads.of(upstream.entry.id).ofRegion();
+			requests += load.requests;
+			slots += slotsOf(upstream, service);
+			unreadTokens += load.urgentReadTokens + load.otherReadTokens;
+		}
+
+		const tokensPerMs = settings.prefillTokensPerMs * Math.max(1, upstreams.length);
+		return {requests, slots, queuedMs: unreadTokens / tokensPerMs};
+	};
+
+	/** Whether the region has capacity for a request with this best upstream. */
+	const decideShedding = (
+		request: DispatchRequest,
+		best: Scored,
+		meanWaitMs: number,
+	): loadShedding.SheddingDecision => {
+		const {service, route, work, rank, remainingMs} = request;
+		const {expectedMs, streamingMs} = best;
+		const readMs = best.readTokens / settings.prefillTokensPerMs;
+		const isAdmitted = request.triedUpstreams.size > 0;
+		return shedding.decide(
+			{
+				isAdmitted,
+				service: service.name,
+				route: route.name,
+				rank,
+				isUrgent: work.isUrgent,
+				expectedMs,
+				// Other daemons send to the best upstream as well until its load is reported.
+				meanExpectedMs: expectedMs + (isAdmitted ? 0 : Math.max(0, meanWaitMs - waitOf(best))),
+				streamingMs,
+				readMs,
+				workMs: readMs + streamingMs / slotsOf(best.upstream, service),
+				// Plain requests are short, so only their deadline limits them.
+				goalMs: service.engine ? route.goalMs : Number.POSITIVE_INFINITY,
+				remainingMs,
+			},
+			() => serviceLoadOf(service),
+		);
+	};
+
 	const choose = (request: DispatchRequest): Choice => {
 		const isLocalAllowed = routeConfig.mayUseRegion(request.route, options.localRegion);
-		const {best, candidates} = isLocalAllowed
+		const {best, candidates, meanWaitMs} = isLocalAllowed
 			? bestLocal(request)
-			: {best: undefined, candidates: 0};
+			: {best: undefined, candidates: 0, meanWaitMs: 0};
 		const localMs = best?.expectedMs ?? Number.POSITIVE_INFINITY;
 		const streamingMs = best?.streamingMs ?? 0;
 		const remote = request.mayRelay ? bestRegion(request) : undefined;
-		const limitMs = admissionLimitMs(request);
+		const limitMs = relayLimitMs(request);
 		if (remote && shouldRelay(request, localMs, remote.basis.expectedMs)) {
 			return remote.basis.expectedMs > limitMs
 				? refuse('overloaded', remote.basis, remote.basis.expectedMs - limitMs + overloadRetryMs)
@@ -527,10 +628,14 @@
 			streamingMs: Math.round(streamingMs),
 			pace: loggedPaceOf(best.upstream, request.service),
 		};
-		const endsLateMs = request.wasAccepted ? 0 : localMs + streamingMs - request.remainingMs;
-		const lateMs = Math.max(localMs - limitMs, endsLateMs);
-		return lateMs > 0
-			? refuse('overloaded', basis, lateMs + overloadRetryMs)
+		const decision = request.wasAccepted ? undefined : decideShedding(request, best, meanWaitMs);
+		return decision?.kind === 'refuse'
+			? {
+					kind: 'refuse',
+					reason: 'overloaded',
+					retryAfterMs: decision.retryAfterMs,
+					basis: {...basis, shedding: decision.basis},
+				}
 			: {
 					kind: 'upstream',
 					upstream: best.upstream,
@@ -663,6 +768,7 @@
 			upstreamLoads: loads.size,
 			upstreamFailures: failureRecords.size,
 			loadReporters: loads.reporters,
+			sheddingKinds: shedding.size,
 			upstreamBeliefs: warmth?.size ?? 0,
 		}),
 	};
--- a/packages/gateway/src/common/load-settings.ts
+++ b/packages/gateway/src/common/load-settings.ts
@@ -17,6 +17,8 @@
 	failurePenaltyMs: setting.number(3000, 0, 60_000),
 	/** Older reports of peers are ignored. */
 	peerLoadMaxAgeMs: setting.number(1500, 100, 60_000),
+	/** Mean age of the loads that other daemons report: they are sent every 250 ms and arrive one interval late. */
+	loadReportAgeMs: setting.number(400, 0, 60_000),
 	/** Minimum advantage in expected time of another failure domain, since traffic between domains has a cost. */
 	otherDomainMarginMs: setting.number(15, 0, 10_000),
 	/** Minimum advantage in expected time of another region, since traffic between regions costs more. */
@@ -29,6 +31,13 @@
 	admissionShare: setting.share(0.9),
 	/** Requests are refused when their first event is expected later than this multiple of the goal. */
 	admissionGoalFactor: setting.number(1.2, 0.1, 100),
+	/**
+	 * Share of the time that the goal leaves for waiting from which requests are shed. Within
+	 * the age of load reports, the queue grows by up to half of usual goals in a burst.
+	 */
+	sheddingStartShare: setting.share(0.5),
+	/** Least share of a kind of requests that is admitted for as long as its first events are expected in time; none starves. */
+	sheddingMinAdmittedShare: setting.share(0.2),
 	/** Initial estimate of the time between two events of a stream. */
 	initialEventMs: setting.number(45, 0, 10_000),
 	/** Time for which a prompt part that was read is expected to stay cached. */
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -97,6 +97,7 @@
 ): RequestExecution => {
 	const {clock, wire} = services;
 	const {route, facts, service} = request;
+	const {rank} = route;
 	const work = workEstimate.estimateWork(facts, route);
 	const observed: crashDetector.ObservedRequest = {
 		attemptId: facts.attemptId,
@@ -493,7 +494,7 @@
 		const headers = wire.dispatchHeaders(request.rawHeaders, {
 			remainingMs: remainingMs(),
 			upstreamId: id,
-			priority: service.engine ? priorityOf(route.rank) : undefined,
+			priority: service.engine ? priorityOf(rank) : undefined,
 			resumeAfterEventId: resumeAfter,
 			promptSource: choice.promptSource?.entry.address,
 		});
@@ -539,6 +540,7 @@
 		route,
 		service,
 		work,
+		rank,
 		remainingMs: remainingMs(),
 		triedUpstreams,
 		failedUpstreams,
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -195,6 +195,7 @@
 			(route.work === 'stream' ? facts() : facts({promptTokens: 0, promptParts: []})),
 		route,
 	),
+	rank: route.rank,
 	remainingMs: route.timeoutMs,
 	triedUpstreams: new Set(),
 	failedUpstreams: new Set(),
--- a/packages/load/src/common/fleet-comparison.ts
+++ b/packages/load/src/common/fleet-comparison.ts
@@ -201,6 +201,7 @@
 			route: kind.route,
 			service: this.#service,
 			work: workEstimate.estimateWork(facts, kind.route),
+			rank: kind.route.rank,
 			remainingMs: kind.route.timeoutMs,
 			triedUpstreams: new Set(),
 			failedUpstreams: new Set(),
