--- a/packages/gateway/src/common/load-shedding.ts
+++ b/packages/gateway/src/common/load-shedding.ts
@@ -73,11 +73,13 @@
 	readMs: number;
 	workMs: number;
 	pressure: number;
+	/** Mean share that was admitted. */
+	admittedShare: number;
 	atMs: number;
 };
 
-/** Weight of the newest request in the mean work of its kind. */
-const workLearningRate = 0.1;
+/** Weight of the newest request in the means of its kind. */
+const learningRate = 0.1;
 /** A kind without requests for this long does not compete; a daemon of many gets one of each in about a second. */
 const kindMemoryMs = 3000;
 /** Kinds of one service that are told apart, and services; callers cannot name either. */
@@ -94,6 +96,8 @@
 /** Shortest time over which callers spread their retries; loads are reported as often. */
 const minDrainMs = 250;
 
+const mean = (old: number, sample: number) => old + learningRate * (sample - old);
+
 const waitOf = ({meanExpectedMs, readMs}: SheddingRequest) => meanExpectedMs - readMs;
 
 /** Wait relative to the time that the target leaves for it; prompts that take most of the target to read get half. */
@@ -125,16 +129,15 @@
 		const {route, rank, isUrgent, goalMs} = request;
 		const key = `${rank} ${route}`;
 		const known = kinds.get(key);
-		const mean = (old: number | undefined, sample: number) =>
-			old === undefined ? sample : old + workLearningRate * (sample - old);
-		const readMs = mean(known?.readMs, request.readMs);
+		const readMs = mean(known?.readMs ?? request.readMs, request.readMs);
 		const kind: Kind = {
 			rank,
 			isUrgent,
 			goalMs,
 			readMs,
-			workMs: mean(known?.workMs, request.workMs),
+			workMs: mean(known?.workMs ?? request.workMs, request.workMs),
 			pressure: pressureAt(waitOf(request), {readMs, goalMs}),
+			admittedShare: known?.admittedShare ?? 1,
 			atMs: nowMs(),
 		};
 		kinds.set(key, kind);
@@ -161,6 +164,7 @@
 	): {pressure: number; admittedShare: number} => {
 		const oldestMs = nowMs() - kindMemoryMs;
 		let {pressure} = own;
+		let mostAdmitted = 1;
 		let before = 0;
 		let after = 0;
 		for (const kind of kinds.values()) {
@@ -171,6 +175,9 @@
 			if (precedes(kind, own)) {
 				before++;
 				pressure = Math.max(pressure, pressureOf(kind, waitMs, own.isUrgent));
+				if (kind.rank < own.rank) {
+					mostAdmitted = Math.min(mostAdmitted, kind.admittedShare);
+				}
 			} else if (precedes(own, kind)) {
 				after++;
 			}
@@ -182,24 +189,25 @@
 		const start =
 			settings.sheddingStartShare + (others === 0 ? 0 : (after / others) * (range - width));
 		const refusedShare = Math.max(0, Math.min(1, (pressure - start) / width));
-		return {
-			pressure,
-			admittedShare: 1 - refusedShare * (1 - settings.sheddingMinAdmittedShare),
-		};
+		const share = 1 - refusedShare * (1 - settings.sheddingMinAdmittedShare);
+		return {pressure, admittedShare: Math.min(share, mostAdmitted)};
 	};
 
 	const causeOf = (
-		{isAdmitted, expectedMs, meanExpectedMs, streamingMs, goalMs, remainingMs}: SheddingRequest,
+		request: SheddingRequest,
+		own: Kind,
 		admittedShare: number,
 	): SheddingCause | undefined => {
-		if (
-			expectedMs > remainingMs * settings.admissionShare ||
-			expectedMs + streamingMs > remainingMs
-		) {
+		const {isAdmitted, expectedMs, streamingMs, goalMs, remainingMs} = request;
+		const isLate = expectedMs > remainingMs * settings.admissionShare;
+		if (isLate || expectedMs + streamingMs > remainingMs) {
 			return 'deadline';
 		}
 
-		if (meanExpectedMs > goalMs * settings.admissionGoalFactor) {
+		// With the mean work of its kind, since large requests would be refused far more often otherwise.
+		const isPastGoal = waitOf(request) + own.readMs > goalMs * settings.admissionGoalFactor;
+		own.admittedShare = mean(own.admittedShare, isPastGoal ? 0 : admittedShare);
+		if (isPastGoal) {
 			return 'goal';
 		}
 
@@ -213,7 +221,7 @@
 			const own = noteKind(kinds, request);
 			const waitMs = waitOf(request);
 			const {pressure, admittedShare} = admittedShareOf(kinds, own, waitMs);
-			const cause = causeOf(request, admittedShare);
+			const cause = causeOf(request, own, admittedShare);
 			if (!cause) {
 				return {kind: 'admit'};
 			}
--- a/packages/gateway/src/common/load-table.ts
+++ b/packages/gateway/src/common/load-table.ts
@@ -31,9 +31,15 @@
 /** Name of the sum of a region among the reports on failure domains. */
 const regionSum = '*';
 
-/** Services whose event intervals are remembered, since configurations may name others all day. */
+/** Services whose estimates are remembered, since configurations may name others all day. */
 const maxServices = 1000;
 
+/** What is learned over all runners of a service. */
+type ServiceEstimates = {
+	eventMs: decayingEstimate.DecayingEstimate;
+	latencies: upstreamLoad.ServiceLatencies;
+};
+
 /** Upstreams that a report named. */
 type Reported = {ids: ReadonlySet<string>; atMs: number};
 
@@ -46,28 +52,29 @@
 	registry: Pick<upstreamRegistry.UpstreamRegistry, 'get'>,
 ): LoadTable => {
 	const loads = new Map<string, upstreamLoad.UpstreamLoad>();
-	const serviceEventIntervals = new lruCache.LRUCache<string, decayingEstimate.DecayingEstimate>({
-		max: maxServices,
-	});
+	const services = new lruCache.LRUCache<string, ServiceEstimates>({max: maxServices});
 	/** Last reports of daemons and on failure domains. */
 	const reportedByPeer = new Map<string, Reported>();
 	const reportedByDomain = new Map<string, Reported>();
 
-	const serviceEventIntervalOf = (service: string): decayingEstimate.DecayingEstimate => {
-		let estimate = serviceEventIntervals.get(service);
-		if (!estimate) {
-			estimate = upstreamLoad.createServiceEventInterval(settings);
-			serviceEventIntervals.set(service, estimate);
+	const estimatesOf = (service: string): ServiceEstimates => {
+		let estimates = services.get(service);
+		if (!estimates) {
+			estimates = {
+				eventMs: upstreamLoad.createServiceEventInterval(settings),
+				latencies: upstreamLoad.createServiceLatencies(),
+			};
+			services.set(service, estimates);
 		}
 
-		return estimate;
+		return estimates;
 	};
 
 	const loadOf = (upstreamId: string): upstreamLoad.UpstreamLoad => {
 		let load = loads.get(upstreamId);
 		if (!load) {
-			const serviceEventMs = serviceEventIntervalOf(registry.get(upstreamId)?.entry.service ?? '');
-			load = upstreamLoad.createUpstreamLoad(nowMs, settings, serviceEventMs);
+			const {eventMs, latencies} = estimatesOf(registry.get(upstreamId)?.entry.service ?? '');
+			load = upstreamLoad.createUpstreamLoad(nowMs, settings, eventMs, latencies);
 			loads.set(upstreamId, load);
 		}
 
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -71,6 +71,11 @@
 /** Urgent work waits for the part of the other work whose prefill has already begun. */
 const otherWorkWeight = 0.35;
 
+/** Half-life of the times that the latency of a service is learned from. */
+const serviceLatencyHalfLifeMs = 5000;
+/** Time of correct predictions that a service begins with; about two first events. */
+const serviceLatencyPriorMs = 500;
+
 type Report = {share: LoadShare; atMs: number};
 
 /** A share without requests. */
@@ -109,24 +114,71 @@
 		halfLifeMs: serviceEventHalfLifeMs,
 	});
 
+/** Actual times to the first event relative to those that the load alone predicts, over all runners of a service. */
+export type ServiceLatency = {
+	note(actualMs: number, unscaledMs: number, nowMs: number): void;
+	factor(nowMs: number): number;
+};
+
+/** Latency of urgent and of other work, which waits for urgent work that arrives later. */
+export type ServiceLatencies = {urgent: ServiceLatency; other: ServiceLatency};
+
+const createServiceLatency = (): ServiceLatency => {
+	let actualSumMs = 0;
+	let unscaledSumMs = 0;
+	let notedAtMs = 0;
+	const decay = (nowMs: number) => 0.5 ** ((nowMs - notedAtMs) / serviceLatencyHalfLifeMs);
+
+	return {
+		note(actualMs, unscaledMs, nowMs) {
+			const kept = decay(nowMs);
+			actualSumMs = actualSumMs * kept + actualMs;
+			unscaledSumMs = unscaledSumMs * kept + unscaledMs;
+			notedAtMs = nowMs;
+		},
+		factor(nowMs) {
+			const kept = decay(nowMs);
+			const ratio =
+				(actualSumMs * kept + serviceLatencyPriorMs) /
+				(unscaledSumMs * kept + serviceLatencyPriorMs);
+			return Math.min(maxLatencyFactor, ratio);
+		},
+	};
+};
+
+/** Latencies of a service, for which a daemon of a large deployment has too few requests at one runner. */
+export const createServiceLatencies = (): ServiceLatencies => ({
+	urgent: createServiceLatency(),
+	other: createServiceLatency(),
+});
+
 /**
  * Creates the load of an upstream without requests.
  *
  * @param serviceEventMs time between events at all runners of the service
+ * @param serviceLatencies latencies at all runners of the service
  */
 export const createUpstreamLoad = (
 	nowMs: () => number,
 	settings: loadSettings.LoadSettings,
 	serviceEventMs: decayingEstimate.DecayingEstimate,
+	serviceLatencies = createServiceLatencies(),
 ): UpstreamLoad => {
 	const local = emptyShare();
 	const peers = new Map<string, Report>();
 	const domains = new Map<string, Report>();
-	const latencyFactor = decayingEstimate.createDecayingEstimate({
-		initial: 1,
-		learningRate: latencyLearningRate,
-		halfLifeMs: latencyHalfLifeMs,
-	});
+	const createLatencyFactor = (service: ServiceLatency) =>
+		decayingEstimate.createDecayingEstimate({
+			initial: 1,
+			restingValue: service.factor,
+			learningRate: latencyLearningRate,
+			halfLifeMs: latencyHalfLifeMs,
+		});
+	const urgentLatencyFactor = createLatencyFactor(serviceLatencies.urgent);
+	const otherLatencyFactor = createLatencyFactor(serviceLatencies.other);
+	const latencyFactorOf = ({isUrgent}: workEstimate.WorkEstimate) =>
+		isUrgent ? urgentLatencyFactor : otherLatencyFactor;
+
 	const serviceMs = decayingEstimate.createDecayingEstimate({
 		initial: settings.initialServiceMs,
 		learningRate: serviceLearningRate,
@@ -212,7 +264,7 @@
 			Math.min(1, excessRequests / (slots * fullExcessShare)),
 		);
 		return (
-			(settings.baseFirstEventMs + readMs) * latencyFactor.value(nowMs()) +
+			(settings.baseFirstEventMs + readMs) * latencyFactorOf(work).value(nowMs()) +
 			fullness * settings.fullRunnerPenaltyMs
 		);
 	};
@@ -226,6 +278,8 @@
 		add(work, readTokens, predictedMs) {
 			const startedAtMs = nowMs();
 			const isModelWork = work.promptTokens > 0;
+			const latencyFactor = latencyFactorOf(work);
+			const unscaledMs = predictedMs / latencyFactor.value(startedAtMs);
 			let unreadTokens = readTokens;
 			let hasFirstEvent = false;
 			let lastEventAtMs = startedAtMs;
@@ -260,6 +314,8 @@
 						const ratio = (atMs - startedAtMs) / Math.max(predictedMs, 1);
 						const learned = latencyFactor.value(atMs);
 						latencyFactor.add(Math.min(maxLatencyFactor, ratio * learned), atMs);
+						const latency = work.isUrgent ? serviceLatencies.urgent : serviceLatencies.other;
+						latency.note(atMs - startedAtMs, unscaledMs, atMs);
 					} else {
 						serviceMs.add(atMs - startedAtMs, atMs);
 					}
--- a/packages/load/src/common/overload-comparison.ts
+++ b/packages/load/src/common/overload-comparison.ts
@@ -48,6 +48,8 @@
 		settings: loadSettings.LoadSettings,
 		next: () => number,
 	): loadShedding.LoadShedding;
+	/** Settings of the daemons, as far as they differ. */
+	settings?: Partial<loadSettings.LoadSettings>;
 	/** Runners read the prompt with the earliest deadline first. */
 	isByDeadline?: boolean;
 };
@@ -115,10 +117,10 @@
 const createDaemon = (
 	name: string,
 	{runners, settings: changed}: OverloadScenario,
-	{create}: SheddingPolicy,
+	policy: SheddingPolicy,
 	{clock, next}: {clock: manualClock.ManualClock; next: () => number},
 ) => {
-	const settings = loadSettings.loadSettingsSchema.parse(changed);
+	const settings = loadSettings.loadSettingsSchema.parse({...changed, ...policy.settings});
 	const registry = upstreamRegistry.createUpstreamRegistry(clock, () => 'north', {
 		unsettledMs: () => 0,
 	});
@@ -143,7 +145,7 @@
 		isEvacuated: () => false,
 		sender: {isSender: () => true},
 		random: next,
-		shedding: create?.(() => clock.nowMs(), settings, next),
+		shedding: policy.create?.(() => clock.nowMs(), settings, next),
 	});
 };
 
--- a/packages/load/src/common/overload-scenarios.ts
+++ b/packages/load/src/common/overload-scenarios.ts
@@ -107,7 +107,9 @@
 };
 
 export const policies: readonly overload.SheddingPolicy[] = [
-	{name: 'present limits', create: bounded(() => true)},
+	// Without the spread over runners, as before.
+	{name: 'former limits', create: bounded(() => true), settings: {loadReportAgeMs: 0}},
+	{name: 'limits, spread', create: bounded(() => true)},
 	{name: 'earliest deadline', create: bounded(() => true), isByDeadline: true},
 	{name: 'shares by work', create: createShares},
 	{
