--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -408,13 +408,27 @@
 		return waitsMs.reduce((sum, waitMs) => sum + Math.min(waitMs, mostMs), 0) / waitsMs.length;
 	};
 
+	/** Part of the requests at upstreams that other daemons sent. */
+	const otherShareOf = (all: readonly Scored[]): number => {
+		let requests = 0;
+		let otherRequests = 0;
+		for (const {upstream} of all) {
+			const load = loads.of(upstream.entry.id);
+			requests += load.requests();
+			otherRequests += load.otherRequests();
+		}
+
+		return otherRequests / Math.max(1, requests);
+	};
+
 	/**
-	 * Spreads requests over the runners that all daemons fill before the next reports of
+	 * Spreads requests over the runners that other daemons fill before the next reports of
 	 * loads, by the room of each. Otherwise, daemons with the same old reports would all
 	 * choose the one that was empty, and their requests would miss their targets there.
 	 */
 	const spreadCosts = (all: readonly Scored[], meanWaitMs: number) => {
-		const growthMs = Math.min(meanWaitMs, settings.loadReportAgeMs);
+		const growthMs =
+			meanWaitMs > 0 ? Math.min(meanWaitMs, settings.loadReportAgeMs) * otherShareOf(all) : 0;
 		const levelMs = meanWaitMs + growthMs;
 		for (const scored of all) {
 			const roomMs = levelMs - waitOf(scored);
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -30,6 +30,24 @@
 			hasStarted: boolean;
 			/** Prompt part that is quarantined. */
 			part?: string;
+			/** 0 is the most urgent. */
+			rank: number;
+			/** Inputs of a refusal because of overload in this region. */
+			shedding?: {
+				/** `deadline` and `goal`: too late for these; `share`: other requests are worth more. */
+				cause: 'deadline' | 'goal' | 'share';
+				/** Wait relative to what the goal leaves for it. */
+				pressure: number;
+				/** Share of such requests that is admitted. */
+				admittedShare: number;
+				/** Time of an upstream that the request needs. */
+				workMs: number;
+				/** Time in which the upstreams of the service read what waits. */
+				queuedMs: number;
+				/** Requests at the upstreams of the service, and their slots. */
+				requests: number;
+				slots: number;
+			};
 			configVersion: number;
 			upstreamRevision: number;
 	  }
--- a/packages/gateway/src/common/load-settings.ts
+++ b/packages/gateway/src/common/load-settings.ts
@@ -32,11 +32,14 @@
 	/** Requests are refused when their first event is expected later than this multiple of the goal. */
 	admissionGoalFactor: setting.number(1.2, 0.1, 100),
 	/**
-	 * Share of the time that the goal leaves for waiting from which requests are shed. Within
-	 * the age of load reports, the queue grows by up to half of usual goals in a burst.
+	 * Share of the time that the goal leaves for waiting from which requests are shed, up to
+	 * {@link admissionGoalFactor}. Below 1, since the queue grows until its load is reported.
+	 */
+	sheddingStartShare: setting.share(0.8),
+	/**
+	 * Least share of a kind of requests that is admitted while its goal can be met, so that none
+	 * starves: a quarter of the others' share if these are served at four fifths.
 	 */
-	sheddingStartShare: setting.share(0.5),
-	/** Least share of a kind of requests that is admitted for as long as its first events are expected in time; none starves. */
 	sheddingMinAdmittedShare: setting.share(0.2),
 	/** Initial estimate of the time between two events of a stream. */
 	initialEventMs: setting.number(45, 0, 10_000),
--- a/packages/gateway/src/common/load-shedding.ts
+++ b/packages/gateway/src/common/load-shedding.ts
@@ -102,7 +102,7 @@
 
 /** Wait relative to the time that the target leaves for it; prompts that take most of the target to read get half. */
 const pressureAt = (waitMs: number, {readMs, goalMs}: Pick<Kind, 'readMs' | 'goalMs'>): number =>
-	waitMs / Math.max(goalMs - readMs, goalMs / 2);
+	waitMs / Math.max(goalMs - readMs, goalMs / 2, 1);
 
 /** Creates the decision without any known kinds. */
 export const createLoadShedding = (
@@ -184,7 +184,7 @@
 		}
 
 		const others = before + after;
-		const range = 1 - settings.sheddingStartShare;
+		const range = settings.admissionGoalFactor - settings.sheddingStartShare;
 		const width = Math.max(minWidth, others === 0 ? range : range / 2);
 		const start =
 			settings.sheddingStartShare + (others === 0 ? 0 : (after / others) * (range - width));
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -191,7 +191,7 @@
 			reason === 'paused' ? Number.POSITIVE_INFINITY : remainingMs() * maxRetryAfterShare;
 		const waitMs = Math.max(minRetryAfterMs, Math.min(retryAfterMs, longestMs));
 		const status = hasStarted || mayHaveRun ? 502 : 503;
-		requestLog.refused({reason, status, hasStarted, ...services.versions()}, waitMs, basis);
+		requestLog.refused({reason, status, hasStarted, rank, ...services.versions()}, waitMs, basis);
 		failWith(status, reason, status === 503 ? waitMs : undefined);
 	};
 
@@ -203,7 +203,7 @@
 		}
 
 		const status = hasStarted || mayHaveRun ? 502 : 503;
-		const decision = {reason: quarantinedReason, status, hasStarted, part: found.partId};
+		const decision = {reason: quarantinedReason, status, hasStarted, rank, part: found.partId};
 		requestLog.refused({...decision, ...services.versions()}, found.remainingMs, undefined);
 		failWith(status, quarantinedReason, status === 503 ? found.remainingMs : undefined);
 		return true;
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -5,6 +5,7 @@
 import type * as dispatcher from './dispatcher.js';
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
+import type * as loadShedding from './load-shedding.js';
 
 /** State of the request that is logged with an event. */
 export type RequestState = {
@@ -38,7 +39,7 @@
 	refused(
 		refusal: Pick<
 			gatewayEvent.RequestEvent & {kind: 'request-refused'},
-			'reason' | 'status' | 'hasStarted' | 'part' | 'configVersion' | 'upstreamRevision'
+			'reason' | 'status' | 'hasStarted' | 'part' | 'rank' | 'configVersion' | 'upstreamRevision'
 		>,
 		retryAfterMs: number,
 		basis: dispatcher.ChoiceBasis | undefined,
@@ -54,6 +55,15 @@
 
 const logged = (id: string): string => id.slice(0, maxLoggedIdLength);
 
+const loggedShedding = (basis: loadShedding.SheddingBasis | undefined) =>
+	basis && {
+		...basis,
+		pressure: Number(basis.pressure.toFixed(2)),
+		admittedShare: Number(basis.admittedShare.toFixed(2)),
+		workMs: Math.round(basis.workMs),
+		queuedMs: Math.round(basis.queuedMs),
+	};
+
 /** Creates the log of a request. */
 export const createRequestLog = (
 	time: clock.Clock,
@@ -152,6 +162,7 @@
 				retryAfterMs: Math.round(retryAfterMs),
 				expectedMs: Math.round(basis?.expectedMs ?? -1),
 				candidates: basis?.candidates ?? 0,
+				shedding: loggedShedding(basis?.shedding),
 				remainingMs: remainingMs(),
 			});
 		},
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -42,6 +42,8 @@
 	ofRegion(): LoadShare;
 	/** Requests of all daemons. */
 	requests(): number;
+	/** Requests of the other daemons. */
+	otherRequests(): number;
 	/** Expected time to the first event, or to the answer of a plain service. */
 	predictMs(
 		work: workEstimate.WorkEstimate,
@@ -350,6 +352,7 @@
 		ofLocalDomain,
 		ofRegion: total,
 		requests: () => total().requests,
+		otherRequests: () => reported().peers.requests + reported().domains.requests,
 		predictMs(work, readTokens, {slots, engine}) {
 			return engine
 				? predictRunner(work, readTokens, slots, engine.memoryTokens)
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -15,6 +15,18 @@
 const maxServiceLabels = 200;
 /** Label of further services. */
 const otherServices = 'other';
+/** Reasons of refusals that are counted apart; the others are failures of an upstream, in its words. */
+const countedReasons: ReadonlySet<string> = new Set([
+	'overloaded',
+	'no-upstream',
+	'paused',
+	'deadline',
+	'quarantined-prompt',
+]);
+const otherReasons = 'failure';
+/** Ranks that are counted apart; the configuration may name any number. */
+const countedRanks: ReadonlySet<number> = new Set([0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
+const otherRanks = 'other';
 const standardOutput = 1;
 const latencyBucketsMs = [10, 25, 50, 100, 200, 300, 500, 800, 1000, 2000, 4000, 8000, 16_000];
 
@@ -72,6 +84,12 @@
 		'Attempts that did not answer the caller, by step, and whether for the silence of the peer',
 		['step', 'stalled', 'next'],
 	);
+	const refusals = metrics.createCounter(
+		registry,
+		'hawthornfront_refused_requests_total',
+		'Requests that were refused, by reason, cause of a refusal for overload, and rank',
+		['reason', 'cause', 'rank'],
+	);
 	const firstMs = metrics.createHistogram(
 		registry,
 		'hawthornfront_first_event_ms',
@@ -144,6 +162,14 @@
 				}
 			}
 
+			if (event.kind === 'request-refused') {
+				refusals.inc({
+					reason: countedReasons.has(event.reason) ? event.reason : otherReasons,
+					cause: event.shedding?.cause ?? '',
+					rank: countedRanks.has(event.rank) ? String(event.rank) : otherRanks,
+				});
+			}
+
 			if (event.kind === 'request-attempt-failed') {
 				const stalled = event.stallLimitMs === undefined ? 'no' : 'yes';
 				failedAttempts.inc({step: event.step, stalled, next: event.next});
