--- a/packages/gateway/src/common/dispatcher.ts
+++ b/packages/gateway/src/common/dispatcher.ts
@@ -164,6 +164,8 @@
 const typicalOutputTokens = 300;
 /** A wait counts in the mean of a service up to this multiple of the median. */
 const maxWaitOverMedian = 3;
+/** Limit of the growth of a queue between reports, relative to its wait. */
+const growthFactor = 3;
 /** Advantage in cost, relative to the growth of the queue between reports, that counts e-fold against more room. */
 const spreadShare = 0.25;
 /** Fewest shared tokens that are worth a copy. */
@@ -176,6 +178,8 @@
 	/** Expected time from the first event to the last. */
 	streamingMs: number;
 	readTokens: number;
+	/** Part of the expected time in which the upstream reads the prompt. */
+	readMs: number;
 	costMs: number;
 };
 
@@ -363,6 +367,7 @@
 			expectedMs,
 			streamingMs,
 			readTokens,
+			readMs: service.engine ? load.predictReadMs(work, readTokens) : 0,
 			costMs,
 		};
 	};
@@ -393,8 +398,7 @@
 			);
 	};
 
-	const waitOf = ({expectedMs, readTokens}: Scored) =>
-		expectedMs - settings.baseFirstEventMs - readTokens / settings.prefillTokensPerMs;
+	const waitOf = ({expectedMs, readMs}: Scored) => Math.max(0, expectedMs - readMs);
 
 	/** Mean wait at runners before they read a prompt, in which few slow ones count little; 0 for plain services. */
 	const meanWaitOf = (all: readonly Scored[], {engine}: routeConfig.Service): number => {
@@ -402,7 +406,7 @@
 			return 0;
 		}
 
-		const waitsMs = all.map((scored) => Math.max(0, waitOf(scored)));
+		const waitsMs = all.map((scored) => waitOf(scored));
 		waitsMs.sort((a, b) => a - b);
 		const mostMs = waitsMs[Math.floor((waitsMs.length - 1) / 2)]! * maxWaitOverMedian;
 		return waitsMs.reduce((sum, waitMs) => sum + Math.min(waitMs, mostMs), 0) / waitsMs.length;
@@ -427,8 +431,9 @@
 	 * choose the one that was empty, and their requests would miss their targets there.
 	 */
 	const spreadCosts = (all: readonly Scored[], meanWaitMs: number) => {
-		const growthMs =
-			meanWaitMs > 0 ? Math.min(meanWaitMs, settings.loadReportAgeMs) * otherShareOf(all) : 0;
+		// Runners that hardly wait are not overloaded, and requests stay where their prompts are cached.
+		const mostMs = Math.min(meanWaitMs * growthFactor, settings.loadReportAgeMs);
+		const growthMs = mostMs > 0 ? mostMs * otherShareOf(all) : 0;
 		const levelMs = meanWaitMs + growthMs;
 		for (const scored of all) {
 			const roomMs = levelMs - waitOf(scored);
@@ -591,8 +596,7 @@
 		meanWaitMs: number,
 	): loadShedding.SheddingDecision => {
 		const {service, route, work, rank, remainingMs} = request;
-		const {expectedMs, streamingMs} = best;
-		const readMs = best.readTokens / settings.prefillTokensPerMs;
+		const {expectedMs, streamingMs, readMs} = best;
 		const isAdmitted = request.triedUpstreams.size > 0;
 		return shedding.decide(
 			{
@@ -606,9 +610,12 @@
 				meanExpectedMs: expectedMs + (isAdmitted ? 0 : Math.max(0, meanWaitMs - waitOf(best))),
 				streamingMs,
 				readMs,
-				workMs: readMs + streamingMs / slotsOf(best.upstream, service),
+				workMs:
+					best.readTokens / settings.prefillTokensPerMs +
+					streamingMs / slotsOf(best.upstream, service),
 				// Plain requests are short, so only their deadline limits them.
 				goalMs: service.engine ? route.goalMs : Number.POSITIVE_INFINITY,
+				timeoutMs: route.timeoutMs,
 				remainingMs,
 			},
 			() => serviceLoadOf(service),
--- a/packages/gateway/src/common/load-settings.ts
+++ b/packages/gateway/src/common/load-settings.ts
@@ -17,8 +17,8 @@
 	failurePenaltyMs: setting.number(3000, 0, 60_000),
 	/** Older reports of peers are ignored. */
 	peerLoadMaxAgeMs: setting.number(1500, 100, 60_000),
-	/** Mean age of the loads that other daemons report: they are sent every 250 ms and arrive one interval late. */
-	loadReportAgeMs: setting.number(400, 0, 60_000),
+	/** Greatest age of the loads that other daemons report: they are sent every 250 ms and arrive up to one interval late. */
+	loadReportAgeMs: setting.number(500, 0, 60_000),
 	/** Minimum advantage in expected time of another failure domain, since traffic between domains has a cost. */
 	otherDomainMarginMs: setting.number(15, 0, 10_000),
 	/** Minimum advantage in expected time of another region, since traffic between regions costs more. */
@@ -33,14 +33,12 @@
 	admissionGoalFactor: setting.number(1.2, 0.1, 100),
 	/**
 	 * Share of the time that the goal leaves for waiting from which requests are shed, up to
-	 * {@link admissionGoalFactor}. Below 1, since the queue grows until its load is reported.
+	 * {@link admissionGoalFactor}. At twice the capacity, the queue grows by the rest of usual
+	 * goals before its load is reported.
 	 */
-	sheddingStartShare: setting.share(0.8),
-	/**
-	 * Least share of a kind of requests that is admitted while its goal can be met, so that none
-	 * starves: a quarter of the others' share if these are served at four fifths.
-	 */
-	sheddingMinAdmittedShare: setting.share(0.2),
+	sheddingStartShare: setting.share(0.65),
+	/** Least share of a kind's callers that is served, relative to those of all kinds, so that none starves. */
+	sheddingMinServedShare: setting.share(0.3),
 	/** Initial estimate of the time between two events of a stream. */
 	initialEventMs: setting.number(45, 0, 10_000),
 	/** Time for which a prompt part that was read is expected to stay cached. */
--- a/packages/gateway/src/common/load-shedding.ts
+++ b/packages/gateway/src/common/load-shedding.ts
@@ -3,6 +3,7 @@
  * cannot serve all of them in time: first those of less urgent ranks, then those that
  * need the most work, and any that could only be answered too late.
  */
+import * as decayingRate from '@hawthornfront/decisions/common/decaying-rate.js';
 import * as lruCache from 'lru-cache';
 import type * as loadSettings from './load-settings.js';
 
@@ -27,7 +28,8 @@
 	workMs: number;
 	/** Target of the first event; infinite for work whose target sets no limit. */
 	goalMs: number;
-	/** Time left until the deadline. */
+	/** Time limit of the route, and the time left until the deadline. */
+	timeoutMs: number;
 	remainingMs: number;
 };
 
@@ -65,6 +67,13 @@
 	readonly size: number;
 };
 
+/** Share of callers that are served in the end, however often they return. */
+type ServedShare = {
+	noteArrival(nowMs: number): void;
+	noteAdmitted(nowMs: number): void;
+	value(nowMs: number): number;
+};
+
 /** Requests of a route with one rank. */
 type Kind = {
 	rank: number;
@@ -73,11 +82,14 @@
 	readMs: number;
 	workMs: number;
 	pressure: number;
-	/** Mean share that was admitted. */
+	/** Mean share of its requests, with those of callers that return, that was admitted. */
 	admittedShare: number;
+	served: ServedShare;
 	atMs: number;
 };
 
+type ServiceState = {kinds: lruCache.LRUCache<string, Kind>; served: ServedShare};
+
 /** Weight of the newest request in the means of its kind. */
 const learningRate = 0.1;
 /** A kind without requests for this long does not compete; a daemon of many gets one of each in about a second. */
@@ -96,6 +108,28 @@
 /** Shortest time over which callers spread their retries; loads are reported as often. */
 const minDrainMs = 250;
 
+/** Time over which the served share of a kind is measured, and the rate of served requests that is assumed in addition. */
+const servedWindowMs = 10_000;
+const servedPriorPerS = 0.2;
+/** A request with less of its time left is taken for one of a caller that returns. */
+const firstTryShare = 0.95;
+
+const createServedShare = (): ServedShare => {
+	const arrivals = decayingRate.createDecayingRate(servedWindowMs);
+	const admissions = decayingRate.createDecayingRate(servedWindowMs);
+	return {
+		noteArrival(nowMs) {
+			arrivals.add(1, nowMs);
+		},
+		noteAdmitted(nowMs) {
+			admissions.add(1, nowMs);
+		},
+		value: (nowMs) =>
+			(admissions.perSecond(nowMs) + servedPriorPerS) /
+			(arrivals.perSecond(nowMs) + servedPriorPerS),
+	};
+};
+
 const mean = (old: number, sample: number) => old + learningRate * (sample - old);
 
 const waitOf = ({meanExpectedMs, readMs}: SheddingRequest) => meanExpectedMs - readMs;
@@ -110,37 +144,45 @@
 	settings: loadSettings.LoadSettings,
 	random: () => number,
 ): LoadShedding => {
-	const services = new lruCache.LRUCache<string, lruCache.LRUCache<string, Kind>>({
-		max: maxServices,
-	});
-
-	const kindsOf = (service: string) => {
-		let kinds = services.get(service);
-		if (!kinds) {
-			kinds = new lruCache.LRUCache({max: maxKinds});
-			services.set(service, kinds);
+	const services = new lruCache.LRUCache<string, ServiceState>({max: maxServices});
+
+	const stateOf = (service: string): ServiceState => {
+		let state = services.get(service);
+		if (!state) {
+			state = {kinds: new lruCache.LRUCache({max: maxKinds}), served: createServedShare()};
+			services.set(service, state);
 		}
 
-		return kinds;
+		return state;
 	};
 
 	/** Counts the request for its kind, whose mean work keeps large requests from being refused more often. */
-	const noteKind = (kinds: lruCache.LRUCache<string, Kind>, request: SheddingRequest): Kind => {
-		const {route, rank, isUrgent, goalMs} = request;
+	const noteKind = ({kinds, served}: ServiceState, request: SheddingRequest): Kind => {
+		const {route, rank, isUrgent, goalMs, readMs, workMs} = request;
 		const key = `${rank} ${route}`;
-		const known = kinds.get(key);
-		const readMs = mean(known?.readMs ?? request.readMs, request.readMs);
-		const kind: Kind = {
+		const kind: Kind = kinds.get(key) ?? {
 			rank,
 			isUrgent,
 			goalMs,
 			readMs,
-			workMs: mean(known?.workMs ?? request.workMs, request.workMs),
-			pressure: pressureAt(waitOf(request), {readMs, goalMs}),
-			admittedShare: known?.admittedShare ?? 1,
-			atMs: nowMs(),
+			workMs,
+			pressure: 0,
+			admittedShare: 1,
+			served: createServedShare(),
+			atMs: 0,
 		};
+		kind.isUrgent = isUrgent;
+		kind.goalMs = goalMs;
+		kind.readMs = mean(kind.readMs, readMs);
+		kind.workMs = mean(kind.workMs, workMs);
+		kind.pressure = pressureAt(waitOf(request), kind);
+		kind.atMs = nowMs();
 		kinds.set(key, kind);
+		if (request.remainingMs >= request.timeoutMs * firstTryShare) {
+			kind.served.noteArrival(nowMs());
+			served.noteArrival(nowMs());
+		}
+
 		return kind;
 	};
 
@@ -158,13 +200,15 @@
 
 	/** Share of a kind that is admitted: kinds that others precede give way before those are refused. */
 	const admittedShareOf = (
-		kinds: lruCache.LRUCache<string, Kind>,
+		{kinds, served}: ServiceState,
 		own: Kind,
-		waitMs: number,
-	): {pressure: number; admittedShare: number} => {
+		request: SheddingRequest,
+	): {pressure: number; admittedShare: number; isPastGoal: boolean} => {
+		const waitMs = waitOf(request);
 		const oldestMs = nowMs() - kindMemoryMs;
+		const ownServed = own.served.value(nowMs());
 		let {pressure} = own;
-		let mostAdmitted = 1;
+		let mostShare = 1;
 		let before = 0;
 		let after = 0;
 		for (const kind of kinds.values()) {
@@ -175,8 +219,8 @@
 			if (precedes(kind, own)) {
 				before++;
 				pressure = Math.max(pressure, pressureOf(kind, waitMs, own.isUrgent));
-				if (kind.rank < own.rank) {
-					mostAdmitted = Math.min(mostAdmitted, kind.admittedShare);
+				if (kind.rank < own.rank && kind.served.value(nowMs()) <= ownServed) {
+					mostShare = Math.min(mostShare, kind.admittedShare / 2);
 				}
 			} else if (precedes(own, kind)) {
 				after++;
@@ -188,49 +232,53 @@
 		const width = Math.max(minWidth, others === 0 ? range : range / 2);
 		const start =
 			settings.sheddingStartShare + (others === 0 ? 0 : (after / others) * (range - width));
-		const refusedShare = Math.max(0, Math.min(1, (pressure - start) / width));
-		const share = 1 - refusedShare * (1 - settings.sheddingMinAdmittedShare);
-		return {pressure, admittedShare: Math.min(share, mostAdmitted)};
-	};
-
-	const causeOf = (
-		request: SheddingRequest,
-		own: Kind,
-		admittedShare: number,
-	): SheddingCause | undefined => {
-		const {isAdmitted, expectedMs, streamingMs, goalMs, remainingMs} = request;
-		const isLate = expectedMs > remainingMs * settings.admissionShare;
-		if (isLate || expectedMs + streamingMs > remainingMs) {
-			return 'deadline';
-		}
-
 		// With the mean work of its kind, since large requests would be refused far more often otherwise.
-		const isPastGoal = waitOf(request) + own.readMs > goalMs * settings.admissionGoalFactor;
-		own.admittedShare = mean(own.admittedShare, isPastGoal ? 0 : admittedShare);
-		if (isPastGoal) {
-			return 'goal';
+		const isPastGoal = waitMs + own.readMs > own.goalMs * settings.admissionGoalFactor;
+		const keptShare = isPastGoal ? 0 : Math.min(1, 1 - (pressure - start) / width);
+		if (keptShare === 1) {
+			return {pressure, admittedShare: 1, isPastGoal};
 		}
 
-		const isShed = !isAdmitted && admittedShare < 1 && random() >= admittedShare;
-		return isShed ? 'share' : undefined;
+		const leastServed = served.value(nowMs()) * settings.sheddingMinServedShare;
+		const leastShare = ownServed < leastServed ? leastServed : 0;
+		const admittedShare = Math.min(mostShare, Math.max(leastShare, keptShare));
+		return {pressure, admittedShare, isPastGoal};
+	};
+
+	const isPastDeadline = ({expectedMs, streamingMs, remainingMs}: SheddingRequest) =>
+		expectedMs > remainingMs * settings.admissionShare || expectedMs + streamingMs > remainingMs;
+
+	const admit = (state: ServiceState, own: Kind): SheddingDecision => {
+		own.served.noteAdmitted(nowMs());
+		state.served.noteAdmitted(nowMs());
+		return {kind: 'admit'};
 	};
 
 	return {
 		decide(request, load) {
-			const kinds = kindsOf(request.service);
-			const own = noteKind(kinds, request);
-			const waitMs = waitOf(request);
-			const {pressure, admittedShare} = admittedShareOf(kinds, own, waitMs);
-			const cause = causeOf(request, own, admittedShare);
+			const state = stateOf(request.service);
+			const own = noteKind(state, request);
+			const {pressure, admittedShare, isPastGoal} = admittedShareOf(state, own, request);
+			let cause: SheddingCause | undefined;
+			if (isPastDeadline(request)) {
+				cause = 'deadline';
+			} else {
+				own.admittedShare = mean(own.admittedShare, admittedShare);
+				const isShed = admittedShare < 1 && random() >= admittedShare;
+				if (isPastGoal || !request.isAdmitted) {
+					cause = isShed ? (isPastGoal ? 'goal' : 'share') : undefined;
+				}
+			}
+
 			if (!cause) {
-				return {kind: 'admit'};
+				return admit(state, own);
 			}
 
 			const {requests, slots, queuedMs} = load();
 			const isIdle = requests < slots * idleSlotShare && queuedMs < settings.baseFirstEventMs;
 			// A refusal without a queue would only repeat itself at the next try.
 			if (isIdle && cause !== 'deadline') {
-				return {kind: 'admit'};
+				return admit(state, own);
 			}
 
 			const lateMs = Math.max(
@@ -253,7 +301,7 @@
 			};
 		},
 		get size() {
-			return [...services.values()].reduce((sum, kinds) => sum + kinds.size, 0);
+			return [...services.values()].reduce((sum, {kinds}) => sum + kinds.size, 0);
 		},
 	};
 };
--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -50,6 +50,8 @@
 		readTokens: number,
 		limits: {slots: number; engine?: {memoryTokens: number}},
 	): number;
+	/** Part of the expected time to the first event that a runner without other work would take. */
+	predictReadMs(work: workEstimate.WorkEstimate, readTokens: number): number;
 	/** Expected time from the first event of a stream to its last. */
 	predictStreamingMs(
 		work: workEstimate.WorkEstimate,
@@ -358,6 +360,9 @@
 				? predictRunner(work, readTokens, slots, engine.memoryTokens)
 				: predictService(slots);
 		},
+		predictReadMs: (work, readTokens) =>
+			(settings.baseFirstEventMs + readTokens / settings.prefillTokensPerMs) *
+			latencyFactorOf(work).value(nowMs()),
 		predictStreamingMs(work, engine) {
 			if (!engine) {
 				return 0;
--- a/packages/gateway/src/test/load-shedding.test.ts
+++ b/packages/gateway/src/test/load-shedding.test.ts
@@ -17,6 +17,7 @@
 	readMs: 200,
 	workMs: 220,
 	goalMs: 1200,
+	timeoutMs: 12_000,
 	remainingMs: 12_000,
 };
 const short: loadShedding.SheddingRequest = {
@@ -25,6 +26,7 @@
 	readMs: 40,
 	workMs: 50,
 	goalMs: 1500,
+	timeoutMs: 3000,
 	remainingMs: 3000,
 };
 const busy: loadShedding.ServiceLoad = {requests: 60, slots: 64, queuedMs: 900};
