--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -546,6 +546,7 @@
 		team,
 		service,
 		work,
+		rank,
 		remainingMs: remainingMs(),
 		triedUpstreams,
 		failedUpstreams,
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -5,6 +5,7 @@
 import type * as dispatcher from './dispatcher.js';
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
+import type * as loadShedding from './load-shedding.js';
 import * as routeConfig from './route-config.js';
 import type * as wireFormat from './wire-format.js';
 
@@ -59,6 +60,15 @@
 /** Id of a request in log lines. */
 export const loggedId = (facts: wireFormat.RequestFacts): string => logged(facts.attemptId ?? '');
 
+const loggedShedding = (basis: loadShedding.SheddingBasis | undefined) =>
+	basis && {
+		...basis,
+		pressure: Number(basis.pressure.toFixed(2)),
+		admittedShare: Number(basis.admittedShare.toFixed(2)),
+		workMs: Math.round(basis.workMs),
+		queuedMs: Math.round(basis.queuedMs),
+	};
+
 /** Creates the log of a request. */
 export const createRequestLog = (
 	time: clock.Clock,
@@ -158,6 +168,7 @@
 				retryAfterMs: Math.round(retryAfterMs),
 				expectedMs: Math.round(basis?.expectedMs ?? -1),
 				candidates: basis?.candidates ?? 0,
+				shedding: loggedShedding(basis?.shedding),
 				remainingMs: remainingMs(),
 				rank: routeConfig.rankOf(request),
 			});
