--- a/packages/gateway/src/common/team-quota.ts
+++ b/packages/gateway/src/common/team-quota.ts
@@ -211,7 +211,8 @@
 			return {
 				share,
 				level: Math.min(burst * share, level + (perS * share * sinceMs) / 1000 - used),
-				requestedPerS: Math.max(reported!.demandPerS, localPerS),
+				// The longer mean is steadier where requests are few, the shorter one sees growth.
+				requestedPerS: Math.max(reported!.demandPerS, reported!.requestedPerS, localPerS),
 				localPerS,
 			};
 		}
