--- a/packages/gateway/src/common/budget-sharers.ts
+++ b/packages/gateway/src/common/budget-sharers.ts
@@ -8,13 +8,21 @@
 
 export type BudgetSharers = {
 	/** Applies a change of the fleet. */
-	noteMember(change: Pick<fleetView.MemberChange, 'kind'> & {member: {name: string}}): void;
+	noteMember(
+		change: Pick<fleetView.MemberChange, 'kind'> & {
+			member: {name: string; failureDomain: string};
+		},
+	): void;
 	/** Notes that the store answered this daemon, or a peer that it hears: other members become known. */
 	noteStoreReached(): void;
 	/** Daemons including this one; infinite in the first window after the start, and while the others cannot be known. */
 	count(): number;
+	/** The other daemons that count. */
+	members(): Sharer[];
 };
 
+export type Sharer = {name: string; failureDomain: string};
+
 /** A lost member counts for this long, which exceeds the usual cuts between regions. */
 const lostMemberMs = 600_000;
 /** Time in which all members become known once the store was reached. */
@@ -31,9 +39,18 @@
 	const startedAtMs = nowMs();
 	let storeReachedAtMs = Number.POSITIVE_INFINITY;
 	/** Until when each other member counts. */
-	const countedUntilMs = new Map<string, number>();
+	const countedUntilMs = new Map<string, {failureDomain: string; untilMs: number}>();
+
+	const forgetOld = () => {
+		for (const [name, {untilMs}] of countedUntilMs) {
+			if (untilMs <= nowMs()) {
+				countedUntilMs.delete(name);
+			}
+		}
+	};
+
 	return {
-		noteMember({kind, member: {name}}) {
+		noteMember({kind, member: {name, failureDomain}}) {
 			const keptMs = {
 				joined: Number.POSITIVE_INFINITY,
 				restarted: Number.POSITIVE_INFINITY,
@@ -41,7 +58,7 @@
 				lost: lostMemberMs,
 			}[kind];
 			if (countedUntilMs.has(name) || countedUntilMs.size < maxSharers) {
-				countedUntilMs.set(name, nowMs() + keptMs);
+				countedUntilMs.set(name, {failureDomain, untilMs: nowMs() + keptMs});
 			}
 		},
 		noteStoreReached() {
@@ -52,13 +69,12 @@
 				return Number.POSITIVE_INFINITY;
 			}
 
-			for (const [name, untilMs] of countedUntilMs) {
-				if (untilMs <= nowMs()) {
-					countedUntilMs.delete(name);
-				}
-			}
-
+			forgetOld();
 			return 1 + countedUntilMs.size;
 		},
+		members() {
+			forgetOld();
+			return [...countedUntilMs].map(([name, {failureDomain}]) => ({name, failureDomain}));
+		},
 	};
 };
--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -3,6 +3,7 @@
  * docs/OPERATIONS.md explains each kind.
  */
 
+import type * as teamQuota from './team-quota.js';
 import type * as wireFormat from './wire-format.js';
 
 /** Why a request is not sent again after an attempt. */
@@ -163,6 +164,8 @@
 	| {kind: 'stopped'; inFlight: number; reason: string}
 	/** The planned stop failed or did not finish; the process exits. */
 	| {kind: 'stop-failed'; detail: string}
+	/** Requests of a team that its quota refused since the last line, with the inputs of the last moment. */
+	| ({kind: 'quota-refused'} & teamQuota.QuotaRefusals)
 	| {kind: 'readiness'; isReady: boolean; reason: string}
 	| {
 			kind: 'config-in-force';
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -9,6 +9,7 @@
 import * as zod from 'zod';
 import * as promptCacheView from './prompt-cache-view.js';
 import type * as promptQuarantine from './prompt-quarantine.js';
+import * as teamUsage from './team-usage.js';
 import type * as upstreamLoad from './upstream-load.js';
 import type * as upstreamRateLimits from './upstream-rate-limits.js';
 import * as storePosition from './store-position.js';
@@ -77,6 +78,8 @@
 const beliefNumberSchema = zod.union([zod.literal(0), zod.literal(1), zod.literal(2)]);
 /** Unit of the ages of heartbeats, coarse so that they take one byte. */
 const heartbeatUnitMs = 50;
+/** Shares are sent in thousandths. */
+const shareUnits = 1000;
 
 const messageSchema = zod.tuple([
 	zod.literal(messageVersion),
@@ -125,6 +128,14 @@
 	),
 	/** Ids of members whose records the sender lacks. */
 	zod.array(zod.number()),
+	/** Mean age, thousandths of the daemons that were not heard, then team, requested and admitted amounts a second, thousandths of its quota that are reserved for silent daemons; null: no update. */
+	zod
+		.tuple([
+			zod.number(),
+			zod.number(),
+			zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()])),
+		])
+		.nullable(),
 ]);
 
 export type GossipMessage = {
@@ -158,6 +169,12 @@
 	warmth: upstreamWarmth.WarmthReport[];
 	/** Ids of members whose records the sender lacks and asks for. */
 	wantedMembers: number[];
+	/**
+	 * Use of teams: that of the sender in messages to the relays of its failure domain, that of
+	 * all daemons in messages of a relay to its failure domain, that of its failure domain in
+	 * messages to other domains. Undefined: the last report still applies.
+	 */
+	teamUse?: teamUsage.UseReport;
 };
 
 export type Heartbeat = {memberId: number; ageMs: number};
@@ -261,8 +278,38 @@
 			evidence,
 		]),
 		message.wantedMembers,
+		message.teamUse
+			? [
+					Math.round(message.teamUse.ageMs),
+					Math.round(message.teamUse.unheardShare * shareUnits),
+					message.teamUse.uses.map((use) => [
+						use.team,
+						Math.round(use.requestedPerS),
+						Math.round(use.admittedPerS),
+						Math.round(use.silentShare * shareUnits),
+					]),
+				]
+			: null,
 	]);
 
+const unpackShare = (units: number): number => Math.min(1, Math.max(0, units / shareUnits));
+
+const unpackTeamUse = ([ageMs, unheardShare, uses]: NonNullable<
+	zod.infer<typeof messageSchema>[12]
+>): teamUsage.UseReport => ({
+	ageMs: Math.max(0, ageMs),
+	unheardShare: unpackShare(unheardShare),
+	uses: uses
+		.filter(([team]) => isName(team))
+		.slice(0, teamUsage.maxTeamsPerReport)
+		.map(([team, requestedPerS, admittedPerS, silentShare]) => ({
+			team: own(team),
+			requestedPerS: Math.max(0, requestedPerS),
+			admittedPerS,
+			silentShare: unpackShare(silentShare),
+		})),
+});
+
 /** Unpacks a datagram. @throws Error for bytes that are no message of this version */
 export const decodeGossip = (bytes: Uint8Array): GossipMessage => {
 	const [
@@ -278,6 +325,7 @@
 		rateLimits,
 		warmth,
 		wantedMembers,
+		teamUse,
 	] = messageSchema.parse(msgpackr.unpack(bytes));
 	return {
 		sender: unpackMember(sender),
@@ -337,5 +385,6 @@
 			evidence,
 		})),
 		wantedMembers,
+		teamUse: teamUse ? unpackTeamUse(teamUse) : undefined,
 	};
 };
--- a/packages/gateway/src/common/platform-values.ts
+++ b/packages/gateway/src/common/platform-values.ts
@@ -32,6 +32,11 @@
 		extraPerWindow: {initial: 54, minimum: 0, maximum: 1_000_000},
 		windowS: {initial: 10, minimum: 0.1, maximum: 600},
 	},
+	quotas: {
+		windowS: {initial: 8, minimum: 0.1, maximum: 600},
+		excessShare: {initial: 0.1, minimum: 0, maximum: 10},
+		slack: {initial: 0, minimum: 0, maximum: 1_000_000_000_000},
+	},
 	directory: {
 		timeToLiveS: {initial: 2, minimum: 0.1, maximum: 60},
 	},
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -52,10 +52,13 @@
 	handle(
 		request: gatewayRequest.GatewayRequest,
 		reply: upstreamTransport.CallerReply,
-		onEnd: () => void,
+		onEnd: OnEnd,
 	): RequestExecution;
 };
 
+/** @param mayHaveRun whether an upstream may have begun to run the request */
+export type OnEnd = (mayHaveRun: boolean) => void;
+
 /** A request with less time left is not sent. */
 const minUsefulMs = 15;
 /** A request waits for an upstream for this share of its goal before it is refused. */
@@ -93,7 +96,7 @@
 	services: EngineServices & Required<Pick<EngineServices, 'buffers'>>,
 	request: gatewayRequest.GatewayRequest,
 	reply: upstreamTransport.CallerReply,
-	onEnd: () => void,
+	onEnd: OnEnd,
 ): RequestExecution => {
 	const {clock, wire} = services;
 	const {route, team, facts, service} = request;
@@ -155,7 +158,7 @@
 		timers.clear();
 		resources.dispose();
 		requestLog.ended({outcome, status, reason}, firstMs);
-		onEnd();
+		onEnd(outcome !== 'not-run' && sends > 0);
 	};
 
 	/** Ends a request that has no answer from an upstream. */
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -130,6 +130,8 @@
 	/** Team of a key; undefined for an unknown key. */
 	teamOf(keyDigest: string): Team | undefined;
 	team(name: string): Team | undefined;
+	/** Whether any team has a quota. */
+	readonly hasQuotas: boolean;
 	/** For each region, the number of the host's bound routes that it is a home region of. */
 	homeCoverage(host: string): ReadonlyMap<string, number>;
 };
@@ -171,6 +173,7 @@
 		service: (name) => services.get(name),
 		teamOf: (keyDigest) => teamsByKeyDigest.get(keyDigest),
 		team: (name) => teamsByName.get(name),
+		hasQuotas: config.teams.some(({quota}) => quota !== undefined),
 		homeCoverage(host) {
 			const coverage = new Map<string, number>();
 			for (const {homeRegions} of routesByHost.get(withoutPort(host)) ?? []) {
--- a/packages/gateway/src/common/team-quota.ts
+++ b/packages/gateway/src/common/team-quota.ts
@@ -5,17 +5,11 @@
  * fraction of a daemon's demand is its share of the quota, so no message is needed when the
  * demand of all daemons grows alike.
  */
+import type * as routeConfig from './route-config.js';
 import * as teamUsage from './team-usage.js';
 
-export type Quota = {
-	perS: number;
-	burst: number;
-	unit: 'tokens' | 'requests';
-	/** Tokens of a request that does not say how many. */
-	plainTokens: number;
-};
-
-export type TeamWithQuota = {name: string; quota?: Quota};
+type Quota = routeConfig.Quota;
+type TeamWithQuota = Pick<routeConfig.Team, 'name' | 'quota'>;
 
 /** What all daemons may admit in any window: `(perS x windowS + burst) x (1 + excessShare) + slack`. */
 export type QuotaBounds = {windowS: number; excessShare: number; slack: number};
@@ -28,6 +22,9 @@
 	  }
 	| {kind: 'refused'; retryAfterMs: number};
 
+/** Decision on a request without a quota. */
+export const unlimited: QuotaDecision = {kind: 'taken', giveBack: () => undefined};
+
 /** Refusals of a team since the last call of `takeRefusals`, with the last inputs. */
 export type QuotaRefusals = {
 	team: string;
@@ -86,6 +83,8 @@
 const binCount = 32;
 /** Without a report on all daemons for this long, a daemon keeps to its last share. */
 const staleAfterMs = teamUsage.silentAfterMs;
+/** A team that the reports on all daemons have not listed for this long has no use elsewhere. */
+const unlistedAfterMs = 1000;
 /** A team without use for this long is dropped. */
 const keptMs = 15_000;
 /** Limit of the teams that are kept. */
@@ -110,7 +109,7 @@
 ): number =>
 	unit === 'requests'
 		? unitsPerRequest
-		: facts.promptTokens + facts.maxOutputTokens || plainTokens;
+		: Math.max(1, facts.promptTokens + facts.maxOutputTokens || plainTokens);
 
 /** Exponentially weighted rate of amounts. */
 const createRate = (timeMs: number) => {
@@ -164,6 +163,9 @@
 	return ((nextPerS - previousPerS * decay) * elapsedMs) / 1000 / (1 - decay);
 };
 
+/** Last report on all daemons, whatever teams it lists. */
+type Total = {atMs: number; receivedAtMs: number; unheardShare: number; sinceMs: number};
+
 type Reported = {
 	/** Time that it describes. */
 	atMs: number;
@@ -196,6 +198,9 @@
 	let credit: number | undefined;
 	/** Own share of the quota since reports on all daemons ended. */
 	let lastShare: number | undefined;
+	/** Mean demand over some seconds at this daemon and at all, from which that share follows. */
+	let usualLocalPerS = 0;
+	let usualTotalPerS = 0;
 
 	/** Level, rates and share of the quota that decide now. */
 	const view = (initialShare: number) => {
@@ -219,9 +224,8 @@
 
 		if (lastShare === undefined) {
 			lastShare =
-				reported && reported.requestedPerS > 0
-					? Math.min(1, requested.value(reported.atMs) / reported.requestedPerS) *
-						(1 - reported.silentShare)
+				reported && usualTotalPerS > 0
+					? Math.min(1, usualLocalPerS / usualTotalPerS) * (1 - reported.silentShare)
 					: initialShare;
 			level = Math.min(level, burst) * lastShare;
 			levelAtMs = atMs;
@@ -230,7 +234,7 @@
 		const sinceMs = atMs - levelAtMs;
 		level = Math.min(burst * lastShare, level + (perS * lastShare * sinceMs) / 1000);
 		levelAtMs = atMs;
-		return {share: lastShare, level, requestedPerS: localPerS, localPerS};
+		return {share: lastShare, level, requestedPerS: requested.value(atMs), localPerS};
 	};
 
 	const charge = (amount: number) => {
@@ -242,6 +246,66 @@
 		}
 	};
 
+	const note = (
+		{requestedPerS, admittedPerS, silentShare: silent}: Omit<teamUsage.TeamUse, 'team'>,
+		{atMs, unheardShare, sinceMs}: Total,
+	) => {
+		const receivedAtMs = nowMs();
+		const silentShare = Math.min(1, silent + unheardShare);
+		usedAtMs = requestedPerS > 0 ? receivedAtMs : usedAtMs;
+		if (!reported || lastShare !== undefined) {
+			reported = {
+				atMs,
+				receivedAtMs,
+				requestedPerS,
+				admittedPerS,
+				demandPerS: requestedPerS,
+				usePerS: admittedPerS,
+				silentShare,
+			};
+			// A team that was not listed for so long has a full bucket.
+			const isRested = lastShare === undefined && receivedAtMs - sinceMs > keptMs;
+			level = isRested ? burst : Math.min(level, 0) / Math.max(minShare, lastShare ?? 1);
+			levelAtMs = atMs;
+			lastShare = undefined;
+			return;
+		}
+
+		const elapsedMs = atMs - reported.atMs;
+		if (elapsedMs <= 0) {
+			reported.receivedAtMs = receivedAtMs;
+			return;
+		}
+
+		const kept = Math.exp(-elapsedMs / teamUsage.usualTimeMs);
+		usualLocalPerS = usualLocalPerS * kept + (1 - kept) * requested.value(receivedAtMs);
+		usualTotalPerS = usualTotalPerS * kept + (1 - kept) * requestedPerS;
+		const used = addedBetween(reported.admittedPerS, admittedPerS, elapsedMs);
+		const asked = addedBetween(reported.requestedPerS, requestedPerS, elapsedMs);
+		const decay = Math.exp(-elapsedMs / demandTimeMs);
+		const renew = (perS: number, amount: number) =>
+			Math.max(0, perS * decay + ((1 - decay) * amount * 1000) / elapsedMs);
+		const share = 1 - silentShare;
+		const ratio = share / Math.max(minShare, 1 - reported.silentShare);
+		if (ratio < 1 || level < 0) {
+			// Daemons that are not heard have a part of the level, and of the debt.
+			level *= ratio;
+		}
+
+		const refilled = level + (perS * share * elapsedMs) / 1000 - used;
+		level = Math.max(lowestLevel, Math.min(burst * share, refilled));
+		levelAtMs = atMs;
+		reported = {
+			atMs,
+			receivedAtMs,
+			requestedPerS,
+			admittedPerS,
+			demandPerS: renew(reported.demandPerS, asked),
+			usePerS: renew(reported.usePerS, used),
+			silentShare,
+		};
+	};
+
 	return {
 		configure(next: Quota, bounds: QuotaBounds) {
 			({perS, burst} = scaled(next));
@@ -249,15 +313,28 @@
 			lowestLevel = -(bounds.excessShare * (perS * bounds.windowS + burst) + slack);
 			level = Math.max(lowestLevel, Math.min(level, burst));
 		},
-		take(amount: number, initialShare: number) {
+		take(amount: number, initialShare: number, total: Total | undefined) {
 			const atMs = nowMs();
 			usedAtMs = atMs;
+			const isListed = reported && atMs - reported.receivedAtMs < unlistedAfterMs;
+			if (total && !isListed && atMs - total.receivedAtMs < staleAfterMs) {
+				note({requestedPerS: 0, admittedPerS: 0, silentShare: 0}, total);
+			}
+
 			// The demand without this request, which would seem large where requests are few.
 			const {share, level: levelNow, requestedPerS} = view(initialShare);
 			requested.add(amount, atMs);
 			demand.add(amount, atMs);
-			const allowedPerS = Math.max(0, perS * share + ((levelNow - lowestLevel * share * usedExcess) * 1000) / correctionTimeMs);
-			const admitShare = allowedPerS / requestedPerS;
+			const allowedPerS = Math.max(
+				0,
+				perS * share + ((levelNow - lowestLevel * share * usedExcess) * 1000) / correctionTimeMs,
+			);
+			// Without reports, the first request at each of many daemons would seem to be the only one.
+			const demandPerS =
+				lastShare === undefined
+					? requestedPerS
+					: (amount * 1000) / teamUsage.rateTimeMs + requestedPerS;
+			const admitShare = allowedPerS / demandPerS;
 			// Daemons that receive few requests must not all take their first one.
 			credit ??= -random() * amount;
 			if (admitShare < 1) {
@@ -278,57 +355,7 @@
 			charge(-amount);
 			credit = Math.min(amount, (credit ?? 0) + amount);
 		},
-		note(use: teamUsage.TeamUse, atMs: number) {
-			const receivedAtMs = nowMs();
-			usedAtMs = use.requestedPerS > 0 ? receivedAtMs : usedAtMs;
-			if (!reported || lastShare !== undefined) {
-				const {requestedPerS, admittedPerS, silentShare} = use;
-				reported = {
-					atMs,
-					receivedAtMs,
-					requestedPerS,
-					admittedPerS,
-					demandPerS: requestedPerS,
-					usePerS: admittedPerS,
-					silentShare,
-				};
-				level = Math.min(level, 0) / Math.max(minShare, lastShare ?? 1);
-				levelAtMs = atMs;
-				lastShare = undefined;
-				return;
-			}
-
-			const elapsedMs = atMs - reported.atMs;
-			if (elapsedMs <= 0) {
-				reported.receivedAtMs = receivedAtMs;
-				return;
-			}
-
-			const used = addedBetween(reported.admittedPerS, use.admittedPerS, elapsedMs);
-			const asked = addedBetween(reported.requestedPerS, use.requestedPerS, elapsedMs);
-			const decay = Math.exp(-elapsedMs / demandTimeMs);
-			const renew = (perS: number, amount: number) =>
-				Math.max(0, perS * decay + ((1 - decay) * amount * 1000) / elapsedMs);
-			const share = 1 - use.silentShare;
-			const ratio = share / Math.max(minShare, 1 - reported.silentShare);
-			if (ratio < 1 || level < 0) {
-				// Daemons that are not heard have a part of the level, and of the debt.
-				level *= ratio;
-			}
-
-			const refilled = level + (perS * share * elapsedMs) / 1000 - used;
-			level = Math.max(lowestLevel, Math.min(burst * share, refilled));
-			levelAtMs = atMs;
-			reported = {
-				atMs,
-				receivedAtMs,
-				requestedPerS: use.requestedPerS,
-				admittedPerS: use.admittedPerS,
-				demandPerS: renew(reported.demandPerS, asked),
-				usePerS: renew(reported.usePerS, used),
-				silentShare: use.silentShare,
-			};
-		},
+		note,
 		localUse(atMs: number) {
 			return {
 				requestedPerS: requested.value(atMs),
@@ -339,7 +366,10 @@
 		isUnused: (atMs: number) => atMs - usedAtMs > keptMs,
 		describe(initialShare: number) {
 			const {share, level: levelNow, requestedPerS, localPerS} = view(initialShare);
-			const allowedPerS = Math.max(0, perS * share + ((levelNow - lowestLevel * share * usedExcess) * 1000) / correctionTimeMs);
+			const allowedPerS = Math.max(
+				0,
+				perS * share + ((levelNow - lowestLevel * share * usedExcess) * 1000) / correctionTimeMs,
+			);
 			return {
 				admitShare: Math.min(1, allowedPerS / Math.max(1, requestedPerS)),
 				level: levelNow,
@@ -362,6 +392,7 @@
 	const teams = new Map<string, TeamState>();
 	/** Teams with requests at this daemon, until their rates have decayed. */
 	const active = new Map<string, number>();
+	let total: Total | undefined;
 	const refused = new Map<string, {count: number; amount: number}>();
 	const initialShare = () => {
 		const sharers = options.sharers();
@@ -385,17 +416,15 @@
 		return state;
 	};
 
-	const free: QuotaDecision = {kind: 'taken', giveBack: () => undefined};
-
 	return {
 		tryTake({name, quota}, amount) {
 			const state = stateOf(name, quota);
 			if (!state) {
-				return free;
+				return unlimited;
 			}
 
 			active.set(name, nowMs());
-			const retryAfterMs = state.take(amount, initialShare());
+			const retryAfterMs = state.take(amount, initialShare(), total);
 			if (retryAfterMs !== undefined) {
 				const {count, amount: sum} = refused.get(name) ?? {count: 0, amount: 0};
 				refused.set(name, {count: count + 1, amount: sum + amount});
@@ -424,10 +453,13 @@
 
 			return teamUsage.limitUses(uses);
 		},
-		noteUse({uses, ageMs}) {
-			const atMs = nowMs() - ageMs;
+		noteUse({uses, ageMs, unheardShare}) {
+			const receivedAtMs = nowMs();
+			const isFirst = !total || receivedAtMs - total.receivedAtMs > staleAfterMs;
+			const sinceMs = isFirst ? receivedAtMs : total!.sinceMs;
+			total = {atMs: receivedAtMs - ageMs, receivedAtMs, unheardShare, sinceMs};
 			for (const use of uses) {
-				stateOf(use.team, options.quotaOf(use.team))?.note(use, atMs);
+				stateOf(use.team, options.quotaOf(use.team))?.note(use, total);
 			}
 		},
 		forget() {
@@ -446,8 +478,7 @@
 			refused.clear();
 			return taken;
 		},
-		dump: () =>
-			[...teams].map(([team, state]) => ({team, ...state.describe(initialShare())})),
+		dump: () => [...teams].map(([team, state]) => ({team, ...state.describe(initialShare())})),
 		held: () => ({quotaTeams: teams.size}),
 	};
 };
--- a/packages/gateway/src/common/team-usage.ts
+++ b/packages/gateway/src/common/team-usage.ts
@@ -17,6 +17,8 @@
 	uses: TeamUse[];
 	/** Mean age of what it contains. */
 	ageMs: number;
+	/** Share of the daemons that have not been heard yet; so much of each quota is reserved for them. */
+	unheardShare: number;
 };
 
 export type TeamUsage = {
@@ -57,7 +59,7 @@
 const maxReporters = 4096;
 
 /** Time constant of the demand from which the share of a silent reporter follows; teams with few requests need seconds. */
-const usualTimeMs = 10_000;
+export const usualTimeMs = 10_000;
 
 /** Mean demand of teams over some seconds. */
 const createUsualDemand = (nowMs: () => number) => {
@@ -65,7 +67,8 @@
 	let updatedAtMs: number | undefined;
 	return {
 		note(uses: readonly TeamUse[]) {
-			const elapsedMs = updatedAtMs === undefined ? Number.POSITIVE_INFINITY : nowMs() - updatedAtMs;
+			const elapsedMs =
+				updatedAtMs === undefined ? Number.POSITIVE_INFINITY : nowMs() - updatedAtMs;
 			const decay = Math.exp(-elapsedMs / usualTimeMs);
 			updatedAtMs = nowMs();
 			for (const [team, perS] of demand) {
@@ -91,6 +94,7 @@
 	uses: TeamUse[];
 	receivedAtMs: number;
 	ageMs: number;
+	unheardShare: number;
 	/** Shares of the quota by team since it is silent. */
 	reserved?: Map<string, number>;
 };
@@ -124,12 +128,13 @@
 
 	const ownUsual = createUsualDemand(nowMs);
 
-	const note = (key: string, isPeer: boolean, {uses, ageMs}: UseReport) => {
+	const note = (key: string, isPeer: boolean, {uses, ageMs, unheardShare}: UseReport) => {
 		const previous = reporters.get(key);
 		if (previous || reporters.size < maxReporters) {
 			const usual = previous?.usual ?? createUsualDemand(nowMs);
 			usual.note(uses);
-			reporters.set(key, {isPeer, usual, uses, ageMs, receivedAtMs: nowMs()});
+			const receivedAtMs = nowMs();
+			reporters.set(key, {isPeer, usual, uses, ageMs, unheardShare, receivedAtMs});
 		}
 	};
 
@@ -178,7 +183,7 @@
 	};
 
 	/** Share of the members that have not been heard since this daemon started. */
-	const unheardShare = (isDomainOnly: boolean): number => {
+	const unheardMembers = (isDomainOnly: boolean): number => {
 		const members = options.members() ?? [];
 		const unheard = members.filter(({name, failureDomain}) =>
 			failureDomain === options.failureDomain
@@ -195,6 +200,7 @@
 		const sums: Sums = new Map();
 		let weightedAge = 0;
 		let weight = 0;
+		let unheardShare = unheardMembers(isDomainOnly);
 		for (const use of own) {
 			addUse(sums, use);
 			weight += use.requestedPerS;
@@ -206,6 +212,7 @@
 			}
 
 			const {uses, reserved, receivedAtMs, ageMs} = reporter;
+			unheardShare += reporter.unheardShare;
 			// Without a further request the rate would fall like this, so no use is counted or returned.
 			const decay = reserved ? Math.exp(-silenceMs(reporter) / rateTimeMs) : 1;
 			for (const use of uses) {
@@ -224,12 +231,12 @@
 			}
 		}
 
-		const unheard = unheardShare(isDomainOnly);
 		const uses = limitUses([...sums.values()]).map((use) => ({
 			...use,
-			silentShare: Math.min(1, use.silentShare + unheard),
+			silentShare: Math.min(1, use.silentShare),
 		}));
-		return {uses, ageMs: weight > 0 ? weightedAge / weight : 0};
+		const ageMs = weight > 0 ? weightedAge / weight : 0;
+		return {uses, ageMs, unheardShare: Math.min(1, unheardShare)};
 	};
 
 	return {
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -51,6 +51,8 @@
 			 * @param waitedMs time since the arrival of the head
 			 */
 			recheck?(waitedMs: number): Rejection | undefined;
+			/** Called instead of `run` if the request ends before. */
+			abandon?(): void;
 			/** Called once, with the complete body. */
 			run(
 				body: Uint8Array | undefined,
@@ -231,6 +233,7 @@
 		} = {};
 		let isOver = false;
 		let hasRun = false;
+		let abandon: (() => void) | undefined;
 		const end = () => {
 			if (isOver) {
 				return;
@@ -239,6 +242,10 @@
 			isOver = true;
 			requestAborts.delete(abortNow);
 			connections.endRequest(request.socket, end);
+			if (!hasRun) {
+				abandon?.();
+			}
+
 			execution?.dispose();
 			held.body?.release();
 			held.head?.release();
@@ -315,6 +322,7 @@
 			return;
 		}
 
+		abandon = decision.abandon;
 		const refuseBody = (failure: requestBody.BodyFailure) => {
 			if (isOver) {
 				return;
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -28,6 +28,9 @@
 import * as storePosition from '../common/store-position.js';
 import * as storeReachability from '../common/store-reachability.js';
 import * as storeWatcherElection from '../common/store-watcher-election.js';
+import * as teamQuota from '../common/team-quota.js';
+import * as teamUsage from '../common/team-usage.js';
+import * as teamUseExchange from '../common/team-use-exchange.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as clusterState from './cluster-state.js';
 import * as callerServer from './caller-server.js';
@@ -42,13 +45,14 @@
 import * as plannedStop from './planned-stop.js';
 import * as processMonitor from './process-monitor.js';
 import * as quarantineStore from './quarantine-store.js';
+import * as quotaLog from './quota-log.js';
 import * as requestAdmission from './request-admission.js';
 import * as serverErrorLog from './server-error-log.js';
 import * as settings from './settings.js';
 
 export type GatewayDaemon = {
 	readonly isReady: boolean;
-	/** Applies the settings that can change at run time: `resends`, `stop`, `quarantine` and `directory`. */
+	/** Applies the settings that can change at run time: `resends`, `quotas`, `stop`, `quarantine` and `directory`. */
 	applySettings(next: settings.GatewaySettings): void;
 	answerDirectory(query: directory.DirectoryQuery): directory.DirectoryAnswer;
 	/** State for debugging. */
@@ -90,6 +94,8 @@
 const maxResponseDelayMs = 1000;
 /** Greatest delay between daemons in learning that an evacuation has ended. */
 const feedSkewMs = 1500;
+/** A daemon that starts knows the others after this time at the earliest, and has a small share of each quota until then. */
+const quotaStartMs = 2000;
 /** Interval between decisions on whether this daemon watches the store. */
 const watchDecisionIntervalMs = 500;
 
@@ -205,6 +211,28 @@
 		}),
 		sharers.count,
 	);
+	const quotaSharers = budgetSharers.createBudgetSharers(nowMs, () => quotaStartMs);
+	const isQuotaFleetKnown = () => Number.isFinite(quotaSharers.count());
+	const quota = teamQuota.createTeamQuota({
+		nowMs,
+		random: random.next,
+		bounds: () => current.quotas,
+		quotaOf: (team) => cluster.routeTable?.team(team)?.quota,
+		sharers: quotaSharers.count,
+	});
+	const teamUse = teamUsage.createTeamUsage({
+		nowMs,
+		localUse: quota.localUse,
+		members: () => (isQuotaFleetKnown() ? quotaSharers.members() : undefined),
+		failureDomain: vm.failureDomain,
+	});
+	const useExchange = teamUseExchange.createTeamUseExchange({
+		nowMs,
+		quota,
+		usage: teamUse,
+		hasQuotas: () => current.quotas !== undefined && cluster.routeTable?.hasQuotas === true,
+		isFleetKnown: isQuotaFleetKnown,
+	});
 	const versions = () => ({
 		configVersion: cluster.configVersion,
 		upstreamRevision: storePosition.revisionOf(registry.position),
@@ -261,6 +289,7 @@
 			engine,
 			log,
 			isPeerPort,
+			quota: isPeerPort ? undefined : quota,
 			routeTable: () => (isListening && registry.isLoaded ? cluster.routeTable : undefined),
 			snapshot: cluster.snapshot,
 			stopProgress: () =>
@@ -339,6 +368,7 @@
 			takePartReports: quarantine.takeReports,
 			takeRateLimits: rateLimits.takeReports,
 			takeWarmth: warmth.takeReports,
+			teamUse: useExchange,
 			onMessage(message) {
 				heardPeerAtMs = nowMs();
 				quarantine.merge(message.partReports, message.sender.name);
@@ -385,6 +415,17 @@
 					dispatch.noteDomainLoads(message.sender.failureDomain, message.loads);
 				}
 
+				if (message.teamUse) {
+					const {name, failureDomain} = message.sender;
+					const isPeer = failureDomain === vm.failureDomain;
+					const source: teamUseExchange.UseSource = message.isRelayed
+						? {kind: 'relay'}
+						: isPeer
+							? {kind: 'peer', name}
+							: {kind: 'domain', name: failureDomain};
+					useExchange.receive(message.teamUse, source);
+				}
+
 				catchUp.notePeer(message.sender);
 			},
 		}),
@@ -586,6 +627,7 @@
 		reachability.onDidChange((change) => {
 			if (change.isReachable) {
 				sharers.noteStoreReached();
+				quotaSharers.noteStoreReached();
 			}
 
 			log.note({kind: 'store-reachability', ...change});
@@ -594,6 +636,11 @@
 	disposables.add(
 		fleet.onDidChange(({kind, member}) => {
 			sharers.noteMember({kind, member});
+			quotaSharers.noteMember({kind, member});
+			if (kind === 'left') {
+				teamUse.forgetPeer(member.name);
+			}
+
 			log.note({
 				kind: 'member',
 				change: kind,
@@ -627,9 +674,12 @@
 			unfinishedBodies: heldMemory.unfinishedBodies,
 			unreadAnswerBytes: heldMemory.answerBytes,
 			heldBackBytes: buffers.bytes,
+			...quota.held(),
+			useReporters: teamUse.reporters,
 		}),
 		readMemoryUse: processMonitor.readMemoryUse,
 	});
+	const quotaRefusals = quotaLog.createQuotaLog(quota, log, options.registry);
 	const gaveWay = gaveWayLog.createGaveWayLog(heldMemory, log, options.registry);
 	disposables.add(
 		clock.setPeriodicTimer(() => {
@@ -639,6 +689,8 @@
 			sender.update();
 			noteReadiness();
 			noteIsolation();
+			quota.forget();
+			quotaRefusals.flush();
 			gaveWay.flush();
 			callerCloseLog.flush();
 			peerCloseLog.flush();
@@ -671,6 +723,7 @@
 			current = {
 				...current,
 				resends,
+				quotas: next.quotas,
 				stop,
 				quarantine: quarantineSettings,
 				directory: directorySettings,
@@ -697,6 +750,7 @@
 			loads: dispatch.localLoads(),
 			quarantine: quarantine.quarantineReports(),
 			rateLimits: rateLimits.takeReports(),
+			quotas: quota.dump(),
 			inFlight: inFlight(),
 		}),
 		async stop(waitedMs = 0) {
@@ -720,6 +774,7 @@
 			disposables.dispose();
 			callerHttpServer.destroy();
 			peerHttpServer.destroy();
+			quotaRefusals.flush();
 			gaveWay.flush();
 			callerCloseLog.flush();
 			peerCloseLog.flush();
--- a/packages/gateway/src/node/gossip-node.ts
+++ b/packages/gateway/src/node/gossip-node.ts
@@ -11,6 +11,7 @@
 import type * as promptCacheView from '../common/prompt-cache-view.js';
 import type * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as relayElection from '../common/relay-election.js';
+import type * as teamUseExchange from '../common/team-use-exchange.js';
 import type * as upstreamLoad from '../common/upstream-load.js';
 import type * as upstreamRateLimits from '../common/upstream-rate-limits.js';
 import type * as upstreamWarmth from '../common/upstream-warmth.js';
@@ -72,6 +73,11 @@
 	takeRateLimits(): upstreamRateLimits.RateLimitReport[];
 	/** Beliefs on upstreams of this region for the next message. */
 	takeWarmth(): upstreamWarmth.WarmthReport[];
+	/** Use of teams for the next messages. */
+	teamUse: Pick<
+		teamUseExchange.TeamUseExchange,
+		'noteTick' | 'localUse' | 'domainUse' | 'totalUse'
+	>;
 	onMessage(message: gossipMessage.GossipMessage): void;
 };
 
@@ -204,7 +210,8 @@
 		const target = relays[tick % relays.length];
 		const others = relays.filter((relay) => relay !== target && relay.name !== self.name);
 		const records = tick % membersEveryTicks === 0 ? pickSome(fleet.confirmed(), 2) : [];
-		const report = {loads: options.localLoads(), outlooks: []};
+		const teamUse = options.teamUse.localUse();
+		const report = {loads: options.localLoads(), outlooks: [], teamUse};
 		const listed = {records, heartbeats: []};
 		if (target?.name === self.name) {
 			keepNewest(domainPrefixes, prefixes);
@@ -242,6 +249,7 @@
 						loads: isRelay ? options.regionLoads() : undefined,
 						outlooks: options.remoteExpectedWaits(),
 						promptPrefixes: relayedPrefixes.splice(0),
+						teamUse: isRelay ? options.teamUse.totalUse() : undefined,
 						isRelayed: true,
 					},
 					{records: pickMembers(), heartbeats: fleet.confirmed()},
@@ -262,6 +270,7 @@
 		const peers = otherDomainRelays(self);
 		const regionPeers = peers.filter(({region}) => region === self.region);
 		const prefixes = isOtherRegionTick ? domainPrefixes.splice(0) : [];
+		const teamUse = options.teamUse.domainUse();
 		const listed = {
 			records: pickSome(fleet.confirmed(), maxMembersPerMessage),
 			heartbeats: domainPeers(self).filter(({isUnconfirmed}) => !isUnconfirmed),
@@ -272,6 +281,7 @@
 				outlooks: options.remoteExpectedWaits(),
 				promptPrefixes: prefixes,
 				wantedMembers: pickWanted(),
+				teamUse,
 			};
 			send(regionPeers, buildMessage(content, listed));
 		}
@@ -279,7 +289,10 @@
 		if (isOtherRegionTick) {
 			const outlooks = [...options.localExpectedWaits(), ...options.remoteExpectedWaits()];
 			const wantedMembers = pickWanted();
-			const bytes = buildMessage({outlooks, promptPrefixes: prefixes, wantedMembers}, listed);
+			const bytes = buildMessage(
+				{outlooks, promptPrefixes: prefixes, wantedMembers, teamUse},
+				listed,
+			);
 			send(
 				peers.filter(({region}) => region !== self.region),
 				bytes,
@@ -334,6 +347,7 @@
 		const relays = relaysOf(self.failureDomain);
 		const turn = relays.findIndex(({name}) => name === self.name);
 		isRelay = turn !== -1;
+		options.teamUse.noteTick(isRelay);
 		reportToRelays(self, relays);
 		if (isRelay) {
 			if (tick % relays.length === turn) {
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -6,6 +6,7 @@
 import type * as requestEngine from '../common/request-engine.js';
 import * as requestLog from '../common/request-log.js';
 import * as routeConfig from '../common/route-config.js';
+import * as teamQuota from '../common/team-quota.js';
 import type * as wireFormat from '../common/wire-format.js';
 import type * as clusterState from './cluster-state.js';
 import type * as callerServer from './caller-server.js';
@@ -29,6 +30,8 @@
 	log: gatewayEvent.EventLog;
 	/** Whether the requests come from other daemons instead of callers. */
 	isPeerPort: boolean;
+	/** Quotas of the teams; undefined on the peer port, where requests have been counted. */
+	quota?: Pick<teamQuota.TeamQuota, 'tryTake'>;
 	/** Undefined until the daemon has started and has a configuration and upstreams. */
 	routeTable(): routeConfig.RouteTable | undefined;
 	snapshot(knownConfigVersion: number): clusterState.Snapshot;
@@ -144,6 +147,15 @@
 		return {team, rawHeaders: otherHeaders, fault: needsTeam && !team ? fault : undefined};
 	};
 
+	/** Charges a request to its team's quota. */
+	const takeQuota = (
+		team: routeConfig.Team | undefined,
+		facts: wireFormat.RequestFacts,
+	): teamQuota.QuotaDecision =>
+		team?.quota && options.quota
+			? options.quota.tryTake(team, teamQuota.amountOf(team.quota, facts))
+			: teamQuota.unlimited;
+
 	const accept = (
 		head: callerServer.RequestHead,
 		{team, rawHeaders}: Identity,
@@ -157,6 +169,11 @@
 			return notReady('no-service');
 		}
 
+		const taken = takeQuota(team, facts);
+		if (taken.kind === 'refused') {
+			return {kind: 'reject', status: 429, reason: 'quota', retryAfterMs: taken.retryAfterMs};
+		}
+
 		// On the caller port, callers may send headers of these names; they are ignored.
 		const peerHeaders = isPeerPort ? head.headers : {};
 		const upstreamsLeft = Number(peerHeaders[relayHeaders.upstreamsLeftHeader]);
@@ -166,6 +183,7 @@
 			timeoutMs: timeLimitMs(route, facts),
 			refusalHeaders: (reason) => (isPeerPort ? notRunHeaders(reason) : {}),
 			recheck: (waitedMs) => asRelayRefusal(refuseInStop(route, facts, waitedMs)),
+			abandon: taken.giveBack,
 			run(body, reply, onEnd) {
 				let digest: string | undefined;
 				return engine.handle(
@@ -187,7 +205,13 @@
 						relayedFrom: typeof relayedFrom === 'string' ? relayedFrom : undefined,
 					},
 					reply,
-					onEnd,
+					(mayHaveRun) => {
+						if (!mayHaveRun) {
+							taken.giveBack();
+						}
+
+						onEnd();
+					},
 				);
 			},
 		};
--- a/packages/gateway/src/node/settings.ts
+++ b/packages/gateway/src/node/settings.ts
@@ -82,6 +82,16 @@
 			maxS: setting.number(600, 1, 600),
 		})
 		.default({firstS: 120, maxS: 600}),
+	/** Bounds on what all daemons together admit over the quotas of teams; without them, quotas do not apply. */
+	quotas: zod
+		.strictObject({
+			windowS: platformNumber(ranges.quotas.windowS),
+			/** Share of what a quota allows in a window that may be admitted in excess. */
+			excessShare: platformNumber(ranges.quotas.excessShare),
+			/** Tokens that may be admitted in a window in excess of that. */
+			slack: platformNumber(ranges.quotas.slack),
+		})
+		.optional(),
 	directory: zod.strictObject({
 		/** Time for which callers may cache a directory answer. */
 		timeToLiveS: platformNumber(ranges.directory.timeToLiveS),
--- a/packages/gateway/src/test/kept-names.test.ts
+++ b/packages/gateway/src/test/kept-names.test.ts
@@ -77,7 +77,7 @@
 	);
 	sharers.noteStoreReached();
 	for (let index = 0; index < 2 * budgetSharers.maxSharers; index++) {
-		sharers.noteMember({kind: 'lost', member: {name: `n${index}`}});
+		sharers.noteMember({kind: 'lost', member: {name: `n${index}`, failureDomain: 'north-a'}});
 	}
 
 	await clock.advance(3000);
--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -108,6 +108,12 @@
 		takePartReports: quarantine.takeReports,
 		takeRateLimits: rateLimits.takeReports,
 		takeWarmth: () => [],
+		teamUse: {
+			noteTick: () => undefined,
+			localUse: () => undefined,
+			domainUse: () => undefined,
+			totalUse: () => undefined,
+		},
 		onMessage(message) {
 			for (const report of message.rateLimits) {
 				rateLimits.merge(report, message.sender.name);
--- a/packages/gateway/src/test/quota-fleet.ts
+++ b/packages/gateway/src/test/quota-fleet.ts
@@ -5,8 +5,10 @@
  */
 import * as random from '@hawthornfront/base/common/random.js';
 import * as relayElection from '../common/relay-election.js';
+import type * as routeConfig from '../common/route-config.js';
 import * as teamQuota from '../common/team-quota.js';
 import * as teamUsage from '../common/team-usage.js';
+import * as teamUseExchange from '../common/team-use-exchange.js';
 
 const stepMs = 5;
 const tickSteps = 50;
@@ -16,8 +18,6 @@
 const lostAfterMs = 3500;
 /** Time until a daemon that starts knows the others. */
 const membersKnownMs = 2000;
-/** A relay passes on sums once it has heard all daemons of its failure domain. */
-const relayWarmUpMs = 750;
 
 export const bounds: teamQuota.QuotaBounds = {windowS: 8, excessShare: 0.1, slack: 140_000};
 
@@ -65,7 +65,7 @@
 	name: string;
 	usualPerS: number;
 	requestAmount: number;
-	quota: teamQuota.Quota;
+	quota: routeConfig.Quota;
 	callers: Array<{domain: number; daemon: number}>;
 	events: Array<{atMs: number; amount: number; isTaken: boolean}>;
 };
@@ -78,15 +78,16 @@
 	startedAtMs: number;
 	isUp: boolean;
 	downAtMs: number;
-	relaySinceMs: number;
 	phase: number;
 	quota: teamQuota.TeamQuota;
-	usage: teamUsage.TeamUsage;
+	exchange: teamUseExchange.TeamUseExchange;
 	take(team: Team, amount: number): boolean;
 };
 
 /** A large team has about a sixth of the demand of 2 million tokens a second, a small one a hundredth. */
-const usualShares = [0.18, 0.17, 0.15, 0.08, 0.08, 0.07, 0.05, 0.05, 0.04, 0.04, 0.03, 0.02, 0.01, 0.01, 0.01, 0.01];
+const usualShares = [
+	0.18, 0.17, 0.15, 0.08, 0.08, 0.07, 0.05, 0.05, 0.04, 0.04, 0.03, 0.02, 0.01, 0.01, 0.01, 0.01,
+];
 const totalPerS = 2_000_000;
 const quotaOverUsual = 1.8;
 const largeRequest = 12_000;
@@ -121,8 +122,6 @@
 	const rng = random.createRandom(options.seed);
 	const {domains, regions} = shapeOf(options.daemons);
 	let nowMs = 0;
-	let sentEntries = 0;
-	let messages = 0;
 	const queue = new Map<number, Array<() => void>>();
 	const teams: Team[] = usualShares.map((share, index) => {
 		const usualPerS = share * totalPerS;
@@ -144,7 +143,7 @@
 		};
 	});
 	const teamsByName = new Map(teams.map((team) => [team.name, team]));
-	const quotaOf = (team: Team): teamQuota.Quota => {
+	const quotaOf = (team: Team): routeConfig.Quota => {
 		const factor = options.quotaFactor?.(Number(team.name.slice(1)), nowMs) ?? 1;
 		return {...team.quota, perS: team.quota.perS * factor, burst: team.quota.burst * factor};
 	};
@@ -158,7 +157,7 @@
 	const start = (index: number): Daemon => {
 		const startedAtMs = nowMs;
 		const domain = index % domains;
-		const isKnown = () => nowMs === 0 || startedAtMs === 0 || nowMs - startedAtMs > membersKnownMs;
+		const isKnown = () => startedAtMs === 0 || nowMs - startedAtMs > membersKnownMs;
 		const clock = () => nowMs;
 		const quota = teamQuota.createTeamQuota({
 			nowMs: clock,
@@ -176,6 +175,13 @@
 			members: () => (isKnown() ? others(daemon) : undefined),
 			failureDomain: `d${domain}`,
 		});
+		const exchange = teamUseExchange.createTeamUseExchange({
+			nowMs: clock,
+			quota,
+			usage,
+			hasQuotas: () => true,
+			isFleetKnown: isKnown,
+		});
 		const buckets = new Map<Team, ReturnType<typeof createBucket>>();
 		const alternative = (team: Team, amount: number): boolean => {
 			const bucket = buckets.get(team) ?? createBucket(clock);
@@ -200,10 +206,9 @@
 			startedAtMs,
 			isUp: true,
 			downAtMs: 0,
-			relaySinceMs: Number.POSITIVE_INFINITY,
 			phase: rng.integer(0, tickSteps - 1),
 			quota,
-			usage,
+			exchange,
 			take: (team, amount) =>
 				policy === 'combined'
 					? quota.tryTake({name: team.name, quota: quotaOf(team)}, amount).kind === 'taken'
@@ -219,15 +224,19 @@
 	const relaysOf = (domain: number) =>
 		daemons
 			.filter(
-				(daemon) => daemon.domain === domain && (daemon.isUp || nowMs - daemon.downAtMs < lostAfterMs),
+				(daemon) =>
+					daemon.domain === domain && (daemon.isUp || nowMs - daemon.downAtMs < lostAfterMs),
 			)
 			.slice(0, relayElection.relayCount);
 
-	const send = (from: Daemon, to: Daemon, report: teamUsage.UseReport, receive: (at: Daemon) => void) => {
-		messages++;
-		sentEntries += report.uses.length;
+	const send = (
+		from: Daemon,
+		to: Daemon,
+		report: teamUsage.UseReport | undefined,
+		source: teamUseExchange.UseSource,
+	) => {
 		const isBetween = from.region !== to.region;
-		if ((isBetween && options.isCut?.(nowMs)) || rng.next() < lossShare) {
+		if (!report || to === from || (isBetween && options.isCut?.(nowMs)) || rng.next() < lossShare) {
 			return;
 		}
 
@@ -238,65 +247,42 @@
 		due.push(() => {
 			const at = daemons[to.index]!;
 			if (at.isUp) {
-				receive(at);
+				at.exchange.receive(report, source);
 			}
 		});
 	};
 
 	const tickDaemon = (daemon: Daemon, tick: number) => {
-		const relays = relaysOf(daemon.domain);
+		const {exchange, name, domain} = daemon;
+		const relays = relaysOf(domain);
 		const turn = relays.indexOf(daemon);
-		const own = {uses: daemon.quota.localUse(), ageMs: 0};
+		exchange.noteTick(turn !== -1);
+		const own = exchange.localUse();
 		for (const relay of relays) {
-			if (relay !== daemon) {
-				send(daemon, relay, own, (at) => {
-					at.usage.notePeer(daemon.name, own);
-				});
-			}
+			send(daemon, relay, own, {kind: 'peer', name});
 		}
 
 		daemon.quota.forget();
-		if (turn === -1) {
-			daemon.relaySinceMs = Number.POSITIVE_INFINITY;
-			daemon.usage.clear();
-			return;
-		}
-
-		daemon.relaySinceMs = Math.min(daemon.relaySinceMs, nowMs);
-		const isKnown = daemon.startedAtMs === 0 || nowMs - daemon.startedAtMs > membersKnownMs;
-		if (!isKnown || nowMs - daemon.relaySinceMs < relayWarmUpMs) {
-			return;
-		}
-
-		const total = daemon.usage.totalUse();
-		daemon.quota.noteUse(total);
 		if (tick % relays.length === turn) {
+			const total = exchange.totalUse();
 			for (const peer of daemons) {
-				if (peer.domain === daemon.domain && peer !== daemon) {
-					send(daemon, peer, total, (at) => {
-						at.quota.noteUse({...total, ageMs: total.ageMs + datagramMs});
-					});
+				if (peer.domain === domain) {
+					send(daemon, peer, total, {kind: 'relay'});
 				}
 			}
 		}
 
-		const sum = daemon.usage.domainUse();
-		for (let domain = 0; domain < domains; domain++) {
-			const target = domain === daemon.domain ? undefined : rng.pick(relaysOf(domain));
+		const sum = turn === -1 ? undefined : exchange.domainUse();
+		for (let other = 0; sum && other < domains; other++) {
+			const target = other === domain ? undefined : rng.pick(relaysOf(other));
 			if (target && (target.region === daemon.region || tick % 2 === 0)) {
-				send(daemon, target, sum, (at) => {
-					at.usage.noteDomain(`d${daemon.domain}`, sum);
-				});
+				send(daemon, target, sum, {kind: 'domain', name: `d${domain}`});
 			}
 		}
 	};
 
 	const pickDaemon = (team: Team): Daemon | undefined => {
 		const caller = rng.pick(team.callers)!;
-		if (options.stayMs && rng.next() < (stepMs / options.stayMs) * 0) {
-			return undefined;
-		}
-
 		const up = daemons.filter(({domain, isUp}) => domain === caller.domain && isUp);
 		if (options.singleCallers) {
 			const kept = up.find(({index}) => index === caller.daemon);
@@ -374,11 +360,7 @@
 		}
 	}
 
-	return {
-		teams: teams.map((team) => judgeTeam(team, options)),
-		messagesPerDaemonPerS: messages / options.daemons / (durationMs / 1000),
-		entriesPerMessage: sentEntries / messages,
-	};
+	return teams.map((team) => judgeTeam(team, options));
 };
 
 /** Compares what was admitted with one token bucket, and with what is allowed in a window. */
--- a/packages/gateway/src/test/shared-retry-budget.test.ts
+++ b/packages/gateway/src/test/shared-retry-budget.test.ts
@@ -45,7 +45,7 @@
 		noteAll(kind: fleetView.MemberChange['kind']) {
 			for (const [name, {sharers}] of daemons) {
 				for (const other of names.filter((item) => item !== name)) {
-					sharers.noteMember({kind, member: {name: other}});
+					sharers.noteMember({kind, member: {name: other, failureDomain: 'north-a'}});
 				}
 			}
 		},
@@ -171,14 +171,14 @@
 	nowMs += 2000;
 	sharers.noteStoreReached();
 	t.equal(sharers.count(), 1);
-	sharers.noteMember({kind: 'joined', member: {name: 'a'}});
-	sharers.noteMember({kind: 'joined', member: {name: 'b'}});
-	sharers.noteMember({kind: 'left', member: {name: 'a'}});
-	sharers.noteMember({kind: 'lost', member: {name: 'b'}});
+	sharers.noteMember({kind: 'joined', member: {name: 'a', failureDomain: 'north-a'}});
+	sharers.noteMember({kind: 'joined', member: {name: 'b', failureDomain: 'north-a'}});
+	sharers.noteMember({kind: 'left', member: {name: 'a', failureDomain: 'north-a'}});
+	sharers.noteMember({kind: 'lost', member: {name: 'b', failureDomain: 'north-a'}});
 	t.equal(sharers.count(), 3);
 	nowMs += windowMs;
 	t.equal(sharers.count(), 2);
-	sharers.noteMember({kind: 'joined', member: {name: 'a'}});
+	sharers.noteMember({kind: 'joined', member: {name: 'a', failureDomain: 'north-a'}});
 	nowMs += 600_000;
 	t.equal(sharers.count(), 2);
 	t.end();
