--- a/packages/gateway/src/common/team-use-exchange.ts
+++ b/packages/gateway/src/common/team-use-exchange.ts
@@ -2,14 +2,12 @@
 import type * as teamQuota from './team-quota.js';
 import type * as teamUsage from './team-usage.js';
 
-/** From whom a report comes. */
-export type UseSource =
-	/** A relay of the local failure domain, on all daemons. */
-	| {kind: 'relay'}
-	/** A daemon of the local failure domain, on itself. */
-	| {kind: 'peer'; name: string}
-	/** A relay of another failure domain, on that domain. */
-	| {kind: 'domain'; name: string};
+/** A message that may contain a report. */
+type UseMessage = {
+	sender: {name: string; failureDomain: string};
+	isRelayed: boolean;
+	teamUse?: teamUsage.UseReport;
+};
 
 export type TeamUseExchange = {
 	/** Call it at each tick, before the messages are built. */
@@ -20,7 +18,8 @@
 	domainUse(): teamUsage.UseReport | undefined;
 	/** Use over all daemons; undefined unless this daemon is a relay that has heard them. */
 	totalUse(): teamUsage.UseReport | undefined;
-	receive(report: teamUsage.UseReport, source: UseSource): void;
+	/** Applies the report of a message, if it contains one. */
+	receive(message: UseMessage): void;
 };
 
 export type TeamUseExchangeOptions = {
@@ -31,6 +30,7 @@
 	hasQuotas(): boolean;
 	/** Whether the other daemons are known. */
 	isFleetKnown(): boolean;
+	failureDomain: string;
 };
 
 /** A new relay has heard all daemons of its failure domain after three reports, of which some may be lost. */
@@ -59,18 +59,19 @@
 			options.hasQuotas() ? {uses: quota.localUse(), ageMs: 0, unheardShare: 0} : undefined,
 		domainUse: () => (canSum() ? usage.domainUse() : undefined),
 		totalUse: () => (canSum() ? usage.totalUse() : undefined),
-		receive(report, source) {
-			if (!options.hasQuotas()) {
+		receive({sender, isRelayed, teamUse}) {
+			const isRelay = Number.isFinite(relaySinceMs);
+			const isLocal = sender.failureDomain === options.failureDomain;
+			if (!teamUse || !options.hasQuotas()) {
 				return;
 			}
 
-			const isRelay = Number.isFinite(relaySinceMs);
-			if (source.kind === 'relay' && !canSum()) {
-				quota.noteUse(report);
-			} else if (source.kind === 'peer' && isRelay) {
-				usage.notePeer(source.name, report);
-			} else if (source.kind === 'domain' && isRelay) {
-				usage.noteDomain(source.name, report);
+			if (isRelayed && !canSum()) {
+				quota.noteUse(teamUse);
+			} else if (!isRelayed && isRelay && isLocal) {
+				usage.notePeer(sender.name, teamUse);
+			} else if (!isRelayed && isRelay) {
+				usage.noteDomain(sender.failureDomain, teamUse);
 			}
 		},
 	};
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -230,10 +230,11 @@
 			/** Set for a refusal that waits for earlier responses. */
 			head?: requestBody.RequestBody;
 			reply?: serverReply.ServerReply;
+			/** Set for an accepted request. */
+			abandon?(): void;
 		} = {};
 		let isOver = false;
 		let hasRun = false;
-		let abandon: (() => void) | undefined;
 		const end = () => {
 			if (isOver) {
 				return;
@@ -243,7 +244,7 @@
 			requestAborts.delete(abortNow);
 			connections.endRequest(request.socket, end);
 			if (!hasRun) {
-				abandon?.();
+				held.abandon?.();
 			}
 
 			execution?.dispose();
@@ -322,7 +323,7 @@
 			return;
 		}
 
-		abandon = decision.abandon;
+		held.abandon = decision.abandon;
 		const refuseBody = (failure: requestBody.BodyFailure) => {
 			if (isOver) {
 				return;
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -232,6 +232,7 @@
 		usage: teamUse,
 		hasQuotas: () => current.quotas !== undefined && cluster.routeTable?.hasQuotas === true,
 		isFleetKnown: isQuotaFleetKnown,
+		failureDomain: vm.failureDomain,
 	});
 	const versions = () => ({
 		configVersion: cluster.configVersion,
@@ -415,17 +416,7 @@
 					dispatch.noteDomainLoads(message.sender.failureDomain, message.loads);
 				}
 
-				if (message.teamUse) {
-					const {name, failureDomain} = message.sender;
-					const isPeer = failureDomain === vm.failureDomain;
-					const source: teamUseExchange.UseSource = message.isRelayed
-						? {kind: 'relay'}
-						: isPeer
-							? {kind: 'peer', name}
-							: {kind: 'domain', name: failureDomain};
-					useExchange.receive(message.teamUse, source);
-				}
-
+				useExchange.receive(message);
 				catchUp.notePeer(message.sender);
 			},
 		}),
--- a/packages/gateway/src/test/fleet.test.ts
+++ b/packages/gateway/src/test/fleet.test.ts
@@ -156,6 +156,11 @@
 			{upstreamId: 'u2', belief: 'cold', ageMs: 0, coldLeftMs: 3000, evidence: 2 ** 32 - 1},
 		],
 		wantedMembers: [7],
+		teamUse: {
+			ageMs: 120,
+			unheardShare: 0.25,
+			uses: [{team: 't1', requestedPerS: 9000, admittedPerS: 7000, silentShare: 0.125}],
+		},
 	};
 	t.same(gossipMessage.decodeGossip(gossipMessage.encodeGossip(message)), message);
 	const withoutLoads = {...message, loads: undefined};
--- a/packages/gateway/src/test/quota-fleet.ts
+++ b/packages/gateway/src/test/quota-fleet.ts
@@ -181,6 +181,7 @@
 			usage,
 			hasQuotas: () => true,
 			isFleetKnown: isKnown,
+			failureDomain: `d${domain}`,
 		});
 		const buckets = new Map<Team, ReturnType<typeof createBucket>>();
 		const alternative = (team: Team, amount: number): boolean => {
@@ -232,11 +233,12 @@
 	const send = (
 		from: Daemon,
 		to: Daemon,
-		report: teamUsage.UseReport | undefined,
-		source: teamUseExchange.UseSource,
+		teamUse: teamUsage.UseReport | undefined,
+		isRelayed: boolean,
 	) => {
 		const isBetween = from.region !== to.region;
-		if (!report || to === from || (isBetween && options.isCut?.(nowMs)) || rng.next() < lossShare) {
+		const isLost = (isBetween && options.isCut?.(nowMs) === true) || rng.next() < lossShare;
+		if (!teamUse || to === from || isLost) {
 			return;
 		}
 
@@ -247,19 +249,20 @@
 		due.push(() => {
 			const at = daemons[to.index]!;
 			if (at.isUp) {
-				at.exchange.receive(report, source);
+				const sender = {name: from.name, failureDomain: `d${from.domain}`};
+				at.exchange.receive({sender, isRelayed, teamUse});
 			}
 		});
 	};
 
 	const tickDaemon = (daemon: Daemon, tick: number) => {
-		const {exchange, name, domain} = daemon;
+		const {exchange, domain} = daemon;
 		const relays = relaysOf(domain);
 		const turn = relays.indexOf(daemon);
 		exchange.noteTick(turn !== -1);
 		const own = exchange.localUse();
 		for (const relay of relays) {
-			send(daemon, relay, own, {kind: 'peer', name});
+			send(daemon, relay, own, false);
 		}
 
 		daemon.quota.forget();
@@ -267,16 +270,16 @@
 			const total = exchange.totalUse();
 			for (const peer of daemons) {
 				if (peer.domain === domain) {
-					send(daemon, peer, total, {kind: 'relay'});
+					send(daemon, peer, total, true);
 				}
 			}
 		}
 
 		const sum = turn === -1 ? undefined : exchange.domainUse();
-		for (let other = 0; sum && other < domains; other++) {
+		for (let other = 0; other < domains; other++) {
 			const target = other === domain ? undefined : rng.pick(relaysOf(other));
 			if (target && (target.region === daemon.region || tick % 2 === 0)) {
-				send(daemon, target, sum, {kind: 'domain', name: `d${domain}`});
+				send(daemon, target, sum, false);
 			}
 		}
 	};
@@ -433,6 +436,23 @@
 	};
 };
 
+/** Plays a scenario with several seeds; the worst of each figure. */
+export const playScenario = (
+	name: string,
+	options: Pick<FleetOptions, 'daemons' | 'policy' | 'burstS'>,
+	seeds: readonly number[],
+) => {
+	const durationMs = 25_000;
+	const runs = seeds.map((seed) =>
+		summarize(runQuotaFleet({...options, ...scenarios[name], seed, durationMs})),
+	);
+	return {
+		worstWindow: Math.max(...runs.map((run) => run.worstWindow)),
+		worstTeamRefused: Math.max(...runs.map((run) => run.worstTeamRefused)),
+		refusedBelow: Math.max(...runs.map((run) => run.refusedBelow)),
+	};
+};
+
 const hotTeam = (factor: number, atMs: number, forMs: number, hot: readonly number[]) => ({
 	demandFactor: (team: number, nowMs: number) =>
 		hot.includes(team) && nowMs >= atMs && nowMs < atMs + forMs ? factor : 1,
--- a/packages/load/src/node/bench.ts
+++ b/packages/load/src/node/bench.ts
@@ -21,6 +21,7 @@
 import * as benchGateway from './bench-gateway.js';
 import * as benchLogging from './bench-logging.js';
 import * as benchPauses from './bench-pauses.js';
+import * as benchQuotas from './bench-quotas.js';
 
 const fullPlan = {seeds: 5, durationMs: 360_000};
 const quickPlan = {seeds: 2, durationMs: 120_000};
@@ -157,6 +158,11 @@
 		return;
 	}
 
+	if (args[0] === 'quotas') {
+		benchQuotas.runQuotaBench({isQuick: options.quick === true, print});
+		return;
+	}
+
 	if (args[0] === 'logging') {
 		await benchLogging.runLoggingBench({isQuick: options.quick === true, print});
 		return;
