--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -20,6 +20,7 @@
 	relayedFrom?: string;
 	maxUpstreams?: number;
 	team?: routeConfig.Team;
+	onEnd?: requestEngine.OnEnd;
 	upstreams?: number;
 	/** Resends that the budget allows; 16 when undefined. */
 	resends?: number;
@@ -112,8 +113,9 @@
 			relayedFrom: options.relayedFrom,
 		},
 		reply,
-		() => {
+		(mayHaveRun) => {
 			endCount++;
+			options.onEnd?.(mayHaveRun);
 		},
 	);
 	const endEvent = () => events.find((event) => event.kind === 'request-ended');
