--- a/packages/gateway/src/common/team-quota.ts
+++ b/packages/gateway/src/common/team-quota.ts
@@ -80,7 +80,7 @@
 const minShare = 0.05;
 /** Own use is remembered in parts of this length, for as long as reports may take. */
 const binMs = 100;
-const binCount = 32;
+const binCount = 26;
 /** Without a report on all daemons for this long, a daemon keeps to its last share. */
 const staleAfterMs = teamUsage.silentAfterMs;
 /** A team that the reports on all daemons have not listed for this long has no use elsewhere. */
@@ -127,7 +127,7 @@
 
 /** Amounts of the last seconds. */
 const createRecent = () => {
-	const bins = new Float64Array(binCount);
+	const bins = Array.from({length: binCount}, () => 0);
 	let lastBin = 0;
 	const moveTo = (nowMs: number) => {
 		const bin = Math.floor(nowMs / binMs);
@@ -203,7 +203,7 @@
 	let usualTotalPerS = 0;
 
 	/** Level, rates and share of the quota that decide now. */
-	const view = (initialShare: number) => {
+	const view = (initialShare: () => number) => {
 		const atMs = nowMs();
 		const localPerS = demand.value(atMs);
 		const isStale = !reported || atMs - reported.receivedAtMs > staleAfterMs;
@@ -226,7 +226,7 @@
 			lastShare =
 				reported && usualTotalPerS > 0
 					? Math.min(1, usualLocalPerS / usualTotalPerS) * (1 - reported.silentShare)
-					: initialShare;
+					: initialShare();
 			level = Math.min(level, burst) * lastShare;
 			levelAtMs = atMs;
 		}
@@ -313,7 +313,7 @@
 			lowestLevel = -(bounds.excessShare * (perS * bounds.windowS + burst) + slack);
 			level = Math.max(lowestLevel, Math.min(level, burst));
 		},
-		take(amount: number, initialShare: number, total: Total | undefined) {
+		take(amount: number, initialShare: () => number, total: Total | undefined) {
 			const atMs = nowMs();
 			usedAtMs = atMs;
 			const isListed = reported && atMs - reported.receivedAtMs < unlistedAfterMs;
@@ -364,7 +364,7 @@
 			};
 		},
 		isUnused: (atMs: number) => atMs - usedAtMs > keptMs,
-		describe(initialShare: number) {
+		describe(initialShare: () => number) {
 			const {share, level: levelNow, requestedPerS, localPerS} = view(initialShare);
 			const allowedPerS = Math.max(
 				0,
@@ -424,7 +424,7 @@
 			}
 
 			active.set(name, nowMs());
-			const retryAfterMs = state.take(amount, initialShare(), total);
+			const retryAfterMs = state.take(amount, initialShare, total);
 			if (retryAfterMs !== undefined) {
 				const {count, amount: sum} = refused.get(name) ?? {count: 0, amount: 0};
 				refused.set(name, {count: count + 1, amount: sum + amount});
@@ -473,12 +473,12 @@
 		takeRefusals() {
 			const taken = [...refused].flatMap(([team, counts]) => {
 				const state = teams.get(team);
-				return state ? [{team, ...counts, ...state.describe(initialShare())}] : [];
+				return state ? [{team, ...counts, ...state.describe(initialShare)}] : [];
 			});
 			refused.clear();
 			return taken;
 		},
-		dump: () => [...teams].map(([team, state]) => ({team, ...state.describe(initialShare())})),
+		dump: () => [...teams].map(([team, state]) => ({team, ...state.describe(initialShare)})),
 		held: () => ({quotaTeams: teams.size}),
 	};
 };
--- a/packages/gateway/src/common/team-usage.ts
+++ b/packages/gateway/src/common/team-usage.ts
@@ -26,8 +26,6 @@
 	notePeer(peer: string, report: UseReport): void;
 	/** Replaces the last sum of another failure domain. */
 	noteDomain(failureDomain: string, report: UseReport): void;
-	/** Drops what a daemon reported that has ended as planned. */
-	forgetPeer(peer: string): void;
 	/** Use of the local failure domain. */
 	domainUse(): UseReport;
 	/** Use over all daemons. */
@@ -90,6 +88,8 @@
 
 type Reporter = {
 	isPeer: boolean;
+	/** Of the daemon or the failure domain. */
+	name: string;
 	usual: ReturnType<typeof createUsualDemand>;
 	uses: TeamUse[];
 	receivedAtMs: number;
@@ -128,16 +128,22 @@
 
 	const ownUsual = createUsualDemand(nowMs);
 
-	const note = (key: string, isPeer: boolean, {uses, ageMs, unheardShare}: UseReport) => {
+	const note = (name: string, isPeer: boolean, {uses, ageMs, unheardShare}: UseReport) => {
+		const key = isPeer ? peerKey(name) : domainKey(name);
 		const previous = reporters.get(key);
-		if (previous || reporters.size < maxReporters) {
+		if (previous !== undefined || reporters.size < maxReporters) {
 			const usual = previous?.usual ?? createUsualDemand(nowMs);
 			usual.note(uses);
 			const receivedAtMs = nowMs();
-			reporters.set(key, {isPeer, usual, uses, ageMs, unheardShare, receivedAtMs});
+			reporters.set(key, {isPeer, name, usual, uses, ageMs, unheardShare, receivedAtMs});
 		}
 	};
 
+	/** Whether a silent reporter may still serve: a daemon that left as planned, or all of a failure domain, does not. */
+	const mayServe = ({isPeer, name}: Reporter): boolean =>
+		options.members()?.some((member) => (isPeer ? member.name : member.failureDomain) === name) ??
+		true;
+
 	/** Reserves the shares of reporters that have fallen silent, of the demand that was heard until then. */
 	const reserveShares = () => {
 		const fallen: Reporter[] = [];
@@ -147,9 +153,12 @@
 		};
 
 		for (const [key, reporter] of reporters) {
-			if (silenceMs(reporter) > reservedMs) {
+			if (silenceMs(reporter) > 0 && (silenceMs(reporter) > reservedMs || !mayServe(reporter))) {
 				reporters.delete(key);
-			} else if (!reporter.reserved && silenceMs(reporter) > 0) {
+				continue;
+			}
+
+			if (!reporter.reserved && silenceMs(reporter) > 0) {
 				fallen.push(reporter);
 			}
 
@@ -241,13 +250,10 @@
 
 	return {
 		notePeer(peer, report) {
-			note(peerKey(peer), true, report);
+			note(peer, true, report);
 		},
 		noteDomain(failureDomain, report) {
-			note(domainKey(failureDomain), false, report);
-		},
-		forgetPeer(peer) {
-			reporters.delete(peerKey(peer));
+			note(failureDomain, false, report);
 		},
 		domainUse: () => sum(true),
 		totalUse: () => sum(false),
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -628,10 +628,6 @@
 		fleet.onDidChange(({kind, member}) => {
 			sharers.noteMember({kind, member});
 			quotaSharers.noteMember({kind, member});
-			if (kind === 'left') {
-				teamUse.forgetPeer(member.name);
-			}
-
 			log.note({
 				kind: 'member',
 				change: kind,
--- a/packages/gateway/src/test/team-quota.test.ts
+++ b/packages/gateway/src/test/team-quota.test.ts
@@ -41,12 +41,16 @@
 	};
 
 	/** Times of the requests that are taken, of one each 100 ms. */
-	const takeFor = async (amount: number, seconds: number, others = {requested: 0, admitted: 0}) => {
+	const takeFor = async (
+		amount: number,
+		seconds: number,
+		others?: {requested: number; admitted: number},
+	) => {
 		const taken: number[] = [];
 		for (let step = 0; step < 20 * seconds; step++) {
 			await clock.advance(50);
 			if (step % 5 === 0) {
-				report(others.requested, others.admitted);
+				report(others?.requested ?? 0, others?.admitted ?? 0);
 			}
 
 			const isDue = step % 2 === 0;
@@ -208,15 +212,15 @@
 
 const startUsage = (members: Array<{name: string; failureDomain: string}> = []) => {
 	const clock = new manualClock.ManualClock();
-	const own = {uses: [use(100)]};
+	const state = {members};
 	const usage = teamUsage.createTeamUsage({
 		nowMs: () => clock.nowMs(),
-		localUse: () => own.uses,
-		members: () => members,
+		localUse: () => [use(100)],
+		members: () => state.members,
 		failureDomain: 'a',
 	});
 	const report = (uses: teamUsage.TeamUse[]) => ({uses, ageMs: 0, unheardShare: 0});
-	return {clock, usage, own, report};
+	return {clock, usage, state, report};
 };
 
 tap.t.test('a relay adds what its daemons and the other domains report', async (t) => {
@@ -225,13 +229,11 @@
 	usage.noteDomain('b', report([use(600), use(50, 't2')]));
 	t.match(usage.domainUse().uses, [{team: 't1', requestedPerS: 400, admittedPerS: 400}]);
 	t.match(usage.totalUse().uses, [{team: 't1', requestedPerS: 1000}, {team: 't2'}]);
-	usage.forgetPeer('n2');
-	t.match(usage.domainUse().uses, [{requestedPerS: 100}]);
 });
 
 // Guards against both sides of a partition using the whole quota.
 tap.t.test('the share of a domain that falls silent stays reserved', async (t) => {
-	const {clock, usage, report} = startUsage();
+	const {clock, usage, state, report} = startUsage([{name: 'n4', failureDomain: 'b'}]);
 	for (let tick = 0; tick < 40; tick++) {
 		usage.noteDomain('b', report([use(300)]));
 		usage.totalUse();
@@ -248,10 +250,11 @@
 	t.ok(later!.admittedPerS < 101, 'its use has decayed');
 	usage.noteDomain('b', report([use(300)]));
 	t.match(usage.totalUse().uses, [{requestedPerS: 400, silentShare: 0}]);
-	await clock.advance(700_000);
-	t.match(usage.totalUse().uses, [{requestedPerS: 100}]);
-	await clock.advance(1);
-	t.equal(usage.reporters, 0, 'after ten minutes it does not count');
+	await clock.advance(5000);
+	t.match(usage.totalUse().uses, [{requestedPerS: 100, silentShare: 0.75}]);
+	state.members = [];
+	t.match(usage.totalUse().uses, [{requestedPerS: 100, silentShare: 0}], 'its daemons left');
+	t.equal(usage.reporters, 0);
 });
 
 // Guards against a new relay that passes on the use of the few daemons that it has heard.
