--- a/packages/gateway/src/test/quota-fleet.ts
+++ b/packages/gateway/src/test/quota-fleet.ts
@@ -44,6 +44,8 @@
 	isCut?(nowMs: number): boolean;
 	/** Daemons that are killed, by index, when the time comes. */
 	kill?: {atMs: number; isKilled(index: number): boolean};
+	/** Further teams with few requests each, so that a report cannot list all. */
+	smallTeams?: number;
 	/** Quota of a team as a multiple of its first one. */
 	quotaFactor?(team: number, nowMs: number): number;
 };
@@ -89,6 +91,8 @@
 	0.18, 0.17, 0.15, 0.08, 0.08, 0.07, 0.05, 0.05, 0.04, 0.04, 0.03, 0.02, 0.01, 0.01, 0.01, 0.01,
 ];
 const totalPerS = 2_000_000;
+/** 1,000 tokens a second: a request in 2.4 or 12 s. */
+const smallTeamShare = 0.0005;
 const quotaOverUsual = 1.8;
 const largeRequest = 12_000;
 const smallRequest = 2400;
@@ -123,7 +127,8 @@
 	const {domains, regions} = shapeOf(options.daemons);
 	let nowMs = 0;
 	const queue = new Map<number, Array<() => void>>();
-	const teams: Team[] = usualShares.map((share, index) => {
+	const smallShares = Array.from({length: options.smallTeams ?? 0}, () => smallTeamShare);
+	const teams: Team[] = [...usualShares, ...smallShares].map((share, index) => {
 		const usualPerS = share * totalPerS;
 		return {
 			name: `t${index}`,
@@ -461,6 +466,7 @@
 /** Loads and faults of the model. */
 export const scenarios: Record<string, Partial<FleetOptions>> = {
 	steady: {},
+	'many-teams': {stayMs: 3000, smallTeams: 150},
 	moving: {stayMs: 3000},
 	gathering: {gatherMs: 5000},
 	single: {singleCallers: true, stayMs: 4000},
--- a/packages/gateway/src/test/team-quota.test.ts
+++ b/packages/gateway/src/test/team-quota.test.ts
@@ -181,7 +181,7 @@
 });
 
 /** Loads in which at most 2 in 100 of what is below the quota may be refused. */
-const calmLoads = new Set(['steady', 'moving', 'gathering', 'single']);
+const calmLoads = new Set(['steady', 'many-teams', 'moving', 'gathering', 'single']);
 const allLoads = Object.keys(quotaFleet.scenarios);
 /** `npm run bench -- quotas` plays all loads at all sizes. */
 const largeLoads = ['moving', 'single', 'hot-large', 'hot-cut', 'kill-third', 'hot-kill-all'];
