--- a/packages/gateway/src/common/team-quota.ts
+++ b/packages/gateway/src/common/team-quota.ts
@@ -75,7 +75,7 @@
 /** Time in which the level of the bucket is corrected; longer than reports take, so that it does not swing. */
 const correctionTimeMs = 1000;
 /** Part of the excess that is allowed in a window and used before requests are refused; the rest covers what reports show late. */
-const usedExcess = 0.45;
+const usedExcess = 0.3;
 /** A debt is extrapolated from no smaller share than this. */
 const minShare = 0.05;
 /** Own use is remembered in parts of this length, for as long as reports may take. */
--- a/packages/gateway/src/common/team-usage.ts
+++ b/packages/gateway/src/common/team-usage.ts
@@ -59,6 +59,9 @@
 /** Time constant of the demand from which the share of a silent reporter follows; teams with few requests need seconds. */
 export const usualTimeMs = 10_000;
 
+/** Interval between updates of that demand, which visit all its teams. */
+const usualEveryMs = 1000;
+
 /** Mean demand of teams over some seconds. */
 const createUsualDemand = (nowMs: () => number) => {
 	const demand = new Map<string, number>();
@@ -67,6 +70,10 @@
 		note(uses: readonly TeamUse[]) {
 			const elapsedMs =
 				updatedAtMs === undefined ? Number.POSITIVE_INFINITY : nowMs() - updatedAtMs;
+			if (elapsedMs < usualEveryMs) {
+				return;
+			}
+
 			const decay = Math.exp(-elapsedMs / usualTimeMs);
 			updatedAtMs = nowMs();
 			for (const [team, perS] of demand) {
