--- a/packages/gateway/src/common/team-quota.ts
+++ b/packages/gateway/src/common/team-quota.ts
@@ -163,6 +163,8 @@
 	return ((nextPerS - previousPerS * decay) * elapsedMs) / 1000 / (1 - decay);
 };
 
+const round = (value: number, digits = 0): number => Number(value.toFixed(digits));
+
 /** Last report on all daemons, whatever teams it lists. */
 type Total = {atMs: number; receivedAtMs: number; unheardShare: number; sinceMs: number};
 
@@ -237,6 +239,12 @@
 		return {share: lastShare, level, requestedPerS: requested.value(atMs), localPerS};
 	};
 
+	/** What all daemons that share the level may admit. */
+	const allowedAt = (share: number, levelNow: number): number => {
+		const target = lowestLevel * share * usedExcess;
+		return Math.max(0, perS * share + ((levelNow - target) * 1000) / correctionTimeMs);
+	};
+
 	const charge = (amount: number) => {
 		const atMs = nowMs();
 		admitted.add(amount, atMs);
@@ -325,16 +333,13 @@
 			const {share, level: levelNow, requestedPerS} = view(initialShare);
 			requested.add(amount, atMs);
 			demand.add(amount, atMs);
-			const allowedPerS = Math.max(
-				0,
-				perS * share + ((levelNow - lowestLevel * share * usedExcess) * 1000) / correctionTimeMs,
-			);
+			const allowedPerS = allowedAt(share, levelNow);
 			// Without reports, the first request at each of many daemons would seem to be the only one.
 			const demandPerS =
 				lastShare === undefined
 					? requestedPerS
 					: (amount * 1000) / teamUsage.rateTimeMs + requestedPerS;
-			const admitShare = allowedPerS / demandPerS;
+			const admitShare = allowedPerS === 0 ? 0 : allowedPerS / demandPerS;
 			// Daemons that receive few requests must not all take their first one.
 			credit ??= -random() * amount;
 			if (admitShare < 1) {
@@ -366,19 +371,16 @@
 		isUnused: (atMs: number) => atMs - usedAtMs > keptMs,
 		describe(initialShare: () => number) {
 			const {share, level: levelNow, requestedPerS, localPerS} = view(initialShare);
-			const allowedPerS = Math.max(
-				0,
-				perS * share + ((levelNow - lowestLevel * share * usedExcess) * 1000) / correctionTimeMs,
-			);
+			const admitShare = Math.min(1, allowedAt(share, levelNow) / Math.max(1, requestedPerS));
 			return {
-				admitShare: Math.min(1, allowedPerS / Math.max(1, requestedPerS)),
-				level: levelNow,
-				requestedPerS,
-				localPerS,
-				admittedPerS: reported?.usePerS ?? admitted.value(nowMs()),
+				admitShare: round(admitShare, 3),
+				level: round(levelNow),
+				requestedPerS: round(requestedPerS),
+				localPerS: round(localPerS),
+				admittedPerS: round(reported?.usePerS ?? admitted.value(nowMs())),
 				perS,
-				silentShare: 1 - share,
-				reportAgeMs: reported ? nowMs() - reported.atMs : Number.POSITIVE_INFINITY,
+				silentShare: round(1 - share, 3),
+				reportAgeMs: reported ? round(nowMs() - reported.atMs) : Number.POSITIVE_INFINITY,
 			};
 		},
 	};
