--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -51,6 +51,8 @@
 			 * @param waitedMs time since the arrival of the head
 			 */
 			recheck?(waitedMs: number): Rejection | undefined;
+			/** Called instead of `run` if the request ends before. */
+			abandon?(): void;
 			/** Called once, with the complete body. */
 			run(
 				body: Uint8Array | undefined,
@@ -228,6 +230,8 @@
 			/** Set for a refusal that waits for earlier responses. */
 			head?: requestBody.RequestBody;
 			reply?: serverReply.ServerReply;
+			/** Set for an accepted request. */
+			abandon?(): void;
 		} = {};
 		let isOver = false;
 		let hasRun = false;
@@ -239,6 +243,10 @@
 			isOver = true;
 			requestAborts.delete(abortNow);
 			connections.endRequest(request.socket, end);
+			if (!hasRun) {
+				held.abandon?.();
+			}
+
 			execution?.dispose();
 			held.body?.release();
 			held.head?.release();
@@ -315,6 +323,7 @@
 			return;
 		}
 
+		held.abandon = decision.abandon;
 		const refuseBody = (failure: requestBody.BodyFailure) => {
 			if (isOver) {
 				return;
