--- a/packages/load/src/common/overload-comparison.ts
+++ b/packages/load/src/common/overload-comparison.ts
@@ -284,12 +284,14 @@
 
 	const arriveDue = (kind: OverloadKind, nowMs: number) => {
 		const perMs = (scenario.load * kind.share * scenario.runners * tokensPerMs) / kind.promptTokens;
-		while (nowMs < durationMs && nextAtMs.get(kind)! <= nowMs) {
+		const isBurst = nowMs >= burst.fromMs && nowMs < burst.untilMs;
+		const meanMs = 1 / (perMs * (isBurst ? burst.factor : 1));
+		let atMs = nextAtMs.get(kind)!;
+		for (; atMs <= Math.min(nowMs, durationMs); atMs += arrivals.exponential(meanMs)) {
 			arrive(kind);
-			const isBurst = nowMs >= burst.fromMs && nowMs < burst.untilMs;
-			const meanMs = 1 / (perMs * (isBurst ? burst.factor : 1));
-			nextAtMs.set(kind, nextAtMs.get(kind)! + arrivals.exponential(meanMs));
 		}
+
+		nextAtMs.set(kind, atMs);
 	};
 
 	for (let nowMs = 0; nowMs < durationMs + 12_000; nowMs += stepMs) {
