--- a/packages/gateway/src/common/upstream-load.ts
+++ b/packages/gateway/src/common/upstream-load.ts
@@ -131,6 +131,8 @@
 	let actualSumMs = 0;
 	let unscaledSumMs = 0;
 	let notedAtMs = 0;
+	let factorNow = 1;
+	let factorAtMs: number | undefined;
 	const decay = (nowMs: number) => 0.5 ** ((nowMs - notedAtMs) / serviceLatencyHalfLifeMs);
 
 	return {
@@ -139,13 +141,20 @@
 			actualSumMs = actualSumMs * kept + actualMs;
 			unscaledSumMs = unscaledSumMs * kept + unscaledMs;
 			notedAtMs = nowMs;
+			factorAtMs = undefined;
 		},
 		factor(nowMs) {
-			const kept = decay(nowMs);
-			const ratio =
-				(actualSumMs * kept + serviceLatencyPriorMs) /
-				(unscaledSumMs * kept + serviceLatencyPriorMs);
-			return Math.min(maxLatencyFactor, ratio);
+			// One choice reads it for each runner of the service.
+			if (nowMs !== factorAtMs) {
+				const kept = decay(nowMs);
+				const ratio =
+					(actualSumMs * kept + serviceLatencyPriorMs) /
+					(unscaledSumMs * kept + serviceLatencyPriorMs);
+				factorNow = Math.min(maxLatencyFactor, ratio);
+				factorAtMs = nowMs;
+			}
+
+			return factorNow;
 		},
 	};
 };
@@ -248,6 +257,11 @@
 		return sum;
 	};
 
+	const otherRequests = (): number => {
+		const others = reported();
+		return others.peers.requests + others.domains.requests;
+	};
+
 	const predictRunner = (
 		work: workEstimate.WorkEstimate,
 		readTokens: number,
@@ -353,8 +367,8 @@
 		local: () => ({...local}),
 		ofLocalDomain,
 		ofRegion: total,
-		requests: () => total().requests,
-		otherRequests: () => reported().peers.requests + reported().domains.requests,
+		requests: () => local.requests + otherRequests(),
+		otherRequests,
 		predictMs(work, readTokens, {slots, engine}) {
 			return engine
 				? predictRunner(work, readTokens, slots, engine.memoryTokens)
