--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -16,6 +16,8 @@
 	readonly isolatedAddresses = new Set<string>();
 	/** Datagrams of one sender that its link takes at one time; further ones are lost. */
 	linkQueueLength = Number.POSITIVE_INFINITY;
+	/** Delay of each datagram. */
+	delayMs = 0;
 	bytes = 0;
 	readonly sentByAddress = new Map<string, number>();
 	readonly #bursts = new Map<string, {atMs: number; datagrams: number}>();
@@ -25,6 +27,15 @@
 		this.#clock = clock;
 	}
 
+	deliver(address: string, datagram: datagramSocket.Datagram): void {
+		const receive = () => this.sockets.get(address)?.receive(datagram);
+		if (this.delayMs > 0) {
+			this.#clock.setTimer(receive, this.delayMs);
+		} else {
+			receive();
+		}
+	}
+
 	/** Counts a datagram; whether the sender's link takes it. */
 	takeFromLink(address: string): boolean {
 		const atMs = this.#clock.nowMs();
@@ -60,7 +71,7 @@
 			this.#network.isolatedAddresses.has(peer) ||
 			this.#network.isolatedAddresses.has(this.#address);
 		if (!isDropped) {
-			this.#network.sockets.get(peer)?.receive({peer: this.#address, bytes});
+			this.#network.deliver(peer, {peer: this.#address, bytes});
 		}
 	}
 
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -33,6 +33,25 @@
 const entryExpiryMs = 3200;
 const replacementMs = 400;
 
+/** How runners crash on a harmful request, and how they come back. */
+export type CrashWay = {
+	/** Events before the crash; undefined if the runner sends no response head. */
+	events?: number;
+	/** From the head and its events, or from the arrival, to the crash. */
+	workMs: number;
+	/** Whether the port accepts connections and resets them while the runner is away. */
+	isPortAccepting?: boolean;
+	/** Time until the runner is back under the same entry; replaced by another one if omitted. */
+	downMs?: number;
+};
+
+/** A fault of one runner that is not due to its requests. */
+export type RunnerFault = {
+	kind: 'reset' | 'truncate';
+	/** Share of the requests that the runner fails. */
+	share: number;
+};
+
 type Run = {
 	attemptId: string;
 	daemon: string;
@@ -46,6 +65,11 @@
 	address: string;
 	runs: Set<Run>;
 	isUp: boolean;
+	/** Returns under the same entry. */
+	returns: number;
+	fault?: RunnerFault;
+	/** Requests that it has begun. */
+	requests: number;
 	/** Rate limit that it names in its answers. */
 	requestsPerS?: number;
 	/** When each daemon first got an answer with a limit. */
@@ -78,11 +102,24 @@
 	onDidRegister: (runner: Runner) => void = () => undefined;
 	onDidExpire: (runner: Runner) => void = () => undefined;
 	readonly #clock: manualClock.ManualClock;
+	readonly #way: CrashWay | undefined;
 	readonly #runners = new Map<string, Runner>();
 	#started = 0;
 
-	constructor(clock: manualClock.ManualClock) {
+	/** @param way the runner crashes after the head of a stream, or in a plain request, and is replaced if omitted */
+	constructor(clock: manualClock.ManualClock, way?: CrashWay) {
 		this.#clock = clock;
+		this.#way = way;
+	}
+
+	/** Runners that have not been replaced. */
+	get ids(): string[] {
+		return [...this.#runners.values()].filter(({isUp}) => isUp).map(({id}) => id);
+	}
+
+	/** Crashes a runner for a reason that no request has. */
+	crash(id: string): void {
+		this.#crash(this.runner(id));
 	}
 
 	runner(id: string): Runner {
@@ -97,6 +134,8 @@
 			address: `10.0.0.1:${4000 + this.#started}`,
 			runs: new Set(),
 			isUp: true,
+			returns: 0,
+			requests: 0,
 			toldAtMs: new Map(),
 		};
 		this.#runners.set(runner.address, runner);
@@ -113,6 +152,11 @@
 		const run: Run = {attemptId: prompt.attemptId, daemon, listener, isOver: false};
 		if (runner?.isUp) {
 			this.#begin(runner, run, prompt);
+		} else if (runner && this.#way?.isPortAccepting) {
+			listener.onSent();
+			this.#after(1, run, () => {
+				listener.onFailure({mayHaveBeenSent: true, detail: 'ECONNRESET'});
+			});
 		} else {
 			this.#after(1, run, () => {
 				listener.onFailure({mayHaveBeenSent: false, detail: 'ECONNREFUSED'});
@@ -130,9 +174,12 @@
 	}
 
 	probe(address: string, callback: (result: upstreamTransport.ProbeResult) => void): void {
-		const isUp = this.#runners.get(address)?.isUp ?? false;
+		const runner = this.#runners.get(address);
+		const isOpen = runner?.isUp ?? false;
+		// The connection of a probe may seem to be open before its reset arrives.
+		const isAccepting = runner !== undefined && this.#way?.isPortAccepting === true;
 		this.#clock.setTimer(() => {
-			callback(isUp ? 'open' : 'refused');
+			callback(isOpen || isAccepting ? 'open' : 'refused');
 		}, 1);
 	}
 
@@ -155,6 +202,16 @@
 			daemon: run.daemon,
 		});
 		run.listener.onSent();
+		if (isHarmful && this.#way) {
+			this.#crashIn(this.#way, runner, run);
+			return;
+		}
+
+		if (this.#isFailing(runner)) {
+			this.#fail(runner, run);
+			return;
+		}
+
 		if (prompt.isPlain) {
 			this.#runPlain(runner, run, isHarmful);
 			return;
@@ -173,6 +230,46 @@
 		});
 	}
 
+	#crashIn({events, workMs}: CrashWay, runner: Runner, run: Run): void {
+		const headAfterMs = events === undefined ? 0 : prefillMs;
+		if (events !== undefined) {
+			this.#after(prefillMs, run, () => {
+				run.listener.onHead(200, this.#answerHeaders(runner, run));
+				for (let id = 1; id <= events; id++) {
+					run.listener.onData(new TextEncoder().encode(`id: ${id}\ndata: x\n\n`));
+				}
+			});
+		}
+
+		// The runner crashes also if the daemon has cancelled the request, but not on one of an earlier start.
+		const {returns} = runner;
+		this.#clock.setTimer(() => {
+			if (runner.isUp && runner.returns === returns) {
+				this.#crash(runner);
+			}
+		}, headAfterMs + workMs);
+	}
+
+	/** Spreads the failures of a faulty runner evenly over its requests. */
+	#isFailing(runner: Runner): boolean {
+		const index = runner.requests++;
+		const share = runner.fault?.share ?? 0;
+		return Math.floor((index + 1) * share) > Math.floor(index * share);
+	}
+
+	#fail(runner: Runner, run: Run): void {
+		this.#after(plainMs, run, () => {
+			if (runner.fault?.kind === 'truncate') {
+				run.listener.onHead(200, this.#answerHeaders(runner, run));
+				run.listener.onData(new TextEncoder().encode('id: 1\ndata: x\n\n'));
+			}
+
+			run.isOver = true;
+			runner.runs.delete(run);
+			run.listener.onFailure({mayHaveBeenSent: true, detail: 'UND_ERR_SOCKET'});
+		});
+	}
+
 	#runPlain(runner: Runner, run: Run, isHarmful: boolean): void {
 		this.#after(plainMs, run, () => {
 			if (isHarmful) {
@@ -222,6 +319,15 @@
 			run.listener.onFailure({mayHaveBeenSent: true, detail: 'UND_ERR_SOCKET'});
 		}
 
+		runner.runs.clear();
+		if (this.#way?.downMs !== undefined) {
+			this.#clock.setTimer(() => {
+				runner.isUp = true;
+				runner.returns++;
+			}, this.#way.downMs);
+			return;
+		}
+
 		this.#clock.setTimer(() => {
 			this.onDidExpire(runner);
 		}, entryExpiryMs);
@@ -320,18 +426,28 @@
 	return {registry, engine, events, quarantine};
 };
 
-/** Starts five daemons and six runners of a service: `r1` to `r3` in the region north of three daemons. */
-export const startRunnerFleet = (service: routeConfig.Service = fixtures.modelService) => {
+const usualDaemons = ['n1', 'n2', 'n3', 's1', 's2'];
+
+/** Names of daemons that alternate between the regions. */
+const namesOf = (count: number): string[] =>
+	Array.from({length: count}, (_, index) => `${index % 2 === 0 ? 'n' : 's'}${1 + Math.floor(index / 2)}`);
+
+/**
+ * Starts daemons and six runners of a service: `r1` to `r3` in the region north.
+ *
+ * @param options.daemons number of daemons, which alternate between the regions; five, three of them north, if omitted
+ */
+export const startRunnerFleet = (
+	service: routeConfig.Service = fixtures.modelService,
+	options: {daemons?: number; way?: CrashWay} = {},
+) => {
 	const clock = new manualClock.ManualClock();
-	const runners = new RunnerPool(clock);
+	const runners = new RunnerPool(clock, options.way);
 	const network = new memoryFleet.Network(clock);
-	const daemons = [
-		startDaemon(clock, runners, 'n1', 'north-a', network),
-		startDaemon(clock, runners, 'n2', 'north-a', network),
-		startDaemon(clock, runners, 'n3', 'north-a', network),
-		startDaemon(clock, runners, 's1', 'south-a', network),
-		startDaemon(clock, runners, 's2', 'south-a', network),
-	];
+	const names = options.daemons === undefined ? usualDaemons : namesOf(options.daemons);
+	const daemons = names.map((name) =>
+		startDaemon(clock, runners, name, name.startsWith('n') ? 'north-a' : 'south-a', network),
+	);
 	runners.onDidRegister = ({id, address, failureDomain}) => {
 		for (const {registry} of daemons) {
 			registry.put(
