--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -3,6 +3,7 @@
 import * as event from '@hawthornfront/base/common/event.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
+import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
@@ -98,6 +99,10 @@
 	const quarantine = promptQuarantine.createPromptQuarantine(
 		clock,
 		() => fixtures.quarantineSettings,
+		(partId) =>
+			hash
+				.order(partId, [{name: record.name}, ...fleet.alive()])
+				.findIndex(({name}) => name === record.name),
 	);
 	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
 	const socket = new MemorySocket(network, record.peerAddress);
