Count crashes of one moment once for a request, and tell known crashes from breaks

Cause: crashes as an answer began counted also when upstreams failed together, and each break within one outage counted for itself. Now crashes during a request count only if they hit a later send, 300 ms apart at least; a break of a connection alone weighs less than a crash of the upstream that is known; a request that was ever answered is tried again after its quarantine; and one crash of many plain requests no longer limits them to one at a time.

--- a/packages/gateway/src/common/crash-detector.ts
+++ b/packages/gateway/src/common/crash-detector.ts
@@ -116,11 +116,16 @@
 	};
 
 	/** Reports requests whose connections broke although the upstream may be sound: one that breaks again and again may be the cause. */
-	const reportBreaks = (upstream: upstreamRegistry.Upstream, broken: readonly BrokenRun[]) => {
+	const reportBreaks = (
+		upstream: upstreamRegistry.Upstream,
+		broken: readonly BrokenRun[],
+		basis: 'bystander' | 'break',
+	) => {
 		quarantine.noteBreaks(
 			upstream.entry.service,
 			keyOf(upstream),
 			broken.map((run) => victimOf(run)),
+			basis,
 		);
 	};
 
@@ -129,7 +134,7 @@
 		const oldestMs = time.nowMs() - settleMs;
 		const old = watched.broken.filter(({brokenAtMs}) => brokenAtMs <= oldestMs);
 		watched.broken = watched.broken.filter(({brokenAtMs}) => brokenAtMs > oldestMs);
-		reportBreaks(upstream, old);
+		reportBreaks(upstream, old, 'break');
 	};
 
 	const reportCrash = (upstream: upstreamRegistry.Upstream, watched: Watched) => {
@@ -162,14 +167,14 @@
 		const others = watched.broken.filter(
 			(run) => run.events > maxEventsAtCrash || (run.request.isStream && !wasAnswering(run)),
 		);
-		reportBreaks(upstream, others);
+		reportBreaks(upstream, others, 'bystander');
 	};
 
 	const decide = (upstream: upstreamRegistry.Upstream, watched: Watched, hasCrashed: boolean) => {
 		if (hasCrashed) {
 			reportCrash(upstream, watched);
 		} else {
-			reportBreaks(upstream, watched.broken);
+			reportBreaks(upstream, watched.broken, 'break');
 		}
 
 		watched.isChecking = false;
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -7,6 +7,7 @@
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as msgpackr from 'msgpackr';
 import * as zod from 'zod';
+import * as partEvidence from './part-evidence.js';
 import * as promptCacheView from './prompt-cache-view.js';
 import type * as promptQuarantine from './prompt-quarantine.js';
 import type * as upstreamLoad from './upstream-load.js';
@@ -74,6 +75,8 @@
 const messageVersion = 7;
 /** Beliefs on upstreams, by their numbers in a message. */
 const beliefs = ['suspected', 'cold', 'warm'] as const satisfies upstreamWarmth.Belief[];
+/** Bases of crashes, by their numbers in a message. */
+const basisNumberSchema = zod.union([zod.literal(0), zod.literal(1), zod.literal(2)]);
 const beliefNumberSchema = zod.union([zod.literal(0), zod.literal(1), zod.literal(2)]);
 /** Unit of the ages of heartbeats, coarse so that they take one byte. */
 const heartbeatUnitMs = 50;
@@ -112,7 +115,7 @@
 			zod.number().nullable(),
 			zod.number(),
 			zod.array(
-				zod.tuple([zod.number(), zod.number(), zod.number(), zod.boolean(), zod.boolean()]),
+				zod.tuple([zod.number(), zod.number(), zod.number(), zod.boolean(), basisNumberSchema]),
 			),
 			zod.number().nullable(),
 		]),
@@ -244,7 +247,7 @@
 				Math.round(crash.ageMs),
 				Math.round(crash.sentBeforeMs),
 				crash.wasAnswering,
-				crash.isConfirmed,
+				partEvidence.crashBases.indexOf(crash.basis),
 			]),
 			report.refusedAgeMs === undefined ? null : Math.round(report.refusedAgeMs),
 		]),
@@ -316,12 +319,12 @@
 				answeredAgeMs: answeredAgeMs ?? undefined,
 				quarantines,
 				refusedAgeMs: refusedAgeMs ?? undefined,
-				crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering, isConfirmed]) => ({
+				crashes: crashes.map(([upstreamKey, ageMs, sentBeforeMs, wasAnswering, basis]) => ({
 					upstreamKey,
 					ageMs,
 					sentBeforeMs,
 					wasAnswering,
-					isConfirmed,
+					basis: partEvidence.crashBases[basis],
 				})),
 			})),
 		rateLimits: rateLimits.map(([upstreamId, requestsPerS, ageMs]) => ({
--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -3,6 +3,15 @@
  * crashes during requests with the part, and the time of the last answer to one.
  */
 
+/**
+ * `suspect`: the upstream is known to have crashed, and the request may have been beginning.
+ * `bystander`: it is known to have crashed during a request that waited or was answered further.
+ * `break`: only the connection of the request is known to have broken. The last two count
+ * against requests only, not against the parts of their prompts.
+ */
+export const crashBases = ['suspect', 'bystander', 'break'] as const;
+export type CrashBasis = (typeof crashBases)[number];
+
 /** A crash of an upstream during a request with the part, in monotonic time of this daemon. */
 export type Crash = {
 	/** Identifies one start of an upstream. */
@@ -12,8 +21,7 @@
 	sentAtMs: number;
 	/** The upstream had begun its answer and sent no event of it. */
 	wasAnswering: boolean;
-	/** False if only the connection of the request is known to have broken; such breaks count against requests only. */
-	isConfirmed: boolean;
+	basis: CrashBasis;
 };
 
 export type PartEvidence = {
@@ -36,28 +44,44 @@
 const sameCrashMs = 1000;
 /** After so many crashes in sequence, a request is not tried again while it keeps coming. */
 const lastTrialCrashes = 3;
-/** A request with as many breaks in sequence is suspected without a confirmed crash. */
-const suspectedBreaks = 2;
+/** A request with as many crashes or breaks in sequence is suspected, though it was the suspect at none of them. */
+const suspectedInSequence = 2;
+/** Weight of known crashes in sequence, and number of breaks, after which a request is sent once at a time. */
+const triedWeight = 2;
+const triedInSequence = 3;
+/** Crashes during the same request within this time count once: a service whose upstreams are all away for a moment breaks all connections. */
+const crashIntervalMs = 300;
 
 /** Whether the upstream is known to have crashed as it began to answer. */
-const isAnswering = ({wasAnswering, isConfirmed}: Crash): boolean => wasAnswering && isConfirmed;
+const isAnswering = ({wasAnswering, basis}: Crash): boolean => wasAnswering && basis === 'suspect';
 
 const sumWeights = (crashes: readonly Crash[]): number =>
 	crashes.reduce((sum, crash) => sum + (isAnswering(crash) ? answeringWeight : waitingWeight), 0);
 
-/** Crashes that each hit a request sent after the one before, so that upstreams that fail together count once. */
-const inSequence = (crashes: readonly Crash[]): Crash[] => {
+/**
+ * Crashes that each hit a request sent after the one before, so that upstreams that fail
+ * together count once: as the crash during which an answer began, if there is one.
+ */
+const inSequence = (crashes: readonly Crash[], intervalMs = 0): Crash[] => {
 	const sequence: Crash[] = [];
+	const follows = (crash: Crash, last: Crash | undefined) =>
+		!last || crash.sentAtMs > last.atMs + intervalMs;
 	for (const crash of [...crashes].sort((a, b) => a.atMs - b.atMs)) {
 		const last = sequence.at(-1);
-		if (!last || crash.sentAtMs > last.atMs) {
+		if (follows(crash, last)) {
 			sequence.push(crash);
+		} else if (isAnswering(crash) && !isAnswering(last!) && follows(crash, sequence.at(-2))) {
+			sequence[sequence.length - 1] = crash;
 		}
 	}
 
 	return sequence;
 };
 
+/** Crashes that count against a request: many callers may send equal sound ones, which stand at all crashes of one moment. */
+const requestSequence = (crashes: readonly Crash[]): Crash[] =>
+	inSequence(crashes, crashIntervalMs);
+
 export const wasAnswered = ({answeredAtMs}: PartEvidence): boolean =>
 	answeredAtMs !== Number.NEGATIVE_INFINITY;
 
@@ -78,33 +102,40 @@
 		return sumWeights(inSequence(crashes)) >= sufficientWeightAfterAnswer;
 	}
 
-	const counted = evidence.isRequest ? countedForRequest(crashes) : crashes;
+	const counted = evidence.isRequest ? requestSequence(crashes) : crashes;
 	return counted.length > 1 && sumWeights(counted) >= sufficientWeight;
 };
 
-/** Without an answer that began, sound requests that are sent again look the same unless the crashes follow each other. */
-const countedForRequest = (crashes: readonly Crash[]): Crash[] => [
-	...crashes.filter((crash) => isAnswering(crash)),
-	...inSequence(crashes.filter((crash) => !isAnswering(crash))),
-];
-
 const answeringKeys = (evidence: PartEvidence): number[] =>
 	crashesSinceAnswer(evidence)
 		.filter((crash) => isAnswering(crash))
 		.map(({upstreamKey}) => upstreamKey);
 
-/** Whether a request may be what crashes its upstreams, so that it is tried once at a time and gets no second upstream. */
+/** Whether a request may be what crashes its upstreams, so that it gets no second upstream. */
 export const isSuspectedRequest = (evidence: PartEvidence): boolean => {
 	const crashes = crashesSinceAnswer(evidence);
 	return (
 		evidence.isRequest &&
-		(crashes.some(({isConfirmed}) => isConfirmed) || inSequence(crashes).length >= suspectedBreaks)
+		(crashes.some(({basis}) => basis === 'suspect') ||
+			requestSequence(crashes).length >= suspectedInSequence)
 	);
 };
 
-/** Whether a request has crashed so many upstreams that no further trial is made while it keeps coming. */
+/** Whether a request is so suspicious that it is sent once at a time. Equal requests of many callers stand at one crash together. */
+export const isTriedRequest = (evidence: PartEvidence): boolean => {
+	const crashes = crashesSinceAnswer(evidence);
+	const known = crashes.filter(({basis}) => basis !== 'break');
+	return (
+		evidence.isRequest &&
+		(sumWeights(inSequence(known)) >= triedWeight || inSequence(crashes).length >= triedInSequence)
+	);
+};
+
+/** Whether a request that was never answered has crashed so many upstreams that no further trial is made while it keeps coming. */
 export const isBeyondTrial = (evidence: PartEvidence): boolean =>
-	evidence.isRequest && inSequence(crashesSinceAnswer(evidence)).length >= lastTrialCrashes;
+	evidence.isRequest &&
+	!wasAnswered(evidence) &&
+	requestSequence(crashesSinceAnswer(evidence)).length >= lastTrialCrashes;
 
 /** Equal for parts that no crash tells apart: they were in the same prompts whose answers had begun. A request is told apart by itself. */
 const signatureOf = (evidence: PartEvidence): string => {
@@ -173,7 +204,7 @@
 const isStrongerThan = (crash: Crash, known: Crash | undefined): boolean =>
 	!known ||
 	(isAnswering(crash) && !isAnswering(known)) ||
-	(crash.isConfirmed && !known.isConfirmed);
+	crashBases.indexOf(crash.basis) < crashBases.indexOf(known.basis);
 
 /** Whether adding a crash would strengthen the evidence. */
 export const isNewCrash = (evidence: PartEvidence, crash: Crash): boolean =>
@@ -186,7 +217,9 @@
 	const isStronger = isStrongerThan(crash, known);
 	if (known) {
 		known.wasAnswering ||= crash.wasAnswering;
-		known.isConfirmed ||= crash.isConfirmed;
+		if (isStronger) {
+			known.basis = crash.basis;
+		}
 	} else {
 		crashes.push(crash);
 		crashes.splice(0, crashes.length - maxCrashes);
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -38,7 +38,7 @@
 
 export type ReportedCrash = CrashFacts & {ageMs: number};
 
-type CrashFacts = Pick<partEvidence.Crash, 'upstreamKey' | 'wasAnswering' | 'isConfirmed'> & {
+type CrashFacts = Pick<partEvidence.Crash, 'upstreamKey' | 'wasAnswering' | 'basis'> & {
 	/** Time from the send of the request to the crash. */
 	sentBeforeMs: number;
 };
@@ -53,7 +53,7 @@
 };
 
 /** A request that was at an upstream when it crashed. */
-export type CrashVictim = Omit<CrashFacts, 'upstreamKey' | 'isConfirmed'> & {
+export type CrashVictim = Omit<CrashFacts, 'upstreamKey' | 'basis'> & {
 	request: JudgedRequest;
 };
 
@@ -92,7 +92,12 @@
 	/** An upstream is known to have crashed during the requests. */
 	noteCrash(service: string, upstreamKey: number, victims: readonly CrashVictim[]): void;
 	/** The connections of the requests broke, which counts against the requests only, not the parts that others share. */
-	noteBreaks(service: string, upstreamKey: number, victims: readonly CrashVictim[]): void;
+	noteBreaks(
+		service: string,
+		upstreamKey: number,
+		victims: readonly CrashVictim[],
+		basis: Exclude<partEvidence.CrashBasis, 'suspect'>,
+	): void;
 	/**
 	 * Counts a request that is sent, until it is disposed: one at a time tries parts again
 	 * after their quarantine, and one at a time of the same request after a crash during it.
@@ -425,7 +430,7 @@
 
 	/** Whether only one request with the part may be in progress. */
 	const isTried = (record: PartRecord): boolean =>
-		record.isHarmful || partEvidence.isSuspectedRequest(record);
+		record.isHarmful || partEvidence.isTriedRequest(record);
 
 	const reportOf = (record: PartRecord): PartReport => ({
 		service: record.service,
@@ -463,14 +468,14 @@
 
 	const noteVictims = (
 		upstreamKey: number,
-		isConfirmed: boolean,
+		basis: partEvidence.CrashBasis,
 		victims: readonly CrashVictim[],
 		recordsOf: (victim: CrashVictim) => PartRecord[],
 	) => {
 		update(ownSource, () =>
 			victims.flatMap((victim) => {
 				const {sentBeforeMs, wasAnswering} = victim;
-				const crash = crashOf({upstreamKey, ageMs: 0, sentBeforeMs, wasAnswering, isConfirmed});
+				const crash = crashOf({upstreamKey, ageMs: 0, sentBeforeMs, wasAnswering, basis});
 				return recordsOf(victim).filter((record) => partEvidence.addCrash(record, {...crash}));
 			}),
 		);
@@ -508,12 +513,12 @@
 			refute(recordsFor(service, request));
 		},
 		noteCrash(service, upstreamKey, victims) {
-			noteVictims(upstreamKey, true, victims, (victim) =>
+			noteVictims(upstreamKey, 'suspect', victims, (victim) =>
 				suspectIds(service, victim).map((id) => recordOf(service, id)),
 			);
 		},
-		noteBreaks(service, upstreamKey, victims) {
-			noteVictims(upstreamKey, false, victims, ({request}) => [
+		noteBreaks(service, upstreamKey, victims, basis) {
+			noteVictims(upstreamKey, basis, victims, ({request}) => [
 				recordOf(service, requestPartId(request)),
 			]);
 		},
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -11,6 +11,7 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as prefixStore from '../common/prefix-store.js';
+import * as partEvidence from '../common/part-evidence.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as storeLease from '../common/store-lease.js';
 import * as storeFeed from '../common/store-feed.js';
@@ -44,7 +45,7 @@
 				atUnixMs: zod.number(),
 				sentBeforeMs: zod.number(),
 				wasAnswering: zod.boolean(),
-				isConfirmed: zod.boolean().default(true),
+				basis: zod.enum(partEvidence.crashBases).default('suspect'),
 			}),
 		)
 		.min(1, 'expected a crash'),
