--- a/packages/gateway/src/test/memory-fleet.ts
+++ b/packages/gateway/src/test/memory-fleet.ts
@@ -3,6 +3,7 @@
 import * as event from '@hawthornfront/base/common/event.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as random from '@hawthornfront/base/common/random.js';
+import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as fleetView from '../common/fleet-view.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
@@ -16,6 +17,8 @@
 	readonly isolatedAddresses = new Set<string>();
 	/** Datagrams of one sender that its link takes at one time; further ones are lost. */
 	linkQueueLength = Number.POSITIVE_INFINITY;
+	/** Delay of each datagram. */
+	delayMs = 0;
 	bytes = 0;
 	readonly sentByAddress = new Map<string, number>();
 	readonly #bursts = new Map<string, {atMs: number; datagrams: number}>();
@@ -25,6 +28,15 @@
 		this.#clock = clock;
 	}
 
+	deliver(address: string, datagram: datagramSocket.Datagram): void {
+		const receive = () => this.sockets.get(address)?.receive(datagram);
+		if (this.delayMs > 0) {
+			this.#clock.setTimer(receive, this.delayMs);
+		} else {
+			receive();
+		}
+	}
+
 	/** Counts a datagram; whether the sender's link takes it. */
 	takeFromLink(address: string): boolean {
 		const atMs = this.#clock.nowMs();
@@ -60,7 +72,7 @@
 			this.#network.isolatedAddresses.has(peer) ||
 			this.#network.isolatedAddresses.has(this.#address);
 		if (!isDropped) {
-			this.#network.sockets.get(peer)?.receive({peer: this.#address, bytes});
+			this.#network.deliver(peer, {peer: this.#address, bytes});
 		}
 	}
 
@@ -87,6 +99,10 @@
 	const quarantine = promptQuarantine.createPromptQuarantine(
 		clock,
 		() => fixtures.quarantineSettings,
+		(partId) =>
+			hash
+				.order(partId, [{name: record.name}, ...fleet.alive()])
+				.findIndex(({name}) => name === record.name),
 	);
 	const rateLimits = upstreamRateLimits.createUpstreamRateLimits(clock);
 	const socket = new MemorySocket(network, record.peerAddress);
