Order the requests of a team by the ranks of their routes

Cause: a team's rank replaces the route's, and most teams have the same one, so all its requests counted as equally urgent: upstreams read them in order of arrival, and load shedding refused those that need most work first. Now a team's rank still decides first, and the route's rank orders requests within it, by a third of a step: the priority for upstreams, the order of load shedding, and which wait applies. Without teams nothing changes. The test fails before (all priorities of a team were equal).

--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -73,16 +73,16 @@
 /** Reason of a request that is refused because it, or a part of its prompt, is quarantined. */
 const quarantinedReason = 'quarantined-prompt';
 
-/** Runner priorities range from 0 to 9; the most urgent rank has the first priority, each further rank one step more. */
+/** Runner priorities range from 0 to 9; the most urgent rank has the first priority, each further rank one step more, each route rank within a team's a part of a step. */
 const firstPriority = 2;
-const priorityStep = 3;
+const priorityStep = routeConfig.routeRanksInTeam;
 const lastPriority = 9;
 
 /** A choice that is not a refusal. */
 type SendChoice = Exclude<dispatcher.Choice, {kind: 'refuse'}>;
 
 const priorityOf = (rank: number): number =>
-	Math.min(lastPriority, firstPriority + rank * priorityStep);
+	Math.min(lastPriority, Math.round(firstPriority + rank * priorityStep));
 
 /** Creates the engine of a daemon. */
 export const createRequestEngine = ({
@@ -101,7 +101,7 @@
 	const {clock, wire} = services;
 	const {route, team, facts, service} = request;
 	const rank = routeConfig.rankOf(request);
-	const work = workEstimate.estimateWork(facts, {rank});
+	const work = workEstimate.estimateWork(facts, route);
 	const observed: crashDetector.ObservedRequest = {
 		attemptId: facts.attemptId,
 		parts: work.sharedParts,
--- a/packages/gateway/src/common/request-log.ts
+++ b/packages/gateway/src/common/request-log.ts
@@ -170,7 +170,7 @@
 				candidates: basis?.candidates ?? 0,
 				shedding: loggedShedding(basis?.shedding),
 				remainingMs: remainingMs(),
-				rank: routeConfig.rankOf(request),
+				rank: Number(routeConfig.rankOf(request).toFixed(2)),
 			});
 		},
 		ended(end, firstMs) {
--- a/packages/gateway/src/common/route-config.ts
+++ b/packages/gateway/src/common/route-config.ts
@@ -105,8 +105,14 @@
 /** What decides on a request's rank and regions. */
 export type RequestTerms = {route: Route; team?: Team};
 
-/** Effective rank of a request: the team's before the route's. */
-export const rankOf = ({route, team}: RequestTerms): number => team?.rank ?? route.rank;
+/** Ranks of routes that are told apart within the rank of a team; higher ones count as the last. */
+export const routeRanksInTeam = 3;
+
+/** Effective rank of a request: the team's before the route's, which orders the requests of teams with equal ranks. */
+export const rankOf = ({route, team}: RequestTerms): number =>
+	team?.rank === undefined
+		? route.rank
+		: team.rank + Math.min(route.rank, routeRanksInTeam - 1) / routeRanksInTeam;
 
 const allowsRegion = (homeRegions: readonly string[], region: string): boolean =>
 	homeRegions.length === 0 || homeRegions.includes(region);
--- a/packages/gateway/src/common/work-estimate.ts
+++ b/packages/gateway/src/common/work-estimate.ts
@@ -18,7 +18,7 @@
 /** Callers choose how many parts they list; the first ones are shared most. */
 export const maxSharedParts = 64;
 
-/** Estimates a request from its caller's facts and its effective rank. */
+/** Estimates a request from its caller's facts and its route, whose rank orders the requests of teams with equal ranks. */
 export const estimateWork = (
 	facts: wireFormat.RequestFacts,
 	{rank}: Pick<routeConfig.Route, 'rank'>,
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -168,7 +168,9 @@
 				refusals.inc({
 					reason: countedReasons.has(event.reason) ? event.reason : otherReasons,
 					cause: event.shedding?.cause ?? '',
-					rank: countedRanks.has(event.rank) ? String(event.rank) : otherRanks,
+					rank: countedRanks.has(Math.floor(event.rank))
+						? String(Math.floor(event.rank))
+						: otherRanks,
 				});
 			}
 
--- a/packages/gateway/src/test/request-engine.test.ts
+++ b/packages/gateway/src/test/request-engine.test.ts
@@ -491,3 +491,18 @@
 	t.ok(events.every((event) => 'team' in event && event.team === 'team-1'));
 	t.notMatch(JSON.stringify(events), 'd-1');
 });
+
+// Guards against long prompts of an urgent route that are shed and read like the short ones of their team.
+tap.t.test("the rank of a route orders the requests within its team's rank", async (t) => {
+	const priorityAt = (rank: number | undefined, routeRank: number) => {
+		const team = {name: 'team-1', keyDigests: ['d-1'], rank, homeRegions: []};
+		const {transport} = start({...fixtures.longRoute, rank: routeRank}, {team});
+		return Number(headerOf(transport.last, 'priority'));
+	};
+
+	t.same(
+		[priorityAt(0, 0), priorityAt(0, 2), priorityAt(0, 7), priorityAt(1, 0), priorityAt(1, 1)],
+		[2, 4, 4, 5, 6],
+	);
+	t.equal(priorityAt(undefined, 1), 5, 'a team without a rank has that of the route');
+});
