--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -29,7 +29,7 @@
 			expectedMs: number;
 			candidates: number;
 			remainingMs: number;
-			/** 0 is the most urgent; the team's before the route's. */
+			/** 0 is the most urgent; the team's before the route's, which adds a fraction. */
 			rank: number;
 			/** The caller has part of the answer already. */
 			hasStarted: boolean;
