--- a/review/lib-2/harness.js
+++ b/review/lib-2/harness.js
@@ -52,6 +52,23 @@
 		process.exit(code);
 	};
 
+	let isFailing = false;
+	const onFailure = (error) => {
+		if (!isFailing) {
+			isFailing = true;
+			finish(2, `COULD NOT RUN: ${error?.stack ?? error}`);
+		}
+	};
+
+	// An error of the script is no verdict on the rule.
+	process.on('uncaughtException', onFailure);
+	process.on('unhandledRejection', onFailure);
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.on(signal, () => {
+			onFailure(signal);
+		});
+	}
+
 	return {
 		note,
 		/** Adds what ends a process or a server that the script has started. */
