Give a listing the position of the store, not that of its newest entry

Cause: the position of a listing was the revision of its newest entry, so a removal before it was not part of it. The restarted daemons listed revision 12 while the survivor held 13, which took itself for current. Ruled out: that it did not hear them (its log names both as restarted 1.1 s after the kill).

Now a daemon announces up to where its state is applied, and separately the last change that it knows of; the silent-watch detection and pulls from other failure domains go by the second. A moment without watchers is no outage, which would keep a removed entry for another 2.2 s.

The test that daemons agree on the position after a listing without changes now asks that of the last known change, and that the position rises.

--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -49,6 +49,10 @@
 	upstreamRevision: storePosition.storePositionSchema,
 	/** Position in the store up to which it has applied changes of configuration and evacuations. */
 	operatorRevision: storePosition.storePositionSchema,
+	/** Position of the last change of upstreams that it knows of; a watch that has passed it must have delivered it. */
+	upstreamLastChange: storePosition.storePositionSchema,
+	/** Position of the last change of configuration and evacuations that it knows of. */
+	operatorLastChange: storePosition.storePositionSchema,
 	/** Whether it watches the store and the store responds. */
 	storeContact: storeWatcherElection.storeContactSchema,
 	/** Processor share of its machine, for the directory's choice. */
@@ -70,10 +74,12 @@
 	zod.number(),
 	storeWatcherElection.storeContactSchema,
 	zod.number(),
+	zod.number(),
+	zod.number(),
 ]);
 
 /** Version of the layout of a message. */
-const messageVersion = 7;
+const messageVersion = 8;
 /** Beliefs on upstreams, by their numbers in a message. */
 const beliefs = ['suspected', 'cold', 'warm'] as const satisfies upstreamWarmth.Belief[];
 /** Bases of crashes, by their numbers in a message. */
@@ -203,6 +209,8 @@
 	record.operatorRevision,
 	record.storeContact,
 	record.capacity,
+	record.upstreamLastChange,
+	record.operatorLastChange,
 ];
 
 /** Copies a text, since one of a datagram may refer to the whole datagram. */
@@ -224,6 +232,8 @@
 	operatorRevision: tuple[10],
 	storeContact: tuple[11],
 	capacity: tuple[12],
+	upstreamLastChange: tuple[13],
+	operatorLastChange: tuple[14],
 });
 
 const packWait = (waitMs: number) => (Number.isFinite(waitMs) ? Math.round(waitMs) : null);
--- a/packages/gateway/src/common/store-reachability.ts
+++ b/packages/gateway/src/common/store-reachability.ts
@@ -2,7 +2,8 @@
  * Whether the store is reachable, by this daemon's own watch or by a peer. It is derived
  * from the current state of both, so it does not depend on the order of their changes.
  * After a time without the store, and after its restore from a copy, entries may be
- * missing until their upstreams have registered again.
+ * missing until their upstreams have registered again. A moment in which nobody watches
+ * the store, because its watchers ended, is not an outage.
  */
 import * as event from '@hawthornfront/base/common/event.js';
 import type * as storeWatcherElection from './store-watcher-election.js';
@@ -12,6 +13,8 @@
  * is kept after the store is back. The platform restores entries within 2 s.
  */
 export const missingEntryGraceMs = 2200;
+/** A daemon whose watchers ended watches the store itself after this time, and notices an outage. */
+const maxUnwatchedMs = 2500;
 
 /** The inputs and the conclusion, for the log. */
 export type ReachabilityChange = {
@@ -26,8 +29,12 @@
 	readonly isReachable: boolean;
 	/** Sets whether the store responds to this daemon. */
 	setOwnContact(contact: storeWatcherElection.StoreContact): void;
-	/** Sets whether any peer reaches the store. */
-	setReachedByPeers(isReached: boolean): void;
+	/**
+	 * Sets whether any peer reaches the store.
+	 *
+	 * @param isLost whether the store does not respond to a peer that watches it
+	 */
+	setReachedByPeers(isReached: boolean, isLost?: boolean): void;
 	/** Notes that the store was restored from a copy, which may lack entries. */
 	noteRestore(): void;
 	/** Time until a missing entry counts as removed; infinite while the store is not reachable. */
@@ -38,15 +45,33 @@
 export const createStoreReachability = (nowMs: () => number): StoreReachability => {
 	let ownContact: storeWatcherElection.StoreContact = 'none';
 	let isReachedByPeers = false;
+	let isLostByPeers = false;
 	let reachableSinceMs: number | undefined;
+	/** Set while nobody reaches the store and nobody has found that it does not respond. */
+	let unwatched: {sinceMs: number; reachableSinceMs: number} | undefined;
 	const didChange = event.createEmitter<ReachabilityChange>();
 
+	const sinceOf = (isReachable: boolean): number | undefined => {
+		if (!isReachable) {
+			return undefined;
+		}
+
+		const isOutage = unwatched === undefined || nowMs() - unwatched.sinceMs > maxUnwatchedMs;
+		return isOutage ? nowMs() : unwatched?.reachableSinceMs;
+	};
+
 	const update = () => {
 		const isReachable = ownContact === 'reached' || isReachedByPeers;
 		if (isReachable !== (reachableSinceMs !== undefined)) {
-			reachableSinceMs = isReachable ? nowMs() : undefined;
+			const before = reachableSinceMs;
+			reachableSinceMs = sinceOf(isReachable);
+			unwatched = before === undefined ? undefined : {sinceMs: nowMs(), reachableSinceMs: before};
 			didChange.fire({isReachable, ownContact, isReachedByPeers});
 		}
+
+		if (ownContact === 'lost' || isLostByPeers) {
+			unwatched = undefined;
+		}
 	};
 
 	return {
@@ -58,8 +83,9 @@
 			ownContact = contact;
 			update();
 		},
-		setReachedByPeers(isReached) {
+		setReachedByPeers(isReached, isLost = !isReached) {
 			isReachedByPeers = isReached;
+			isLostByPeers = isLost;
 			update();
 		},
 		noteRestore() {
--- a/packages/gateway/src/common/upstream-registry.ts
+++ b/packages/gateway/src/common/upstream-registry.ts
@@ -49,14 +49,14 @@
 	/**
 	 * Replaces all entries with a listing.
 	 *
-	 * @param listedAt position of the listing, used when entries were removed
-	 * @param lastChange position of the last change in the listing, used otherwise
+	 * @param listedAt position of the listing
+	 * @param newestEntry position of the newest entry in the listing
 	 * @param revisions store revision of each entry by its id
 	 */
 	replaceAll(
 		entries: readonly upstreamEntry.UpstreamEntry[],
 		listedAt: storePosition.StorePosition,
-		lastChange?: storePosition.StorePosition,
+		newestEntry?: storePosition.StorePosition,
 		revisions?: ReadonlyMap<string, number>,
 	): void;
 	/** Replaces all entries with those that a peer reports. A missing entry that is unknown here has been dropped before. */
@@ -64,6 +64,7 @@
 		reports: readonly upstreamEntry.ReportedUpstream[],
 		at: storePosition.StorePosition,
 		peer: string,
+		changedAt?: storePosition.StorePosition,
 	): void;
 	/** Notes that an upstream said in an answer that it leaves; ignored for another start of it. */
 	noteLeaving(upstream: Upstream): void;
@@ -76,8 +77,10 @@
 	usable(service: string, region: string): readonly Upstream[];
 	/** All upstreams, including draining and missing ones. */
 	all(): readonly Upstream[];
-	/** Position of the last change. */
+	/** Position in the store up to which all changes are applied. */
 	readonly position: storePosition.StorePosition;
+	/** Position of the last change that is known; a listing does not tell when a key was removed. */
+	readonly lastChange: storePosition.StorePosition;
 	/** Whether a listing was ever applied. */
 	readonly isLoaded: boolean;
 };
@@ -115,6 +118,7 @@
 	const didChange = event.createEmitter<UpstreamChange>();
 	let groups: Map<string, Upstream[]> | undefined;
 	let position = storePosition.start;
+	let lastChange = storePosition.start;
 	let isLoaded = false;
 	/** Source of the changes that are being applied. */
 	let source = storeSource;
@@ -362,27 +366,40 @@
 		return others.length > 0;
 	};
 
-	const finishReplacement = (at: storePosition.StorePosition) => {
+	const finishReplacement = (
+		at: storePosition.StorePosition,
+		changedAt: storePosition.StorePosition,
+	) => {
 		position = storePosition.latest(position, at);
+		lastChange = storePosition.latest(lastChange, changedAt);
 		isLoaded = true;
 	};
 
+	const noteChange = (at: storePosition.StorePosition) => {
+		position = storePosition.latest(position, at);
+		lastChange = storePosition.latest(lastChange, at);
+	};
+
 	return {
 		onDidChange: didChange.event,
-		replaceAll(entries, listedAt, lastChange = listedAt, revisions = new Map<string, number>()) {
+		replaceAll(entries, listedAt, newestEntry = listedAt, revisions = new Map<string, number>()) {
 			source = storeSource;
 			const isRestored = storePosition.isRestored(position, listedAt);
 			const ids = new Set(entries.map((entry) => entry.id));
 			releaseOthers(ids);
 			const hasRemovals = removeOthers(ids, listedAt);
-			const at = hasRemovals ? listedAt : lastChange;
+			const changedAt = hasRemovals ? listedAt : newestEntry;
 			for (const entry of entries) {
-				putListed(entry, at, {isListed: true, isRestored, revision: revisions.get(entry.id)});
+				putListed(entry, changedAt, {
+					isListed: true,
+					isRestored,
+					revision: revisions.get(entry.id),
+				});
 			}
 
-			finishReplacement(at);
+			finishReplacement(listedAt, changedAt);
 		},
-		replaceFromPeer(reports, at, peer) {
+		replaceFromPeer(reports, at, peer, changedAt = at) {
 			source = peer;
 			const isRestored = storePosition.isRestored(position, at);
 			const held = reports.filter(({isHeldBack}) => isHeldBack);
@@ -409,7 +426,7 @@
 				}
 			}
 
-			finishReplacement(at);
+			finishReplacement(at, changedAt);
 		},
 		noteLeaving({entry}) {
 			source = answerSource;
@@ -441,12 +458,12 @@
 		put(entry, at) {
 			source = storeSource;
 			put(entry, at, {isListed: false, revision: storePosition.revisionOf(at)});
-			position = storePosition.latest(position, at);
+			noteChange(at);
 		},
 		remove(id, at) {
 			source = storeSource;
 			removeEntry(id, at);
-			position = storePosition.latest(position, at);
+			noteChange(at);
 		},
 		get: (id) => upstreams.get(id),
 		usable(service, region) {
@@ -457,6 +474,9 @@
 		get position() {
 			return position;
 		},
+		get lastChange() {
+			return lastChange;
+		},
 		get isLoaded() {
 			return isLoaded;
 		},
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -28,11 +28,15 @@
 export const snapshotSchema = zod.object({
 	config: routeConfig.routeConfigSchema.optional(),
 	evacuated: zod.array(zod.string()),
-	/** Position of the last change of the configuration or the evacuations. */
+	/** Position up to which changes of the configuration and the evacuations are applied. */
 	operatorRevision: storePosition.storePositionSchema,
+	/** Position of the last known change of the configuration or the evacuations. */
+	operatorLastChange: storePosition.storePositionSchema.optional(),
 	upstreams: listSchema.listSchema(upstreamEntry.reportedUpstreamSchema),
-	/** Position of the last change of the upstreams. */
+	/** Position up to which changes of the upstreams are applied. */
 	upstreamRevision: storePosition.storePositionSchema,
+	/** Position of the last known change of the upstreams. */
+	upstreamLastChange: storePosition.storePositionSchema.optional(),
 });
 export type Snapshot = zod.infer<typeof snapshotSchema>;
 
@@ -45,8 +49,10 @@
 	readonly routeTable: routeConfig.RouteTable | undefined;
 	readonly configVersion: number;
 	readonly isComplete: boolean;
-	/** Position of the last applied change of the configuration or the evacuations. */
+	/** Position up to which changes of the configuration and the evacuations are applied. */
 	readonly operatorPosition: storePosition.StorePosition;
+	/** Position of the last known change of the configuration or the evacuations. */
+	readonly operatorLastChange: storePosition.StorePosition;
 	readonly storeContact: storeWatcherElection.StoreContact;
 	/** Time since the store last answered the feed of the upstreams; infinite if it never has. */
 	upstreamResponseAgeMs(): number;
@@ -90,6 +96,7 @@
 	const evacuated = new Set<string>();
 	let table: routeConfig.RouteTable | undefined;
 	let operatorPosition = storePosition.start;
+	let operatorLastChange = storePosition.start;
 	/** Evacuations that a restored store lacks, until the operator has written them again or the time is over. */
 	const keptEvacuations = new Map<string, disposable.Disposable>();
 
@@ -183,10 +190,8 @@
 		random: options.random,
 		handler: {
 			onListing({items, revision, era}) {
-				const isRestored = storePosition.isRestored(
-					operatorPosition,
-					storePosition.create(era, revision),
-				);
+				const listedAt = storePosition.create(era, revision);
+				const isRestored = storePosition.isRestored(operatorPosition, listedAt);
 				const listed = new Set<string>();
 				let hasRemovals = false;
 				for (const item of items) {
@@ -205,8 +210,9 @@
 				}
 
 				const changedAt = hasRemovals ? revision : lastRevisionOf(items);
-				operatorPosition = storePosition.latest(
-					operatorPosition,
+				operatorPosition = storePosition.latest(operatorPosition, listedAt);
+				operatorLastChange = storePosition.latest(
+					operatorLastChange,
 					storePosition.create(era, changedAt),
 				);
 				didApplyStoreUpdate.fire();
@@ -217,6 +223,7 @@
 					lastRevisionOf(events),
 				);
 				operatorPosition = storePosition.latest(operatorPosition, changedAt);
+				operatorLastChange = storePosition.latest(operatorLastChange, changedAt);
 				for (const {key, revision, value} of events) {
 					if (value) {
 						applyOperatorItem(key, value, revision);
@@ -264,11 +271,11 @@
 					.filter((entry) => entry !== undefined);
 				const listedAt = storePosition.create(era, revision);
 				noteUpstreamsAt(listedAt);
-				const lastChange = storePosition.create(era, lastRevisionOf(items));
+				const newestEntry = storePosition.create(era, lastRevisionOf(items));
 				const revisions = new Map(
 					items.map((item) => [layout.upstreamIdOf(item.key), item.revision]),
 				);
-				registry.replaceAll(entries, listedAt, lastChange, revisions);
+				registry.replaceAll(entries, listedAt, newestEntry, revisions);
 				didApplyStoreUpdate.fire();
 			},
 			onEvents(events, position) {
@@ -310,6 +317,9 @@
 		get operatorPosition() {
 			return operatorPosition;
 		},
+		get operatorLastChange() {
+			return operatorLastChange;
+		},
 		get answeredOperatorPosition() {
 			return operatorFeed.answered;
 		},
@@ -345,8 +355,10 @@
 			config: table && table.config.version > knownConfigVersion ? table.config : undefined,
 			evacuated: [...evacuated].filter((name) => !keptEvacuations.has(name)),
 			operatorRevision: operatorPosition,
+			operatorLastChange,
 			upstreams: registry.reportAll(),
 			upstreamRevision: registry.position,
+			upstreamLastChange: registry.lastChange,
 		}),
 		merge(snapshot, peer) {
 			if (snapshot.config) {
@@ -357,7 +369,8 @@
 			const hasNewerUpstreams = storePosition.isAfter(snapshot.upstreamRevision, registry.position);
 			if (upstreamFeed.contact !== 'reached' && hasNewerUpstreams) {
 				noteUpstreamsAt(snapshot.upstreamRevision);
-				registry.replaceFromPeer(snapshot.upstreams, snapshot.upstreamRevision, peer);
+				const {upstreamRevision, upstreamLastChange} = snapshot;
+				registry.replaceFromPeer(snapshot.upstreams, upstreamRevision, peer, upstreamLastChange);
 			}
 
 			const {operatorRevision} = snapshot;
@@ -365,6 +378,10 @@
 			if (operatorFeed.contact !== 'reached' && hasNewerKeys) {
 				const isRestored = storePosition.isRestored(operatorPosition, operatorRevision);
 				operatorPosition = storePosition.latest(operatorPosition, operatorRevision);
+				operatorLastChange = storePosition.latest(
+					operatorLastChange,
+					snapshot.operatorLastChange ?? operatorRevision,
+				);
 				const revision = storePosition.revisionOf(operatorPosition);
 				for (const failureDomain of snapshot.evacuated) {
 					setEvacuated(failureDomain, true, revision);
@@ -387,9 +404,6 @@
 	};
 };
 
-/**
- * Revision of the last change, by which daemons of one era compare their states. The revision of a
- * listing is unsuitable, because it also grows when nothing under the prefix changes.
- */
+/** Revision of the newest of the changes. Removals that a listing no longer shows are not part of it. */
 const lastRevisionOf = (changes: ReadonlyArray<{revision: number}>): number =>
 	Math.max(0, ...changes.map(({revision}) => revision));
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -289,6 +289,8 @@
 		configVersion: cluster.configVersion,
 		upstreamRevision: registry.position,
 		operatorRevision: cluster.operatorPosition,
+		upstreamLastChange: registry.lastChange,
+		operatorLastChange: cluster.operatorLastChange,
 		storeContact: cluster.storeContact,
 		capacity: vm.processorShare,
 	});
@@ -355,7 +357,7 @@
 		client: options.client,
 		cluster,
 		localFailureDomain: vm.failureDomain,
-		upstreamPosition: () => registry.position,
+		upstreams: registry,
 		log,
 	});
 
@@ -548,7 +550,10 @@
 	});
 	const updateWatch = () => {
 		const alive = fleet.alive();
-		reachability.setReachedByPeers(alive.some(({storeContact}) => storeContact === 'reached'));
+		reachability.setReachedByPeers(
+			alive.some(({storeContact}) => storeContact === 'reached'),
+			alive.some(({storeContact}) => storeContact === 'lost'),
+		);
 		const domainPeers = alive
 			.filter(({failureDomain}) => failureDomain === vm.failureDomain)
 			.map(({name, capacity, aliveAtMs, storeContact}) => ({
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -10,6 +10,7 @@
 import type * as gatewayEvent from '../common/gateway-event.js';
 import type * as gossipMessage from '../common/gossip-message.js';
 import * as storePosition from '../common/store-position.js';
+import type * as upstreamRegistry from '../common/upstream-registry.js';
 import * as watchLag from '../common/watch-lag.js';
 import * as clusterState from './cluster-state.js';
 import * as requestAdmission from './request-admission.js';
@@ -26,7 +27,7 @@
 	client: httpClient.HttpClient;
 	cluster: clusterState.ClusterState;
 	localFailureDomain: string;
-	upstreamPosition(): storePosition.StorePosition;
+	upstreams: Pick<upstreamRegistry.UpstreamRegistry, 'position'>;
 	log: gatewayEvent.EventLog;
 };
 
@@ -84,17 +85,31 @@
 	const isInLocalDomain = (peer: gossipMessage.MemberRecord) =>
 		peer.failureDomain === options.localFailureDomain;
 
-	const hasNewerChanges = (peer: gossipMessage.MemberRecord) =>
-		storePosition.isAfter(peer.upstreamRevision, options.upstreamPosition()) ||
-		storePosition.isAfter(peer.operatorRevision, cluster.operatorPosition);
+	const isAfterOwn = (
+		upstreamPosition: storePosition.StorePosition,
+		operatorPosition: storePosition.StorePosition,
+	) =>
+		storePosition.isAfter(upstreamPosition, options.upstreams.position) ||
+		storePosition.isAfter(operatorPosition, cluster.operatorPosition);
+
+	/**
+	 * Whether a peer holds a state of the store that this daemon may lack. A listing does not show
+	 * which keys were removed before it, so a later one counts although no later change is known.
+	 * While this daemon follows the watchers of its failure domain, listings elsewhere don't count,
+	 * since each daemon lists the store when it starts.
+	 */
+	const hasLaterState = (peer: gossipMessage.MemberRecord): boolean =>
+		isAfterOwn(peer.upstreamLastChange, peer.operatorLastChange) ||
+		((isInLocalDomain(peer) || cluster.storeContact === 'lost') &&
+			isAfterOwn(peer.upstreamRevision, peer.operatorRevision));
 
 	const isAhead = (peer: gossipMessage.MemberRecord): boolean =>
 		peer.configVersion > cluster.configVersion ||
-		(cluster.storeContact !== 'reached' && hasNewerChanges(peer));
+		(cluster.storeContact !== 'reached' && hasLaterState(peer));
 
 	/** Lists the store again once for each restore that a peer knows of before this daemon's own watch. */
 	const noteRestore = (peer: gossipMessage.MemberRecord) => {
-		const isRestored = storePosition.isRestored(options.upstreamPosition(), peer.upstreamRevision);
+		const isRestored = storePosition.isRestored(options.upstreams.position, peer.upstreamRevision);
 		const era = storePosition.eraOf(peer.upstreamRevision);
 		if (isRestored && cluster.storeContact === 'reached' && era !== refreshedEra) {
 			refreshedEra = era;
@@ -109,8 +124,8 @@
 		}
 
 		const lagMs = Math.max(
-			operatorLag.note(peer.operatorRevision, cluster.answeredOperatorPosition),
-			upstreamLag.note(peer.upstreamRevision, cluster.answeredUpstreamPosition),
+			operatorLag.note(peer.operatorLastChange, cluster.answeredOperatorPosition),
+			upstreamLag.note(peer.upstreamLastChange, cluster.answeredUpstreamPosition),
 		);
 		if (lagMs > 0) {
 			log.note({
@@ -118,9 +133,9 @@
 				peer: peer.name,
 				lagMs: Math.round(lagMs),
 				operatorRevision: storePosition.revisionOf(cluster.answeredOperatorPosition),
-				peerOperatorRevision: storePosition.revisionOf(peer.operatorRevision),
+				peerOperatorRevision: storePosition.revisionOf(peer.operatorLastChange),
 				upstreamRevision: storePosition.revisionOf(cluster.answeredUpstreamPosition),
-				peerUpstreamRevision: storePosition.revisionOf(peer.upstreamRevision),
+				peerUpstreamRevision: storePosition.revisionOf(peer.upstreamLastChange),
 			});
 			cluster.refresh();
 		}
--- a/packages/gateway/src/test/cluster-state.test.ts
+++ b/packages/gateway/src/test/cluster-state.test.ts
@@ -179,21 +179,24 @@
 	t.notOk(subject.isEvacuated('north-b'), 'the store takes precedence over peers');
 });
 
-tap.t.test('watchers that listed at different times agree on the revision', async (t) => {
+tap.t.test('watchers that listed at different times agree on the last change', async (t) => {
 	const {clock, store, subject, registry} = await start(t);
 	store.write('ops/routes', config(5));
 	store.write('ops/leave/north-a', {});
 	store.write('servers/u1', fixtures.upstream('u1'));
 	await clock.advance(2000);
-	const [operatorRevision, upstreamRevision] = [subject.operatorPosition, registry.position];
-	t.ok(operatorRevision > 0 && upstreamRevision > operatorRevision);
+	const [operatorChange, upstreamChange] = [subject.operatorLastChange, registry.lastChange];
+	const [operatorPosition, upstreamPosition] = [subject.operatorPosition, registry.position];
+	t.ok(operatorChange > 0 && upstreamChange > operatorChange);
 	subject.setWatching(false);
 	store.write('elsewhere/x', {});
 	await clock.advance(2000);
 	subject.setWatching(true);
 	await clock.advance(2000);
-	t.equal(subject.operatorPosition, operatorRevision, 'a listing without changes');
-	t.equal(registry.position, upstreamRevision);
+	t.equal(subject.operatorLastChange, operatorChange, 'a listing without changes');
+	t.equal(registry.lastChange, upstreamChange);
+	t.ok(subject.operatorPosition > operatorPosition, 'it may hide a removal from a follower');
+	t.ok(registry.position > upstreamPosition);
 	subject.setWatching(false);
 	await clock.advance(2000);
 	store.remove('ops/leave/north-a');
@@ -201,8 +204,8 @@
 	await clock.advance(2000);
 	subject.setWatching(true);
 	await clock.advance(2000);
-	t.ok(subject.operatorPosition > operatorRevision, 'a listing that lacks a removed key');
-	t.ok(registry.position > upstreamRevision);
+	t.ok(subject.operatorLastChange > operatorChange, 'a listing that lacks a removed key');
+	t.ok(registry.lastChange > upstreamChange);
 });
 
 tap.t.test('a snapshot omits a configuration that the peer has', async (t) => {
--- a/packages/gateway/src/test/fixtures.ts
+++ b/packages/gateway/src/test/fixtures.ts
@@ -120,6 +120,8 @@
 	configVersion: 1,
 	upstreamRevision: 1,
 	operatorRevision: 1,
+	upstreamLastChange: options.upstreamRevision ?? 1,
+	operatorLastChange: options.operatorRevision ?? 1,
 	storeContact: 'reached',
 	capacity: 1,
 	...options,
--- a/packages/gateway/src/test/peer-catch-up.test.ts
+++ b/packages/gateway/src/test/peer-catch-up.test.ts
@@ -73,7 +73,7 @@
 		client: new PeerClient(),
 		cluster,
 		localFailureDomain: 'north-a',
-		upstreamPosition: () => registry.position,
+		upstreams: registry,
 		log: {note: () => undefined},
 	});
 	const announcePeer = async (options: Partial<gossipMessage.MemberRecord>) => {
@@ -170,3 +170,30 @@
 
 	t.equal(store.listCalls, before);
 });
+
+// Guards against a pull by each daemon of all failure domains whenever one daemon starts.
+tap.t.test('a listing in another failure domain is no reason to pull', async (t) => {
+	const {subject, announcePeer, requestedPaths, clock} = await start(t);
+	const listing = {upstreamRevision: 90, upstreamLastChange: 0};
+	for (let count = 0; count < 8; count++) {
+		await announcePeer({failureDomain: 'south-a', ...listing});
+		await clock.advance(250);
+	}
+
+	t.same(requestedPaths, []);
+	t.equal(subject.behindMs(), 0);
+	await announcePeer(listing);
+	t.equal(requestedPaths.length, 1, 'a local one may show what the local watchers missed');
+});
+
+tap.t.test('a daemon without the store pulls what a listing elsewhere shows', async (t) => {
+	const {store, cluster, announcePeer, requestedPaths, clock} = await start(t, true);
+	store.isUnavailable = true;
+	await clock.advance(3000);
+	t.equal(cluster.storeContact, 'lost');
+	const listing = {failureDomain: 'south-a', upstreamRevision: 90, upstreamLastChange: 0};
+	await announcePeer(listing);
+	await clock.advance(800);
+	await announcePeer(listing);
+	t.equal(requestedPaths.length, 1);
+});
--- a/packages/gateway/src/test/restored-store.test.ts
+++ b/packages/gateway/src/test/restored-store.test.ts
@@ -1,119 +1,23 @@
 // Daemons ignored the changes after a restore of the store, since its revisions had been higher before.
-import * as httpClient from '@hawthornfront/base/common/http-client.js';
-import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as tap from 'tap';
 import * as storePosition from '../common/store-position.js';
-import * as storeReachability from '../common/store-reachability.js';
-import * as upstreamRegistry from '../common/upstream-registry.js';
-import * as clusterState from '../node/cluster-state.js';
-import * as peerCatchUp from '../node/peer-catch-up.js';
 import * as fixtures from './fixtures.js';
-import * as memoryStore from './memory-store.js';
+import type * as memoryStore from './memory-store.js';
+import * as storeDomain from './store-domain.js';
 
 /** Bound on a configuration, the tightest of the platform's bounds on changes. */
 const configMs = 3000;
-const gossipEveryMs = 250;
-
 const config = (version: number) => ({...fixtures.config, version});
 
-/** Starts daemons of one failure domain that watch the store or pull from each other, as gossip would tell them. */
-const startDomain = (t: tap.Test, names: readonly string[]) => {
-	const clock = new manualClock.ManualClock();
-	const store = new memoryStore.MemoryPrefixStore(clock);
-	const cutOff = new Set<string>();
-	const clusters = new Map<string, clusterState.ClusterState>();
-
-	class PeerClient extends httpClient.HttpClient {
-		override async request({peer}: httpClient.HttpRequest): Promise<httpClient.HttpResponse> {
-			const snapshot = clusters.get(peer.split(':', 1)[0]!)!.snapshot(0);
-			const bytes = new TextEncoder().encode(JSON.stringify(snapshot));
-			return {
-				status: 200,
-				headers: {},
-				body: (async function* () {
-					yield bytes;
-				})(),
-			};
-		}
-
-		override async close(): Promise<void> {
-			clusters.clear();
-		}
-	}
-
-	const startDaemon = (name: string) => {
-		const reachability = storeReachability.createStoreReachability(() => clock.nowMs());
-		const registry = upstreamRegistry.createUpstreamRegistry(
-			clock,
-			(domain) => fixtures.regionByDomain[domain],
-			reachability,
-		);
-		const cluster = clusterState.startClusterState({
-			clock,
-			store,
-			layout: new memoryStore.MemoryLayout(),
-			registry,
-			reachability,
-			log: {note: () => undefined},
-			watchWaitMs: () => 1000,
-			random: () => 0.5,
-		});
-		clusters.set(name, cluster);
-		t.teardown(() => {
-			cluster.dispose();
-		});
-		const catchUp = peerCatchUp.createCatchUp({
-			clock,
-			client: new PeerClient(),
-			cluster,
-			localFailureDomain: 'north-a',
-			upstreamPosition: () => registry.position,
-			log: {note: () => undefined},
-		});
-		const record = () =>
-			fixtures.member(name, {
-				configVersion: cluster.configVersion,
-				upstreamRevision: registry.position,
-				operatorRevision: cluster.operatorPosition,
-				storeContact: cluster.storeContact,
-			});
-		const ids = () => registry.all().map(({entry}) => entry.id);
-		return {name, cluster, registry, reachability, catchUp, record, ids};
-	};
-
-	const daemons = names.map((name) => startDaemon(name));
-	clock.setPeriodicTimer(() => {
-		for (const daemon of daemons) {
-			const peers = daemons.filter(
-				({name}) => name !== daemon.name && !cutOff.has(name) && !cutOff.has(daemon.name),
-			);
-			daemon.reachability.setReachedByPeers(
-				peers.some(({cluster}) => cluster.storeContact === 'reached'),
-			);
-			for (const peer of peers) {
-				daemon.catchUp.notePeer(peer.record());
-			}
-		}
-	}, gossipEveryMs);
-	return {clock, store, cutOff, daemons};
-};
-
-/** Writes that raise the revision and change nothing under the prefixes of the daemons. */
-const writeElsewhere = (store: memoryStore.MemoryPrefixStore, count: number) => {
-	for (let index = 0; index < count; index++) {
-		store.write('elsewhere/x', index);
-	}
-};
-
 // Guards against snapshots that a daemon does not pull because revisions were higher before a restore.
 tap.t.test('a daemon that stopped watching pulls what came after a restore', async (t) => {
-	const {clock, store, daemons} = startDomain(t, ['n1', 'n2']);
+	const {clock, store, daemons} = storeDomain.startDomain(t, ['n1', 'n2']);
 	const [watcher, follower] = [daemons[0]!, daemons[1]!];
 	store.write('ops/routes', config(5));
 	store.write('servers/u1', fixtures.upstream('u1'));
 	await clock.advance(2000);
 	const copy = store.copy();
-	writeElsewhere(store, 10);
+	storeDomain.writeElsewhere(store, 10);
 	store.write('ops/routes', config(6));
 	store.write('servers/u2', fixtures.upstream('u2'));
 	await clock.advance(2000);
@@ -139,18 +43,18 @@
 
 // Guards against a watch that continues from a revision that the store has given out again.
 tap.t.test('a watch does not miss changes of a restore that it was not cut by', async (t) => {
-	const {clock, store, daemons} = startDomain(t, ['n1']);
+	const {clock, store, daemons} = storeDomain.startDomain(t, ['n1']);
 	const {cluster, ids} = daemons[0]!;
 	store.write('ops/routes', config(5));
 	store.write('servers/u1', fixtures.upstream('u1'));
 	await clock.advance(2000);
 	const copy = store.copy();
-	writeElsewhere(store, 5);
+	storeDomain.writeElsewhere(store, 5);
 	await clock.advance(1200);
 	store.restore(copy);
 	store.write('ops/leave/north-b', {});
 	store.write('servers/u2', fixtures.upstream('u2'));
-	writeElsewhere(store, 20);
+	storeDomain.writeElsewhere(store, 20);
 	await clock.advance(configMs);
 	t.ok(cluster.isEvacuated('north-b'));
 	t.same(ids(), ['u1', 'u2']);
@@ -160,13 +64,13 @@
 tap.t.test(
 	'a daemon cut off since before two restores follows, and brings nothing back',
 	async (t) => {
-		const {clock, store, cutOff, daemons} = startDomain(t, ['n1', 'n2']);
+		const {clock, store, cutOff, daemons} = storeDomain.startDomain(t, ['n1', 'n2']);
 		const [watcher, isolated] = [daemons[0]!, daemons[1]!];
 		store.write('ops/routes', config(5));
 		store.write('servers/u1', fixtures.upstream('u1'));
 		await clock.advance(2000);
 		const copy = store.copy();
-		writeElsewhere(store, 30);
+		storeDomain.writeElsewhere(store, 30);
 		store.write('servers/u2', fixtures.upstream('u2'));
 		store.write('ops/leave/south-a', {});
 		await clock.advance(2000);
@@ -218,7 +122,7 @@
 	t: tap.Test,
 	change: (store: memoryStore.MemoryPrefixStore) => void,
 ) => {
-	const domain = startDomain(t, ['n1', 'n2']);
+	const domain = storeDomain.startDomain(t, ['n1', 'n2']);
 	const {clock, store, daemons} = domain;
 	daemons[1]!.cluster.setWatching(false);
 	store.write('ops/routes', config(5));
