Give the peer port limits of its own, and an outcome to each of its refusals

Cause: the peer port applied the limits for callers again, after the relaying daemon had added headers. Its refusal named no outcome, since only those of the admission did, so it passed as an answer of an upstream. Shown by a head of 20 KB sent to the peer port alone.

server-port.ts now holds what the two ports do differently. The same on related paths: refusals written before a request was read (400, 408, 431, 503), bodies (413), requests that a stop aborts (502), heads of relayed answers, and the 2,000 headers beyond which Node.js drops a relay's own.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -377,6 +377,7 @@
 			headers: target.headers,
 			body: request.body,
 			needsRecentConnection: !options.isIdempotent,
+			isRelay: target.isRelay,
 		},
 		{
 			onSent() {
--- a/packages/gateway/src/common/upstream-transport.ts
+++ b/packages/gateway/src/common/upstream-transport.ts
@@ -12,6 +12,8 @@
 	body?: Uint8Array;
 	/** Requires a new or recently used connection, since an idle one may be broken and the request cannot be retried. */
 	needsRecentConnection: boolean;
+	/** The address is that of another daemon. */
+	isRelay?: boolean;
 };
 
 export type TransportFailure = {
--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -13,6 +13,7 @@
 import type * as closeLog from './close-log.js';
 import * as headGuard from './head-guard.js';
 import * as requestBody from './request-body.js';
+import * as serverPort from './server-port.js';
 import * as serverReply from './server-reply.js';
 
 /** Request line and headers of a request. */
@@ -43,8 +44,6 @@
 			kind: 'accept';
 			/** Time for the request from its head on; without it, unlimited. */
 			timeoutMs?: number;
-			/** Additional headers of a refusal for this reason. */
-			refusalHeaders?(reason: string): wireFormat.Headers;
 			/**
 			 * Whether the request is still accepted when its body is complete.
 			 *
@@ -61,8 +60,10 @@
 			): requestEngine.RequestExecution;
 	  };
 
-/** Bounds on what the connections of all servers of a daemon hold together. */
-export type CallerServerLimits = {
+export type CallerServerOptions = {
+	/** The port for callers by default. */
+	port?: serverPort.ServerPort;
+	/** Bounds what the connections of all servers of a daemon hold together. */
 	budget?: memoryBudget.MemoryBudget;
 	/** Called for each new connection; returns whether it may stay open. */
 	makeRoom?(): boolean;
@@ -91,13 +92,6 @@
 	destroy(): void;
 };
 
-/** Limits until a configuration is in force. */
-const initialLimits: routeConfig.CallerLimits = {
-	headerBytes: headGuard.headLimitBytes,
-	bodyBytes: 4_194_304,
-	headerTimeoutMs: 60_000,
-	idleMs: 15_000,
-};
 /** Longest time that a timer of Node.js accepts. */
 const maxTimerMs = 2_147_483_647;
 const connectionsCheckMs = 2000;
@@ -137,24 +131,32 @@
 const retryAfter = (delayMs: number): string => (delayMs / 1000).toFixed(2);
 
 /** @param status code and reason phrase */
-const emptyResponse = (status: string, headers: string[] = []): string =>
-	[`HTTP/1.1 ${status}`, 'connection: close', 'content-length: 0', ...headers, '', ''].join('\r\n');
+const emptyResponse = (status: string, headers: wireFormat.Headers): string =>
+	[
+		`HTTP/1.1 ${status}`,
+		'connection: close',
+		'content-length: 0',
+		...Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}`),
+		'',
+		'',
+	].join('\r\n');
 
 /**
  * @param decide decides on a request from its head
  * @param closes counts the connections that the server closes
- * @param limits bounds over all servers of the daemon
  */
 export const createCallerServer = (
 	nowMs: () => number,
 	decide: (head: RequestHead) => AdmissionDecision,
 	closes: Pick<closeLog.CloseLog, 'note'>,
-	limits: CallerServerLimits = {},
+	options: CallerServerOptions = {},
 ): CallerServer => {
 	const {
+		port = new serverPort.CallerPort(),
 		budget = memoryBudget.createMemoryBudget(nowMs, memoryBudget.heldLimitBytes(undefined)),
 		makeRoom = () => true,
-	} = limits;
+	} = options;
+	const {initialLimits} = port;
 	const connections = callerConnections.createCallerConnections(nowMs);
 	/** One callback for each request in progress, which aborts it. */
 	const requestAborts = new Set<() => void>();
@@ -192,6 +194,7 @@
 
 		response.writeHead(status, {
 			...headers,
+			...port.refusalHeaders(outcome, reason),
 			'content-type': 'application/problem+json',
 			'content-length': buffer.Buffer.byteLength(body),
 		});
@@ -213,6 +216,10 @@
 		}
 	};
 
+	/** Response to a request whose head was not read. */
+	const refuseConnection = (status: string, reason: string, headers: wireFormat.Headers = {}) =>
+		emptyResponse(status, {...headers, ...port.refusalHeaders('not-run', reason)});
+
 	const headerBytes = (rawHeaders: readonly string[]) =>
 		rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
@@ -338,7 +345,6 @@
 			closes.note(failure === 'deadline' ? 'slow-body' : 'no-memory', 1);
 			reject(response, 503, failure, {
 				retryAfterMs: failure === 'deadline' ? undefined : noMemoryRetryMs,
-				headers: decision.refusalHeaders?.(failure),
 				isReading: true,
 			});
 		};
@@ -397,13 +403,15 @@
 
 	const server = http.createServer(
 		{
-			maxHeaderSize: headGuard.headLimitBytes,
+			maxHeaderSize: port.headLimitBytes,
 			connectionsCheckingInterval: connectionsCheckMs,
 			requestTimeout: 0,
 			noDelay: true,
 		},
 		onRequest,
 	);
+	// Node.js drops the headers beyond a number without a word; their bytes are bounded anyway.
+	server.maxHeadersCount = 0;
 	// `close` of the HTTP server would also destroy connections whose response is still being written.
 	const closeListener = () => net.Server.prototype.close.call(server);
 
@@ -425,7 +433,11 @@
 		connections.add(socket);
 		if (!makeRoom()) {
 			closes.note('no-room', 0);
-			connections.close(socket, emptyResponse('503 Service Unavailable'), scarceCloseTimeoutMs);
+			connections.close(
+				socket,
+				refuseConnection('503 Service Unavailable', 'no-room'),
+				scarceCloseTimeoutMs,
+			);
 		}
 	});
 	// When `timeout` has a listener, the server does not close the connection itself.
@@ -458,22 +470,28 @@
 
 		if (connections.idleMs(socket) === undefined) {
 			closes.note('slow-head', 0);
-			connections.close(socket, emptyResponse('408 Request Timeout'));
+			connections.close(socket, refuseConnection('408 Request Timeout', 'slow-head'));
 		} else {
 			// No head has begun, or its request has ended meanwhile; the idle limit applies.
 			socket.setTimeout(idleLimitMs);
 		}
 	};
 
-	const guard = headGuard.startHeadGuard(connections, budget.headLimitBytes, (socket) => {
-		closes.note('no-memory', 0);
-		budget.noteHead(connections.headBytes(socket));
-		connections.close(
-			socket,
-			emptyResponse('503 Service Unavailable', [`retry-after: ${retryAfter(noMemoryRetryMs)}`]),
-		);
-		// Node.js holds the head until the connection is closed.
-		socket.destroySoon();
+	const guard = headGuard.startHeadGuard(connections, {
+		headLimitBytes: port.headLimitBytes,
+		limitBytes: budget.headLimitBytes,
+		onGiveWay(socket) {
+			closes.note('no-memory', 0);
+			budget.noteHead(connections.headBytes(socket));
+			connections.close(
+				socket,
+				refuseConnection('503 Service Unavailable', 'no-memory', {
+					'retry-after': retryAfter(noMemoryRetryMs),
+				}),
+			);
+			// Node.js holds the head until the connection is closed.
+			socket.destroySoon();
+		},
 	});
 
 	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
@@ -495,8 +513,10 @@
 			socket.destroy();
 		} else {
 			const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-			const status = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-			connections.close(socket, emptyResponse(status));
+			const refusal = isTooLarge
+				? refuseConnection('431 Request Header Fields Too Large', 'header-too-large')
+				: refuseConnection('400 Bad Request', 'malformed');
+			connections.close(socket, refusal);
 		}
 	});
 
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -10,6 +10,7 @@
 import type * as undici from 'undici';
 import * as connectionLosses from '../common/connection-losses.js';
 import * as framingMeter from '../common/framing-meter.js';
+import * as relayHeaders from '../common/relay-headers.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 
 export type PoolSettings = {
@@ -58,6 +59,9 @@
 	isClosed: boolean;
 };
 
+/** Longest head of an upstream's answer. */
+const upstreamHeadLimitBytes = 16_384;
+
 /** A cancelled request that had no byte of an answer for this long suggests that its kept connection is silent. */
 const suspiciousSilenceMs = 600;
 
@@ -445,10 +449,10 @@
 			return connection;
 		}
 
-		return this.#open(request.address);
+		return this.#open(request);
 	}
 
-	#open(address: string): Connection {
+	#open({address, isRelay}: upstreamTransport.TransportRequest): Connection {
 		this.#opened++;
 		const connection: Connection = {
 			client: undefined as unknown as undici.Client,
@@ -468,6 +472,8 @@
 			bodyTimeout: 0,
 			keepAliveTimeout: this.#settings.idleTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
+			// Another daemon adds headers to an answer whose head an upstream may have filled.
+			maxHeaderSize: upstreamHeadLimitBytes + (isRelay ? relayHeaders.maxAddedBytes : 0),
 			connect: (options, callback) => {
 				this.#connect(connection, options, callback);
 			},
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -49,6 +49,7 @@
 import * as quotaLog from './quota-log.js';
 import * as requestAdmission from './request-admission.js';
 import * as serverErrorLog from './server-error-log.js';
+import * as serverPort from './server-port.js';
 import * as settings from './settings.js';
 
 export type GatewayDaemon = {
@@ -321,18 +322,18 @@
 		nowMs,
 		memoryBudget.heldLimitBytes(current.limits.memoryMb),
 	);
-	const serverLimits = {budget: heldMemory, makeRoom: connections.makeRoom};
+	const serverOptions = {budget: heldMemory, makeRoom: connections.makeRoom};
 	const callerHttpServer: callerServer.CallerServer = callerServer.createCallerServer(
 		nowMs,
 		createCheck(false),
 		callerCloseLog,
-		serverLimits,
+		serverOptions,
 	);
 	const peerHttpServer: callerServer.CallerServer = callerServer.createCallerServer(
 		nowMs,
 		createCheck(true),
 		peerCloseLog,
-		serverLimits,
+		{...serverOptions, port: new serverPort.PeerPort()},
 	);
 
 	const inFlight = () => callerHttpServer.inFlight + peerHttpServer.inFlight;
@@ -656,7 +657,6 @@
 	disposables.add(
 		cluster.onDidChangeConfig((table) => {
 			callerHttpServer.applyLimits(table.config.limits);
-			peerHttpServer.applyLimits(table.config.limits);
 		}),
 	);
 	const monitor = processMonitor.createProcessMonitor({
--- a/packages/gateway/src/node/head-guard.ts
+++ b/packages/gateway/src/node/head-guard.ts
@@ -5,22 +5,24 @@
 import type * as net from 'node:net';
 import type * as callerConnections from './caller-connections.js';
 
-/** Longest head that Node.js accepts. */
-export const headLimitBytes = 65_536;
 const checkIntervalMs = 100;
 
 export type HeadGuard = {
 	dispose(): void;
 };
 
-/**
- * @param onGiveWay ends the connection; called for the longest heads, of equal ones the oldest,
- * until the others are within the limit
- */
+export type HeadGuardOptions = {
+	/** Longest head that Node.js reads on one connection. */
+	headLimitBytes: number;
+	/** Limit for all heads that are not complete. */
+	limitBytes: number;
+	/** Ends the connection; called for the longest heads, of equal ones the oldest, until the others are within the limit. */
+	onGiveWay(socket: net.Socket): void;
+};
+
 export const startHeadGuard = (
 	connections: Pick<callerConnections.CallerConnections, 'all' | 'count' | 'headBytes'>,
-	limitBytes: number,
-	onGiveWay: (socket: net.Socket) => void,
+	{headLimitBytes, limitBytes, onGiveWay}: HeadGuardOptions,
 ): HeadGuard => {
 	const check = () => {
 		// Few connections cannot pass the limit.
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -1,6 +1,5 @@
 /** Decides from the head of a request whether it is accepted, and selects its route and service. */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
-import type * as answerClassifier from '../common/answer-classifier.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
 import * as relayHeaders from '../common/relay-headers.js';
 import type * as requestEngine from '../common/request-engine.js';
@@ -46,16 +45,6 @@
 	retryAfterMs: notReadyRetryMs,
 });
 
-/** States to the relaying daemon that the request did not run, so that it may send it elsewhere. */
-const notRunHeaders = (reason: string): wireFormat.Headers => {
-	const outcome: answerClassifier.Outcome = 'not-run';
-	return {
-		[relayHeaders.outcomeHeader]: outcome,
-		[relayHeaders.reasonHeader]: reason,
-		[relayHeaders.upstreamsUsedHeader]: '0',
-	};
-};
-
 const keyRefused = (reason: string): callerServer.Rejection => ({
 	kind: 'reject',
 	status: 401,
@@ -108,13 +97,6 @@
 			: undefined;
 	};
 
-	const asRelayRefusal = <Decision extends callerServer.AdmissionDecision | undefined>(
-		decision: Decision,
-	): Decision =>
-		isPeerPort && decision?.kind === 'reject'
-			? {...decision, headers: notRunHeaders(decision.reason)}
-			: decision;
-
 	/** Team that another daemon named; one that is not in this configuration has no terms of its own. */
 	const relayedTeam = (
 		head: callerServer.RequestHead,
@@ -181,8 +163,7 @@
 		return {
 			kind: 'accept',
 			timeoutMs: timeLimitMs(route, facts),
-			refusalHeaders: (reason) => (isPeerPort ? notRunHeaders(reason) : {}),
-			recheck: (waitedMs) => asRelayRefusal(refuseInStop(route, facts, waitedMs)),
+			recheck: (waitedMs) => refuseInStop(route, facts, waitedMs),
 			abandon: taken.giveBack,
 			run(body, reply, onEnd) {
 				let digest: string | undefined;
@@ -251,6 +232,6 @@
 			return {kind: 'respond', body: JSON.stringify(options.snapshot(knownConfigVersion))};
 		}
 
-		return asRelayRefusal(decideRequest(head));
+		return decideRequest(head);
 	};
 };
--- a/packages/gateway/src/test/held-memory.test.ts
+++ b/packages/gateway/src/test/held-memory.test.ts
@@ -3,12 +3,21 @@
 import * as tap from 'tap';
 import * as memoryBudget from '../common/memory-budget.js';
 import * as callerServer from '../node/caller-server.js';
+import * as serverPort from '../node/server-port.js';
+import type * as answerClassifier from '../common/answer-classifier.js';
 import type * as upstreamTransport from '../common/upstream-transport.js';
 
 const bodyBytes = 400_000;
 const budgetBytes = 4_000_000;
 const answerBytes: Readonly<Record<string, number>> = {'/large/': bodyBytes, '/medium/': 15_000};
 
+/** Names the reason of a refusal in a header. */
+class ReasonPort extends serverPort.CallerPort {
+	override refusalHeaders(_outcome: answerClassifier.Outcome, reason: string) {
+		return {'x-reason': reason};
+	}
+}
+
 const start = async (t: tap.Test, timeoutMs?: number) => {
 	const budget = memoryBudget.createMemoryBudget(() => performance.now(), budgetBytes);
 	const runs: string[] = [];
@@ -22,7 +31,6 @@
 				: {
 						kind: 'accept',
 						timeoutMs,
-						refusalHeaders: (reason) => ({'x-reason': reason}),
 						run(body, reply, onEnd) {
 							runs.push(`${head.path} ${body?.length ?? 0}`);
 							const answer = new Uint8Array(answerBytes[head.path] ?? 2);
@@ -45,7 +53,7 @@
 				closes.push(reason);
 			},
 		},
-		{budget},
+		{budget, port: new ReasonPort()},
 	);
 	const port = await new Promise<number>((resolve) => {
 		const probe = net.createServer();
--- a/packages/gateway/src/test/request-admission.test.ts
+++ b/packages/gateway/src/test/request-admission.test.ts
@@ -9,6 +9,7 @@
 import type * as callerServer from '../node/caller-server.js';
 import type * as plannedStop from '../node/planned-stop.js';
 import * as requestAdmission from '../node/request-admission.js';
+import * as serverPort from '../node/server-port.js';
 import * as fakeTransport from './fake-transport.js';
 import * as fixtures from './fixtures.js';
 
@@ -122,7 +123,10 @@
 			return decision.kind;
 		}
 
-		const headers = decision.headers ?? {};
+		const headers = {
+			...decision.headers,
+			...new serverPort.PeerPort().refusalHeaders('not-run', decision.reason),
+		};
 		const answer = wire.readAnswer(decision.status, headers);
 		return answerClassifier.classifyAnswer(decision.status, headers, answer, undefined, false);
 	};
@@ -146,6 +150,7 @@
 	const decision = check('/nowhere/');
 	t.same(refusalOf(decision), [404, 'no-route']);
 	t.notOk(decision.kind === 'reject' && decision.headers);
+	t.same(new serverPort.CallerPort().refusalHeaders('not-run', 'no-route'), {});
 });
 
 const team: routeConfig.Team = {
