Judge all parts of a prompt, and report parts with equal evidence together

Cause: the quarantine was given the list of parts that the estimate of work keeps, which ends after 64. Ruled out: that the crashes are not recognised (a part at position 31 is quarantined after two).

It now asks for the ids of all parts, read anew from the headers where they count, so a waiting request keeps no more than before. Groups of more than 64 parts are not written to the store.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -265,6 +265,8 @@
 			part: string;
 			/** Crashes during requests with the part since its last answer. */
 			crashes: number;
+			/** Further parts with the same evidence that changed in the same way; they have no line. */
+			others: number;
 			/** Rest of the quarantine. */
 			remainingMs: number;
 			/** `own`, `store`, or the daemon that reported the last crash or answer. */
--- a/packages/gateway/src/common/gossip-message.ts
+++ b/packages/gateway/src/common/gossip-message.ts
@@ -87,6 +87,8 @@
 const beliefNumberSchema = zod.union([zod.literal(0), zod.literal(1), zod.literal(2)]);
 /** Unit of the ages of heartbeats, coarse so that they take one byte. */
 const heartbeatUnitMs = 50;
+/** Prompt parts that a message may name; more than the shortest ids that it has room for. */
+const maxPartReports = 4096;
 /** Shares are sent in thousandths. */
 const shareUnits = 1000;
 
@@ -116,11 +118,11 @@
 	zod.boolean(),
 	/** Member id and units since its last heartbeat, alternating. */
 	zod.array(zod.number()),
-	/** Service, prompt part, time since its last answer, number of its quarantines, crashes, time since a request was refused for it. */
+	/** Service, prompt parts, time since their last answer, number of their quarantines, crashes, time since a request was refused for them. */
 	zod.array(
 		zod.tuple([
 			zod.string(),
-			zod.string(),
+			zod.array(zod.string()),
 			zod.number().nullable(),
 			zod.number(),
 			zod.array(
@@ -238,6 +240,41 @@
 
 const packWait = (waitMs: number) => (Number.isFinite(waitMs) ? Math.round(waitMs) : null);
 
+const packAge = (ageMs: number | undefined) => (ageMs === undefined ? null : Math.round(ageMs));
+
+/** Parts of which the same is known share one entry, since a prompt may have thousands. */
+const packPartReports = (reports: readonly promptQuarantine.PartReport[]): unknown[] => {
+	const partsByEvidence = new Map<
+		string,
+		{service: string; partIds: string[]; evidence: unknown[]}
+	>();
+	for (const report of reports) {
+		const evidence = [
+			packAge(report.answeredAgeMs),
+			report.quarantines,
+			report.crashes.map((crash) => [
+				crash.upstreamKey,
+				Math.round(crash.ageMs),
+				Math.round(crash.sentBeforeMs),
+				crash.wasAnswering,
+				partEvidence.crashBases.indexOf(crash.basis),
+			]),
+			packAge(report.refusedAgeMs),
+		];
+		const {service, partId} = report;
+		const key = JSON.stringify([service, evidence]);
+		const same = partsByEvidence.get(key) ?? {service, partIds: [], evidence};
+		same.partIds.push(partId);
+		partsByEvidence.set(key, same);
+	}
+
+	return [...partsByEvidence.values()].map(({service, partIds, evidence}) => [
+		service,
+		partIds,
+		...evidence,
+	]);
+};
+
 /** Packs a message into one datagram. */
 export const encodeGossip = (message: GossipMessage): Uint8Array =>
 	msgpackr.pack([
@@ -264,20 +301,7 @@
 			heartbeat.memberId,
 			Math.round(heartbeat.ageMs / heartbeatUnitMs),
 		]),
-		message.partReports.map((report) => [
-			report.service,
-			report.partId,
-			report.answeredAgeMs === undefined ? null : Math.round(report.answeredAgeMs),
-			report.quarantines,
-			report.crashes.map((crash) => [
-				crash.upstreamKey,
-				Math.round(crash.ageMs),
-				Math.round(crash.sentBeforeMs),
-				crash.wasAnswering,
-				partEvidence.crashBases.indexOf(crash.basis),
-			]),
-			report.refusedAgeMs === undefined ? null : Math.round(report.refusedAgeMs),
-		]),
+		packPartReports(message.partReports),
 		message.rateLimits.map(({upstreamId, requestsPerS, ageMs}) => [
 			upstreamId,
 			requestsPerS ?? null,
@@ -371,7 +395,11 @@
 		})),
 		partReports: partReports
 			.filter(([service]) => isName(service))
-			.map(([service, partId, answeredAgeMs, quarantines, crashes, refusedAgeMs]) => ({
+			.flatMap(([service, partIds, ...evidence]) =>
+				partIds.map((partId) => ({service, partId, evidence})),
+			)
+			.slice(0, maxPartReports)
+			.map(({service, partId, evidence: [answeredAgeMs, quarantines, crashes, refusedAgeMs]}) => ({
 				service,
 				partId,
 				answeredAgeMs: answeredAgeMs ?? undefined,
--- a/packages/gateway/src/common/part-evidence.ts
+++ b/packages/gateway/src/common/part-evidence.ts
@@ -138,7 +138,7 @@
 	requestSequence(crashesSinceAnswer(evidence)).length >= lastTrialCrashes;
 
 /** Equal for parts that no crash tells apart: they were in the same prompts whose answers had begun. A request is told apart by itself. */
-const signatureOf = (evidence: PartEvidence): string => {
+export const signatureOf = (evidence: PartEvidence): string => {
 	if (evidence.isRequest) {
 		return evidence.partId;
 	}
--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -15,7 +15,7 @@
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as lruCache from 'lru-cache';
 import * as partEvidence from './part-evidence.js';
-import type * as wireFormat from './wire-format.js';
+import * as partReports from './part-reports.js';
 
 /** What a daemon knows of a part, as sent to other daemons. */
 export type PartReport = {
@@ -33,6 +33,8 @@
 export type QuarantineReport = PartReport & {
 	/** The evidence suffices for a quarantine, which may be over. */
 	isHarmful: boolean;
+	/** Number of parts that a prompt must have together to be refused. */
+	groupSize: number;
 	remainingMs: number;
 };
 
@@ -45,8 +47,8 @@
 
 /** What may have crashed an upstream. */
 export type JudgedRequest = {
-	/** Parts of the prompt that other requests may share. */
-	parts: readonly wireFormat.PromptPart[];
+	/** Ids of all parts of the prompt that other requests may share; called only where they count. */
+	partIds(): readonly string[];
 	/** Equal for requests that repeat each other; called only after a crash. */
 	digest(): string;
 	isStream: boolean;
@@ -71,6 +73,8 @@
 	remainingMs: number;
 	/** {@link ownSource}, or who reported the evidence. */
 	source: string;
+	/** Further parts with the same evidence that changed in the same way and are not named. */
+	others: number;
 };
 
 export type PromptQuarantine = {
@@ -132,7 +136,10 @@
 const maxTrialTurns = 60;
 /** Retry delay while another request tries a part again. */
 const trialRetryMs = 1000;
-const maxRecords = 400;
+/** A head of 16 KB has room for so many parts, any of which may be the harmful one. */
+const maxRecords = 4096;
+/** Records beyond the limit that a crash may add before the least important ones are dropped. */
+const maxExcessRecords = 4096;
 const maxAnsweredParts = 20_000;
 /** Limit of the memory of the answered parts. */
 export const maxAnsweredBytes = 8_388_608;
@@ -142,22 +149,14 @@
 export const maxPartIdLength = 64;
 /** Begins the part ids of requests. */
 const requestPrefix = 'request:';
-/** Reports in one message, and those of them that have not just changed. */
-const maxReports = 8;
-const maxOlderReports = 2;
 const recentMs = 3000;
+/** Changes of parts with equal evidence that are announced one by one. */
+const maxNamedChanges = 8;
 
-type PartRecord = partEvidence.PartEvidence & {
-	service: string;
-	partId: string;
-	quarantines: number;
-	/** The evidence suffices, also after the quarantine is over. */
-	isHarmful: boolean;
-	/** Ids of parts that a prompt must have besides to be harmful. */
-	companions: readonly string[];
+type PartRecord = partReports.ReportedPart & {
+	/** Parts that a prompt must have together to be harmful; undefined if the evidence does not suffice. */
+	group?: readonly PartRecord[];
 	changedAtMs: number;
-	/** Negative infinity if no request was refused for it. */
-	refusedAtMs: number;
 	/** Requests in progress that try the part again. */
 	trials: number;
 };
@@ -170,6 +169,9 @@
 
 const keyOf = (service: string, partId: string): string => `${service}\n${boundedId(partId)}`;
 
+/** Whether the evidence suffices, also after the quarantine is over. */
+const isHarmful = ({group}: PartRecord): boolean => group !== undefined;
+
 /** Whether an answer has refuted all crashes of a part. */
 const isCleared = (record: PartRecord): boolean =>
 	partEvidence.crashesSinceAnswer(record).length === 0;
@@ -187,7 +189,7 @@
 	before: {isHarmful: boolean; isInForce: boolean},
 	hasNewEvidence: boolean,
 ): PartChange['kind'] | undefined => {
-	if (record.isHarmful) {
+	if (isHarmful(record)) {
 		const isNew = !before.isHarmful || (hasNewEvidence && !before.isInForce);
 		return isNew ? 'quarantined' : undefined;
 	}
@@ -227,7 +229,7 @@
 	const nowMs = () => timeSource.nowMs();
 
 	const remainingMs = (record: PartRecord): number => {
-		if (!record.isHarmful) {
+		if (!isHarmful(record)) {
 			return 0;
 		}
 
@@ -245,23 +247,22 @@
 			: Math.max(0, leftMs + trialTurnMs * Math.min(maxTrialTurns, trialRank(record.partId)));
 	};
 
-	const notify = (kind: PartChange['kind'], record: PartRecord, source: string) => {
+	const notify = (kind: PartChange['kind'], record: PartRecord, source: string, others: number) => {
 		const {service, partId} = record;
 		const crashes = partEvidence.crashesSinceAnswer(record).length;
-		didChange.fire({kind, service, partId, crashes, remainingMs: remainingMs(record), source});
+		const leftMs = remainingMs(record);
+		didChange.fire({kind, service, partId, crashes, remainingMs: leftMs, source, others});
 	};
 
 	/** Marks the parts that the evidence shows as harmful. */
 	const markHarmful = () => {
 		for (const record of records.values()) {
-			record.isHarmful = false;
-			record.companions = [];
+			record.group = undefined;
 		}
 
 		for (const group of partEvidence.findHarmful([...records.values()])) {
 			for (const record of group) {
-				record.isHarmful = true;
-				record.companions = group.filter((other) => other !== record).map(({partId}) => partId);
+				record.group = group;
 			}
 		}
 	};
@@ -275,7 +276,7 @@
 		const before = new Map(
 			[...records.values()].map((record) => [
 				record,
-				{isHarmful: record.isHarmful, isInForce: remainingMs(record) > 0},
+				{isHarmful: isHarmful(record), isInForce: remainingMs(record) > 0},
 			]),
 		);
 		const changed = new Set(apply());
@@ -284,7 +285,8 @@
 		}
 
 		markHarmful();
-		const changes: Array<() => void> = [];
+		/** Changed parts by their change and their evidence. */
+		const changes = new Map<string, {kind: PartChange['kind']; parts: PartRecord[]}>();
 		for (const record of records.values()) {
 			const previous = before.get(record) ?? {isHarmful: false, isInForce: false};
 			const change = changeOf(record, previous, changed.has(record));
@@ -298,26 +300,31 @@
 			}
 
 			if (change) {
-				changes.push(() => {
-					notify(change, record, source);
-				});
+				const key = `${change}\n${record.service}\n${partEvidence.signatureOf(record)}`;
+				const same = changes.get(key) ?? {kind: change, parts: []};
+				same.parts.push(record);
+				changes.set(key, same);
 			}
 		}
 
 		// Listeners are called after all decisions, since several parts may change together.
-		for (const change of changes) {
-			change();
+		for (const {kind, parts} of changes.values()) {
+			const named = parts.slice(0, maxNamedChanges);
+			for (const record of named) {
+				notify(kind, record, source, record === named.at(-1) ? parts.length - named.length : 0);
+			}
 		}
 	};
 
-	const crashOf = ({ageMs, sentBeforeMs, ...crash}: ReportedCrash): partEvidence.Crash => {
+	const crashOf = (crash: ReportedCrash): partEvidence.Crash => {
+		const {upstreamKey, ageMs, sentBeforeMs, wasAnswering, basis} = crash;
 		const atMs = nowMs() - ageMs;
-		return {...crash, atMs, sentAtMs: atMs - sentBeforeMs};
+		return {upstreamKey, atMs, sentAtMs: atMs - sentBeforeMs, wasAnswering, basis};
 	};
 
 	/** Orders parts by how likely they crash upstreams, then by the time of their last change. */
 	const byImportance = (a: PartRecord, b: PartRecord): number =>
-		Number(b.isHarmful) - Number(a.isHarmful) ||
+		Number(isHarmful(b)) - Number(isHarmful(a)) ||
 		partEvidence.suspicion(b) - partEvidence.suspicion(a) ||
 		b.changedAtMs - a.changedAtMs;
 
@@ -328,9 +335,8 @@
 	};
 
 	const dropLeastImportant = () => {
-		const least = [...records.values()].sort(byImportance).at(-1);
-		if (least) {
-			forget(least);
+		for (const record of [...records.values()].sort(byImportance).slice(maxRecords)) {
+			forget(record);
 		}
 	};
 
@@ -348,13 +354,12 @@
 			crashes: [],
 			answeredAtMs: answeredAtMs.get(key) ?? Number.NEGATIVE_INFINITY,
 			quarantines: 0,
-			isHarmful: false,
-			companions: [],
 			changedAtMs: nowMs(),
 			refusedAtMs: Number.NEGATIVE_INFINITY,
+			reportedTurn: 0,
 			trials: 0,
 		};
-		if (records.size >= maxRecords) {
+		if (records.size >= maxRecords + maxExcessRecords) {
 			dropLeastImportant();
 		}
 
@@ -408,20 +413,19 @@
 			return [];
 		}
 
-		const ids = request.parts.map(({id}) => id);
+		const ids = [...request.partIds()];
 		if (requestRecords > 0) {
 			ids.push(requestPartId(request));
 		}
 
-		return ids
-			.map((id) => records.get(keyOf(service, id)))
-			.filter((record) => record !== undefined);
+		const found = ids.map((id) => records.get(keyOf(service, id)));
+		return [...new Set(found.filter((record) => record !== undefined))];
 	};
 
 	/** Ids of the parts, and of the request, to which a crash may be due. */
 	const suspectIds = (service: string, {request, wasAnswering}: CrashVictim): string[] => {
-		const ids = request.parts
-			.map(({id}) => id)
+		const ids = request
+			.partIds()
 			// Requests that wait are many, and most of their parts are sound.
 			.filter((id) => wasAnswering || !answeredAtMs.has(keyOf(service, id)));
 		// A stream begins its answer when it begins to run; of other requests nothing is known until their end.
@@ -430,7 +434,7 @@
 
 	/** Whether only one request with the part may be in progress. */
 	const isTried = (record: PartRecord): boolean =>
-		record.isHarmful || partEvidence.isTriedRequest(record);
+		isHarmful(record) || partEvidence.isTriedRequest(record);
 
 	const reportOf = (record: PartRecord): PartReport => ({
 		service: record.service,
@@ -459,37 +463,51 @@
 		}
 	};
 
-	const noteBegun = (service: string, {parts}: JudgedRequest) => {
-		for (const {id} of parts) {
+	const noteBegun = (service: string, request: JudgedRequest) => {
+		for (const id of request.partIds()) {
 			const key = keyOf(service, id);
 			answeredAtMs.set(answeredAtMs.has(key) ? key : ownText.ownText(key, key.length), nowMs());
 		}
 	};
 
+	/** @param idsOf ids of the parts, and of the request, against which the crash counts */
 	const noteVictims = (
-		upstreamKey: number,
-		basis: partEvidence.CrashBasis,
+		service: string,
+		crash: Pick<partEvidence.Crash, 'upstreamKey' | 'basis'>,
 		victims: readonly CrashVictim[],
-		recordsOf: (victim: CrashVictim) => PartRecord[],
+		idsOf: (victim: CrashVictim) => readonly string[],
 	) => {
-		update(ownSource, () =>
-			victims.flatMap((victim) => {
+		update(ownSource, () => {
+			const changed: PartRecord[] = [];
+			for (const victim of victims) {
 				const {sentBeforeMs, wasAnswering} = victim;
-				const crash = crashOf({upstreamKey, ageMs: 0, sentBeforeMs, wasAnswering, basis});
-				return recordsOf(victim).filter((record) => partEvidence.addCrash(record, {...crash}));
-			}),
-		);
+				const facts = {...crash, ageMs: 0, sentBeforeMs, wasAnswering};
+				for (const id of idsOf(victim)) {
+					const record = recordOf(service, id);
+					if (partEvidence.addCrash(record, crashOf(facts))) {
+						changed.push(record);
+					}
+				}
+			}
+
+			return changed;
+		});
 	};
 
 	return {
 		onDidChange: didChange.event,
 		quarantinedPart(service, request) {
 			const found = recordsFor(service, request);
-			const ids = new Set(found.map(({partId}) => partId));
+			const counts = new Map<PartRecord['group'], number>();
+			for (const {group} of found) {
+				counts.set(group, (counts.get(group) ?? 0) + 1);
+			}
+
+			const isWhole = ({group}: PartRecord) => group?.length === counts.get(group);
 			for (const record of found) {
 				const waitMs = remainingMs(record);
 				const isRefused = waitMs > 0 || (isTried(record) && record.trials > 0);
-				if (isRefused && record.companions.every((partId) => ids.has(partId))) {
+				if (isRefused && (!isHarmful(record) || isWhole(record))) {
 					record.refusedAtMs = nowMs();
 					return {partId: record.partId, remainingMs: Math.max(waitMs, trialRetryMs)};
 				}
@@ -513,14 +531,12 @@
 			refute(recordsFor(service, request));
 		},
 		noteCrash(service, upstreamKey, victims) {
-			noteVictims(upstreamKey, 'suspect', victims, (victim) =>
-				suspectIds(service, victim).map((id) => recordOf(service, id)),
+			noteVictims(service, {upstreamKey, basis: 'suspect'}, victims, (victim) =>
+				suspectIds(service, victim),
 			);
 		},
 		noteBreaks(service, upstreamKey, victims, basis) {
-			noteVictims(upstreamKey, basis, victims, ({request}) => [
-				recordOf(service, requestPartId(request)),
-			]);
+			noteVictims(service, {upstreamKey, basis}, victims, ({request}) => [requestPartId(request)]);
 		},
 		beginTrial(service, request) {
 			const tried = recordsFor(service, request).filter((record) => isTried(record));
@@ -543,42 +559,40 @@
 			}
 		},
 		takeReports() {
-			const all = [...records.values()];
-			const recent = all
-				.filter(({changedAtMs}) => changedAtMs >= nowMs() - recentMs)
-				.sort(byImportance);
-			const isUrgent = (record: PartRecord) =>
-				record.isHarmful || partEvidence.suspicion(record) > 1;
-			const chosen = recent.filter((record) => isUrgent(record)).slice(0, maxReports);
-			/** Adds records in turn, so that each of them is reported in the end. */
-			const addInTurn = (others: readonly PartRecord[], limit: number) => {
-				const count = Math.min(limit, others.length, maxReports - chosen.length);
-				for (let index = 0; index < count; index++) {
-					chosen.push(others[reportTurn++ % others.length]!);
-				}
-			};
+			if (records.size === 0) {
+				return [];
+			}
 
-			addInTurn(
-				recent.filter((record) => !isUrgent(record)),
-				maxReports,
-			);
-			addInTurn(
-				all.filter(
-					(record) => !recent.includes(record) && (record.quarantines > 0 || !isCleared(record)),
+			const isUrgent = (record: PartRecord) =>
+				isHarmful(record) || partEvidence.suspicion(record) > 1;
+			const all = [...records.values()];
+			const changed = all.filter(({changedAtMs}) => changedAtMs >= nowMs() - recentMs);
+			const candidates = {
+				urgent: changed.filter((record) => isUrgent(record)).sort(byImportance),
+				recent: changed.filter((record) => !isUrgent(record)),
+				older: all.filter(
+					(record) =>
+						record.changedAtMs < nowMs() - recentMs &&
+						(record.quarantines > 0 || !isCleared(record)),
 				),
-				maxOlderReports,
-			);
-			return chosen.map((record) => reportOf(record));
+			};
+			reportTurn++;
+			return partReports.chooseParts(candidates, reportTurn).map((record) => reportOf(record));
 		},
 		quarantineReports: () =>
 			[...records.values()]
 				.filter(({quarantines}) => quarantines > 0)
 				.map((record) => ({
 					...reportOf(record),
-					isHarmful: record.isHarmful,
+					isHarmful: isHarmful(record),
+					groupSize: record.group?.length ?? 0,
 					remainingMs: remainingMs(record),
 				})),
 		sweep() {
+			if (records.size > maxRecords) {
+				dropLeastImportant();
+			}
+
 			for (const record of records.values()) {
 				const retentionMs = memoryMs(record.quarantines > 0, isCleared(record));
 				const lastNeededAtMs = Math.max(partEvidence.lastCrashAtMs(record), record.refusedAtMs);
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -104,7 +104,11 @@
 	const work = workEstimate.estimateWork(facts, route);
 	const observed: crashDetector.ObservedRequest = {
 		attemptId: facts.attemptId,
-		parts: work.sharedParts,
+		// Parts beyond those that the estimate lists are read anew, since each request would keep thousands.
+		partIds: () =>
+			facts.hasUnlistedParts
+				? wire.readSharedPartIds(request.rawHeaders)
+				: work.sharedParts.map(({id}) => id),
 		digest: request.digest,
 		isStream: route.work === 'stream',
 	};
--- a/packages/gateway/src/common/wire-format.ts
+++ b/packages/gateway/src/common/wire-format.ts
@@ -20,6 +20,8 @@
 	expectedOutputTokens?: number;
 	/** In order; the last part is specific to the request or its session. */
 	promptParts: PromptPart[];
+	/** Parts in the middle are not listed one by one; {@link WireFormat.readSharedPartIds} names them. */
+	hasUnlistedParts?: boolean;
 	/** Last event of a broken stream that the caller has received. */
 	lastEventId?: string;
 };
@@ -83,6 +85,13 @@
 export abstract class WireFormat {
 	abstract readRequest(headers: Headers): RequestFacts;
 
+	/**
+	 * Ids of all parts of the prompt that other requests may share, in order.
+	 *
+	 * @param rawHeaders alternating names and values, as received
+	 */
+	abstract readSharedPartIds(rawHeaders: readonly string[]): string[];
+
 	/** Reads and removes the key. A key exists outside of this method only as its digest. */
 	abstract takeKey(rawHeaders: readonly string[]): KeyReading;
 
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -27,6 +27,8 @@
 const turnMs = 1000;
 /** Stored parts outlive their quarantine by this time, so that a crash after it counts as a repetition. */
 const leaseMarginMs = 60_000;
+/** A larger group of parts that no crash tells apart is not stored; the next crash or answer makes it smaller. */
+const maxStoredGroup = 64;
 /** Longest lease of the store. */
 const maxLeaseMs = 600_000;
 
@@ -55,7 +57,7 @@
 /** State of a part as far as other daemons must read it: the number of its quarantine, 0 if it was released. */
 type StoredState = number;
 
-type HarmReport = Omit<promptQuarantine.QuarantineReport, 'remainingMs'>;
+type HarmReport = Omit<promptQuarantine.QuarantineReport, 'remainingMs' | 'groupSize'>;
 
 export type QuarantineStore = disposable.Disposable & {
 	/** Starts or stops watching the store; at first, it is only read once. */
@@ -193,12 +195,14 @@
 	const isUnsaved = (key: string, report: promptQuarantine.QuarantineReport): boolean => {
 		const stored = storedStates.get(key);
 		return report.isHarmful
-			? report.remainingMs > 0 && stored !== report.quarantines
+			? report.remainingMs > 0 &&
+					report.groupSize <= maxStoredGroup &&
+					stored !== report.quarantines
 			: stored !== undefined && stored !== 0;
 	};
 
 	const save = async (key: string, report: promptQuarantine.QuarantineReport) => {
-		const {remainingMs, ...rest} = report;
+		const {remainingMs, groupSize: _, ...rest} = report;
 		const lease = await storeLease.grantStoreLease(
 			store,
 			Math.min(maxLeaseMs, Math.ceil(remainingMs) + leaseMarginMs),
--- a/packages/gateway/src/test/crash-detector.test.ts
+++ b/packages/gateway/src/test/crash-detector.test.ts
@@ -11,7 +11,6 @@
 	region: 'north',
 	coldUntilMs: 0,
 };
-const parts = (id: string) => [{id, tokens: 100}];
 
 const create = (probeResult: upstreamTransport.ProbeResult) => {
 	const clock = new manualClock.ManualClock();
@@ -29,8 +28,8 @@
 		},
 		quarantine: {
 			noteAnswer: () => undefined,
-			noteBegun(_service, {parts: [part]}) {
-				begun.push(part!.id);
+			noteBegun(_service, {partIds}) {
+				begun.push(...partIds());
 			},
 			noteBreaks(_service, _upstreamKey, victims) {
 				breaks.push(...victims);
@@ -42,7 +41,7 @@
 		log: {note: () => undefined},
 	});
 	const begin = (id: string) =>
-		subject.begin(upstream, {parts: parts(id), digest: () => id, isStream: true});
+		subject.begin(upstream, {partIds: () => [id], digest: () => id, isStream: true});
 	return {clock, subject, crashes, begun, breaks, begin, probes: () => probes};
 };
 
@@ -61,15 +60,11 @@
 
 	await clock.advance(100);
 	t.same(
-		crashes.map(
-			({
-				request: {
-					parts: [part],
-				},
-				wasAnswering,
-				sentBeforeMs,
-			}) => [part?.id, wasAnswering, sentBeforeMs],
-		),
+		crashes.map(({request, wasAnswering, sentBeforeMs}) => [
+			...request.partIds(),
+			wasAnswering,
+			sentBeforeMs,
+		]),
 		[
 			['harmful', true, 300],
 			['waiting', false, 300],
@@ -143,7 +138,7 @@
 // Guards against plain requests that crash their upstreams unseen.
 tap.t.test('a request without a prompt is observed too', async (t) => {
 	const {clock, subject, crashes} = create('refused');
-	const plain = {parts: [], digest: () => 'plain', isStream: false};
+	const plain = {partIds: () => [], digest: () => 'plain', isStream: false};
 	const run = subject.begin(upstream, plain);
 	run.noteBroken();
 	run.end();
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -7,6 +7,7 @@
 import * as requestEngine from '../common/request-engine.js';
 import * as sharedRetryBudget from '../common/shared-retry-budget.js';
 import type * as routeConfig from '../common/route-config.js';
+import type * as wireFormat from '../common/wire-format.js';
 import * as fakeTransport from './fake-transport.js';
 import * as fixtures from './fixtures.js';
 
@@ -20,6 +21,9 @@
 	relayedFrom?: string;
 	maxUpstreams?: number;
 	team?: routeConfig.Team;
+	rawHeaders?: readonly string[];
+	/** Facts that differ from those of the fixtures. */
+	facts?: Partial<wireFormat.RequestFacts>;
 	onEnd?: requestEngine.OnEnd;
 	upstreams?: number;
 	/** Resends that the budget allows; 16 when undefined. */
@@ -98,13 +102,13 @@
 		{
 			method: 'POST',
 			path: `${route.prefix}x`,
-			rawHeaders: [],
+			rawHeaders: options.rawHeaders ?? [],
 			digest: () => 'digest',
-			facts: fixtures.facts(
-				isModel
-					? {callerTimeoutMs: 3000}
-					: {callerTimeoutMs: 3000, promptTokens: 0, promptParts: []},
-			),
+			facts: fixtures.facts({
+				callerTimeoutMs: 3000,
+				...(isModel ? {} : {promptTokens: 0, promptParts: []}),
+				...options.facts,
+			}),
 			route,
 			service,
 			team: options.team,
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -95,6 +95,11 @@
 		throw new Error('the tests pass request facts');
 	}
 
+	/** Reads headers `part`, the last of which is the request's own. */
+	override readSharedPartIds(rawHeaders: readonly string[]): string[] {
+		return rawHeaders.filter((_, index) => rawHeaders[index - 1] === 'part').slice(0, -1);
+	}
+
 	override takeKey(rawHeaders: readonly string[]): wireFormat.KeyReading {
 		const [name, key] = rawHeaders;
 		return name === 'key' && key !== undefined
--- a/packages/gateway/src/test/kept-texts.test.ts
+++ b/packages/gateway/src/test/kept-texts.test.ts
@@ -118,7 +118,7 @@
 	const before = heapUse.usedBytes();
 	for (let request = 0; request < 20_000; request++) {
 		quarantine.noteAnswer('model', {
-			parts: createParts(request, 1, 32),
+			partIds: () => createParts(request, 1, 32).map(({id}) => id),
 			digest: () => 'digest',
 			isStream: true,
 		});
--- a/packages/gateway/src/test/prompt-quarantine.test.ts
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -10,7 +10,7 @@
 const prompt = (...ids: string[]): promptQuarantine.JudgedRequest => {
 	prompts++;
 	const digest = `digest-${prompts}`;
-	return {parts: ids.map((id) => ({id, tokens: 100})), digest: () => digest, isStream: true};
+	return {partIds: () => ids, digest: () => digest, isStream: true};
 };
 
 const answering = {sentBeforeMs: 300, wasAnswering: true};
@@ -238,7 +238,7 @@
 
 /** A request that comes again, with parts that others share. */
 const repeated = (name: string, isStream = true): promptQuarantine.JudgedRequest => ({
-	parts: prompt('caller', 'topic').parts,
+	partIds: () => ['caller', 'topic'],
 	digest: () => name,
 	isStream,
 });
@@ -305,7 +305,7 @@
 // Guards against plain requests that are refused because their upstreams failed together.
 tap.t.test('a plain request is refused after four crashes, each at a later send', async (t) => {
 	const {clock, subject} = create();
-	const plain = {...repeated('plain', false), parts: []};
+	const plain = {...repeated('plain', false), partIds: () => []};
 	const isRefused = () => subject.quarantinedPart('desk', plain) !== undefined;
 	for (const upstreamKey of [1, 2, 3, 4, 5]) {
 		subject.noteCrash('desk', upstreamKey, [{request: plain, ...waiting}]);
--- a/packages/gateway/src/test/quarantine-store.test.ts
+++ b/packages/gateway/src/test/quarantine-store.test.ts
@@ -11,7 +11,7 @@
 const service = 'model';
 /** One of several requests with a harmful part. */
 const requestOf = (name: string): promptQuarantine.JudgedRequest => ({
-	parts: [{id: 'harmful', tokens: 100}],
+	partIds: () => ['harmful'],
 	digest: () => name,
 	isStream: true,
 });
@@ -181,3 +181,27 @@
 	t.match(events, [{kind: 'entry-rejected', key: 'hf/quarantine/1'}]);
 	subject.dispose();
 });
+
+// Guards against thousands of calls of the store for one prompt whose parts no crash tells apart yet.
+tap.t.test('a large group of parts is stored once it is smaller', async (t) => {
+	const {clock, store} = start();
+	const {quarantine, subject} = startDaemon(clock, store, 'n1');
+	const others = Array.from({length: 100}, (_, index) => `part-${index}`);
+	const crash = (upstreamKey: number, partIds: readonly string[]) => {
+		const whole = {...requestOf(`crashed-${upstreamKey}`), partIds: () => partIds};
+		const victim = {request: whole, sentBeforeMs: 300, wasAnswering: true};
+		quarantine.noteCrash(service, upstreamKey, [victim]);
+	};
+
+	await clock.advance(1000);
+	crash(1, [...others, 'harmful']);
+	crash(2, [...others, 'harmful']);
+	await clock.advance(3000);
+	const before = await store.list('hf/quarantine/');
+	t.equal(before.items.length, 0);
+	quarantine.noteAnswer(service, {...requestOf('sound'), partIds: () => others});
+	await clock.advance(3000);
+	const after = await store.list('hf/quarantine/');
+	t.equal(after.items.length, 1);
+	subject.dispose();
+});
--- a/packages/gateway/src/test/quarantined-requests.test.ts
+++ b/packages/gateway/src/test/quarantined-requests.test.ts
@@ -7,9 +7,12 @@
 
 const {bytes, signed, start} = engineHarness;
 /** Shared parts of the harness's request. */
-const parts = fixtures.facts().promptParts.slice(0, -1);
+const partIds = fixtures
+	.facts()
+	.promptParts.slice(0, -1)
+	.map(({id}) => id);
 /** Another request with the same parts. */
-const other = {parts, digest: () => 'other', isStream: true};
+const other = {partIds: () => partIds, digest: () => 'other', isStream: true};
 const answering = {sentBeforeMs: 100, wasAnswering: true};
 
 /** Two crashes of other requests with a part of the prompt. */
@@ -17,7 +20,11 @@
 	for (const upstreamKey of [1, 2]) {
 		quarantine.noteCrash('model', upstreamKey, [
 			{
-				request: {...other, parts: parts.slice(0, 1), digest: () => `other-${upstreamKey}`},
+				request: {
+					...other,
+					partIds: () => partIds.slice(0, 1),
+					digest: () => `other-${upstreamKey}`,
+				},
 				...answering,
 			},
 		]);
@@ -99,7 +106,7 @@
 	const run = start(fixtures.lookupRoute);
 	run.quarantine.noteCrash('desk', 7, [
 		{
-			request: {parts: [], digest: () => 'digest', isStream: false},
+			request: {partIds: () => [], digest: () => 'digest', isStream: false},
 			sentBeforeMs: 50,
 			wasAnswering: false,
 		},
