Report named limits in turn when many of them change

With more than 16 upstreams that change their limits within 3 s, the first 16 were named in every message and the others in none, so daemons that had not seen them sent more than those upstreams allow (LIMIT).

Cause: a fixed slice of the limits in the order in which they became known. Those that were named longest ago come first now, and four places of a message are left to limits that have not just changed.

The new test fails without the change (60 limits, 20 of which keep changing).

--- a/packages/gateway/src/common/upstream-rate-limits.ts
+++ b/packages/gateway/src/common/upstream-rate-limits.ts
@@ -46,9 +46,13 @@
 	/** Time of the last answer that showed it. */
 	atMs: number;
 	changedAtMs: number;
+	/** Number of the message that named it last; 0 for none. */
+	reportedTurn: number;
 };
 
 const maxReports = 16;
+/** Reports of a message that are left to limits that have not just changed, for daemons that have just started. */
+const minOlderReports = 4;
 /** A limit that has changed is reported in all messages for this time. */
 const recentMs = 3000;
 
@@ -74,6 +78,7 @@
 			requestsPerS,
 			atMs,
 			changedAtMs: isChange ? nowMs() : (current?.changedAtMs ?? nowMs()),
+			reportedTurn: current?.reportedTurn ?? 0,
 		});
 		if (isChange) {
 			didChange.fire({upstreamId, requestsPerS, source});
@@ -101,24 +106,19 @@
 		},
 		takeReports() {
 			const oldestMs = nowMs() - recentMs;
-			const all = [...namedById];
-			const recent = all
-				.filter(([, {changedAtMs}]) => changedAtMs >= oldestMs)
-				.slice(0, maxReports);
-			const older = all.filter(
+			const inTurn = [...namedById].sort(([, a], [, b]) => a.reportedTurn - b.reportedTurn);
+			const recent = inTurn.filter(([, {changedAtMs}]) => changedAtMs >= oldestMs);
+			const older = inTurn.filter(
 				([, {changedAtMs, requestsPerS}]) => changedAtMs < oldestMs && requestsPerS !== undefined,
 			);
-			const olderCount = Math.min(older.length, maxReports - recent.length);
-			const chosen = recent;
-			for (let count = 0; count < olderCount; count++) {
-				chosen.push(older[reportTurn++ % older.length]!);
-			}
-
-			return chosen.map(([upstreamId, {requestsPerS, atMs}]) => ({
-				upstreamId,
-				requestsPerS,
-				ageMs: nowMs() - atMs,
-			}));
+			const reserved = Math.min(older.length, minOlderReports);
+			const chosen = [...recent.slice(0, maxReports - reserved), ...older].slice(0, maxReports);
+			reportTurn++;
+			return chosen.map(([upstreamId, named]) => {
+				named.reportedTurn = reportTurn;
+				const {requestsPerS, atMs} = named;
+				return {upstreamId, requestsPerS, ageMs: nowMs() - atMs};
+			});
 		},
 		forget(upstreamId) {
 			namedById.delete(upstreamId);
--- a/packages/gateway/src/test/rate-limits.test.ts
+++ b/packages/gateway/src/test/rate-limits.test.ts
@@ -138,3 +138,46 @@
 	subject.forget('u1');
 	t.equal(subject.limitOf('u1'), undefined);
 });
+
+// Guards against limits that others never hear of while the first ones keep changing.
+tap.t.test('all of many limits are reported within a second', async (t) => {
+	const clock = new manualClock.ManualClock();
+	const {subject} = createLimits(clock);
+	const ids = Array.from({length: 60}, (_, index) => `u${index}`);
+	for (const id of ids) {
+		subject.noteAnswer(id, 1, clock.nowMs());
+	}
+
+	const reported = new Set<string>();
+	for (let message = 0; message < 4; message++) {
+		for (const [index, id] of ids.slice(0, 20).entries()) {
+			subject.noteAnswer(id, message + index, clock.nowMs());
+		}
+
+		for (const {upstreamId} of subject.takeReports()) {
+			reported.add(upstreamId);
+		}
+
+		await clock.advance(250);
+	}
+
+	t.same(
+		ids.filter((id) => !reported.has(id)),
+		[],
+	);
+	await clock.advance(4000);
+	const named = new Set<string>();
+	for (let message = 0; message < 12; message++) {
+		for (const id of ids.slice(0, 20)) {
+			subject.noteAnswer(id, message, clock.nowMs());
+		}
+
+		for (const {upstreamId} of subject.takeReports()) {
+			named.add(upstreamId);
+		}
+
+		await clock.advance(250);
+	}
+
+	t.equal(named.size, ids.length, 'also those that have not changed');
+});
