Hear of an upstream that turns cold right after another change

Cause: the feed of the upstreams did not watch for 400 ms after each change. Ruled out: that the word is lost (with 300 ms between the two the bound is kept).

Two watchers of each region now watch again after 10 to 50 ms where a service has cold upstreams. Their datagrams tell the region, so the other watchers keep the pause and the calls of the store grow with the regions only.

--- a/packages/gateway/src/common/store-feed.ts
+++ b/packages/gateway/src/common/store-feed.ts
@@ -40,10 +40,19 @@
 	refresh(): void;
 };
 
+/**
+ * How soon a feed watches again after changes. `sparing`: a burst of changes needs few calls;
+ * `prompt`: changes that follow each other are heard of at once, in a burst with a short delay.
+ */
+export type FeedPace = 'sparing' | 'prompt';
+
 const firstRetryMs = 150;
 const maxRetryMs = 900;
-/** Pause after changes, so that a burst of changes needs few calls. */
-const pauseAfterEventsMs = 400;
+const sparingPauseMs = 400;
+/** First and longest pause of a prompt feed; each further change within the quiet time doubles it. */
+const promptPauseMs = 10;
+const maxPromptPauseMs = 50;
+const quietMs = 200;
 
 /** A watch without changes, or a listing and its watch, that ends sooner has ended at once. */
 const atOnceMs = 50;
@@ -63,6 +72,18 @@
 	};
 };
 
+/** Returns a function that waits after changes before the next watch. */
+const createChangePacer = (clock: clock.Clock, pace: () => FeedPace) => {
+	let pauseMs = promptPauseMs;
+	let endedAtMs = Number.NEGATIVE_INFINITY;
+	return async (): Promise<void> => {
+		const isQuiet = clock.nowMs() - endedAtMs > quietMs;
+		pauseMs = isQuiet ? promptPauseMs : Math.min(maxPromptPauseMs, 2 * pauseMs);
+		await clock.sleep(pace() === 'prompt' ? pauseMs : sparingPauseMs);
+		endedAtMs = clock.nowMs();
+	};
+};
+
 /** Starts to follow a prefix. */
 export const startStoreFeed = (options: {
 	clock: clock.Clock;
@@ -72,6 +93,8 @@
 	watchWaitMs(): number;
 	/** Lists may be some seconds old, which costs the store less; the watch continues from their revision. */
 	mayListStale?: boolean;
+	/** `sparing` by default. */
+	pace?(): FeedPace;
 	/** Whether it follows the prefix at first; it does by default. */
 	isFollowing?: boolean;
 	random(): number;
@@ -79,6 +102,7 @@
 }): StoreFeed => {
 	const {clock, store, prefix, handler} = options;
 	const paceWatches = createPacer(clock);
+	const paceChanges = createChangePacer(clock, options.pace ?? (() => 'sparing'));
 	const paceListings = createPacer(clock);
 	const abort = new AbortController();
 	let watchAbort = new AbortController();
@@ -177,7 +201,7 @@
 			respondedAtMs = clock.nowMs();
 			if (changes.events.length > 0) {
 				handler.onEvents(changes.events, storePosition.create(changes.era, revision));
-				await clock.sleep(pauseAfterEventsMs);
+				await paceChanges();
 			} else {
 				await paceWatches(beganAtMs);
 			}
--- a/packages/gateway/src/common/store-watcher-election.ts
+++ b/packages/gateway/src/common/store-watcher-election.ts
@@ -20,7 +20,7 @@
 
 export type StoreWatcherElection = {
 	/**
-	 * @param peers other daemons of the local failure domain
+	 * @param peers other daemons of the place
 	 * @param behindMs time for which a peer has held newer data than this daemon could pull
 	 */
 	update(peers: readonly StoreWatcherCandidate[], behindMs: number): boolean;
@@ -39,10 +39,11 @@
 	daemonName: string;
 	/** Processor share of this daemon. */
 	capacity: number;
-	failureDomain: string;
+	/** Failure domain or region whose daemons are compared. */
+	place: string;
 	watchers: number;
 }): StoreWatcherElection => {
-	const {nowMs, daemonName, capacity, failureDomain} = options;
+	const {nowMs, daemonName, capacity, place} = options;
 	let neededAtMs = nowMs();
 
 	/** A daemon that cannot reach the store keeps trying, but its peers do not elect it. */
@@ -52,7 +53,8 @@
 				lastContactAgeMs < peerTimeoutMs && storeContact !== 'lost',
 		);
 		return relayElection
-			.orderCandidates(failureDomain, [{name: daemonName, capacity}, ...candidates])
+
+			.orderCandidates(place, [{name: daemonName, capacity}, ...candidates])
 			.slice(0, options.watchers)
 			.some(({name}) => name === daemonName);
 	};
--- a/packages/gateway/src/node/cluster-state.ts
+++ b/packages/gateway/src/node/cluster-state.ts
@@ -83,6 +83,8 @@
 	log: gatewayEvent.EventLog;
 	/** Longest wait of the next watch. */
 	watchWaitMs(): number;
+	/** How soon the upstreams are watched again after changes; `sparing` by default. */
+	upstreamPace?(): storeFeed.FeedPace;
 	random(): number;
 };
 
@@ -263,6 +265,7 @@
 		store,
 		prefix: layout.upstreamPrefix,
 		watchWaitMs: options.watchWaitMs,
+		pace: options.upstreamPace,
 		random: options.random,
 		handler: {
 			onListing({items, revision, era}) {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -90,6 +90,8 @@
 const finalResponsesMs = 100;
 /** Daemons of a failure domain whose watches end early; one of them reads the quarantined prompt parts. */
 const leadingWatchersPerFailureDomain = 1;
+/** Watchers of a region that hear of upstreams without a pause and tell the region which ones are cold; one may be lost. */
+const promptWatchersPerRegion = 2;
 /** Peers send every 250 ms; without any for this long, this daemon may be cut off. */
 const maxPeerSilenceMs = 1000;
 /** Time for a response of the store after the wait of a watch. */
@@ -121,6 +123,7 @@
 	let isListening = false;
 	/** Bounds how long a silent connection to the store can hide changes from the failure domain. */
 	let isLeadingWatcher = true;
+	let isPromptWatcher = true;
 
 	log.note({kind: 'started', name: vm.name, region: vm.region, startedAtUnixMs});
 	disposables.add(
@@ -140,7 +143,9 @@
 		reachability,
 	);
 	const fleet = fleetView.createFleetView(clock, vm.name, startedAtUnixMs);
-	const cluster = disposables.add(
+	const hasColdUpstreams = (): boolean =>
+		cluster.routeTable?.config.services.some(({coldRatePerS}) => coldRatePerS > 0) ?? false;
+	const cluster: clusterState.ClusterState = disposables.add(
 		clusterState.startClusterState({
 			clock,
 			store: options.store,
@@ -150,6 +155,8 @@
 			log,
 			watchWaitMs: () =>
 				isLeadingWatcher ? current.store.leadingWatchWaitMs : current.store.watchWaitMs,
+			// Usual traffic crashes a cold upstream within a fraction of a second; other changes may wait.
+			upstreamPace: () => (isPromptWatcher && hasColdUpstreams() ? 'prompt' : 'sparing'),
 			random: random.next,
 		}),
 	);
@@ -539,14 +546,21 @@
 		nowMs,
 		daemonName: vm.name,
 		capacity: vm.processorShare,
-		failureDomain: vm.failureDomain,
+		place: vm.failureDomain,
 		watchers: current.store.watchersPerFailureDomain,
 	});
+	const promptWatcherElection = storeWatcherElection.createStoreWatcherElection({
+		nowMs,
+		daemonName: vm.name,
+		capacity: vm.processorShare,
+		place: vm.region,
+		watchers: promptWatchersPerRegion,
+	});
 	const leadingWatcherElection = storeWatcherElection.createStoreWatcherElection({
 		nowMs,
 		daemonName: vm.name,
 		capacity: vm.processorShare,
-		failureDomain: vm.failureDomain,
+		place: vm.failureDomain,
 		watchers: leadingWatchersPerFailureDomain,
 	});
 	const updateWatch = () => {
@@ -555,14 +569,19 @@
 			alive.some(({storeContact}) => storeContact === 'reached'),
 			alive.some(({storeContact}) => storeContact === 'lost'),
 		);
+		const candidateOf = ({name, capacity, aliveAtMs, storeContact}: fleetView.Member) => ({
+			name,
+			capacity,
+			lastContactAgeMs: nowMs() - aliveAtMs,
+			storeContact,
+		});
 		const domainPeers = alive
 			.filter(({failureDomain}) => failureDomain === vm.failureDomain)
-			.map(({name, capacity, aliveAtMs, storeContact}) => ({
-				name,
-				capacity,
-				lastContactAgeMs: nowMs() - aliveAtMs,
-				storeContact,
-			}));
+			.map((member) => candidateOf(member));
+		const regionWatchers = alive
+			.filter(({region, storeContact}) => region === vm.region && storeContact === 'reached')
+			.map((member) => candidateOf(member));
+		isPromptWatcher = promptWatcherElection.update(regionWatchers, 0);
 		const behindMs = catchUp.behindMs();
 		const next = watcherElection.update(domainPeers, behindMs) || !cluster.isComplete;
 		const isLeading = leadingWatcherElection.update(domainPeers, behindMs);
--- a/packages/gateway/src/test/store-feed.test.ts
+++ b/packages/gateway/src/test/store-feed.test.ts
@@ -40,6 +40,10 @@
 		});
 	}
 
+	get waitingWatches(): number {
+		return this.#waiting.length;
+	}
+
 	answerWatch(changes: prefixStore.StoreChanges): void {
 		this.#waiting.shift()?.resolve(changes);
 	}
@@ -65,7 +69,10 @@
 	}
 }
 
-const start = async (t: tap.Test, options: {mayListStale?: boolean} = {}) => {
+const start = async (
+	t: tap.Test,
+	options: {mayListStale?: boolean; pace?: () => storeFeed.FeedPace} = {},
+) => {
 	const clock = new manualClock.ManualClock();
 	const store = new ManualStore();
 	const calls: string[] = [];
@@ -312,3 +319,40 @@
 	feed.dispose();
 	t.equal(feed.contact, 'reached');
 });
+
+const change = (revision: number): prefixStore.StoreChanges => ({
+	kind: 'events',
+	events: [{key: 'p/a', revision}],
+	revision,
+});
+
+// Guards against an upstream that turns cold right after another change and is told of too late.
+tap.t.test('a prompt feed hears of a change that follows another one', async (t) => {
+	const prompt = await start(t, {pace: () => 'prompt'});
+	const sparing = await start(t);
+	for (const {clock, store} of [prompt, sparing]) {
+		store.answerWatch(change(4));
+		await clock.advance(20);
+	}
+
+	t.equal(prompt.store.waitingWatches, 1);
+	t.equal(sparing.store.waitingWatches, 0);
+	await sparing.clock.advance(400);
+	t.equal(sparing.store.waitingWatches, 1);
+});
+
+tap.t.test('a prompt feed makes at most 20 calls a second in a burst', async (t) => {
+	const {clock, store} = await start(t, {pace: () => 'prompt'});
+	let watches = 0;
+	for (let revision = 2; revision < 402; revision++) {
+		if (store.waitingWatches > 0) {
+			watches++;
+			store.answerWatch(change(revision));
+		}
+
+		await clock.advance(5);
+	}
+
+	t.ok(watches > 30, `${watches} watches in 2 s`);
+	t.ok(watches <= 44, `${watches} watches in 2 s`);
+});
--- a/packages/gateway/src/test/store-watcher-election.test.ts
+++ b/packages/gateway/src/test/store-watcher-election.test.ts
@@ -18,7 +18,7 @@
 				nowMs: () => clock.nowMs(),
 				daemonName: name,
 				capacity: 1,
-				failureDomain: 'north-a',
+				place: 'north-a',
 				watchers: 2,
 			}),
 		]),
