Keep the limits of heads in a module without schemas

used-up-descriptors.test.js failed once in a whole run at a load of 19: its child process, which may open 100 descriptors, ended before its output. Cause: since the connection pool imports the relay headers and with them zod, whose files are loaded in parallel.

--- a/packages/gateway/src/common/relay-headers.ts
+++ b/packages/gateway/src/common/relay-headers.ts
@@ -1,12 +1,6 @@
 /** Headers that daemons add to a relayed request, which one region forwards to another. */
 import * as zod from 'zod';
 
-/**
- * Bytes that a daemon may add to the head of a request or an answer that it relays: the
- * headers below, the deadline, the event to resume after, and fields of the connection.
- */
-export const maxAddedBytes = 16_384;
-
 export const relayPrefix = 'hawthornfront-';
 /** Region that relayed the request; a request with this header is not relayed again. */
 export const relayedFromHeader = 'hawthornfront-relayed-from';
--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -10,7 +10,7 @@
 import type * as undici from 'undici';
 import * as connectionLosses from '../common/connection-losses.js';
 import * as framingMeter from '../common/framing-meter.js';
-import * as relayHeaders from '../common/relay-headers.js';
+import * as headLimits from '../common/head-limits.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
 
 export type PoolSettings = {
@@ -59,9 +59,6 @@
 	isClosed: boolean;
 };
 
-/** Longest head of an upstream's answer. */
-const upstreamHeadLimitBytes = 16_384;
-
 /** A cancelled request that had no byte of an answer for this long suggests that its kept connection is silent. */
 const suspiciousSilenceMs = 600;
 
@@ -473,7 +470,8 @@
 			keepAliveTimeout: this.#settings.idleTimeoutMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
 			// Another daemon adds headers to an answer whose head an upstream may have filled.
-			maxHeaderSize: upstreamHeadLimitBytes + (isRelay ? relayHeaders.maxAddedBytes : 0),
+			maxHeaderSize:
+				headLimits.upstreamHeadLimitBytes + (isRelay ? headLimits.maxRelayedExtraBytes : 0),
 			connect: (options, callback) => {
 				this.#connect(connection, options, callback);
 			},
--- a/packages/gateway/src/node/server-port.ts
+++ b/packages/gateway/src/node/server-port.ts
@@ -4,12 +4,12 @@
  * headers of its own, and under the configuration that was in force then.
  */
 import type * as answerClassifier from '../common/answer-classifier.js';
+import * as headLimits from '../common/head-limits.js';
 import * as relayHeaders from '../common/relay-headers.js';
 import type * as routeConfig from '../common/route-config.js';
 import type * as wireFormat from '../common/wire-format.js';
 
-/** Longest head that a caller may send, whatever the configuration allows. */
-export const callerHeadLimitBytes = 65_536;
+const peerHeadLimitBytes = headLimits.callerHeadLimitBytes + headLimits.maxRelayedExtraBytes;
 
 export abstract class ServerPort {
 	/** Longest head that is read, with its request line. */
@@ -23,9 +23,9 @@
 
 /** Port for callers, whose limits come with the configuration. */
 export class CallerPort extends ServerPort {
-	override readonly headLimitBytes = callerHeadLimitBytes;
+	override readonly headLimitBytes = headLimits.callerHeadLimitBytes;
 	override readonly initialLimits = {
-		headerBytes: callerHeadLimitBytes,
+		headerBytes: headLimits.callerHeadLimitBytes,
 		bodyBytes: 4_194_304,
 		headerTimeoutMs: 60_000,
 		idleMs: 15_000,
@@ -38,9 +38,9 @@
 
 /** Port for other daemons. Its limits do not change with the configuration. */
 export class PeerPort extends ServerPort {
-	override readonly headLimitBytes = callerHeadLimitBytes + relayHeaders.maxAddedBytes;
+	override readonly headLimitBytes = peerHeadLimitBytes;
 	override readonly initialLimits = {
-		headerBytes: callerHeadLimitBytes + relayHeaders.maxAddedBytes,
+		headerBytes: peerHeadLimitBytes,
 		// The memory of all bodies is bounded.
 		bodyBytes: Number.POSITIVE_INFINITY,
 		headerTimeoutMs: 60_000,
--- a/packages/gateway/src/test/peer-port.test.ts
+++ b/packages/gateway/src/test/peer-port.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as tap from 'tap';
 import * as answerClassifier from '../common/answer-classifier.js';
+import * as headLimits from '../common/head-limits.js';
 import * as relayHeaders from '../common/relay-headers.js';
 import type * as wireFormat from '../common/wire-format.js';
 import * as callerServer from '../node/caller-server.js';
@@ -124,7 +125,7 @@
 	const longest = (limitBytes: number) =>
 		get('/x/', `x: ${'y'.repeat(limitBytes - get('/x/', 'x: ').length - 10)}`);
 	const added = `${relayHeaders.teamHeader}: ${'t'.repeat(8000)}`;
-	const head = longest(serverPort.callerHeadLimitBytes);
+	const head = longest(headLimits.callerHeadLimitBytes);
 	t.match(await exchange(t, callers.number, head), 'HTTP/1.1 200');
 	const relayed = head.replace('\r\n\r\n', `\r\n${added}\r\n\r\n`);
 	t.match(await exchange(t, peers.number, relayed), 'HTTP/1.1 200');
