--- a/packages/gateway/src/common/store-watcher-election.ts
+++ b/packages/gateway/src/common/store-watcher-election.ts
@@ -26,8 +26,7 @@
 	update(peers: readonly StoreWatcherCandidate[], behindMs: number): boolean;
 };
 
-/** A peer without contact for this long, several missed datagrams, is not a candidate. */
-const peerTimeoutMs = 2000;
+const defaultPeerTimeoutMs = 2000;
 /** A daemon whose pulls lag for this long watches the store itself. */
 const maxBehindMs = 1000;
 /** A watcher that is no longer elected continues for this long, so that watchers do not alternate. */
@@ -42,8 +41,10 @@
 	/** Failure domain or region whose daemons are compared. */
 	place: string;
 	watchers: number;
+	/** A peer without contact for this long is not a candidate; several missed datagrams by default. */
+	peerTimeoutMs?: number;
 }): StoreWatcherElection => {
-	const {nowMs, daemonName, capacity, place} = options;
+	const {nowMs, daemonName, capacity, place, peerTimeoutMs = defaultPeerTimeoutMs} = options;
 	let neededAtMs = nowMs();
 
 	/** A daemon that cannot reach the store keeps trying, but its peers do not elect it. */
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -90,8 +90,10 @@
 const finalResponsesMs = 100;
 /** Daemons of a failure domain whose watches end early; one of them reads the quarantined prompt parts. */
 const leadingWatchersPerFailureDomain = 1;
-/** Watchers of a region that hear of upstreams without a pause and tell the region which ones are cold; one may be lost. */
-const promptWatchersPerRegion = 2;
+/** Watchers of a region that hear of upstreams without a pause and tell the region which ones are cold. */
+const promptWatchersPerRegion = 1;
+/** Without contact to it for this long, the next one takes its place; until then a cold upstream may be told of too late. */
+const promptWatcherTimeoutMs = 1000;
 /** Peers send every 250 ms; without any for this long, this daemon may be cut off. */
 const maxPeerSilenceMs = 1000;
 /** Time for a response of the store after the wait of a watch. */
@@ -555,6 +557,7 @@
 		capacity: vm.processorShare,
 		place: vm.region,
 		watchers: promptWatchersPerRegion,
+		peerTimeoutMs: promptWatcherTimeoutMs,
 	});
 	const leadingWatcherElection = storeWatcherElection.createStoreWatcherElection({
 		nowMs,
--- a/packages/gateway/src/test/store-watcher-election.test.ts
+++ b/packages/gateway/src/test/store-watcher-election.test.ts
@@ -6,7 +6,7 @@
 const names = Array.from({length: 15}, (_, index) => `n${index}`);
 
 /** A failure domain whose daemons all receive each other's heartbeats. */
-const startDomain = () => {
+const startDomain = (peerTimeoutMs?: number) => {
 	const clock = new manualClock.ManualClock();
 	const contacts = new Map<string, storeWatcherElection.StoreContact>();
 	const silentDaemons = new Set<string>();
@@ -20,6 +20,7 @@
 				capacity: 1,
 				place: 'north-a',
 				watchers: 2,
+				peerTimeoutMs,
 			}),
 		]),
 	);
@@ -106,3 +107,14 @@
 	const behind = await run(500, 1200);
 	t.equal(behind.length, 15);
 });
+
+tap.t.test('a shorter timeout elects the next ones sooner', async (t) => {
+	const {run, silentDaemons} = startDomain(1000);
+	const settled = await run(7000);
+	for (const name of settled) {
+		silentDaemons.add(name);
+	}
+
+	const replaced = await run(1500);
+	t.equal(replaced.filter((name) => !silentDaemons.has(name)).length, 2);
+});
