Judge what crashes upstreams of several services over all of them

Cause: evidence was kept by service, and each service of the route needed four breaks of its own. Ruled out: that the crashes are not recognised (one service keeps the bound).

A part or request that stands at crashes in a second service now has evidence over all services too, which an answer of any of them clears. The evidence of a service stays, since another one may answer what it does not. The same holds for a version that moves a route and for one path on two routes.

--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -6,6 +6,10 @@
  * that of one of their parts, suffices are refused. A request counts as a further part
  * of itself, named by its digest.
  *
+ * Evidence belongs to a service, since another one may answer what crashes the upstreams of
+ * the first. What has crashed upstreams of several services and was answered by none is
+ * judged over all of them, so that a route with many services does not give it more tries.
+ *
  * Evidence only grows, so daemons can merge the reports of others in any order.
  */
 import type * as clock from '@hawthornfront/base/common/clock.js';
@@ -59,6 +63,9 @@
 	request: JudgedRequest;
 };
 
+/** In place of a service: evidence of all services on a part that stands at crashes in several. */
+export const anyService = '*';
+
 /** Source of evidence that this daemon has observed itself. */
 export const ownSource = 'own';
 
@@ -225,6 +232,8 @@
 	let reportTurn = 0;
 	/** Records of requests; without any, no digest is computed. */
 	let requestRecords = 0;
+	/** Services with a record on a part, by its id. */
+	const servicesByPart = new Map<string, Set<string>>();
 
 	const nowMs = () => timeSource.nowMs();
 
@@ -254,13 +263,27 @@
 		didChange.fire({kind, service, partId, crashes, remainingMs: leftMs, source, others});
 	};
 
+	/** Records of the services on a part. */
+	const recordsOfServices = (partId: string): PartRecord[] =>
+		[...(servicesByPart.get(partId) ?? [])]
+			.map((service) => records.get(keyOf(service, partId)))
+			.filter((record) => record !== undefined);
+
+	/** Whether no answer has refuted the evidence of two services, or a daemon that knew of them has decided on it. */
+	const spansServices = ({partId, quarantines}: PartRecord): boolean =>
+		quarantines > 0 || recordsOfServices(partId).filter((record) => !isCleared(record)).length > 1;
+
 	/** Marks the parts that the evidence shows as harmful. */
 	const markHarmful = () => {
 		for (const record of records.values()) {
 			record.group = undefined;
 		}
 
-		for (const group of partEvidence.findHarmful([...records.values()])) {
+		const all = [...records.values()];
+		// A crash that a part explains within its service may be one of several of another part in all services.
+		const ofServices = all.filter(({service}) => service !== anyService);
+		const ofAll = all.filter((record) => record.service === anyService && spansServices(record));
+		for (const group of [ofServices, ofAll].flatMap((parts) => partEvidence.findHarmful(parts))) {
 			for (const record of group) {
 				record.group = group;
 			}
@@ -329,8 +352,16 @@
 		b.changedAtMs - a.changedAtMs;
 
 	const forget = (record: PartRecord) => {
-		if (records.delete(keyOf(record.service, record.partId)) && record.isRequest) {
-			requestRecords--;
+		const {service, partId, isRequest} = record;
+		if (!records.delete(keyOf(service, partId))) {
+			return;
+		}
+
+		requestRecords -= isRequest ? 1 : 0;
+		const services = servicesByPart.get(partId);
+		services?.delete(service);
+		if (services?.size === 0) {
+			servicesByPart.delete(partId);
 		}
 	};
 
@@ -365,9 +396,30 @@
 
 		records.set(ownText.ownText(key, key.length), record);
 		requestRecords += record.isRequest ? 1 : 0;
+		if (service === anyService) {
+			for (const {crashes, answeredAtMs: atMs} of recordsOfServices(record.partId)) {
+				record.answeredAtMs = Math.max(record.answeredAtMs, atMs);
+				for (const crash of crashes) {
+					partEvidence.addCrash(record, {...crash});
+				}
+			}
+		} else {
+			const services = servicesByPart.get(record.partId) ?? new Set();
+			services.add(record.service);
+			servicesByPart.set(record.partId, services);
+		}
+
 		return record;
 	};
 
+	/** Adds a crash to the evidence of a service, and of all once a second one is concerned. Returns the records that it strengthens. */
+	const addCrash = (record: PartRecord, crash: partEvidence.Crash): PartRecord[] => {
+		const isConcerned =
+			record.service !== anyService && (servicesByPart.get(record.partId)?.size ?? 0) > 1;
+		const overall = isConcerned ? [recordOf(anyService, record.partId)] : [];
+		return [record, ...overall].filter((known) => partEvidence.addCrash(known, {...crash}));
+	};
+
 	/** Old reports are ignored, since daemons that have forgotten a part would learn of it from each other again and again. */
 	const isCurrent = ({crashes, answeredAgeMs, quarantines, refusedAgeMs}: PartReport): boolean => {
 		const lastCrashAgeMs = Math.min(...crashes.map(({ageMs}) => ageMs));
@@ -393,8 +445,8 @@
 		);
 	};
 
-	/** Returns the part if the report has new evidence on it. */
-	const mergeReport = (report: PartReport): PartRecord | undefined => {
+	/** Returns the records on which the report has new evidence. */
+	const mergeReport = (report: PartReport): PartRecord[] => {
 		const record = recordOf(report.service, report.partId);
 		const answeredMs = nowMs() - (report.answeredAgeMs ?? Number.POSITIVE_INFINITY);
 		const hasAnswer = partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs);
@@ -402,10 +454,14 @@
 		record.quarantines = Math.max(record.quarantines, report.quarantines);
 		const refusedMs = nowMs() - (report.refusedAgeMs ?? Number.POSITIVE_INFINITY);
 		record.refusedAtMs = Math.max(record.refusedAtMs, refusedMs);
-		const stronger = report.crashes.filter((crash) =>
-			partEvidence.addCrash(record, crashOf(crash)),
-		);
-		return hasAnswer || stronger.length > 0 ? record : undefined;
+		const stronger = report.crashes.flatMap((crash) => addCrash(record, crashOf(crash)));
+		const overall = records.get(keyOf(anyService, report.partId));
+		const isRefuted = overall !== undefined && !isCleared(overall) && hasAnswer;
+		if (isRefuted) {
+			overall.answeredAtMs = Math.max(overall.answeredAtMs, answeredMs);
+		}
+
+		return [...(hasAnswer ? [record] : []), ...(isRefuted ? [overall] : []), ...stronger];
 	};
 
 	const recordsFor = (service: string, request: JudgedRequest): PartRecord[] => {
@@ -418,7 +474,10 @@
 			ids.push(requestPartId(request));
 		}
 
-		const found = ids.map((id) => records.get(keyOf(service, id)));
+		const found = ids.flatMap((id) => [
+			records.get(keyOf(service, id)),
+			records.get(keyOf(anyService, id)),
+		]);
 		return [...new Set(found.filter((record) => record !== undefined))];
 	};
 
@@ -483,10 +542,7 @@
 				const {sentBeforeMs, wasAnswering} = victim;
 				const facts = {...crash, ageMs: 0, sentBeforeMs, wasAnswering};
 				for (const id of idsOf(victim)) {
-					const record = recordOf(service, id);
-					if (partEvidence.addCrash(record, crashOf(facts))) {
-						changed.push(record);
-					}
+					changed.push(...addCrash(recordOf(service, id), crashOf(facts)));
 				}
 			}
 
@@ -553,9 +609,7 @@
 		merge(reports, source) {
 			const current = reports.filter((report) => isCurrent(report) && hasNews(report));
 			if (current.length > 0) {
-				update(source, () =>
-					current.map((report) => mergeReport(report)).filter((record) => record !== undefined),
-				);
+				update(source, () => current.flatMap((report) => mergeReport(report)));
 			}
 		},
 		takeReports() {
--- a/packages/gateway/src/test/prompt-quarantine.test.ts
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -470,3 +470,78 @@
 	t.equal(reported.size, names.length);
 	t.end();
 });
+
+const crashOf = (request: promptQuarantine.JudgedRequest, wasAnswering = true) => [
+	{request, sentBeforeMs: 300, wasAnswering},
+];
+
+// Guards against a request that gets as many tries again from each service of a split route.
+tap.t.test('a request that no service answers is refused by all of them', async (t) => {
+	const {clock, subject} = create();
+	const plain = {...repeated('plain', false), partIds: () => []};
+	const services = ['desk', 'desk-next', 'desk-new', 'desk-last'];
+	const isRefused = (name: string) => subject.quarantinedPart(name, plain) !== undefined;
+	for (const [index, name] of services.entries()) {
+		t.notOk(isRefused('desk-moved'), `${index} crashes`);
+		subject.noteCrash(name, index, crashOf(plain, false));
+		await clock.advance(1000);
+	}
+
+	t.ok([...services, 'desk-moved'].every((name) => isRefused(name)));
+	t.notOk(subject.quarantinedPart('desk', {...plain, digest: () => 'another'}));
+	const other = create();
+	other.subject.merge(subject.takeReports(), 'n2');
+	t.ok(other.subject.quarantinedPart('desk-moved', plain), 'other daemons learn of it');
+});
+
+tap.t.test('a prompt part that no service answers is refused by all of them', (t) => {
+	const [a, b] = [create(), create()];
+	a.subject.noteCrash('model-1', 1, crashOf(prompt('caller', 'harmful')));
+	b.subject.noteCrash('model-2', 2, crashOf(prompt('caller-2', 'harmful')));
+	a.subject.merge(b.subject.takeReports(), 'b');
+	t.match(a.subject.quarantinedPart('model-3', prompt('harmful')), {partId: 'harmful'});
+	t.notOk(a.subject.quarantinedPart('model-3', prompt('caller')));
+	t.end();
+});
+
+// Guards against a service that is refused what it answers, since another one crashes on it.
+tap.t.test('an answer of one service leaves only the evidence of the other', async (t) => {
+	const {clock, subject} = create();
+	const plain = {...repeated('plain', false), partIds: () => []};
+	for (let upstreamKey = 1; upstreamKey <= 6; upstreamKey++) {
+		if (!subject.quarantinedPart('desk', plain)) {
+			subject.noteCrash('desk', upstreamKey, crashOf(plain, false));
+		}
+
+		await clock.advance(500);
+		t.notOk(subject.quarantinedPart('desk-next', plain));
+		subject.noteAnswer('desk-next', plain);
+		await clock.advance(500);
+	}
+
+	t.ok(subject.quarantinedPart('desk', plain));
+	t.notOk(subject.quarantinedPart('desk-next', plain));
+	const first = create();
+	first.subject.noteCrash('model-1', 1, crashOf(prompt('topic')));
+	first.subject.noteCrash('model-2', 2, crashOf(prompt('topic')));
+	t.ok(first.subject.quarantinedPart('model-3', prompt('topic')));
+	await first.clock.advance(10);
+	first.subject.noteAnswer('model-3', prompt('topic'));
+	t.notOk(first.subject.quarantinedPart('model-3', prompt('topic')));
+	t.notOk(first.subject.quarantinedPart('model-1', prompt('topic')));
+});
+
+// Guards against a restart of all daemons that lets the request through to the next service.
+tap.t.test('evidence over several services is kept by itself', async (t) => {
+	const {subject} = create();
+	subject.noteCrash('model-1', 1, crashOf(prompt('harmful')));
+	subject.noteCrash('model-2', 2, crashOf(prompt('harmful')));
+	const stored = subject.quarantineReports().filter(({isHarmful}) => isHarmful);
+	t.same(
+		stored.map(({service: name, partId}) => [name, partId]),
+		[[promptQuarantine.anyService, 'harmful']],
+	);
+	const next = create();
+	next.subject.merge(stored, 'store');
+	t.ok(next.subject.quarantinedPart('model-1', prompt('harmful')));
+});
