Move the records of suspected parts into their own module

An answer of any service counts for the evidence over all services, also one from before the crashes, so a service is not refused a part that only it has answered (new test).

--- a/packages/gateway/src/common/prompt-quarantine.ts
+++ b/packages/gateway/src/common/prompt-quarantine.ts
@@ -16,9 +16,9 @@
 import * as disposable from '@hawthornfront/base/common/disposable.js';
 import * as ownText from '@hawthornfront/base/common/own-text.js';
 import * as event from '@hawthornfront/base/common/event.js';
-import * as hash from '@hawthornfront/decisions/common/hash.js';
 import * as lruCache from 'lru-cache';
 import * as partEvidence from './part-evidence.js';
+import * as partRecords from './part-records.js';
 import * as partReports from './part-reports.js';
 
 /** What a daemon knows of a part, as sent to other daemons. */
@@ -63,9 +63,6 @@
 	request: JudgedRequest;
 };
 
-/** In place of a service: evidence of all services on a part that stands at crashes in several. */
-export const anyService = '*';
-
 /** Source of evidence that this daemon has observed itself. */
 export const ownSource = 'own';
 
@@ -143,45 +140,18 @@
 const maxTrialTurns = 60;
 /** Retry delay while another request tries a part again. */
 const trialRetryMs = 1000;
-/** A head of 16 KB has room for so many parts, any of which may be the harmful one. */
-const maxRecords = 4096;
-/** Records beyond the limit that a crash may add before the least important ones are dropped. */
-const maxExcessRecords = 4096;
-const maxAnsweredParts = 20_000;
+/** Each part counts once for its service and once for all. */
+const maxAnsweredParts = 40_000;
 /** Limit of the memory of the answered parts. */
 export const maxAnsweredBytes = 8_388_608;
 /** Estimated memory of an answered part without its key. */
 const answeredBytes = 128;
 const charBytes = 2;
-export const maxPartIdLength = 64;
-/** Begins the part ids of requests. */
-const requestPrefix = 'request:';
 const recentMs = 3000;
 /** Changes of parts with equal evidence that are announced one by one. */
 const maxNamedChanges = 8;
 
-type PartRecord = partReports.ReportedPart & {
-	/** Parts that a prompt must have together to be harmful; undefined if the evidence does not suffice. */
-	group?: readonly PartRecord[];
-	changedAtMs: number;
-	/** Requests in progress that try the part again. */
-	trials: number;
-};
-
-const requestPartId = ({digest}: JudgedRequest): string => requestPrefix + digest();
-
-/** Callers choose the ids, so their length is bounded. */
-const boundedId = (partId: string): string =>
-	partId.length <= maxPartIdLength ? partId : `#${hash.hash32(partId)}`;
-
-const keyOf = (service: string, partId: string): string => `${service}\n${boundedId(partId)}`;
-
-/** Whether the evidence suffices, also after the quarantine is over. */
-const isHarmful = ({group}: PartRecord): boolean => group !== undefined;
-
-/** Whether an answer has refuted all crashes of a part. */
-const isCleared = (record: PartRecord): boolean =>
-	partEvidence.crashesSinceAnswer(record).length === 0;
+const requestPartId = ({digest}: JudgedRequest): string => partRecords.requestPrefix + digest();
 
 const memoryMs = (wasQuarantined: boolean, isRefuted: boolean): number => {
 	if (wasQuarantined) {
@@ -192,11 +162,11 @@
 };
 
 const changeOf = (
-	record: PartRecord,
+	record: partRecords.PartRecord,
 	before: {isHarmful: boolean; isInForce: boolean},
 	hasNewEvidence: boolean,
 ): PartChange['kind'] | undefined => {
-	if (isHarmful(record)) {
+	if (partRecords.isHarmful(record)) {
 		const isNew = !before.isHarmful || (hasNewEvidence && !before.isInForce);
 		return isNew ? 'quarantined' : undefined;
 	}
@@ -208,7 +178,7 @@
 	// The connections of sound requests break, too; one break is not worth a log line.
 	const isSuspected = record.isRequest
 		? partEvidence.isSuspectedRequest(record)
-		: !isCleared(record);
+		: !partRecords.isCleared(record);
 	return hasNewEvidence && isSuspected ? 'suspected' : undefined;
 };
 
@@ -222,7 +192,6 @@
 	settings: () => QuarantineSettings,
 	trialRank: (partId: string) => number = () => 0,
 ): PromptQuarantine => {
-	const records = new Map<string, PartRecord>();
 	const answeredAtMs = new lruCache.LRUCache<string, number>({
 		max: maxAnsweredParts,
 		maxSize: maxAnsweredBytes,
@@ -230,15 +199,15 @@
 	});
 	const didChange = event.createEmitter<PartChange>();
 	let reportTurn = 0;
-	/** Records of requests; without any, no digest is computed. */
-	let requestRecords = 0;
-	/** Services with a record on a part, by its id. */
-	const servicesByPart = new Map<string, Set<string>>();
-
 	const nowMs = () => timeSource.nowMs();
 
-	const remainingMs = (record: PartRecord): number => {
-		if (!isHarmful(record)) {
+	const records = partRecords.createPartRecords({
+		nowMs,
+		answeredAtMs: (key) => answeredAtMs.get(key),
+	});
+
+	const remainingMs = (record: partRecords.PartRecord): number => {
+		if (!partRecords.isHarmful(record)) {
 			return 0;
 		}
 
@@ -256,33 +225,30 @@
 			: Math.max(0, leftMs + trialTurnMs * Math.min(maxTrialTurns, trialRank(record.partId)));
 	};
 
-	const notify = (kind: PartChange['kind'], record: PartRecord, source: string, others: number) => {
+	const notify = (
+		kind: PartChange['kind'],
+		record: partRecords.PartRecord,
+		source: string,
+		others: number,
+	) => {
 		const {service, partId} = record;
 		const crashes = partEvidence.crashesSinceAnswer(record).length;
 		const leftMs = remainingMs(record);
 		didChange.fire({kind, service, partId, crashes, remainingMs: leftMs, source, others});
 	};
 
-	/** Records of the services on a part. */
-	const recordsOfServices = (partId: string): PartRecord[] =>
-		[...(servicesByPart.get(partId) ?? [])]
-			.map((service) => records.get(keyOf(service, partId)))
-			.filter((record) => record !== undefined);
-
-	/** Whether no answer has refuted the evidence of two services, or a daemon that knew of them has decided on it. */
-	const spansServices = ({partId, quarantines}: PartRecord): boolean =>
-		quarantines > 0 || recordsOfServices(partId).filter((record) => !isCleared(record)).length > 1;
-
 	/** Marks the parts that the evidence shows as harmful. */
 	const markHarmful = () => {
-		for (const record of records.values()) {
+		for (const record of records.all()) {
 			record.group = undefined;
 		}
 
-		const all = [...records.values()];
+		const all = records.all();
 		// A crash that a part explains within its service may be one of several of another part in all services.
-		const ofServices = all.filter(({service}) => service !== anyService);
-		const ofAll = all.filter((record) => record.service === anyService && spansServices(record));
+		const ofServices = all.filter(({service}) => service !== partRecords.anyService);
+		const ofAll = all.filter(
+			(record) => record.service === partRecords.anyService && records.spansServices(record),
+		);
 		for (const group of [ofServices, ofAll].flatMap((parts) => partEvidence.findHarmful(parts))) {
 			for (const record of group) {
 				record.group = group;
@@ -295,12 +261,14 @@
 	 *
 	 * @param apply returns the parts with new evidence
 	 */
-	const update = (source: string, apply: () => readonly PartRecord[]) => {
+	const update = (source: string, apply: () => readonly partRecords.PartRecord[]) => {
 		const before = new Map(
-			[...records.values()].map((record) => [
-				record,
-				{isHarmful: isHarmful(record), isInForce: remainingMs(record) > 0},
-			]),
+			records
+				.all()
+				.map((record) => [
+					record,
+					{isHarmful: partRecords.isHarmful(record), isInForce: remainingMs(record) > 0},
+				]),
 		);
 		const changed = new Set(apply());
 		if (changed.size === 0) {
@@ -309,8 +277,8 @@
 
 		markHarmful();
 		/** Changed parts by their change and their evidence. */
-		const changes = new Map<string, {kind: PartChange['kind']; parts: PartRecord[]}>();
-		for (const record of records.values()) {
+		const changes = new Map<string, {kind: PartChange['kind']; parts: partRecords.PartRecord[]}>();
+		for (const record of records.all()) {
 			const previous = before.get(record) ?? {isHarmful: false, isInForce: false};
 			const change = changeOf(record, previous, changed.has(record));
 			if (changed.has(record) || change === 'released') {
@@ -345,81 +313,6 @@
 		return {upstreamKey, atMs, sentAtMs: atMs - sentBeforeMs, wasAnswering, basis};
 	};
 
-	/** Orders parts by how likely they crash upstreams, then by the time of their last change. */
-	const byImportance = (a: PartRecord, b: PartRecord): number =>
-		Number(isHarmful(b)) - Number(isHarmful(a)) ||
-		partEvidence.suspicion(b) - partEvidence.suspicion(a) ||
-		b.changedAtMs - a.changedAtMs;
-
-	const forget = (record: PartRecord) => {
-		const {service, partId, isRequest} = record;
-		if (!records.delete(keyOf(service, partId))) {
-			return;
-		}
-
-		requestRecords -= isRequest ? 1 : 0;
-		const services = servicesByPart.get(partId);
-		services?.delete(service);
-		if (services?.size === 0) {
-			servicesByPart.delete(partId);
-		}
-	};
-
-	const dropLeastImportant = () => {
-		for (const record of [...records.values()].sort(byImportance).slice(maxRecords)) {
-			forget(record);
-		}
-	};
-
-	const recordOf = (service: string, partId: string): PartRecord => {
-		const key = keyOf(service, partId);
-		const known = records.get(key);
-		if (known) {
-			return known;
-		}
-
-		const record: PartRecord = {
-			service: ownText.ownText(service, service.length),
-			partId: ownText.ownText(boundedId(partId), maxPartIdLength),
-			isRequest: partId.startsWith(requestPrefix),
-			crashes: [],
-			answeredAtMs: answeredAtMs.get(key) ?? Number.NEGATIVE_INFINITY,
-			quarantines: 0,
-			changedAtMs: nowMs(),
-			refusedAtMs: Number.NEGATIVE_INFINITY,
-			reportedTurn: 0,
-			trials: 0,
-		};
-		if (records.size >= maxRecords + maxExcessRecords) {
-			dropLeastImportant();
-		}
-
-		records.set(ownText.ownText(key, key.length), record);
-		requestRecords += record.isRequest ? 1 : 0;
-		if (service === anyService) {
-			for (const {crashes, answeredAtMs: atMs} of recordsOfServices(record.partId)) {
-				record.answeredAtMs = Math.max(record.answeredAtMs, atMs);
-				for (const crash of crashes) {
-					partEvidence.addCrash(record, {...crash});
-				}
-			}
-		} else {
-			const services = servicesByPart.get(record.partId) ?? new Set();
-			services.add(record.service);
-			servicesByPart.set(record.partId, services);
-		}
-
-		return record;
-	};
-
-	/** Adds a crash to the evidence of a service, and of all once a second one is concerned. Returns the records that it strengthens. */
-	const addCrash = (record: PartRecord, crash: partEvidence.Crash): PartRecord[] => {
-		const isConcerned =
-			record.service !== anyService && (servicesByPart.get(record.partId)?.size ?? 0) > 1;
-		const overall = isConcerned ? [recordOf(anyService, record.partId)] : [];
-		return [record, ...overall].filter((known) => partEvidence.addCrash(known, {...crash}));
-	};
-
 	/** Old reports are ignored, since daemons that have forgotten a part would learn of it from each other again and again. */
 	const isCurrent = ({crashes, answeredAgeMs, quarantines, refusedAgeMs}: PartReport): boolean => {
 		const lastCrashAgeMs = Math.min(...crashes.map(({ageMs}) => ageMs));
@@ -431,7 +324,7 @@
 
 	/** Whether a report has evidence that is not held yet. Most reports repeat what is known, and applying one compares all records. */
 	const hasNews = ({service, partId, crashes, answeredAgeMs, quarantines}: PartReport): boolean => {
-		const record = records.get(keyOf(service, partId));
+		const record = records.get(service, partId);
 		if (!record) {
 			return true;
 		}
@@ -446,17 +339,17 @@
 	};
 
 	/** Returns the records on which the report has new evidence. */
-	const mergeReport = (report: PartReport): PartRecord[] => {
-		const record = recordOf(report.service, report.partId);
+	const mergeReport = (report: PartReport): partRecords.PartRecord[] => {
+		const record = records.getOrCreate(report.service, report.partId);
 		const answeredMs = nowMs() - (report.answeredAgeMs ?? Number.POSITIVE_INFINITY);
 		const hasAnswer = partEvidence.crashesSinceAnswer(record).some(({atMs}) => atMs <= answeredMs);
 		record.answeredAtMs = Math.max(record.answeredAtMs, answeredMs);
 		record.quarantines = Math.max(record.quarantines, report.quarantines);
 		const refusedMs = nowMs() - (report.refusedAgeMs ?? Number.POSITIVE_INFINITY);
 		record.refusedAtMs = Math.max(record.refusedAtMs, refusedMs);
-		const stronger = report.crashes.flatMap((crash) => addCrash(record, crashOf(crash)));
-		const overall = records.get(keyOf(anyService, report.partId));
-		const isRefuted = overall !== undefined && !isCleared(overall) && hasAnswer;
+		const stronger = report.crashes.flatMap((crash) => records.addCrash(record, crashOf(crash)));
+		const overall = records.get(partRecords.anyService, report.partId);
+		const isRefuted = overall !== undefined && !partRecords.isCleared(overall) && hasAnswer;
 		if (isRefuted) {
 			overall.answeredAtMs = Math.max(overall.answeredAtMs, answeredMs);
 		}
@@ -464,19 +357,19 @@
 		return [...(hasAnswer ? [record] : []), ...(isRefuted ? [overall] : []), ...stronger];
 	};
 
-	const recordsFor = (service: string, request: JudgedRequest): PartRecord[] => {
+	const recordsFor = (service: string, request: JudgedRequest): partRecords.PartRecord[] => {
 		if (records.size === 0) {
 			return [];
 		}
 
 		const ids = [...request.partIds()];
-		if (requestRecords > 0) {
+		if (records.hasRequests) {
 			ids.push(requestPartId(request));
 		}
 
 		const found = ids.flatMap((id) => [
-			records.get(keyOf(service, id)),
-			records.get(keyOf(anyService, id)),
+			records.get(service, id),
+			records.get(partRecords.anyService, id),
 		]);
 		return [...new Set(found.filter((record) => record !== undefined))];
 	};
@@ -486,16 +379,16 @@
 		const ids = request
 			.partIds()
 			// Requests that wait are many, and most of their parts are sound.
-			.filter((id) => wasAnswering || !answeredAtMs.has(keyOf(service, id)));
+			.filter((id) => wasAnswering || !answeredAtMs.has(partRecords.keyOf(service, id)));
 		// A stream begins its answer when it begins to run; of other requests nothing is known until their end.
 		return wasAnswering || !request.isStream ? [...ids, requestPartId(request)] : ids;
 	};
 
 	/** Whether only one request with the part may be in progress. */
-	const isTried = (record: PartRecord): boolean =>
-		isHarmful(record) || partEvidence.isTriedRequest(record);
+	const isTried = (record: partRecords.PartRecord): boolean =>
+		partRecords.isHarmful(record) || partEvidence.isTriedRequest(record);
 
-	const reportOf = (record: PartRecord): PartReport => ({
+	const reportOf = (record: partRecords.PartRecord): PartReport => ({
 		service: record.service,
 		partId: record.partId,
 		crashes: record.crashes.map(({atMs, sentAtMs, ...crash}) => ({
@@ -509,8 +402,8 @@
 	});
 
 	/** Refutes the evidence against parts that an answer has cleared. */
-	const refute = (found: readonly PartRecord[]) => {
-		const refuted = found.filter((record) => !isCleared(record));
+	const refute = (found: readonly partRecords.PartRecord[]) => {
+		const refuted = found.filter((record) => !partRecords.isCleared(record));
 		if (refuted.length > 0) {
 			update(ownSource, () => {
 				for (const record of refuted) {
@@ -524,8 +417,10 @@
 
 	const noteBegun = (service: string, request: JudgedRequest) => {
 		for (const id of request.partIds()) {
-			const key = keyOf(service, id);
-			answeredAtMs.set(answeredAtMs.has(key) ? key : ownText.ownText(key, key.length), nowMs());
+			for (const scope of [service, partRecords.anyService]) {
+				const key = partRecords.keyOf(scope, id);
+				answeredAtMs.set(answeredAtMs.has(key) ? key : ownText.ownText(key, key.length), nowMs());
+			}
 		}
 	};
 
@@ -537,12 +432,13 @@
 		idsOf: (victim: CrashVictim) => readonly string[],
 	) => {
 		update(ownSource, () => {
-			const changed: PartRecord[] = [];
+			const changed: partRecords.PartRecord[] = [];
 			for (const victim of victims) {
 				const {sentBeforeMs, wasAnswering} = victim;
 				const facts = {...crash, ageMs: 0, sentBeforeMs, wasAnswering};
 				for (const id of idsOf(victim)) {
-					changed.push(...addCrash(recordOf(service, id), crashOf(facts)));
+					const record = records.getOrCreate(service, id);
+					changed.push(...records.addCrash(record, crashOf(facts)));
 				}
 			}
 
@@ -554,16 +450,16 @@
 		onDidChange: didChange.event,
 		quarantinedPart(service, request) {
 			const found = recordsFor(service, request);
-			const counts = new Map<PartRecord['group'], number>();
+			const counts = new Map<partRecords.PartRecord['group'], number>();
 			for (const {group} of found) {
 				counts.set(group, (counts.get(group) ?? 0) + 1);
 			}
 
-			const isWhole = ({group}: PartRecord) => group?.length === counts.get(group);
+			const isWhole = ({group}: partRecords.PartRecord) => group?.length === counts.get(group);
 			for (const record of found) {
 				const waitMs = remainingMs(record);
 				const isRefused = waitMs > 0 || (isTried(record) && record.trials > 0);
-				if (isRefused && (!isHarmful(record) || isWhole(record))) {
+				if (isRefused && (!partRecords.isHarmful(record) || isWhole(record))) {
 					record.refusedAtMs = nowMs();
 					return {partId: record.partId, remainingMs: Math.max(waitMs, trialRetryMs)};
 				}
@@ -617,41 +513,40 @@
 				return [];
 			}
 
-			const isUrgent = (record: PartRecord) =>
-				isHarmful(record) || partEvidence.suspicion(record) > 1;
-			const all = [...records.values()];
+			const isUrgent = (record: partRecords.PartRecord) =>
+				partRecords.isHarmful(record) || partEvidence.suspicion(record) > 1;
+			const all = records.all();
 			const changed = all.filter(({changedAtMs}) => changedAtMs >= nowMs() - recentMs);
 			const candidates = {
-				urgent: changed.filter((record) => isUrgent(record)).sort(byImportance),
+				urgent: changed.filter((record) => isUrgent(record)).sort(partRecords.byImportance),
 				recent: changed.filter((record) => !isUrgent(record)),
 				older: all.filter(
 					(record) =>
 						record.changedAtMs < nowMs() - recentMs &&
-						(record.quarantines > 0 || !isCleared(record)),
+						(record.quarantines > 0 || !partRecords.isCleared(record)),
 				),
 			};
 			reportTurn++;
 			return partReports.chooseParts(candidates, reportTurn).map((record) => reportOf(record));
 		},
 		quarantineReports: () =>
-			[...records.values()]
+			records
+				.all()
 				.filter(({quarantines}) => quarantines > 0)
 				.map((record) => ({
 					...reportOf(record),
-					isHarmful: isHarmful(record),
+					isHarmful: partRecords.isHarmful(record),
 					groupSize: record.group?.length ?? 0,
 					remainingMs: remainingMs(record),
 				})),
 		sweep() {
-			if (records.size > maxRecords) {
-				dropLeastImportant();
-			}
+			records.trim();
 
-			for (const record of records.values()) {
-				const retentionMs = memoryMs(record.quarantines > 0, isCleared(record));
+			for (const record of records.all()) {
+				const retentionMs = memoryMs(record.quarantines > 0, partRecords.isCleared(record));
 				const lastNeededAtMs = Math.max(partEvidence.lastCrashAtMs(record), record.refusedAtMs);
 				if (lastNeededAtMs < nowMs() - retentionMs) {
-					forget(record);
+					records.forget(record);
 				}
 			}
 		},
--- a/packages/gateway/src/node/quarantine-store.ts
+++ b/packages/gateway/src/node/quarantine-store.ts
@@ -12,7 +12,8 @@
 import * as gossipMessage from '../common/gossip-message.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import * as partEvidence from '../common/part-evidence.js';
-import * as promptQuarantine from '../common/prompt-quarantine.js';
+import * as partRecords from '../common/part-records.js';
+import type * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as storeLease from '../common/store-lease.js';
 import * as storeFeed from '../common/store-feed.js';
 import * as feedLog from './feed-log.js';
@@ -35,7 +36,7 @@
 /** A report with Unix times, since its reader does not know the age of the value. */
 const storedReportSchema = zod.object({
 	service: zod.string().max(gossipMessage.maxNameLength),
-	partId: zod.string().max(promptQuarantine.maxPartIdLength),
+	partId: zod.string().max(partRecords.maxPartIdLength),
 	isHarmful: zod.boolean(),
 	answeredAtUnixMs: zod.number().optional(),
 	refusedAtUnixMs: zod.number().optional(),
--- a/packages/gateway/src/test/prompt-quarantine.test.ts
+++ b/packages/gateway/src/test/prompt-quarantine.test.ts
@@ -1,6 +1,7 @@
 // Evidence against prompt parts and their quarantine, on a manual clock.
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as tap from 'tap';
+import * as partRecords from '../common/part-records.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as fixtures from './fixtures.js';
 
@@ -539,9 +540,25 @@
 	const stored = subject.quarantineReports().filter(({isHarmful}) => isHarmful);
 	t.same(
 		stored.map(({service: name, partId}) => [name, partId]),
-		[[promptQuarantine.anyService, 'harmful']],
+		[[partRecords.anyService, 'harmful']],
 	);
 	const next = create();
 	next.subject.merge(stored, 'store');
 	t.ok(next.subject.quarantinedPart('model-1', prompt('harmful')));
 });
+
+// Guards against a service that is refused a part which only it has answered.
+tap.t.test('crashes of two services at once do not outweigh the answers of a third', async (t) => {
+	const {clock, subject} = create();
+	subject.noteAnswer('model-3', prompt('caller'));
+	await clock.advance(1000);
+	subject.noteCrash('model-1', 1, crashOf(prompt('caller')));
+	subject.noteCrash('model-2', 2, crashOf(prompt('caller')));
+	t.notOk(subject.quarantinedPart('model-3', prompt('caller')));
+	for (let round = 0; round < 2; round++) {
+		await clock.advance(1000);
+		subject.noteCrash('model-1', 10 + round, crashOf(prompt('caller')));
+	}
+
+	t.ok(subject.quarantinedPart('model-3', prompt('caller')), 'three rounds without an answer');
+});
