--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -274,6 +274,8 @@
 	  }
 	| {kind: 'directory'; region: string; basis: string; named: number; addresses: string[]}
 	| {kind: 'store-watch'; isWatching: boolean; peers: number; behindMs: number}
+	/** Whether this daemon, while it watches, hears of upstreams without a pause for its region. */
+	| {kind: 'store-pace'; isPrompt: boolean; watchers: number}
 	/** A peer knows of changes that this daemon's watches should have delivered. */
 	| {
 			kind: 'store-watch-silent';
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -584,7 +584,12 @@
 		const regionWatchers = alive
 			.filter(({region, storeContact}) => region === vm.region && storeContact === 'reached')
 			.map((member) => candidateOf(member));
-		isPromptWatcher = promptWatcherElection.update(regionWatchers, 0);
+		const isPrompt = promptWatcherElection.update(regionWatchers, 0);
+		if (isPrompt !== isPromptWatcher) {
+			isPromptWatcher = isPrompt;
+			log.note({kind: 'store-pace', isPrompt, watchers: regionWatchers.length});
+		}
+
 		const behindMs = catchUp.behindMs();
 		const next = watcherElection.update(domainPeers, behindMs) || !cluster.isComplete;
 		const isLeading = leadingWatcherElection.update(domainPeers, behindMs);
