Review: the cases in the order of their gravity, each run on a subnet of its own

Two scripts that ran at the same time could draw the same loopback addresses. A run now claims its subnet, as the soak does.

--- a/review/11/case.js
+++ b/review/11/case.js
@@ -1,4 +1,4 @@
-/** A machine that has shown a config hands requests to one that still has the config before. */
+/** A stream that goes on at a third runner leaves out the pieces of a second one that spoilt its answer. */
 /* eslint-disable camelcase -- the names of the platform's wire */
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
@@ -8,169 +8,210 @@
 import {startStore} from '../lib-3/store.js';
 import * as world from '../lib-3/world.js';
 
-const backMs = 250;
-const troubleMs = 9000;
-const moveEveryMs = 3000;
-const moves = 4;
-const perS = 50;
-const zones = {'harju-a': 'harju', 'ida-a': 'ida', 'ida-b': 'ida'};
-const services = ['orders-old', 'orders-new'];
+const zone = 'harju-a';
+const runnerCount = 5;
+/** How runners garble: three of five, a share of 0.6. */
+const garbles = ['break-off', 'spoil', 'spoil'];
+/** Of the answers of a garbling runner, one in so many is garbled: 0.05. */
+const garbleEvery = 20;
+const garbleMs = 6000;
+const rounds = 3;
+const pauseMs = 3000;
+const pieces = 20;
+const piecesAWrite = 5;
+const writeEveryMs = 40;
+const perS = 150;
+const maxUpstreams = 3;
 
 const record = world.createRecord(import.meta.dirname);
-const network = world.drawNetwork();
+const network = await world.claimNetwork();
 const folder = world.createFolder();
+const counts = {runs: 0, brokenOff: 0, spoilt: 0};
+const streams = [];
 
-const configOf = (version) => ({
-	version,
+const pieceText = (id) => `id: ${id}\ndata: piece ${id} of the answer\n\n`;
+
+/** Wrong bytes in place of the begin of a line, as of a block that was overwritten. */
+const spoil = (text, id) => text.replace(`data: piece ${id} of`, '%#{0};;;@@!!....');
+
+const config = {
+	version: 1,
 	routes: [
 		{
-			name: 'delivery-order',
+			name: 'panel-question',
 			host: 'shop.example',
-			prefix: '/order/',
-			kind: 'unsafe',
+			prefix: '/question/',
+			kind: 'stream',
 			timeout_ms: 3000,
-			goal_ms: 586,
-			priority: 2,
-			service: services[(version + 1) % 2],
-			attempts: 1,
-			can_resume: false,
+			goal_ms: 800,
+			priority: 0,
+			service: 'udu-model',
+			attempts: maxUpstreams,
+			sticky: true,
+			can_resume: true,
+			gap_goal_ms: 600,
 			home_regions: [],
 		},
 	],
-	services: services.map((name) => ({name, health_path: '/healthz', max_conns: 100})),
+	services: [
+		{
+			name: 'udu-model',
+			health_path: '/healthz',
+			max_conns: 620,
+			engine: {slots: 128, kv_capacity: 685_031, stride: 7},
+		},
+	],
 	limits: {header_bytes: 16_384, body_bytes: 4_194_304, header_timeout_ms: 3000, idle_ms: 15_000},
-});
+};
 
-/** Runs by attempt. */
-const runs = new Map();
-const sent = [];
-/** When the store had each version, and when a runner first saw its effect. */
-const ackedAtMs = new Map();
+const createRunnerState = () => ({answers: 0, garbled: 0, garble: undefined});
+const runners = Array.from({length: runnerCount}, () => createRunnerState());
 
-const main = async () => {
-	const store = await world.kept(startStore(`${network}.0.1`));
-	const putConfig = (version) => {
-		store.put('op/config', configOf(version));
-		ackedAtMs.set(version, Date.now());
-		record(`the store has version ${version}: ${services[(version + 1) % 2]}`);
+const mayGarble = ({answers, garbled, garble}, isResumed) =>
+	garble === (isResumed ? 'spoil' : 'break-off') && (garbled + 1) * garbleEvery <= answers;
+
+/** Writes the pieces after `Last-Event-Id`, several a write. */
+const createHandler =
+	(runner) =>
+	(request, response, {attempt, id}) => {
+		request.resume();
+		counts.runs++;
+		runner.answers++;
+		const last = Number(request.headers['last-event-id'] ?? 0);
+		const isResumed = last > 0;
+		const isGarbled = mayGarble(runner, isResumed);
+		runner.garbled += isGarbled ? 1 : 0;
+		const fault = isGarbled ? (isResumed ? 'spoils' : 'breaks off') : 'is sound';
+		record(`${attempt} runs at ${id} after piece ${last}; the answer ${fault}`);
+		response.writeHead(200, {
+			'attempt-id': attempt,
+			'response-stamp': attempt,
+			'content-type': 'text/event-stream',
+		});
+		let next = last + 1;
+		let isSpoilt = false;
+		const timer = setInterval(() => {
+			let text = '';
+			for (let index = 0; index < piecesAWrite && next <= pieces; index++, next++) {
+				text += pieceText(next);
+			}
+
+			if (isGarbled && isResumed && !isSpoilt) {
+				isSpoilt = true;
+				counts.spoilt++;
+				text = spoil(text, next - 2);
+			}
+
+			if (isGarbled && !isResumed) {
+				counts.brokenOff++;
+				clearInterval(timer);
+				// The last piece is cut.
+				response.write(text.slice(0, -10));
+				setTimeout(() => response.socket?.resetAndDestroy(), 5);
+			} else if (next > pieces) {
+				clearInterval(timer);
+				response.end(text);
+			} else {
+				response.write(text);
+			}
+		}, writeEveryMs);
+		response.on('close', () => {
+			clearInterval(timer);
+		});
 	};
 
-	putConfig(1);
-	for (const service of services) {
-		for (const zone of ['ida-a', 'ida-b']) {
-			await world.kept(
-				startRunner(store, {
-					id: `i-${service}-${zone}`,
-					service,
-					zone,
-					host: `${network}.2.1`,
-					handle(request, response, {attempt}) {
-						const run = {service, atMs: Date.now()};
-						runs.set(attempt, [...(runs.get(attempt) ?? []), run]);
-						record(`${attempt} runs at ${service} in ${zone}`);
-						request.resume();
-						setTimeout(() => {
-							response.writeHead(200, {
-								'attempt-id': attempt,
-								'response-stamp': attempt,
-								'content-length': 2,
-							});
-							response.end('ok');
-						}, 20);
-					},
-				}),
-			);
-		}
-	}
+const idsOf = (body) => [...body.matchAll(/^id: (\d+)$/gmu)].map(([, id]) => Number(id));
 
-	const gateways = [];
-	const doors = [];
-	for (const [index, [zone, region]] of Object.entries(zones).entries()) {
-		const door = await store.openDoor();
-		doors.push(door);
-		const vm = {name: `front-${zone}-1`, host: `${network}.1.${index + 1}`, region, zone};
-		const seeds = [1, 2, 3].map((number) => `${network}.1.${number}`);
-		gateways.push(await world.kept(startGateway(vm, {folder, zones, store: door.address, seeds})));
+const main = async () => {
+	const store = await world.kept(startStore(`${network}.0.1`));
+	store.put('op/config', config);
+	for (let index = 0; index < runnerCount; index++) {
+		await world.kept(
+			startRunner(store, {
+				id: `i-runner-${index + 1}`,
+				service: 'udu-model',
+				zone,
+				host: `${network}.2.${index + 1}`,
+				slots: 128,
+				handle: createHandler(runners[index]),
+			}),
+		);
 	}
 
-	await world.waitForReady(gateways);
-	await world.sleep(5000);
-	const [entry] = gateways;
+	const door = await store.openDoor();
+	const vm = {name: 'front-harju-a-1', host: `${network}.1.1`, region: 'harju', zone};
+	const gateway = await world.kept(
+		startGateway(vm, {
+			folder,
+			zones: {[zone]: 'harju'},
+			store: door.address,
+			seeds: [vm.host],
+		}),
+	);
+	await world.waitForReady([gateway]);
+	await world.sleep(2000);
 	const agent = new http.Agent({keepAlive: true});
 	const send = async () => {
 		const attempt = world.newAttempt();
-		const item = {attempt, atMs: Date.now()};
-		sent.push(item);
-		record(`${attempt} sent to ${entry.name}`);
-		const answer = await world.request({
-			at: entry.callers,
+		const stream = {attempt};
+		streams.push(stream);
+		record(`${attempt} sent`);
+		stream.answer = await world.request({
+			at: gateway.callers,
 			agent,
-			path: '/order/1',
+			path: '/question/1',
 			attempt,
-			headers: {'deadline-ms': '3000'},
-			body: Buffer.from(`order ${attempt}`),
+			headers: {
+				'deadline-ms': '3000',
+				model: 'm',
+				'token-count': '1800,140',
+				'prompt-prefix': `${attempt.slice(0, 6)}00:568,${attempt.slice(8)}:1232`,
+			},
+			body: Buffer.from(`question ${attempt}`),
 		});
-		item.answer = answer;
-		record(`${attempt} answered: ${answer.kind} ${answer.status ?? answer.detail}`);
+		const {kind, status, detail, body = ''} = stream.answer;
+		record(`${attempt} ${kind} ${status ?? detail}, pieces ${idsOf(body).join(' ')}`);
 	};
 
 	const timer = setInterval(send, 1000 / perS);
-	await world.sleep(2000);
-	if (world.isTrouble) {
-		record('the store turns front-ida-b-1 away');
-		doors[2].turnAway();
-		setTimeout(() => {
-			record('the store serves front-ida-b-1 again');
-			doors[2].serve();
-		}, troubleMs);
-	}
+	// Each runner gives some answers first.
+	await world.sleep(4000);
+	for (let round = 0; round < rounds; round++) {
+		const byAnswers = runners.toSorted((a, b) => b.answers - a.answers);
+		for (const [index, garble] of garbles.entries()) {
+			byAnswers[index].garble = world.isTrouble ? garble : undefined;
+		}
+
+		record(`${runners.filter(({garble}) => garble).length} runners garble`);
+		await world.sleep(garbleMs);
+		for (const runner of runners) {
+			runner.garble = undefined;
+		}
 
-	await world.sleep(1500);
-	for (let version = 2; version < 2 + moves; version++) {
-		putConfig(version);
-		await world.sleep(moveEveryMs);
+		record('all runners are sound');
+		await world.sleep(pauseMs);
 	}
 
 	clearInterval(timer);
-	await world.sleep(3500);
+	await world.sleep(4000);
 	return judge();
 };
 
-/** Requests that are handled as only an older version allows, over `backMs` after a runner saw a newer one. */
+/** Streams that ended as complete and in which a piece is missing or comes twice. */
 const judge = () => {
-	const broken = [];
-	const versions = [...ackedAtMs.keys()];
-	for (const version of versions.slice(1)) {
-		const service = services[(version + 1) % 2];
-		const fromMs = ackedAtMs.get(version);
-		const untilMs = ackedAtMs.get(version + 1) ?? Number.POSITIVE_INFINITY;
-		const seenAtMs = Math.min(
-			...sent
-				.filter(({atMs}) => atMs >= fromMs && atMs < untilMs)
-				.flatMap(({attempt}) => runs.get(attempt) ?? [])
-				.filter((run) => run.service === service)
-				.map(({atMs}) => atMs),
-		);
-		const late = sent.filter(
-			({attempt, atMs}) =>
-				atMs > seenAtMs + backMs &&
-				atMs < untilMs &&
-				runs.get(attempt)?.some((run) => run.service !== service && run.atMs < untilMs),
-		);
-		const last = Math.max(0, ...late.map(({atMs}) => atMs - seenAtMs));
-		record(
-			`version ${version}: seen ${seenAtMs - fromMs} ms after its ack; ${late.length} requests ` +
-				`were run by the service before it over ${backMs} ms later, the last sent ${last} ms later`,
-		);
-		broken.push(...late);
+	const whole = Array.from({length: pieces}, (_, index) => index + 1).join(' ');
+	const complete = streams.filter(({answer}) => answer?.kind === 'answer' && answer.status === 200);
+	const broken = complete.filter(({answer}) => idsOf(answer.body).join(' ') !== whole);
+	for (const {attempt, answer} of broken) {
+		record(`broken: ${attempt} ended as complete with the pieces ${idsOf(answer.body).join(' ')}`);
 	}
 
-	const served = sent.filter(({answer}) => answer?.status === 200).length;
 	record(
-		`${sent.length} sent, ${served} answered 200, ${broken.length} as only an older version allows`,
+		`${streams.length} streams, ${complete.length} complete, ${counts.runs} runs, ` +
+			`${counts.brokenOff} broken off, ${counts.spoilt} spoilt, ${broken.length} with missing pieces`,
 	);
-	if (served < sent.length / 2) {
-		throw new Error('less than half of the requests were served');
+	if (complete.length < streams.length / 2) {
+		throw new Error('less than half of the streams were served');
 	}
 
 	return broken.length > 0;
--- a/review/lib-3/world.js
+++ b/review/lib-3/world.js
@@ -3,6 +3,7 @@
 import crypto from 'node:crypto';
 import fs from 'node:fs';
 import http from 'node:http';
+import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -14,8 +15,34 @@
 		setTimeout(resolve, ms);
 	});
 
-/** First two bytes of a subnet of the loopback network that other runs hardly use. */
-export const drawNetwork = () => `127.${10 + crypto.randomInt(230)}`;
+/** A run claims a subnet with this port of the subnet's first address, as the project's soak does. */
+const claimPort = 18_139;
+const draws = 50;
+
+const claim = async (prefix) =>
+	new Promise((resolve) => {
+		const server = net.createServer();
+		server.once('error', () => {
+			resolve(undefined);
+		});
+		server.listen(claimPort, `${prefix}.0.1`, () => {
+			resolve(server);
+		});
+	});
+
+/** First two bytes of a subnet of the loopback network that no other run uses. */
+export const claimNetwork = async () => {
+	for (let draw = 0; draw < draws; draw++) {
+		const prefix = `127.${10 + crypto.randomInt(200)}`;
+		const server = await claim(prefix);
+		if (server) {
+			server.unref();
+			return prefix;
+		}
+	}
+
+	throw new Error('no free subnet of the loopback network');
+};
 
 export const createFolder = () => fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
 
