--- a/review/lib-3/gateway.js
+++ b/review/lib-3/gateway.js
@@ -15,7 +15,7 @@
 
 const ports = {callers: 8144, readiness: 8140, directory: 8143, peers: 7660, metrics: 7675};
 
-const settingsOf = ({name, host, region, zone}, {zones, store, seeds, quotas}) =>
+const settingsOf = ({name, host, region, zone}, {zones, store, seeds}) =>
 	[
 		'[vm]',
 		`name = ${name}`,
@@ -39,7 +39,6 @@
 		'share = 0.2',
 		'extraPerWindow = 54',
 		'windowS = 10',
-		...(quotas ? ['[quotas]', 'windowS = 8', 'excessShare = 0.1', 'slack = 140000'] : []),
 		'[directory]',
 		'timeToLiveS = 5',
 		'; end of settings',
@@ -54,7 +53,6 @@
 	const [program, ...words] = command();
 	let child;
 	let isClosed = false;
-	const ends = [];
 	const start = () => {
 		if (isClosed) {
 			return;
@@ -66,9 +64,8 @@
 			stdio: ['ignore', log, log],
 		});
 		child = started;
-		started.on('exit', (code, signal) => {
+		started.on('exit', () => {
 			child = undefined;
-			ends.push({atMs: Date.now(), code, signal});
 			setTimeout(start, restartMs);
 		});
 	};
@@ -77,22 +74,6 @@
 	return {
 		...vm,
 		callers: {host: vm.host, port: ports.callers},
-		ends,
-		get pid() {
-			return child?.pid;
-		},
-		signal(name) {
-			child?.kill(name);
-		},
-		/** Resident memory in MB; 0 without a process. */
-		residentMb() {
-			try {
-				const status = fs.readFileSync(`/proc/${child?.pid}/status`, 'utf8');
-				return Number(/^VmRSS:\s+(?<kb>\d+) kB$/mu.exec(status)?.groups.kb ?? 0) / 1024;
-			} catch {
-				return 0;
-			}
-		},
 		async isReady() {
 			try {
 				const response = await fetch(`http://${vm.host}:${ports.readiness}/api/ready`);
--- a/review/lib-3/runner.js
+++ b/review/lib-3/runner.js
@@ -5,22 +5,17 @@
 const beatMs = 1200;
 
 /**
- * Starts a runner. `handle(request, response, context)` answers the requests that it runs,
- * `onRun(attempt)` notes each of them.
+ * Starts a runner. `handle(request, response, {attempt, id})` answers the requests that it runs.
  */
-export const startRunner = async (
-	store,
-	{id, service, zone, host, slots = 6, handle, extra = {}},
-) => {
+export const startRunner = async (store, {id, service, zone, host, slots = 6, handle}) => {
 	const born = Date.now();
 	let seq = 0;
-	let state = 'ready';
 	const sockets = new Set();
 	const server = http.createServer({keepAliveTimeout: 5000}, (request, response) => {
 		const attempt = request.headers['attempt-id'];
 		if (request.url === '/healthz') {
 			request.resume();
-			response.writeHead(state === 'ready' ? 200 : 503, {'instance-id': id, 'content-length': 0});
+			response.writeHead(200, {'instance-id': id, 'content-length': 0});
 			response.end();
 			return;
 		}
@@ -59,11 +54,10 @@
 			zone,
 			version: 'v1',
 			slots,
-			state,
+			state: 'ready',
 			cold_left_ms: 0,
 			seq,
 			born,
-			...extra,
 		});
 	};
 
@@ -72,10 +66,6 @@
 	return {
 		id,
 		address,
-		setState(next) {
-			state = next;
-			beat();
-		},
 		close() {
 			clearInterval(timer);
 			server.close();
