Continue a stream behind what its caller has, not behind what a run sent

A stream that had broken off went on at a runner that spoilt a piece. Nothing of the spoilt write was passed on, but the event splitter of the attempt had moved its id to the end of that write, and the failure reported this id as that of the last event passed on. The next run was asked to go on after it. A takeover of a stalled run used the same id.

The request now keeps one position, which moves only when events are handed to the caller. All resends, relays and takeovers ask for what follows it. A run that continues a stream fails if it does not begin behind that position with an id, or if its ids do not increase. A stream that no position describes breaks off visibly: its last event has no id, it has other text, or events out of order.

Ruled out: that the spoilt write is passed on in part, and that the third runner leaves pieces out (the request to it carries the wrong Last-Event-Id).

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -3,6 +3,7 @@
 import type * as disposable from '@hawthornfront/base/common/disposable.js';
 import type * as answerBuffers from './answer-buffers.js';
 import * as answerClassifier from './answer-classifier.js';
+import type * as callerStream from './caller-stream.js';
 import type * as crashDetector from './crash-detector.js';
 import type * as dispatcher from './dispatcher.js';
 import * as eventSplitter from './event-splitter.js';
@@ -39,6 +40,8 @@
 	canRetry(): boolean;
 	/** Head of the answer of which the caller has a part already; undefined if it has none. */
 	begunHeaders(): wireFormat.Headers | undefined;
+	/** The events that the caller has of all attempts. */
+	callerStream: callerStream.CallerStream;
 };
 
 export type AttemptFailure = {
@@ -57,8 +60,6 @@
 	stall?: stallDetector.Stall;
 	/** The connection broke after the head of a stream and before its first event. */
 	brokeAsItBegan: boolean;
-	/** Id of the last complete event that was passed to the caller. */
-	lastEventId?: string;
 };
 
 /** Callbacks of one attempt. After `onAnswered`, `onFailed` or a cancel, nothing more is called. */
@@ -66,8 +67,8 @@
 	/** The connection is open and the request is written to it. */
 	onSent(): void;
 	/**
-	 * The peer has an answer for the caller: a complete event of a stream, or a plain
-	 * answer that is complete or too large to be buffered. Called before its bytes are
+	 * The peer has an answer for the caller: a complete event of a stream or other text, or a
+	 * plain answer that is complete or too large to be buffered. Called before its bytes are
 	 * passed on, for each event.
 	 */
 	onAnswering(): void;
@@ -86,8 +87,6 @@
 
 export type Attempt = {
 	isRunning(): boolean;
-	/** Id of the last complete event that was passed to the caller. */
-	readonly lastEventId: string | undefined;
 	/** Complete events that the peer sent. */
 	readonly events: number;
 	/** Fails the attempt because its peer stalled. */
@@ -123,7 +122,7 @@
 
 /** Sends the request. */
 export const startAttempt = (options: AttemptOptions, listener: AttemptListener): Attempt => {
-	const {clock, wire, request, target, account, observedRun} = options;
+	const {clock, wire, request, target, account, observedRun, callerStream} = options;
 	const {route} = request;
 	const isStream = route.work === 'stream';
 	const splitter = isStream ? eventSplitter.createEventSplitter() : undefined;
@@ -143,9 +142,6 @@
 	let progressAtMs = startedAtMs;
 	const running: {exchange?: upstreamTransport.Exchange} = {};
 
-	/** Event after which another run may resume the stream. */
-	const lastEventId = () => (route.canResume ? splitter?.lastEventId : undefined);
-
 	const close = () => {
 		isOver = true;
 		heldBack.set(0);
@@ -182,7 +178,6 @@
 			startedAtMs,
 			events: splitter?.events ?? 0,
 			silentMs: clock.nowMs() - progressAtMs,
-			lastEventId: lastEventId(),
 			brokeAsItBegan: false,
 			...more,
 		});
@@ -289,24 +284,35 @@
 		});
 	};
 
+	/** Whether the caller may get these events of an answer that continues another one. */
+	const mayContinueWith = (complete: eventSplitter.CompleteEvents, isFirst: boolean): boolean =>
+		isFirst ? callerStream.mayBeginWith(complete) : callerStream.mayGoOnWith(complete);
+
 	/** Only complete events are progress: a faulty runner may send other bytes without end. */
 	const passEvents = (events: eventSplitter.EventSplitter, bytes: Uint8Array) => {
-		const eventsBefore = events.events;
+		const isFirst = events.events === 0;
 		const complete = events.push(bytes);
-		if (isContinuation && (events.hasOtherText || (complete && events.events === 0))) {
-			failBroken('not-events');
+		if (complete && isContinuation && !mayContinueWith(complete, isFirst)) {
+			const isText = complete.hasOtherText || complete.ids.length === 0;
+			failBroken(isText ? 'not-events' : 'events-out-of-order');
 			return;
 		}
 
-		if (events.events > eventsBefore) {
+		const hasEvent = complete !== undefined && complete.ids.length > 0;
+		if (hasEvent) {
 			noteProgress();
 			observedRun?.noteEvents(events.events);
+		}
+
+		if (hasEvent || complete?.hasOtherText) {
+			// Another run can't go on where it was asked to.
 			listener.onAnswering();
 		}
 
 		if (complete) {
 			step = 'mid-stream';
-			pass(complete);
+			callerStream.notePassed(complete);
+			pass(complete.bytes);
 		}
 
 		const pendingBytes = events.rest().length;
@@ -435,9 +441,6 @@
 
 	return {
 		isRunning: () => !isOver,
-		get lastEventId() {
-			return lastEventId();
-		},
 		get events() {
 			return splitter?.events ?? 0;
 		},
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -9,6 +9,7 @@
 import * as answerBuffers from './answer-buffers.js';
 import * as attempt from './attempt.js';
 import * as attemptFailover from './attempt-failover.js';
+import * as callerStreams from './caller-stream.js';
 import type * as crashDetector from './crash-detector.js';
 import type * as dispatcher from './dispatcher.js';
 import type * as gatewayEvent from './gateway-event.js';
@@ -119,6 +120,7 @@
 	const failedUpstreams = new Set<string>();
 	const triedRegions = new Set<string>();
 	const timers = new Set<disposable.Disposable>();
+	const callerStream = callerStreams.createCallerStream(facts.lastEventId);
 	/** Released when the request ends. */
 	const resources = disposable.createDisposableStore();
 
@@ -128,20 +130,22 @@
 	let hasStarted = false;
 	/** Head of the upstream's answer that was passed to the caller. */
 	let begunHeaders: wireFormat.Headers | undefined;
-	/** The caller has part of an answer that no other run can continue. */
-	let isPartlyPassed = false;
+	/** The caller has part of an answer that may not be continued. */
+	let isFinalAnswer = false;
 	let hasEnded = false;
 	let firstMs = -1;
-	let resumeAfter = facts.lastEventId;
 	let lastObstacle: gatewayEvent.TakeoverObstacle | undefined;
 	let waitedMs = 0;
 
 	const remainingMs = () => deadlineMs - clock.nowMs();
 
+	/** The caller has part of an answer that no other run can continue. */
+	const isPartlyPassed = () => isFinalAnswer || !callerStream.canContinue;
+
 	const requestLog = requestLogs.createRequestLog(clock, services.log, request, () => ({
 		remainingMs: remainingMs(),
 		sends,
-		resumeAfter,
+		resumeAfter: callerStream.lastEventId,
 	}));
 
 	/** Runs the callback after a delay unless the request ends before. */
@@ -253,7 +257,7 @@
 			return 'suspected-prompt';
 		}
 
-		if (isPartlyPassed) {
+		if (isPartlyPassed()) {
 			return 'partly-passed';
 		}
 
@@ -284,8 +288,6 @@
 		if (failure.outcome !== 'not-run') {
 			noteMayHaveRun(target, failure.upstreamsUsed);
 		}
-
-		resumeAfter = failure.lastEventId ?? resumeAfter;
 	};
 
 	/** Decides what follows an attempt that did not answer the caller. */
@@ -344,7 +346,7 @@
 	const obstacleToTakeover = (
 		target: attempt.AttemptTarget,
 	): gatewayEvent.TakeoverObstacle | undefined => {
-		if (isPartlyPassed) {
+		if (isPartlyPassed()) {
 			return 'partly-passed';
 		}
 
@@ -409,7 +411,6 @@
 		}
 
 		if ('choice' in found) {
-			resumeAfter = running.lastEventId ?? resumeAfter;
 			failover.startSuccessor(planFor(found.choice));
 		} else if (isCutOff) {
 			running.giveUp(silence);
@@ -423,7 +424,7 @@
 				if (!hasStarted) {
 					hasStarted = true;
 					begunHeaders = headers;
-					isPartlyPassed = status >= 300 || !routeConfig.mayResume(route);
+					isFinalAnswer = status >= 300 || !routeConfig.mayResume(route);
 					reply.start(status, wire.answerHeaders(headers));
 				}
 			},
@@ -485,6 +486,7 @@
 							upstreamsThatRan + 1 < request.maxUpstreams &&
 							services.budget.canRetry(service.name)),
 					begunHeaders: () => begunHeaders,
+					callerStream,
 				},
 				listener,
 			),
@@ -503,7 +505,7 @@
 			upstreamId: id,
 			priority: service.engine ? priorityOf(rank) : undefined,
 			team: team?.name,
-			resumeAfterEventId: resumeAfter,
+			resumeAfterEventId: callerStream.lastEventId,
 			promptSource: choice.promptSource?.entry.address,
 		});
 		return createPlan(
@@ -524,7 +526,7 @@
 		triedRegions.add(region);
 		sends++;
 		requestLog.relayed(choice);
-		const headers = wire.relayHeaders(request.rawHeaders, remainingMs(), resumeAfter);
+		const headers = wire.relayHeaders(request.rawHeaders, remainingMs(), callerStream.lastEventId);
 		headers.push(
 			relayHeaders.relayedFromHeader,
 			services.localRegion,
--- a/packages/gateway/src/test/event-splitter.test.ts
+++ b/packages/gateway/src/test/event-splitter.test.ts
@@ -19,15 +19,17 @@
 				const stream = new TextEncoder().encode(whole.join('')).subarray(0, truncatedAt);
 				const splitter = eventSplitter.createEventSplitter();
 				let passed = '';
+				const ids: Array<string | undefined> = [];
 				let from = 0;
 				for (const to of [...cuts.sort((a, b) => a - b), stream.length]) {
 					const complete = splitter.push(stream.subarray(from, Math.max(from, to)));
-					passed += complete ? new TextDecoder().decode(complete) : '';
+					passed += complete ? new TextDecoder().decode(complete.bytes) : '';
+					ids.push(...(complete?.ids ?? []));
 					from = Math.max(from, Math.min(to, stream.length));
 				}
 
 				const rest = new TextDecoder().decode(splitter.rest());
-				const events = Number(splitter.lastEventId ?? 0);
+				const events = Number(ids.at(-1) ?? 0);
 				return (
 					passed === whole.slice(0, events).join('') &&
 					passed + rest === new TextDecoder().decode(stream) &&
--- a/packages/gateway/src/test/fake-transport.ts
+++ b/packages/gateway/src/test/fake-transport.ts
@@ -120,8 +120,12 @@
 		];
 	}
 
-	override relayHeaders(_raw: readonly string[], remainingMs: number): string[] {
-		return ['left', String(remainingMs)];
+	override relayHeaders(
+		_raw: readonly string[],
+		remainingMs: number,
+		resumeAfterEventId?: string,
+	): string[] {
+		return ['left', String(remainingMs), 'after', resumeAfterEventId ?? ''];
 	}
 
 	override readonly healthPath = '/health';
--- a/packages/gateway/src/test/kept-texts.test.ts
+++ b/packages/gateway/src/test/kept-texts.test.ts
@@ -2,6 +2,7 @@
 import * as heapUse from '@hawthornfront/base/test/heap-use.js';
 import * as manualClock from '@hawthornfront/base/common/manual-clock.js';
 import * as tap from 'tap';
+import * as callerStream from '../common/caller-stream.js';
 import * as directory from '../common/directory.js';
 import * as eventSplitter from '../common/event-splitter.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
@@ -135,16 +136,18 @@
 	const chunkLength = 64_000;
 	const createStream = (index: number) => {
 		const splitter = eventSplitter.createEventSplitter();
+		const stream = callerStream.createCallerStream(undefined);
 		const event = `id: event-with-a-long-id-${index}\ndata: `;
-		splitter.push(new TextEncoder().encode(`${event.padEnd(chunkLength, 'x')}\n\n`));
-		return splitter;
+		const bytes = new TextEncoder().encode(`${event.padEnd(chunkLength, 'x')}\n\n`);
+		stream.notePassed(splitter.push(bytes)!);
+		return {splitter, stream};
 	};
 
 	const before = heapUse.usedBytes();
-	const splitters = Array.from({length: streams}, (_, index) => createStream(index));
+	const waiting = Array.from({length: streams}, (_, index) => createStream(index));
 	const kept = heapUse.usedBytes() - before;
 	t.ok(kept < (streams * chunkLength) / 10, `${kept} bytes`);
-	t.equal(splitters[7]!.lastEventId, 'event-with-a-long-id-7');
+	t.equal(waiting[7]!.stream.lastEventId, 'event-with-a-long-id-7');
 });
 
 // A caller's query names the region: each of 500 kept up to the longest head of a request.
