Tell a reset from an orderly end while an upload is still written

Callers got a part of an answer as a complete one (MIXED): a runner answered a long upload at once with a 200 without length, sent a part of the body and reset the connection. The daemon found the reset by a line that it writes at the end of the connection, but the line waited behind the rest of the upload. The client library destroyed the socket at the end, and a destroyed socket drops the error of its write for the library's own, UND_ERR_INFO, which was taken for an orderly end.

The socket now postpones its destruction to the end of the turn of the event loop in which the connection ended, if a write is in progress. Its error follows the end in that turn: ECONNRESET after a reset alone, EPIPE if an orderly end came first, none after an orderly end.

--- a/packages/gateway/src/node/connection-pool.ts
+++ b/packages/gateway/src/node/connection-pool.ts
@@ -12,6 +12,7 @@
 import * as framingMeter from '../common/framing-meter.js';
 import * as headLimits from '../common/head-limits.js';
 import * as upstreamTransport from '../common/upstream-transport.js';
+import * as upstreamSocket from './upstream-socket.js';
 
 export type PoolSettings = {
 	connectTimeoutMs: number;
@@ -34,7 +35,7 @@
 type Connection = {
 	client: undici.Client;
 	address: string;
-	socket?: net.Socket;
+	socket?: upstreamSocket.UpstreamSocket;
 	lastUsedMs: number;
 	/** The connection was established. */
 	isConnected: boolean;
@@ -96,19 +97,6 @@
 	'UND_ERR_INVALID_ARG',
 ]);
 
-/**
- * Distinguishes a reset from an orderly end. When a reset arrives together with the last
- * bytes, Node.js reports an orderly end, and only a further write fails. The write is an
- * empty line, which HTTP servers ignore after a request.
- */
-export const testForReset = async (socket: net.Socket): Promise<boolean> =>
-	new Promise((resolve) => {
-		socket.write('\r\n', (error) => {
-			const code = error && 'code' in error ? error.code : undefined;
-			resolve(code === 'ECONNRESET' || code === 'EPIPE');
-		});
-	});
-
 /** Resets the connection, so that unsent bytes cannot reach the peer after the request has ended. */
 const resetSocket = (socket: net.Socket | undefined): void => {
 	// The reset of a connecting socket would be delayed until it is connected.
@@ -507,13 +495,10 @@
 			return;
 		}
 
-		const socket = net.connect({
-			host: options.hostname,
-			port: Number(options.port),
-			noDelay: true,
-			// This side stays open, because testForReset writes to the socket after its end.
-			allowHalfOpen: true,
-		});
+		// This side stays open, because `wasReset` writes to the socket after its end.
+		const socket = new upstreamSocket.UpstreamSocket({allowHalfOpen: true});
+		socket.setNoDelay(true);
+		socket.connect({host: options.hostname, port: Number(options.port)});
 		connection.socket = socket;
 		this.#openSockets++;
 		let isSettled = false;
@@ -581,7 +566,7 @@
 			// The client has read all bytes and finishes its parser next, which must not be paused at that time.
 			connection.controller?.resume();
 			if (connection.isReadingUntilEnd) {
-				connection.wasReset = testForReset(socket);
+				connection.wasReset = socket.wasReset();
 			}
 		});
 		socket.once('close', () => {
--- a/packages/gateway/src/test/early-answers.test.ts
+++ b/packages/gateway/src/test/early-answers.test.ts
@@ -7,10 +7,12 @@
 import * as fixtures from './fixtures.js';
 
 const uploadBytes = 3_000_000;
+/** The buffers of both systems do not take all of it, so it is still being written when the answer ends. */
+const unfinishedBytes = 24_000_000;
 const part = 'part of an answer';
 
 /** Sends a long upload; resolves with the end of the exchange. */
-const upload = async (t: tap.Test, address: string) => {
+const upload = async (t: tap.Test, address: string, bytes = uploadBytes) => {
 	const pool = new connectionPool.ConnectionPool(() => performance.now());
 	t.teardown(() => {
 		pool.dispose();
@@ -21,8 +23,8 @@
 				address,
 				method: 'POST',
 				path: '/x',
-				headers: ['host', 'a', 'content-length', String(uploadBytes)],
-				body: new Uint8Array(uploadBytes),
+				headers: ['host', 'a', 'content-length', String(bytes)],
+				body: new Uint8Array(bytes),
 				needsRecentConnection: true,
 			},
 			{
@@ -76,6 +78,53 @@
 	});
 }
 
+/** Time in which an upload fills the buffers. */
+const fillMs = 20;
+/** Bodies that arrive in one turn of the event loop, and in several. */
+const bodies = [part, part.repeat(20_000)];
+
+// The library that ends the connection hid the reset behind an error of its own.
+for (const resetAfterMs of [0, 20]) {
+	for (const body of bodies) {
+		tap.t.test(
+			`${body.length} bytes without length that are reset after ${resetAfterMs} ms before the upload is written are not complete`,
+			async (t) => {
+				const address = await listen(t, (socket) => {
+					const reset = () => {
+						socket.resetAndDestroy();
+					};
+
+					socket.pause();
+					setTimeout(() => {
+						socket.write(`HTTP/1.1 200 OK\r\n\r\n${body}`, () => {
+							if (resetAfterMs === 0) {
+								reset();
+							} else {
+								setTimeout(reset, resetAfterMs);
+							}
+						});
+					}, fillMs);
+				});
+				t.equal(await upload(t, address, unfinishedBytes), 'failed');
+			},
+		);
+	}
+}
+
+// Guards against a whole answer that is taken for a broken one because its upload was not read.
+for (const body of bodies) {
+	tap.t.test(
+		`${body.length} bytes without length that end in order before the upload is written are complete`,
+		async (t) => {
+			const address = await listen(t, (socket) => {
+				socket.pause();
+				setTimeout(() => socket.end(`HTTP/1.1 200 OK\r\n\r\n${body}`), fillMs);
+			});
+			t.equal(await upload(t, address, unfinishedBytes), 'complete');
+		},
+	);
+}
+
 tap.t.test('a relayed answer that its upstream broke off is not complete', async (t) => {
 	const server = callerServer.createCallerServer(
 		() => performance.now(),
