Deliver answers without length whose connection is reset after its orderly end

Callers got 502 for whole answers: a peer that ends its answer in order and closes a connection whose request it has not read whole resets it afterwards. If both reached the daemon in one turn of the event loop, the line that it writes to find a reset failed with EPIPE, which counted as one. The system gives EPIPE only if the peer's end came first; a reset alone gives ECONNRESET.

--- a/packages/gateway/src/node/upstream-socket.ts
+++ b/packages/gateway/src/node/upstream-socket.ts
@@ -1,26 +1,20 @@
 /** Connection to an upstream whose end may be the end of an answer. */
 import * as net from 'node:net';
 
-/** Error of a write to a connection that ended with a reset alone. */
+/** Error of a write after a reset alone; a reset that follows an orderly end gives another one. */
 const resetCode = 'ECONNRESET';
-/** Error of a write to a connection that the peer had ended. */
-const endedCode = 'EPIPE';
 
 /**
- * Whether a connection ended with a reset; call it at the `end` event. When a reset arrives
- * together with the last bytes, Node.js reports an orderly end, and only a write fails. The
- * write is an empty line, which HTTP servers ignore after a request.
+ * Whether a connection ended with a reset alone; call it at the `end` event. When a reset
+ * arrives together with the last bytes, Node.js reports an orderly end, and only a write fails.
+ * The write is an empty line, which HTTP servers ignore after a request.
  */
-export const testForReset = async (socket: net.Socket): Promise<boolean> => {
-	// The error of a write in progress says whether an end came before the reset.
-	const isWriting = socket.writableLength > 0;
-	return new Promise((resolve) => {
+export const testForReset = async (socket: net.Socket): Promise<boolean> =>
+	new Promise((resolve) => {
 		socket.write('\r\n', (error) => {
-			const code = error && 'code' in error ? error.code : undefined;
-			resolve(code === resetCode || (!isWriting && code === endedCode));
+			resolve(error !== null && error !== undefined && 'code' in error && error.code === resetCode);
 		});
 	});
-};
 
 /** A socket that keeps the error of a write for {@link testForReset}, although its user destroys it at its end. */
 export class UpstreamSocket extends net.Socket {
--- a/packages/gateway/src/test/early-answers.test.ts
+++ b/packages/gateway/src/test/early-answers.test.ts
@@ -44,7 +44,7 @@
 
 /** Listens on a free port; the handler plays the upstream. */
 const listen = async (t: tap.Test, handle: (socket: net.Socket) => void): Promise<string> => {
-	const server = net.createServer((socket) => {
+	const server = net.createServer({pauseOnConnect: true}, (socket) => {
 		socket.on('error', () => undefined);
 		handle(socket);
 	});
@@ -125,6 +125,25 @@
 	);
 }
 
+// A peer that ends in order and has not read the whole request resets the connection afterwards.
+for (const bytes of [200, uploadBytes, unfinishedBytes]) {
+	tap.t.test(
+		`an answer without length is complete if a reset follows its end, upload of ${bytes} bytes`,
+		async (t) => {
+			const address = await listen(t, (socket) => {
+				socket.pause();
+				setTimeout(() => {
+					socket.end(`HTTP/1.1 200 OK\r\n\r\n${part}`);
+					socket.once('finish', () => {
+						socket.destroy();
+					});
+				}, fillMs);
+			});
+			t.equal(await upload(t, address, bytes), 'complete');
+		},
+	);
+}
+
 tap.t.test('a relayed answer that its upstream broke off is not complete', async (t) => {
 	const server = callerServer.createCallerServer(
 		() => performance.now(),
