Reset the connection of an answer without length that breaks off

A caller of HTTP/1.0 took an answer that broke off for a complete one: it has neither length nor chunks, so the end of the connection is its end, and the daemon closed the connection in order, on the failure of an upstream as well as at the end of a planned stop. Such a connection is reset now; answers with a length or chunks end as before.

A daemon that is killed still leaves the end of its connections to the system.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -267,6 +267,7 @@
 			execution?.terminate();
 			end();
 			if (response.headersSent) {
+				serverReply.breakOff(response);
 				request.socket.destroy();
 			} else if (hasRun) {
 				reject(response, 502, 'stopping', {outcome: 'unknown'});
@@ -378,6 +379,7 @@
 					budget,
 					onUnread() {
 						closes.note('unread-answer', 1);
+						serverReply.breakOff(response);
 						socket.destroy();
 					},
 				});
--- a/packages/gateway/src/node/server-reply.ts
+++ b/packages/gateway/src/node/server-reply.ts
@@ -7,6 +7,19 @@
 /** Bytes that the connection of a paused upstream has read already and keeps, in its own buffers and the client's. */
 const pausedUpstreamBytes = 131_072;
 
+/**
+ * Closes the connection of an answer that is not complete. An answer without length or chunks, as
+ * to a caller of HTTP/1.0, ends with its connection, so it has to end with a reset.
+ */
+export const breakOff = (response: http.ServerResponse): void => {
+	const isFramed = response.chunkedEncoding || response.hasHeader('content-length');
+	if (response.headersSent && !isFramed) {
+		response.socket?.resetAndDestroy();
+	}
+
+	response.destroy();
+};
+
 /** Response to a caller over HTTP; counts the bytes that the caller has not read. */
 export class ServerReply extends upstreamTransport.CallerReply {
 	readonly #response: http.ServerResponse;
@@ -72,7 +85,7 @@
 	}
 
 	override abort(): void {
-		this.#response.destroy();
+		breakOff(this.#response);
 	}
 
 	/** Ends the count of unread bytes; call it when the response has ended. */
