Handle a relayed request by the configuration of the daemon that its caller reached

A relayed request carried no version, and the daemon that it was relayed to, which the store turned away, chose the route by its own older configuration for up to 0.9 s.

A relayed request names the version by which it was routed, and brings the route along if the other daemon is not known to have that version. That daemon follows the route unless its own version is as late; without a usable route it refuses, as not run.

Not fixed: a daemon that is behind itself and relays to daemons with different versions.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -139,6 +139,13 @@
 	| {kind: 'key-refused'; reason: wireFormat.KeyFault | 'unknown-key'; configVersion: number}
 	/** The route and the team have no home region in common. */
 	| {kind: 'regions-disjoint'; configVersion: number}
+	/** A relayed request was routed by a later version than the one in force here. */
+	| {
+			kind: 'relayed-by-later-config';
+			configVersion: number;
+			relayedVersion: number;
+			next: 'relayed-route' | 'refuse';
+	  }
 );
 
 /** Share of the memory limit, or of the heap limit if that is nearer, that the process uses. */
--- a/packages/gateway/src/common/gateway-request.ts
+++ b/packages/gateway/src/common/gateway-request.ts
@@ -11,6 +11,8 @@
 	/** Equal for requests that repeat the same method, path and body; computed at the first call. */
 	digest(): string;
 	route: routeConfig.Route;
+	/** Version of the configuration by which the route was chosen. */
+	configVersion: number;
 	service: routeConfig.Service;
 	/** Undefined without teams, and for a request of a public route without a known key. */
 	team?: routeConfig.Team;
--- a/packages/gateway/src/common/relay-headers.ts
+++ b/packages/gateway/src/common/relay-headers.ts
@@ -6,6 +6,10 @@
 export const relayedFromHeader = 'hawthornfront-relayed-from';
 /** Name of the team whose key the request had; trusted on the peer port only. */
 export const teamHeader = 'hawthornfront-team';
+/** Version of the configuration by which the request's route was chosen. */
+export const configVersionHeader = 'hawthornfront-config-version';
+/** The route, for a daemon that may not have that version yet. */
+export const routeHeader = 'hawthornfront-route';
 /** Outcome of a request that the other daemon could not answer. */
 export const outcomeHeader = 'hawthornfront-outcome';
 /** Number of upstreams that the other daemon may still use for the request. */
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -15,6 +15,7 @@
 import type * as gatewayEvent from './gateway-event.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as relayHeaders from './relay-headers.js';
+import * as relayedRoute from './relayed-route.js';
 import type * as promptQuarantine from './prompt-quarantine.js';
 import * as requestLogs from './request-log.js';
 import type * as sharedRetryBudget from './shared-retry-budget.js';
@@ -532,6 +533,7 @@
 			services.localRegion,
 			relayHeaders.upstreamsLeftHeader,
 			String(request.maxUpstreams - upstreamsThatRan - (failover.isRunning ? 1 : 0)),
+			...relayedRoute.relayedRouteHeaders(request, member.configVersion),
 		);
 		if (team) {
 			headers.push(relayHeaders.teamHeader, team.name);
--- a/packages/gateway/src/node/event-writer.ts
+++ b/packages/gateway/src/node/event-writer.ts
@@ -35,6 +35,7 @@
 	event.kind === 'request-relayed' ||
 	// Anyone can cause these, so they must not use up the lines of the others.
 	event.kind === 'key-refused' ||
+	event.kind === 'relayed-by-later-config' ||
 	(event.kind === 'request-ended' && event.outcome === 'answered' && event.status < 400);
 
 /** Events at the end of a process, which no limit may hide. */
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -1,7 +1,9 @@
 /** Decides from the head of a request whether it is accepted, and selects its route and service. */
 import * as hash from '@hawthornfront/decisions/common/hash.js';
 import type * as gatewayEvent from '../common/gateway-event.js';
+import type * as gatewayRequest from '../common/gateway-request.js';
 import * as relayHeaders from '../common/relay-headers.js';
+import * as relayedRoute from '../common/relayed-route.js';
 import type * as requestEngine from '../common/request-engine.js';
 import * as requestLog from '../common/request-log.js';
 import * as routeConfig from '../common/route-config.js';
@@ -52,6 +54,8 @@
 	headers: {'www-authenticate': 'Bearer'},
 });
 
+const own: relayedRoute.RelayedRoute = {kind: 'own'};
+
 /** The team of a request and the headers that may be passed on. */
 type Identity = {team?: routeConfig.Team; rawHeaders: readonly string[]};
 
@@ -141,7 +145,7 @@
 	const accept = (
 		head: callerServer.RequestHead,
 		{team, rawHeaders}: Identity,
-		route: routeConfig.Route,
+		{route, configVersion}: Pick<gatewayRequest.GatewayRequest, 'route' | 'configVersion'>,
 		facts: wireFormat.RequestFacts,
 		table: routeConfig.RouteTable,
 	): callerServer.AdmissionDecision => {
@@ -179,6 +183,7 @@
 							return digest;
 						},
 						route,
+						configVersion,
 						service,
 						team,
 						arrivedAtMs: head.arrivedAtMs,
@@ -204,12 +209,29 @@
 			return notReady('no-configuration');
 		}
 
-		const route = table.select(head.host, head.path);
+		const ownVersion = table.config.version;
+		const relayed = isPeerPort ? relayedRoute.readRelayedRoute(head.headers, ownVersion) : own;
+		const route = relayed.kind === 'relayed' ? relayed.route : table.select(head.host, head.path);
 		if (!route) {
-			return {kind: 'reject', status: 404, reason: 'no-route'};
+			return relayed.kind === 'own'
+				? {kind: 'reject', status: 404, reason: 'no-route'}
+				: notReady('config-behind');
 		}
 
 		const facts = wire.readRequest(head.headers);
+		if (relayed.kind !== 'own') {
+			const isRefused = relayed.kind === 'behind';
+			log.note({
+				kind: 'relayed-by-later-config',
+				relayedVersion: relayed.version,
+				next: isRefused ? 'refuse' : 'relayed-route',
+				...logSubject(facts, route, table),
+			});
+			if (isRefused) {
+				return notReady('config-behind');
+			}
+		}
+
 		const {fault, ...identity} = identify(head, route, table);
 		if (fault) {
 			log.note({kind: 'key-refused', reason: fault, ...logSubject(facts, route, table)});
@@ -223,7 +245,8 @@
 			return notReady('no-common-region');
 		}
 
-		return refuseInStop(route, facts, 0) ?? accept(head, identity, route, facts, table);
+		const choice = {route, configVersion: relayed.kind === 'own' ? ownVersion : relayed.version};
+		return refuseInStop(route, facts, 0) ?? accept(head, identity, choice, facts, table);
 	};
 
 	return (head) => {
--- a/packages/gateway/src/test/endless-forwarding.test.ts
+++ b/packages/gateway/src/test/endless-forwarding.test.ts
@@ -52,6 +52,7 @@
 						facts: fixtures.facts({promptTokens: 0, promptParts: []}),
 						route,
 						service,
+						configVersion: 1,
 						arrivedAtMs: clock.nowMs(),
 						maxUpstreams: 1,
 					},
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -112,6 +112,7 @@
 			route,
 			service,
 			team: options.team,
+			configVersion: 1,
 			arrivedAtMs: clock.nowMs(),
 			maxUpstreams: options.maxUpstreams ?? route.maxUpstreams,
 			relayedFrom: options.relayedFrom,
--- a/packages/gateway/src/test/kept-texts.test.ts
+++ b/packages/gateway/src/test/kept-texts.test.ts
@@ -197,6 +197,7 @@
 			facts: fixtures.facts({attemptId: long, promptParts}),
 			route: fixtures.longRoute,
 			service: fixtures.modelService,
+			configVersion: 1,
 			arrivedAtMs: 0,
 			maxUpstreams: 1,
 		},
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -528,6 +528,7 @@
 				body: encodePrompt({attemptId, parts, isDeadly: options.isDeadly ?? false, isPlain}),
 				route,
 				service,
+				configVersion: 1,
 				arrivedAtMs: clock.nowMs(),
 				maxUpstreams: route.maxUpstreams,
 			},
