Pull a configuration by which another daemon has answered a caller

A daemon that answers a relayed request by a later version than the request names says which. The relaying daemon pulls that version from it after 80 ms, unless it has come from the store or from its own failure domain by then.

--- a/packages/gateway/src/common/attempt.ts
+++ b/packages/gateway/src/common/attempt.ts
@@ -9,6 +9,7 @@
 import * as eventSplitter from './event-splitter.js';
 import type * as gatewayRequest from './gateway-request.js';
 import * as growingBytes from './growing-bytes.js';
+import * as relayHeaders from './relay-headers.js';
 import * as stallDetector from './stall-detector.js';
 import type * as upstreamTransport from './upstream-transport.js';
 import type * as wireFormat from './wire-format.js';
@@ -40,6 +41,8 @@
 	canRetry(): boolean;
 	/** Head of the answer of which the caller has a part already; undefined if it has none. */
 	begunHeaders(): wireFormat.Headers | undefined;
+	/** Another daemon has answered by a later configuration than the one that it was told. */
+	onLaterConfig(version: number): void;
 	/** The events that the caller has of all attempts. */
 	callerStream: callerStream.CallerStream;
 };
@@ -241,7 +244,16 @@
 		}
 	};
 
+	/** Notes a configuration that another daemon has in force. */
+	const noteConfigVersion = (headers: wireFormat.Headers) => {
+		const version = Number(headers[relayHeaders.configVersionHeader]);
+		if (target.isRelay && version > request.configVersion) {
+			options.onLaterConfig(version);
+		}
+	};
+
 	const onHead = (status: number, headers: wireFormat.Headers) => {
+		noteConfigVersion(headers);
 		const begun = options.begunHeaders();
 		const answer = wire.readAnswer(status, headers);
 		noteUpstreamState(status, answer);
--- a/packages/gateway/src/common/gateway-request.ts
+++ b/packages/gateway/src/common/gateway-request.ts
@@ -20,6 +20,8 @@
 	arrivedAtMs: number;
 	/** Upstreams that may run it; fewer than the route allows if another daemon has already used some. */
 	maxUpstreams: number;
+	/** The daemon that relayed it has an earlier configuration. */
+	isRelayedByEarlierConfig?: boolean;
 	/** Region of the daemon that relayed it; undefined for a request of a caller. */
 	relayedFrom?: string;
 };
--- a/packages/gateway/src/common/relayed-route.ts
+++ b/packages/gateway/src/common/relayed-route.ts
@@ -46,9 +46,12 @@
 	return headers;
 };
 
-/** `own`: the own configuration is as late; `behind`: it is not, and the route is unknown. */
+/**
+ * `own`: the own configuration is as late; `isLater`: it is later, of which the other daemon is
+ * told; `behind`: it is not as late, and the route is unknown.
+ */
 export type RelayedRoute =
-	| {kind: 'own'}
+	| {kind: 'own'; isLater: boolean}
 	| {kind: 'behind'; version: number}
 	| {kind: 'relayed'; version: number; route: routeConfig.Route};
 
@@ -60,7 +63,7 @@
 	const version = Number(headers[relayHeaders.configVersionHeader]);
 	// A daemon of an earlier release names no version.
 	if (!(version > ownConfigVersion)) {
-		return {kind: 'own'};
+		return {kind: 'own', isLater: version < ownConfigVersion};
 	}
 
 	const route = routeText.safeParse(headers[relayHeaders.routeHeader]);
--- a/packages/gateway/src/common/request-engine.ts
+++ b/packages/gateway/src/common/request-engine.ts
@@ -39,6 +39,8 @@
 	localRegion: string;
 	/** Whether a daemon of another region is alive and its region not partitioned. */
 	isReachable(peer: string): boolean;
+	/** Another daemon has answered a relayed request by a later configuration. */
+	onLaterConfig(peer: string, version: number): void;
 	/** Versions on which decisions are based, for the log. */
 	versions(): {configVersion: number; upstreamRevision: number};
 };
@@ -426,7 +428,12 @@
 					hasStarted = true;
 					begunHeaders = headers;
 					isFinalAnswer = status >= 300 || !routeConfig.mayResume(route);
-					reply.start(status, wire.answerHeaders(headers));
+					reply.start(status, {
+						...wire.answerHeaders(headers),
+						...(request.isRelayedByEarlierConfig && {
+							[relayHeaders.configVersionHeader]: String(request.configVersion),
+						}),
+					});
 				}
 			},
 			onBytes: passToCaller,
@@ -488,6 +495,9 @@
 							services.budget.canRetry(service.name)),
 					begunHeaders: () => begunHeaders,
 					callerStream,
+					onLaterConfig(version) {
+						services.onLaterConfig(target.peer, version);
+					},
 				},
 				listener,
 			),
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -282,6 +282,12 @@
 		log,
 		localRegion: vm.region,
 		isReachable: fleet.isReachable,
+		onLaterConfig(peer, version) {
+			const member = fleet.member(peer);
+			if (member) {
+				catchUp.noteConfigInUse(member, version);
+			}
+		},
 		versions,
 	});
 
--- a/packages/gateway/src/node/peer-catch-up.ts
+++ b/packages/gateway/src/node/peer-catch-up.ts
@@ -21,6 +21,11 @@
 const pullEveryMs = 250;
 /** After this time behind its peers, a daemon also pulls from other failure domains. */
 const pullFromOtherDomainsAfterMs = 700;
+/**
+ * After this time, a daemon pulls a configuration by which another one has answered its callers,
+ * who may get no answer by an earlier one a quarter of a second later.
+ */
+const pullConfigInUseAfterMs = 80;
 
 export type CatchUpOptions = {
 	clock: clock.Clock;
@@ -34,6 +39,8 @@
 export type CatchUp = {
 	/** Handles a record that a peer sent of itself; starts a pull if the peer is ahead. */
 	notePeer(peer: gossipMessage.MemberRecord): void;
+	/** Notes that a peer has answered a caller of this daemon by a configuration; pulls it unless it comes from elsewhere soon. */
+	noteConfigInUse(peer: gossipMessage.MemberRecord, version: number): void;
 	/** Time for which this daemon has been behind a peer; 0 if it is not. */
 	behindMs(): number;
 };
@@ -45,6 +52,7 @@
 	let pulledAtMs = Number.NEGATIVE_INFINITY;
 	let behindSinceMs: number | undefined;
 	let refreshedEra: number | undefined;
+	let isConfigDue = false;
 	const operatorLag = watchLag.createWatchLag(() => clock.nowMs());
 	const upstreamLag = watchLag.createWatchLag(() => clock.nowMs());
 
@@ -158,6 +166,19 @@
 				void pullFrom(peer);
 			}
 		},
+		noteConfigInUse(peer, version) {
+			if (version <= cluster.configVersion || isConfigDue) {
+				return;
+			}
+
+			isConfigDue = true;
+			clock.setTimer(() => {
+				isConfigDue = false;
+				if (version > cluster.configVersion && !isPulling) {
+					void pullFrom(peer);
+				}
+			}, pullConfigInUseAfterMs);
+		},
 		behindMs,
 	};
 };
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -54,7 +54,13 @@
 	headers: {'www-authenticate': 'Bearer'},
 });
 
-const own: relayedRoute.RelayedRoute = {kind: 'own'};
+const own: relayedRoute.RelayedRoute = {kind: 'own', isLater: false};
+
+/** The route of a request, and by which configuration it was chosen. */
+type RouteChoice = Pick<
+	gatewayRequest.GatewayRequest,
+	'route' | 'configVersion' | 'isRelayedByEarlierConfig'
+>;
 
 /** The team of a request and the headers that may be passed on. */
 type Identity = {team?: routeConfig.Team; rawHeaders: readonly string[]};
@@ -145,10 +151,11 @@
 	const accept = (
 		head: callerServer.RequestHead,
 		{team, rawHeaders}: Identity,
-		{route, configVersion}: Pick<gatewayRequest.GatewayRequest, 'route' | 'configVersion'>,
+		choice: RouteChoice,
 		facts: wireFormat.RequestFacts,
 		table: routeConfig.RouteTable,
 	): callerServer.AdmissionDecision => {
+		const {route} = choice;
 		const share = 1 - hash.uniform(facts.attemptId ?? '', route.name);
 		const service = table.service(routeConfig.chooseService(route, share));
 		if (!service) {
@@ -182,8 +189,7 @@
 							digest ??= requestDigest.digestRequest(head.method, head.path, body);
 							return digest;
 						},
-						route,
-						configVersion,
+						...choice,
 						service,
 						team,
 						arrivedAtMs: head.arrivedAtMs,
@@ -245,7 +251,11 @@
 			return notReady('no-common-region');
 		}
 
-		const choice = {route, configVersion: relayed.kind === 'own' ? ownVersion : relayed.version};
+		const choice: RouteChoice = {
+			route,
+			configVersion: relayed.kind === 'own' ? ownVersion : relayed.version,
+			isRelayedByEarlierConfig: relayed.kind === 'own' && relayed.isLater,
+		};
 		return refuseInStop(route, facts, 0) ?? accept(head, identity, choice, facts, table);
 	};
 
--- a/packages/gateway/src/test/endless-forwarding.test.ts
+++ b/packages/gateway/src/test/endless-forwarding.test.ts
@@ -35,6 +35,7 @@
 		log,
 		localRegion: 'north',
 		isReachable: () => true,
+		onLaterConfig: () => undefined,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
 	});
 	const server = callerServer.createCallerServer(
--- a/packages/gateway/src/test/engine-harness.ts
+++ b/packages/gateway/src/test/engine-harness.ts
@@ -19,6 +19,7 @@
 
 export type RunOptions = {
 	relayedFrom?: string;
+	isRelayedByEarlierConfig?: boolean;
 	maxUpstreams?: number;
 	team?: routeConfig.Team;
 	rawHeaders?: readonly string[];
@@ -76,6 +77,7 @@
 		() => ({share: 0, extraPerWindow: (options.resends ?? 16) / 0.8, windowMs: 10_000}),
 		() => 1,
 	);
+	const laterConfigs: string[] = [];
 	const engineClock = options.engineClock?.(clock) ?? clock;
 	const log: gatewayEvent.EventLog = {
 		note(event) {
@@ -94,6 +96,9 @@
 		log,
 		localRegion: 'north',
 		isReachable: fleet.isReachable,
+		onLaterConfig(peer, version) {
+			laterConfigs.push(`${peer}: ${version}`);
+		},
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
 	});
 	const isModel = service.name === 'model';
@@ -114,6 +119,7 @@
 			team: options.team,
 			configVersion: 1,
 			arrivedAtMs: clock.nowMs(),
+			isRelayedByEarlierConfig: options.isRelayedByEarlierConfig,
 			maxUpstreams: options.maxUpstreams ?? route.maxUpstreams,
 			relayedFrom: options.relayedFrom,
 		},
@@ -130,6 +136,7 @@
 		transport,
 		reply,
 		events,
+		laterConfigs,
 		execution,
 		endEvent,
 		endCount: () => endCount,
--- a/packages/gateway/src/test/peer-catch-up.test.ts
+++ b/packages/gateway/src/test/peer-catch-up.test.ts
@@ -125,6 +125,25 @@
 	},
 );
 
+// Guards against callers who get answers by an earlier configuration after others by a later one.
+tap.t.test('a configuration that a peer uses for callers is pulled at once', async (t) => {
+	const {cluster, subject, requestedPaths, clock} = await start(t);
+	const remote = fixtures.member('s1', {failureDomain: 'south-a', peerAddress: 's1:90'});
+	subject.noteConfigInUse(remote, 5);
+	await clock.advance(100);
+	t.same(requestedPaths, [], 'it has this version');
+	subject.noteConfigInUse(remote, 6);
+	subject.noteConfigInUse(remote, 6);
+	await clock.advance(50);
+	t.same(requestedPaths, [], 'the store or a local watcher may report it soon');
+	await clock.advance(50);
+	t.same(requestedPaths, ['s1:90/hawthornfront/snapshot?knownConfig=5']);
+	t.equal(cluster.configVersion, 6);
+	subject.noteConfigInUse(remote, 6);
+	await clock.advance(100);
+	t.equal(requestedPaths.length, 1);
+});
+
 tap.t.test('failed pulls increase the lag', async (t) => {
 	const {subject, announcePeer, requestedPaths, state, clock} = await start(t);
 	state.isPeerSilent = true;
--- a/packages/gateway/src/test/relayed-versions.test.ts
+++ b/packages/gateway/src/test/relayed-versions.test.ts
@@ -65,6 +65,7 @@
 		service: handled?.service.name,
 		configVersion: handled?.configVersion,
 		homeRegions: handled?.route.homeRegions,
+		isRelayedByEarlierConfig: handled?.isRelayedByEarlierConfig,
 		next: event?.kind === 'relayed-by-later-config' ? event.next : undefined,
 	};
 };
@@ -139,6 +140,42 @@
 	}
 });
 
+tap.t.test('a daemon with a later version tells the one that relayed to it', async (t) => {
+	for (const isRelayedByEarlierConfig of [true, false]) {
+		const {transport, reply} = start(fixtures.bookingRoute, {
+			relayedFrom: 'south',
+			isRelayedByEarlierConfig,
+		});
+		transport.last.listener.onHead(200, engineHarness.signed);
+		transport.last.listener.onEnd();
+		const version = isRelayedByEarlierConfig ? '1' : undefined;
+		t.equal(reply.headers[relayHeaders.configVersionHeader], version);
+	}
+
+	t.equal(admit(relayed(6, 5)).isRelayedByEarlierConfig, true);
+	t.equal(admit(relayed(7, 6)).isRelayedByEarlierConfig, false);
+	t.equal(admit(relayed(6, 5), false).isRelayedByEarlierConfig, false);
+});
+
+tap.t.test('the one that relayed notes the later version', async (t) => {
+	for (const version of ['1', '2', 'x', undefined]) {
+		const {clock, fleet, transport, laterConfigs} = start(fixtures.bookingRoute, {upstreams: 0});
+		const south = {region: 'south', failureDomain: 'south-a', configVersion: 1};
+		fleet.noteMember(fixtures.member('s1', south), 0);
+		await clock.advance(50);
+		const headers = {...engineHarness.signed, [relayHeaders.configVersionHeader]: version};
+		transport.last.listener.onHead(200, headers);
+		t.same(laterConfigs, version === '2' ? ['s1: 2'] : []);
+	}
+});
+
+tap.t.test('an upstream cannot say which version is in force', async (t) => {
+	const {transport, laterConfigs} = start(fixtures.bookingRoute);
+	const headers = {...engineHarness.signed, [relayHeaders.configVersionHeader]: '9'};
+	transport.last.listener.onHead(200, headers);
+	t.same(laterConfigs, []);
+});
+
 tap.t.test('a route that is too long for a head is not sent', async (t) => {
 	const route = {...movedRoute, homeRegions: Array.from({length: 1000}, (_, at) => `region-${at}`)};
 	t.equal(relayedRoute.relayedRouteHeaders({route, configVersion: 8}, 7).length, 2);
--- a/packages/gateway/src/test/runner-fleet.ts
+++ b/packages/gateway/src/test/runner-fleet.ts
@@ -432,6 +432,7 @@
 		log,
 		localRegion: region,
 		isReachable: fleet.isReachable,
+		onLaterConfig: () => undefined,
 		versions: () => ({configVersion: 3, upstreamRevision: 1}),
 	});
 	return {registry, engine, events, quarantine, fleet, record};
