Accept pending connections until the end of a planned stop

The daemon stopped to accept a second after it began to close its listener, and the close resets all connections that wait in the queue. A poll accepts one of them, so a daemon without processor time needs seconds for hundreds. It now accepts them until the part of the grace that is kept for the last answers; they are served or refused as not run.

--- a/packages/gateway/src/node/caller-server.ts
+++ b/packages/gateway/src/node/caller-server.ts
@@ -80,8 +80,12 @@
 	closeIdle(): void;
 	/** Closes the connection that has been idle for the longest time; returns false without one. */
 	closeLongestIdle(): boolean;
-	/** Accepts the connections that are pending, and then no more. */
-	stopListening(): void;
+	/**
+	 * Accepts the connections that are pending, and then no more.
+	 *
+	 * @param untilMs monotonic time at which those that are still pending are reset
+	 */
+	stopListening(untilMs: number): void;
 	/** Whether a connection may still be accepted. */
 	readonly isListening: boolean;
 	/** Requests whose head was read and whose response has not ended. */
@@ -103,8 +107,6 @@
 const maxPipelinedRequests = 32;
 /** Added to the idle limit, for a request that is already on the network. */
 const idleSlackMs = 1000;
-/** Time for connections that are pending when the server stops to listen. */
-const maxAcceptPendingMs = 1000;
 /** The first request of a new connection arrives within this time, even on a slow network. */
 const firstRequestGraceMs = 250;
 
@@ -558,8 +560,8 @@
 
 			return socket !== undefined;
 		},
-		stopListening() {
-			closeWhenAccepted(nowMs() + maxAcceptPendingMs);
+		stopListening(untilMs) {
+			closeWhenAccepted(untilMs);
 		},
 		get isListening() {
 			return server.listening;
--- a/packages/gateway/src/node/planned-stop.ts
+++ b/packages/gateway/src/node/planned-stop.ts
@@ -93,7 +93,8 @@
 		if (!hasStoppedListening) {
 			hasStoppedListening = true;
 			for (const server of servers) {
-				server.stopListening();
+				// A daemon with little processor time takes seconds to accept those that are pending.
+				server.stopListening(endMs);
 			}
 		}
 
