Notice a cut of the whole region by the silence of the others

Its daemons hear each other, so each counted as told of changes until its watch of the store and the listing after it had failed, 4.2 to 5.2 s later, and the last word of daemons in other regions counted for 3.5 s.

A daemon counts as told of changes only while another region is heard, or another failure domain where there is one region only. After a second of silence it does not, unless the store answers it, and it asks the store at once. A store that has been reached for 6 s decides again.

--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -229,6 +229,8 @@
 			detail: string;
 	  }
 	| {kind: 'isolation'; isInformed: boolean; silentMs: number}
+	/** No other region is heard, and the store has not answered this daemon meanwhile. */
+	| {kind: 'outside-silent'; silentMs: number}
 	| {
 			kind: 'upstream-limit';
 			upstream: string;
--- a/packages/gateway/src/common/store-reachability.ts
+++ b/packages/gateway/src/common/store-reachability.ts
@@ -27,6 +27,8 @@
 	/** Fires when `isReachable` has changed. */
 	readonly onDidChange: event.Event<ReachabilityChange>;
 	readonly isReachable: boolean;
+	/** Time for which it has been reachable; 0 if it is not. */
+	reachableMs(): number;
 	/** Sets whether the store responds to this daemon. */
 	setOwnContact(contact: storeWatcherElection.StoreContact): void;
 	/**
@@ -79,6 +81,7 @@
 		get isReachable() {
 			return reachableSinceMs !== undefined;
 		},
+		reachableMs: () => (reachableSinceMs === undefined ? 0 : nowMs() - reachableSinceMs),
 		setOwnContact(contact) {
 			ownContact = contact;
 			update();
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -17,6 +17,7 @@
 import * as informed from '../common/informed.js';
 import * as limitSharers from '../common/limit-sharers.js';
 import * as memoryBudget from '../common/memory-budget.js';
+import * as outsideContact from '../common/outside-contact.js';
 import type * as prefixStore from '../common/prefix-store.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as regionSender from '../common/region-sender.js';
@@ -166,6 +167,21 @@
 	const pauses = upstreamPauses.createUpstreamPauses(clock, random.next);
 	const pool = new connectionPool.ConnectionPool(nowMs);
 	let heardPeerAtMs = Number.NEGATIVE_INFINITY;
+	const outside = outsideContact.createOutsideContact({
+		nowMs,
+		region: vm.region,
+		failureDomain: vm.failureDomain,
+		members: fleet.alive,
+		storeResponseAgeMs: cluster.upstreamResponseAgeMs,
+		storeReachedMs: reachability.reachableMs,
+	});
+	disposables.add(
+		outside.onDidFallSilent((silentMs) => {
+			log.note({kind: 'outside-silent', silentMs: Math.round(silentMs)});
+			// A pending watch would find out later.
+			cluster.suspectStore();
+		}),
+	);
 	const hasNews = () => {
 		// Peers send nothing to a daemon in its planned stop.
 		if (stopping) {
@@ -173,7 +189,7 @@
 		}
 
 		return fleet.hasLivePeers()
-			? reachability.isReachable && nowMs() - heardPeerAtMs < maxPeerSilenceMs
+			? reachability.isReachable && nowMs() - heardPeerAtMs < maxPeerSilenceMs && outside.isHeard()
 			: cluster.upstreamResponseAgeMs() < current.store.leadingWatchWaitMs + maxResponseDelayMs;
 	};
 
