Refuse a part of the new requests while a daemon has no processor time

A daemon whose event loop has had no idle time for half a second refuses a growing part of the new requests of callers with 503, before they are charged to a quota or read further, the less urgent ones first. The part falls again when there is idle time. Relayed requests are not refused.

--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -19,6 +19,7 @@
 import * as memoryBudget from '../common/memory-budget.js';
 import * as outsideContact from '../common/outside-contact.js';
 import type * as prefixStore from '../common/prefix-store.js';
+import * as processorPressure from '../common/processor-pressure.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as regionSender from '../common/region-sender.js';
 import * as requestEngine from '../common/request-engine.js';
@@ -103,6 +104,8 @@
 const feedSkewMs = 1500;
 /** A daemon that starts knows the others after this time at the earliest, and has a small share of each quota until then. */
 const quotaStartMs = 2000;
+/** Interval between measurements of the idle time of the event loop. */
+const pressureIntervalMs = 250;
 /** Interval between decisions on whether this daemon watches the store. */
 const watchDecisionIntervalMs = 500;
 
@@ -327,6 +330,15 @@
 		capacity: vm.processorShare,
 	});
 
+	const pressure = processorPressure.createProcessorPressure({random: random.next, log});
+	let utilization = performance.eventLoopUtilization();
+	disposables.add(
+		clock.setPeriodicTimer(() => {
+			const before = utilization;
+			utilization = performance.eventLoopUtilization();
+			pressure.noteInterval(performance.eventLoopUtilization(utilization, before).utilization);
+		}, pressureIntervalMs),
+	);
 	const createCheck = (isPeerPort: boolean) =>
 		requestAdmission.createAdmissionCheck({
 			wire,
@@ -334,6 +346,8 @@
 			log,
 			isPeerPort,
 			quota: isPeerPort ? undefined : quota,
+			// Another daemon has spent its time on a relayed request already.
+			mustRefuse: isPeerPort ? undefined : pressure.mustRefuse,
 			routeTable: () => (isListening && registry.isLoaded ? cluster.routeTable : undefined),
 			snapshot: cluster.snapshot,
 			stopProgress: () =>
