Count processor pressure only while serving, and end it with the load

A daemon is busy while it starts, at 0.12 of a core for about two seconds, so it would have refused requests after its start for the three seconds in which the share falls step by step (by reading). The share now rises only once the daemon is ready, and halves each interval when the event loop is idle for half of the time.

--- a/packages/gateway/src/common/processor-pressure.ts
+++ b/packages/gateway/src/common/processor-pressure.ts
@@ -19,10 +19,14 @@
 const fullShare = 0.97;
 /** The loop has time for more. */
 const relaxedShare = 0.85;
+/** The load has ended. */
+const idleShare = 0.5;
 /** A start, a listing or a collection of garbage keeps the loop busy for shorter. */
 const fullIntervals = 2;
 const riseStep = 0.1;
 const fallStep = 0.05;
+/** A smaller share is none. */
+const minShare = 0.05;
 /** Some requests are always served, since their answers show when the pressure ends. */
 const maxShare = 0.9;
 
@@ -44,7 +48,8 @@
 			if (full >= fullIntervals) {
 				share = Math.min(maxShare, share + riseStep);
 			} else if (busyShare < relaxedShare) {
-				share = Math.max(0, share - fallStep);
+				const next = busyShare < idleShare ? share / 2 : share - fallStep;
+				share = next < minShare ? 0 : next;
 			}
 
 			if (share > 0 !== isLogged) {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -336,7 +336,9 @@
 		clock.setPeriodicTimer(() => {
 			const before = utilization;
 			utilization = performance.eventLoopUtilization();
-			pressure.noteInterval(performance.eventLoopUtilization(utilization, before).utilization);
+			const busyShare = performance.eventLoopUtilization(utilization, before).utilization;
+			// The work of a start is over when the daemon is ready.
+			pressure.noteInterval(isReady() || stopping ? busyShare : 0);
 		}, pressureIntervalMs),
 	);
 	const createCheck = (isPeerPort: boolean) =>
