--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -19,7 +19,6 @@
 import * as memoryBudget from '../common/memory-budget.js';
 import * as outsideContact from '../common/outside-contact.js';
 import type * as prefixStore from '../common/prefix-store.js';
-import * as processorPressure from '../common/processor-pressure.js';
 import * as promptQuarantine from '../common/prompt-quarantine.js';
 import * as regionSender from '../common/region-sender.js';
 import * as requestEngine from '../common/request-engine.js';
@@ -46,6 +45,7 @@
 import * as membership from './membership.js';
 import * as peerCatchUp from './peer-catch-up.js';
 import * as plannedStop from './planned-stop.js';
+import * as pressureMonitor from './pressure-monitor.js';
 import * as processMonitor from './process-monitor.js';
 import * as quarantineStore from './quarantine-store.js';
 import * as quotaLog from './quota-log.js';
@@ -104,8 +104,6 @@
 const feedSkewMs = 1500;
 /** A daemon that starts knows the others after this time at the earliest, and has a small share of each quota until then. */
 const quotaStartMs = 2000;
-/** Interval between measurements of the idle time of the event loop. */
-const pressureIntervalMs = 250;
 /** Interval between decisions on whether this daemon watches the store. */
 const watchDecisionIntervalMs = 500;
 
@@ -330,16 +328,13 @@
 		capacity: vm.processorShare,
 	});
 
-	const pressure = processorPressure.createProcessorPressure({random: random.next, log});
-	let utilization = performance.eventLoopUtilization();
-	disposables.add(
-		clock.setPeriodicTimer(() => {
-			const before = utilization;
-			utilization = performance.eventLoopUtilization();
-			const busyShare = performance.eventLoopUtilization(utilization, before).utilization;
-			// The work of a start is over when the daemon is ready.
-			pressure.noteInterval(isReady() || stopping ? busyShare : 0);
-		}, pressureIntervalMs),
+	const pressure = disposables.add(
+		pressureMonitor.startPressureMonitor({
+			clock,
+			isServing: () => isReady() || stopping !== undefined,
+			random: random.next,
+			log,
+		}),
 	);
 	const createCheck = (isPeerPort: boolean) =>
 		requestAdmission.createAdmissionCheck({
