--- a/packages/gateway/src/common/processor-pressure.ts
+++ b/packages/gateway/src/common/processor-pressure.ts
@@ -18,11 +18,11 @@
 /** The loop has no idle time but what a poll takes. */
 const fullShare = 0.97;
 /** The loop has time for more. */
-const relaxedShare = 0.85;
+const relaxedShare = 0.95;
 /** The load has ended. */
 const idleShare = 0.5;
-/** A start, a listing or a collection of garbage keeps the loop busy for shorter. */
-const fullIntervals = 2;
+/** Short bursts keep the loop busy for less than this number of intervals and are worked off. */
+const fullIntervals = 4;
 const riseStep = 0.1;
 const fallStep = 0.05;
 /** A smaller share is none. */
