--- a/packages/gateway/src/common/gateway-event.ts
+++ b/packages/gateway/src/common/gateway-event.ts
@@ -229,8 +229,6 @@
 			detail: string;
 	  }
 	| {kind: 'isolation'; isInformed: boolean; silentMs: number}
-	/** The event loop has no idle time, so the daemon refuses a part of the new requests; or it has again. */
-	| {kind: 'processor-pressure'; isFull: boolean; busyShare: number}
 	/** No other region is heard, and the store has not answered this daemon meanwhile. */
 	| {kind: 'outside-silent'; silentMs: number}
 	| {
--- a/packages/gateway/src/node/gateway-daemon.ts
+++ b/packages/gateway/src/node/gateway-daemon.ts
@@ -45,7 +45,6 @@
 import * as membership from './membership.js';
 import * as peerCatchUp from './peer-catch-up.js';
 import * as plannedStop from './planned-stop.js';
-import * as pressureMonitor from './pressure-monitor.js';
 import * as processMonitor from './process-monitor.js';
 import * as quarantineStore from './quarantine-store.js';
 import * as quotaLog from './quota-log.js';
@@ -328,14 +327,6 @@
 		capacity: vm.processorShare,
 	});
 
-	const pressure = disposables.add(
-		pressureMonitor.startPressureMonitor({
-			clock,
-			isServing: () => isReady() || stopping !== undefined,
-			random: random.next,
-			log,
-		}),
-	);
 	const createCheck = (isPeerPort: boolean) =>
 		requestAdmission.createAdmissionCheck({
 			wire,
@@ -343,8 +334,6 @@
 			log,
 			isPeerPort,
 			quota: isPeerPort ? undefined : quota,
-			// Another daemon has spent its time on a relayed request already.
-			mustRefuse: isPeerPort ? undefined : pressure.mustRefuse,
 			routeTable: () => (isListening && registry.isLoaded ? cluster.routeTable : undefined),
 			snapshot: cluster.snapshot,
 			stopProgress: () =>
--- a/packages/gateway/src/node/request-admission.ts
+++ b/packages/gateway/src/node/request-admission.ts
@@ -22,8 +22,6 @@
 	`${snapshotPath}${knownConfigVersion}`;
 
 const notReadyRetryMs = 500;
-/** A daemon that has no processor time has some again after this time, if it refuses enough. */
-const busyRetryMs = 300;
 /** Short, because another daemon can accept the request immediately. */
 const stoppingRetryMs = 20;
 
@@ -38,8 +36,6 @@
 	/** Undefined until the daemon has started and has a configuration and upstreams. */
 	routeTable(): routeConfig.RouteTable | undefined;
 	snapshot(knownConfigVersion: number): clusterState.Snapshot;
-	/** Whether a new request is refused for lack of processor time. */
-	mustRefuse?(rank: number): boolean;
 	/** Undefined unless the daemon is stopping. */
 	stopProgress(): plannedStop.StopProgress | undefined;
 };
@@ -111,14 +107,6 @@
 			: undefined;
 	};
 
-	/** Refuses a part of the requests before they cost more processor time than is left. */
-	const refuseWithoutTime = (
-		terms: routeConfig.RequestTerms,
-	): callerServer.Rejection | undefined =>
-		options.mustRefuse?.(routeConfig.rankOf(terms))
-			? {kind: 'reject', status: 503, reason: 'no-processor-time', retryAfterMs: busyRetryMs}
-			: undefined;
-
 	/** Team that another daemon named; one that is not in this configuration has no terms of its own. */
 	const relayedTeam = (
 		head: callerServer.RequestHead,
@@ -268,11 +256,7 @@
 			configVersion: relayed.kind === 'own' ? ownVersion : relayed.version,
 			isRelayedByEarlierConfig: relayed.kind === 'own' && relayed.isLater,
 		};
-		return (
-			refuseInStop(route, facts, 0) ??
-			refuseWithoutTime({route, team}) ??
-			accept(head, identity, choice, facts, table)
-		);
+		return refuseInStop(route, facts, 0) ?? accept(head, identity, choice, facts, table);
 	};
 
 	return (head) => {
